--- /dev/null
+++ b/crates/bins/src/lib.rs
@@ -0,0 +1,1 @@
+//! The binaries of nutmegbay.
--- /dev/null
+++ b/crates/core/src/ids.rs
@@ -0,0 +1,179 @@
+//! Identifiers, all small and `Copy`.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::de::{Error, Visitor};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use xxhash_rust::xxh3::xxh3_128;
+
+/// Position of a record in the platform's log.
+#[derive(
+    Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Offset(pub u64);
+
+impl Offset {
+    /// The position after this one.
+    #[must_use]
+    pub fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+impl fmt::Display for Offset {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// Fencing number: the offset of the accepted lease claim that gives authority.
+#[derive(
+    Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Epoch(pub u64);
+
+impl From<Offset> for Epoch {
+    fn from(offset: Offset) -> Self {
+        Self(offset.0)
+    }
+}
+
+impl fmt::Display for Epoch {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// Number of a usage window: wall-clock time divided by the window length.
+#[derive(
+    Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct WindowId(pub u64);
+
+impl fmt::Display for WindowId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// Defines a 128-bit identifier that is written as 32 hexadecimal digits.
+macro_rules! hex_id {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $name(pub u128);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{:032x}", self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = InvalidId;
+
+            fn from_str(text: &str) -> Result<Self, InvalidId> {
+                parse_hex(text).map(Self)
+            }
+        }
+
+        impl Serialize for $name {
+            fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+                serializer.collect_str(self)
+            }
+        }
+
+        impl<'de> Deserialize<'de> for $name {
+            fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+                deserializer.deserialize_str(HexVisitor).map(Self)
+            }
+        }
+    };
+}
+
+hex_id! {
+    /// Identity of one request, carried by every piece of its answer.
+    RequestId
+}
+
+hex_id! {
+    /// Identity of one log record, so that a repeated append is dropped by replay.
+    RecordId
+}
+
+hex_id! {
+    /// One life of a process: drawn at random at each start.
+    Incarnation
+}
+
+hex_id! {
+    /// Hash of what a request asks for: equal for repeats of it under new identities.
+    Fingerprint
+}
+
+hex_id! {
+    /// Hash of client account, route and idempotency key of a non-idempotent call.
+    CallKey
+}
+
+impl Fingerprint {
+    /// Hashes the parts that make two requests the same work.
+    pub fn of(account: &str, model: &str, prompt: &str) -> Self {
+        Self(hash_parts(&[account, model, prompt]))
+    }
+}
+
+impl CallKey {
+    /// Hashes what identifies a non-idempotent call.
+    pub fn of(account: &str, route: &str, idempotency_key: &str) -> Self {
+        Self(hash_parts(&[account, route, idempotency_key]))
+    }
+}
+
+/// Hashes `parts` with their lengths, so that no two lists of parts share an input.
+fn hash_parts(parts: &[&str]) -> u128 {
+    let mut buf = Vec::with_capacity(parts.iter().map(|part| part.len() + 8).sum());
+    for part in parts {
+        buf.extend_from_slice(&(part.len() as u64).to_le_bytes());
+        buf.extend_from_slice(part.as_bytes());
+    }
+    xxh3_128(&buf)
+}
+
+/// The text is not an identifier of 32 hexadecimal digits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct InvalidId;
+
+impl fmt::Display for InvalidId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("expected 32 hexadecimal digits")
+    }
+}
+
+impl std::error::Error for InvalidId {}
+
+fn parse_hex(text: &str) -> Result<u128, InvalidId> {
+    let is_hex = text.len() == 32 && text.bytes().all(|b| b.is_ascii_hexdigit());
+    if !is_hex {
+        return Err(InvalidId);
+    }
+    u128::from_str_radix(text, 16).map_err(|_| InvalidId)
+}
+
+struct HexVisitor;
+
+impl Visitor<'_> for HexVisitor {
+    type Value = u128;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("32 hexadecimal digits")
+    }
+
+    fn visit_str<E: Error>(self, text: &str) -> Result<u128, E> {
+        parse_hex(text).map_err(E::custom)
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,10 @@
+//! Coordination components of nutmegbay, free of input and output.
+//!
+//! Every component is driven by events and answers with effects. It meets time, the platform's
+//! log, peers and upstreams only through [`world::World`], so that an embedder supplies the
+//! transport and a test supplies the clock.
+
+pub mod ids;
+pub mod record;
+pub mod verdict;
+pub mod world;
--- /dev/null
+++ b/crates/core/src/world.rs
@@ -0,0 +1,50 @@
+//! The one trait through which components meet the outside.
+
+use std::time::Duration;
+
+use crate::record::Record;
+
+/// Moment on the runtime's monotonic clock, counted from the start of the process.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Moment(pub Duration);
+
+impl Moment {
+    /// Moment `after` later.
+    #[must_use]
+    pub fn plus(self, after: Duration) -> Self {
+        Self(self.0.saturating_add(after))
+    }
+
+    /// Time since `earlier`, zero if that lies ahead.
+    pub fn since(self, earlier: Self) -> Duration {
+        self.0.saturating_sub(earlier.0)
+    }
+}
+
+/// Time, randomness and effects, as supplied by the embedder.
+pub trait World {
+    /// Effects that the component asks for.
+    type Effect;
+
+    /// Current moment.
+    fn now(&self) -> Moment;
+
+    /// Wall-clock time in milliseconds since 1970, used for window numbers and the audit trail.
+    fn wall_ms(&self) -> u64;
+
+    /// Fresh random bits for identifiers.
+    fn random(&mut self) -> u128;
+
+    /// Starts an effect; its result comes back as an event.
+    fn perform(&mut self, effect: Self::Effect);
+}
+
+/// Appends `records` in one group; answered by an event with the first offset, or by a failure that
+/// says whether the group may still take effect.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Append {
+    /// Token that the answer repeats.
+    pub token: u64,
+    /// Records in order.
+    pub records: Vec<Record>,
+}
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! Operators' command-line tool.
--- /dev/null
+++ b/crates/demo/src/lib.rs
@@ -0,0 +1,1 @@
+//! Whole path in one process on loopback, checking itself.
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,1 @@
+//! Entry for callers: authenticates, routes and forwards.
--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,1 @@
+//! Load and experiment tool.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Clients of the platform's HTTP interfaces.
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Routing, limits and role planning, free of input and output.
--- /dev/null
+++ b/crates/sidecar/src/lib.rs
@@ -0,0 +1,1 @@
+//! Process beside an upstream: the only path for its work and orders.
