Add deterministic replay of the log

The feature mutation, enabled by this crate's own tests only, builds deliberate faults for the fuzzing.

--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -48,12 +48,18 @@
 }
 
 /// Number of a usage window: wall-clock time divided by the window length.
-#[derive(
-    Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
 #[serde(transparent)]
 pub struct WindowId(pub u64);
 
+impl<'de> Deserialize<'de> for WindowId {
+    // JSON writes map keys as text, and serde does not turn them back into numbers inside an
+    // internally tagged enum such as `record::Body`.
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_any(WindowVisitor).map(Self)
+    }
+}
+
 impl fmt::Display for WindowId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0.fmt(f)
@@ -177,3 +183,21 @@
         parse_hex(text).map_err(E::custom)
     }
 }
+
+struct WindowVisitor;
+
+impl Visitor<'_> for WindowVisitor {
+    type Value = u64;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a window number")
+    }
+
+    fn visit_u64<E: Error>(self, number: u64) -> Result<u64, E> {
+        Ok(number)
+    }
+
+    fn visit_str<E: Error>(self, text: &str) -> Result<u64, E> {
+        text.parse().map_err(E::custom)
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,9 @@
 //! transport and a test supplies the clock.
 
 pub mod ids;
+#[doc(hidden)]
+pub mod mutation;
 pub mod record;
+pub mod replica;
 pub mod verdict;
 pub mod world;
--- /dev/null
+++ b/crates/core/src/mutation.rs
@@ -0,0 +1,51 @@
+//! Deliberate faults that prove that the fuzzing finds them.
+//!
+//! Without the feature `mutation`, which only the tests of this crate enable, [`Mutations::has`] is
+//! constantly false.
+
+/// One deliberate fault.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mutation {
+    /// Replay accepts a lease claim that does not follow the last lease record.
+    ClaimWithoutPrev,
+    /// Replay accepts a publish that does not follow the last one.
+    PublishWithoutPrev,
+    /// Replay accepts records under any fencing number.
+    AnyEpoch,
+    /// Replay accepts an intent for an engine that has one outstanding.
+    IntentWithoutCheck,
+    /// Replay adds cumulative counts again on every flush.
+    RecountOnRepeat,
+    /// The report of a window contains counts that came after its seal.
+    ReportAfterSeal,
+    /// The holder does not check its lease before an effect.
+    NoLeaseCheck,
+    /// The holder counts its lease from the answer instead of from the send.
+    LeaseFromAnswer,
+    /// A candidate claims without waiting.
+    NoCandidateWait,
+    /// A started process does not wait before its first claim.
+    NoStartWait,
+    /// Keyed requests are served in every state of the freshness chart.
+    ServeWhenIsolated,
+    /// A withdrawn key is still taken.
+    NoKeyCheck,
+    /// A flush drops the counts of an append that failed.
+    DropFailedCounts,
+}
+
+/// The fault of a component, if any.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct Mutations(Option<Mutation>);
+
+impl Mutations {
+    /// Component with one fault.
+    pub fn only(mutation: Mutation) -> Self {
+        Self(Some(mutation))
+    }
+
+    /// Whether the component has this fault.
+    pub fn has(self, mutation: Mutation) -> bool {
+        cfg!(feature = "mutation") && self.0 == Some(mutation)
+    }
+}
--- a/crates/core/src/record.rs
+++ b/crates/core/src/record.rs
@@ -68,6 +68,8 @@
     QuarantineClear(QuarantineClear),
     /// Asks an instance to drain.
     DrainRequest(DrainRequest),
+    /// Fixes the offset as of which the next snapshot is written.
+    SnapshotMark(SnapshotMark),
     /// One part of a snapshot.
     SnapshotPart(SnapshotPart),
 }
@@ -301,11 +303,37 @@
     Decode,
 }
 
+impl OrderCommand {
+    /// Engine or service that the order is for, none if it adds one.
+    pub fn upstream(&self) -> Option<&str> {
+        match self {
+            Self::SetRole { upstream, .. }
+            | Self::LoadModel { upstream, .. }
+            | Self::LoadAdapter { upstream, .. }
+            | Self::RemoveUpstream { upstream } => Some(upstream),
+            Self::AddUpstream { .. } => None,
+        }
+    }
+
+    /// Whether both may not be outstanding at once: they are for the same upstream, or both add one
+    /// for the same service in the same failure domain.
+    pub fn conflicts_with(&self, other: &Self) -> bool {
+        match (self.upstream(), other.upstream()) {
+            (Some(a), Some(b)) => a == b,
+            (None, None) => self == other,
+            _ => false,
+        }
+    }
+}
+
 /// Content of [`Body::OrderDone`].
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct OrderDone {
     /// Order that ended.
     pub order: RecordId,
+    /// Authority under which it was last sent: a former holder cannot end an order that its
+    /// successor has sent again.
+    pub epoch: Epoch,
     /// Whether it took effect.
     pub applied: bool,
     /// Detail for the audit trail.
@@ -335,6 +363,31 @@
     pub completion_tokens: u64,
 }
 
+impl Usage {
+    /// Sum, at most the largest number.
+    #[must_use]
+    pub fn saturating_add(self, other: Self) -> Self {
+        Self {
+            calls: self.calls.saturating_add(other.calls),
+            prompt_tokens: self.prompt_tokens.saturating_add(other.prompt_tokens),
+            completion_tokens: self
+                .completion_tokens
+                .saturating_add(other.completion_tokens),
+        }
+    }
+
+    /// Difference, none if a field of `other` is larger.
+    pub fn checked_sub(self, other: Self) -> Option<Self> {
+        Some(Self {
+            calls: self.calls.checked_sub(other.calls)?,
+            prompt_tokens: self.prompt_tokens.checked_sub(other.prompt_tokens)?,
+            completion_tokens: self
+                .completion_tokens
+                .checked_sub(other.completion_tokens)?,
+        })
+    }
+}
+
 /// Content of [`Body::WindowSeal`].
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct WindowSeal {
@@ -376,6 +429,14 @@
     pub instance: Box<str>,
 }
 
+/// Content of [`Body::SnapshotMark`]. Every replica hashes its state right after applying this
+/// record and later compares the digest of the parts with it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct SnapshotMark {
+    /// Authority under which the snapshot is written.
+    pub epoch: Epoch,
+}
+
 /// Content of [`Body::SnapshotPart`].
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct SnapshotPart {
