--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -2,6 +2,7 @@
 //! codes and its answer to termination signals.
 
 pub mod admin;
+pub mod clock;
 pub mod exit;
 pub mod log;
 pub mod metrics;
