Add telemetry and platform clients

Every binary needs log lines, metrics, a stop token, readiness and exit codes; gateway, sidecar and operators' tool need the platform. Calls carry the instance name in the header `x-instance`.

--- a/crates/proto/src/platform.rs
+++ b/crates/proto/src/platform.rs
@@ -6,8 +6,8 @@
 //! | `GET /log?from=&max=&wait_ms=` | | [`ReadResponse`] |
 //! | `GET /instances` | | [`InstanceList`] |
 //! | `GET /weights/{model}` | | 200, 429 over the rate |
-//! | `POST /upstream-orders` | [`UpstreamOrder`] | 200 |
-//! | `POST /usage-reports` | [`UsageReport`] | 200, 409 for other figures under a known window |
+//! | `POST /upstream-orders` | [`UpstreamOrder`] | 200 `{}` |
+//! | `POST /usage-reports` | [`UsageReport`] | 200 `{}`, 409 for other figures under a known window |
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -18,6 +18,9 @@
 use serde_json::value::RawValue;
 use strum::{Display, EnumString, IntoStaticStr};
 
+/// Header with the name of the calling instance.
+pub const INSTANCE_HEADER: &str = "x-instance";
+
 /// Appends records in one group.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct AppendRequest {
--- /dev/null
+++ b/crates/telemetry/src/signals.rs
@@ -0,0 +1,23 @@
+//! Termination signals.
+
+use tokio::signal::unix::{SignalKind, signal};
+use tokio_util::sync::CancellationToken;
+
+/// Cancels the returned token on the first SIGTERM or SIGINT. Must be called inside a runtime.
+///
+/// The handlers stay installed, so that a repeated signal does not cut short a planned stop.
+pub fn stop_token() -> std::io::Result<CancellationToken> {
+    let mut term = signal(SignalKind::terminate())?;
+    let mut int = signal(SignalKind::interrupt())?;
+    let token = CancellationToken::new();
+    let stop = token.clone();
+    tokio::spawn(async move {
+        let name = tokio::select! {
+            _ = term.recv() => "SIGTERM",
+            _ = int.recv() => "SIGINT",
+        };
+        tracing::info!(signal = name, "stopping");
+        stop.cancel();
+    });
+    Ok(token)
+}
