Serve model requests and plain calls in the gateway

The gateway tails the platform's log, applies configuration and keys, and forwards work to sidecars. A pump task writes each answer into a shared flight that callers read at their own pace, so a lost upstream is replaced behind the delivered tokens and identical requests share one run.

Non-idempotent calls are refused as not run until the attempt coordinator is in place.

--- /dev/null
+++ b/crates/bins/src/bin/nutmegbay-gateway.rs
@@ -0,0 +1,43 @@
+//! Entry for callers.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use nutmegbay_gateway::settings::GatewaySettings;
+use nutmegbay_gateway::{cli, run};
+use nutmegbay_telemetry::exit::Exit;
+use nutmegbay_telemetry::{log, signals};
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let matches = cli::command().get_matches();
+    if let Err(e) = log::init(None) {
+        eprintln!("{e}");
+        return Exit::Usage.into();
+    }
+    let path = matches
+        .get_one::<PathBuf>(cli::SETTINGS)
+        .cloned()
+        .unwrap_or_default();
+    let settings = match GatewaySettings::load(&path) {
+        Ok(settings) => settings,
+        Err(e) => {
+            eprintln!("{e}");
+            return Exit::Usage.into();
+        }
+    };
+    let stop = match signals::stop_token() {
+        Ok(stop) => stop,
+        Err(e) => {
+            eprintln!("signal handlers cannot be installed: {e}");
+            return Exit::Failure.into();
+        }
+    };
+    match run(settings, stop).await {
+        Ok(()) => Exit::Ok.into(),
+        Err(e) => {
+            eprintln!("{e:?}");
+            Exit::Failure.into()
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/data/serve.rs
@@ -0,0 +1,161 @@
+//! Accepts callers' connections and dispatches their requests.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::request::Parts;
+use http::{Method, Request, Response};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::{Body as _, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::graceful::GracefulShutdown;
+use nutmegbay_proto::problem::{Problem, ProblemKind};
+use tokio::net::TcpListener;
+use tokio::time::{sleep, timeout};
+use tokio_util::sync::CancellationToken;
+
+use super::body::Body;
+use super::refuse::{not_run, respond};
+use super::sse::Style;
+use super::{models, services};
+use crate::auth::identify;
+use crate::gateway::Gateway;
+
+/// Time for a caller to send the head of a request.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Longest pause while a caller sends a body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Buffer of one caller's connection in bytes: bounds the memory of an open stream.
+const CONNECTION_BUFFER: usize = 16 * 1024;
+
+/// Pause after a failed accept, which is usually a lack of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Serves callers until `stop`, then finishes what is in flight.
+pub async fn serve(gateway: Arc<Gateway>, listener: TcpListener, stop: CancellationToken) {
+    let graceful = GracefulShutdown::new();
+    loop {
+        let stream = tokio::select! {
+            () = stop.cancelled() => break,
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => stream,
+                Err(error) => {
+                    tracing::warn!(event = "accept_failed", %error);
+                    sleep(ACCEPT_PAUSE).await;
+                    continue;
+                }
+            },
+        };
+        // Without this a small event would wait for the caller's delayed acknowledgement.
+        let _ = stream.set_nodelay(true);
+        let gateway = Arc::clone(&gateway);
+        let service = service_fn(move |req| {
+            let gateway = Arc::clone(&gateway);
+            async move { Ok::<_, Infallible>(handle(&gateway, req).await) }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(HEAD_TIMEOUT)
+            .max_buf_size(CONNECTION_BUFFER)
+            .serve_connection(TokioIo::new(stream), service);
+        let connection = graceful.watch(connection);
+        tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                tracing::debug!(event = "connection_ended", %error);
+            }
+        });
+    }
+    drop(listener);
+    graceful.shutdown().await;
+}
+
+async fn handle(gateway: &Arc<Gateway>, req: Request<Incoming>) -> Response<Body> {
+    gateway.metrics.count("requests");
+    match dispatch(gateway, req).await {
+        Ok(res) => res,
+        Err(problem) => {
+            gateway.metrics.count("refused");
+            tracing::info!(event = "refused", kind = %problem.kind, verdict = %problem.verdict,
+                detail = %problem.detail);
+            respond(&problem)
+        }
+    }
+}
+
+async fn dispatch(
+    gateway: &Arc<Gateway>,
+    req: Request<Incoming>,
+) -> Result<Response<Body>, Problem> {
+    let in_flight = gateway.enter();
+    let (parts, body) = req.into_parts();
+    let style = match (&parts.method, parts.uri.path()) {
+        (&Method::POST, "/v1/chat/completions") => Some(Style::Chat),
+        (&Method::POST, "/v1/completions") => Some(Style::Text),
+        (&Method::GET, "/v1/models") => return models::list(gateway, &parts.headers),
+        _ => None,
+    };
+    let view = gateway.view();
+    let site = view.site()?;
+    let max_body = site.limits.max_body_bytes;
+    let Some(style) = style else {
+        let route = services::find_route(site, &parts)?;
+        let caller = if route.open {
+            None
+        } else {
+            Some(identify(gateway, &parts.headers)?)
+        };
+        if !route.idempotent {
+            let detail = "this build does not run non-idempotent calls";
+            return Err(not_run(ProblemKind::Internal, detail));
+        }
+        let body = read_body(body, &parts, max_body).await?;
+        return services::call(gateway, route, caller, &parts, body).await;
+    };
+    drop(view);
+    let caller = identify(gateway, &parts.headers)?;
+    let body = read_body(body, &parts, max_body).await?;
+    let res = models::complete(gateway, style, caller, &body).await;
+    drop(in_flight);
+    res
+}
+
+async fn read_body(body: Incoming, parts: &Parts, max: usize) -> Result<Bytes, Problem> {
+    let too_large = || {
+        let detail = format!("the body may have at most {max} bytes");
+        not_run(ProblemKind::BodyTooLarge, detail)
+    };
+    let is_over = body.size_hint().lower() > max as u64;
+    if is_over {
+        return Err(too_large());
+    }
+    let mut body = Limited::new(body, max);
+    let mut whole = Vec::with_capacity(usize::try_from(body.size_hint().lower()).unwrap_or(0));
+    loop {
+        let frame = timeout(BODY_TIMEOUT, body.frame()).await.map_err(|_| {
+            let detail = format!(
+                "the body of {} stopped for {BODY_TIMEOUT:?}",
+                parts.uri.path()
+            );
+            not_run(ProblemKind::IncompleteBody, detail)
+        })?;
+        match frame {
+            None => return Ok(Bytes::from(whole)),
+            Some(Ok(frame)) => {
+                if let Ok(data) = frame.into_data() {
+                    whole.extend_from_slice(&data);
+                }
+            }
+            Some(Err(e)) if e.is::<LengthLimitError>() => return Err(too_large()),
+            Some(Err(e)) => {
+                let detail = format!("the body broke off: {e}");
+                return Err(not_run(ProblemKind::IncompleteBody, detail));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/data/services.rs
@@ -0,0 +1,180 @@
+//! Calls to plain services.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::request::Parts;
+use http::{HeaderValue, Request, Response, Uri};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use nutmegbay_core::ids::RequestId;
+use nutmegbay_core::verdict::Verdict;
+use nutmegbay_proto::platform::InstanceKind;
+use nutmegbay_proto::problem::{Problem, ProblemKind};
+use nutmegbay_proto::work::{CALL_HEADER, CALL_PATH, CallHead, REQUEST_HEADER};
+use nutmegbay_settings::model::{Route, SiteSettings};
+use tokio::time::{Instant, timeout_at};
+
+use super::body::{Body, Passed};
+use super::client::Via;
+use super::headers;
+use super::refuse::not_run;
+use crate::auth::Identity;
+use crate::gateway::Gateway;
+use crate::state::upstreams::{Dispatch, Upstream};
+
+/// Upstreams tried for one idempotent call.
+const MAX_ATTEMPTS: usize = 3;
+
+/// Finds the route of a request.
+pub fn find_route<'a>(site: &'a SiteSettings, parts: &Parts) -> Result<&'a Route, Problem> {
+    let path = parts.uri.path();
+    // Services differ in how they resolve such segments, so a prefix says nothing about them.
+    let is_ambiguous = path.contains("//")
+        || path.contains('%') && has_encoded_delimiter(path)
+        || path.split('/').any(|s| s == "." || s == "..");
+    site.routes
+        .iter()
+        .filter(|r| !is_ambiguous && is_prefix(&r.path, path))
+        .filter(|r| r.methods.iter().any(|m| **m == *parts.method.as_str()))
+        .max_by_key(|r| r.path.len())
+        .ok_or_else(|| {
+            let detail = format!("no route for {} {path}", parts.method);
+            not_run(ProblemKind::UnknownRoute, detail)
+        })
+}
+
+fn is_prefix(prefix: &str, path: &str) -> bool {
+    let prefix = prefix.trim_end_matches('/');
+    path.strip_prefix(prefix)
+        .is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+}
+
+/// Whether the path has an encoded dot, slash or backslash.
+fn has_encoded_delimiter(path: &str) -> bool {
+    path.as_bytes().windows(3).any(|w| {
+        w[0] == b'%'
+            && matches!(
+                (w[1], w[2].to_ascii_lowercase()),
+                (b'2', b'e' | b'f') | (b'5', b'c')
+            )
+    })
+}
+
+/// Runs an idempotent call.
+pub async fn call(
+    gateway: &Arc<Gateway>,
+    route: &Route,
+    caller: Option<Identity>,
+    parts: &Parts,
+    body: Bytes,
+) -> Result<Response<Body>, Problem> {
+    let deadline = Instant::now() + Duration::from_millis(route.timeout_ms);
+    let id = gateway.request_id();
+    let mut verdict = Verdict::NotRun;
+    let mut avoid: Vec<Arc<Upstream>> = Vec::new();
+    let mut via = Via::Pool;
+    for _ in 0..MAX_ATTEMPTS {
+        let Some(upstream) = pick(gateway, &route.service, &avoid) else {
+            break;
+        };
+        let head = CallHead {
+            id,
+            account: caller.as_ref().map(|c| c.account.clone()),
+            once: None,
+            deadline_ms: millis(deadline.saturating_duration_since(Instant::now())),
+        };
+        let dispatch = Dispatch::new(upstream);
+        let req = request(&dispatch.upstream, &head, parts, body.clone())?;
+        match timeout_at(deadline, gateway.client.send(via, req)).await {
+            Ok(Ok(res)) if !is_refusal(&res) => {
+                dispatch.upstream.set_failing(false);
+                return Ok(pass(res, id, caller, dispatch));
+            }
+            Ok(Ok(_)) => {}
+            Ok(Err(e)) => {
+                dispatch.upstream.set_failing(true);
+                via = Via::New;
+                if !e.is_connect() {
+                    verdict = Verdict::MayHaveRun;
+                }
+            }
+            Err(_) => {
+                dispatch.upstream.set_failing(true);
+                let detail = format!("no answer within {} ms", route.timeout_ms);
+                let verdict = Verdict::MayHaveRun;
+                return Err(Problem::new(ProblemKind::UpstreamTimeout, verdict, detail));
+            }
+        }
+        avoid.push(Arc::clone(&dispatch.upstream));
+    }
+    let detail = format!("no upstream of service `{}` took the call", route.service);
+    Err(Problem::new(ProblemKind::NoUpstream, verdict, detail).retry_after(1))
+}
+
+/// Whether the sidecar, not the service, answers: it refuses with a problem of its own.
+fn is_refusal(res: &Response<Incoming>) -> bool {
+    res.status() == http::StatusCode::SERVICE_UNAVAILABLE
+        && res
+            .headers()
+            .get(http::header::CONTENT_TYPE)
+            .is_some_and(|v| v == nutmegbay_proto::problem::PROBLEM_JSON)
+}
+
+fn pick(gateway: &Gateway, service: &str, avoid: &[Arc<Upstream>]) -> Option<Arc<Upstream>> {
+    let view = gateway.view();
+    let is_avoided = |u: &Arc<Upstream>| avoid.iter().any(|a| Arc::ptr_eq(a, u));
+    view.upstreams
+        .iter()
+        .filter(|u| u.kind == InstanceKind::Service && *u.serves == *service && u.takes_work())
+        .min_by_key(|u| (is_avoided(u), u.is_failing(), u.open_count()))
+        .cloned()
+}
+
+/// Builds the call as the sidecar expects it.
+pub fn request(
+    upstream: &Upstream,
+    head: &CallHead,
+    parts: &Parts,
+    body: Bytes,
+) -> Result<Request<Full<Bytes>>, Problem> {
+    let internal = || not_run(ProblemKind::Internal, "the call cannot be encoded");
+    let path = parts.uri.path_and_query().map_or("/", |p| p.as_str());
+    let uri: Uri = format!("http://{}{CALL_PATH}{path}", upstream.data)
+        .parse()
+        .map_err(|_| internal())?;
+    let head = serde_json::to_string(head).map_err(|_| internal())?;
+    let head = HeaderValue::try_from(head).map_err(|_| internal())?;
+    let mut req = Request::new(Full::new(body));
+    *req.method_mut() = parts.method.clone();
+    *req.uri_mut() = uri;
+    headers::copy_request(&parts.headers, req.headers_mut());
+    req.headers_mut().insert(CALL_HEADER, head);
+    Ok(req)
+}
+
+/// Passes the sidecar's answer on to the caller.
+pub fn pass(
+    res: Response<Incoming>,
+    id: RequestId,
+    caller: Option<Identity>,
+    dispatch: Dispatch,
+) -> Response<Body> {
+    let (parts, body) = res.into_parts();
+    let mut out = Response::new(Body::Passed(Box::new(Passed {
+        body,
+        ended: caller.map(|c| c.ended),
+        open: Some(dispatch),
+    })));
+    *out.status_mut() = parts.status;
+    headers::copy_response(&parts.headers, out.headers_mut());
+    if let Ok(value) = HeaderValue::from_str(&id.to_string()) {
+        out.headers_mut().insert(REQUEST_HEADER, value);
+    }
+    out
+}
+
+fn millis(d: Duration) -> u64 {
+    u64::try_from(d.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,165 @@
+//! What all requests of a gateway share.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, PoisonError, Weak};
+use std::time::SystemTime;
+
+use nutmegbay_core::ids::{Fingerprint, Incarnation, RequestId};
+use tokio::sync::{Notify, watch};
+
+use crate::data::client::Upstreams;
+use crate::data::flight::{Flight, SeatId};
+use crate::metrics::Metrics;
+use crate::settings::GatewaySettings;
+use crate::state::revoke::OpenKeys;
+use crate::state::tally::Tally;
+use crate::state::view::View;
+
+/// Shared state of one gateway.
+pub struct Gateway {
+    /// Process settings.
+    pub settings: GatewaySettings,
+    /// Life of this process.
+    pub incarnation: Incarnation,
+    /// Client towards sidecars.
+    pub client: Upstreams,
+    /// Open streams by key.
+    pub open_keys: Arc<OpenKeys>,
+    /// Model work in flight.
+    pub flights: Flights,
+    /// Counters and timers.
+    pub metrics: Metrics,
+    /// Usage not yet handed to the state task.
+    pub tally: Tally,
+    view: watch::Receiver<Arc<View>>,
+    in_flight: AtomicU32,
+    idle: Notify,
+    is_draining: AtomicBool,
+}
+
+impl Gateway {
+    /// Creates the shared state; `view` is fed by the state task.
+    pub fn new(
+        settings: GatewaySettings,
+        open_keys: Arc<OpenKeys>,
+        metrics: Metrics,
+        view: watch::Receiver<Arc<View>>,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            settings,
+            incarnation: Incarnation(rand::random()),
+            client: Upstreams::new(),
+            open_keys,
+            flights: Flights::default(),
+            metrics,
+            tally: Tally::default(),
+            view,
+            in_flight: AtomicU32::new(0),
+            idle: Notify::new(),
+            is_draining: AtomicBool::new(false),
+        })
+    }
+
+    /// Newest state that the state task has published.
+    pub fn view(&self) -> Arc<View> {
+        Arc::clone(&self.view.borrow())
+    }
+
+    /// Fresh identity for a request.
+    pub fn request_id(&self) -> RequestId {
+        RequestId(rand::random())
+    }
+
+    /// Counts a request until the result is dropped.
+    pub fn enter(self: &Arc<Self>) -> InFlight {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        InFlight(Arc::clone(self))
+    }
+
+    /// Requests in flight.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Waits until no request is in flight.
+    pub async fn idle(&self) {
+        loop {
+            let notified = self.idle.notified();
+            if self.in_flight() == 0 {
+                return;
+            }
+            notified.await;
+        }
+    }
+
+    /// Stops taking new work.
+    pub fn drain(&self) {
+        self.is_draining.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether it no longer takes new work.
+    pub fn is_draining(&self) -> bool {
+        self.is_draining.load(Ordering::Relaxed)
+    }
+
+    /// Whether the load balancer may send callers here.
+    pub fn is_ready(&self) -> bool {
+        !self.is_draining() && self.view().is_ready()
+    }
+
+    /// Counts a complete answer for billing.
+    pub fn count(&self, account: &str, prompt_tokens: u32, completion_tokens: u32) {
+        self.tally.add(account, prompt_tokens, completion_tokens);
+    }
+}
+
+/// Counts one request while it is in flight.
+pub struct InFlight(Arc<Gateway>);
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        if self.0.in_flight.fetch_sub(1, Ordering::Relaxed) == 1 {
+            self.0.idle.notify_waiters();
+        }
+    }
+}
+
+/// Model work in flight by what it asks for, so that identical requests share one run.
+#[derive(Default)]
+pub struct Flights {
+    by_work: Mutex<HashMap<(Fingerprint, u32), Weak<Flight>>>,
+}
+
+impl Flights {
+    /// Joins the work in flight or starts it; true if the caller must run it.
+    pub fn join(&self, work: Fingerprint, max_tokens: u32) -> (Arc<Flight>, SeatId, bool) {
+        let mut by_work = self.by_work.lock().unwrap_or_else(PoisonError::into_inner);
+        let known = by_work.get(&(work, max_tokens)).and_then(Weak::upgrade);
+        if let Some((flight, seat)) = known.and_then(|f| f.join().map(|seat| (f, seat))) {
+            return (flight, seat, false);
+        }
+        let (flight, seat) = Flight::start();
+        by_work.insert((work, max_tokens), Arc::downgrade(&flight));
+        (flight, seat, true)
+    }
+
+    /// Forgets finished work.
+    pub fn remove(&self, work: Fingerprint, max_tokens: u32, flight: &Arc<Flight>) {
+        let mut by_work = self.by_work.lock().unwrap_or_else(PoisonError::into_inner);
+        let key = (work, max_tokens);
+        if by_work
+            .get(&key)
+            .is_some_and(|f| f.as_ptr() == Arc::as_ptr(flight))
+        {
+            by_work.remove(&key);
+        }
+    }
+}
+
+/// Wall-clock time in milliseconds since 1970: for window numbers, answers and the audit trail.
+pub fn wall_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(SystemTime::UNIX_EPOCH)
+        .map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/crates/gateway/src/settings.rs
@@ -0,0 +1,84 @@
+//! Process settings of a gateway: JSON with comments, checked before use.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use error_stack::{Report, ensure};
+use nutmegbay_settings::{Fault, Node, SettingsError, Source};
+use serde::Deserialize;
+
+/// Settings of one gateway process.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GatewaySettings {
+    /// Name of the instance, unique in the site.
+    pub instance: Box<str>,
+    /// Failure domain of the instance.
+    pub failure_domain: Box<str>,
+    /// Site whose overlay applies.
+    pub site: Box<str>,
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Address of the control interface.
+    pub control: SocketAddr,
+    /// Address of `/ready` and `/health`.
+    pub admin: SocketAddr,
+    /// Base URL of the platform, such as `http://10.0.0.1:7000`.
+    pub platform: Box<str>,
+    /// Address of a statsd server that takes metrics over UDP.
+    #[serde(default)]
+    pub statsd: Option<SocketAddr>,
+}
+
+impl GatewaySettings {
+    /// Reads and checks a settings file; the error is a text for the operator.
+    pub fn load(path: &Path) -> Result<Self, String> {
+        let name = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|e| format!("{name}: {e}"))?;
+        Self::parse(&name, &text).map_err(|e| e.current_context().to_string())
+    }
+
+    /// Parses and checks settings; `name` is the file's name in error messages.
+    pub fn parse(name: &str, text: &str) -> Result<Self, Report<SettingsError>> {
+        let tree = Node::parse(Source { name, text })?;
+        let settings: Self = tree.read()?;
+        settings.check(&tree)?;
+        Ok(settings)
+    }
+
+    /// Address of the platform, none if the URL is not of the form `http://<IP>:<port>`.
+    pub fn platform_addr(&self) -> Option<SocketAddr> {
+        let addr = self.platform.strip_prefix("http://")?;
+        addr.trim_end_matches('/').parse().ok()
+    }
+
+    fn check(&self, tree: &Node) -> Result<(), Report<SettingsError>> {
+        let names = [
+            ("instance", &self.instance),
+            ("failure_domain", &self.failure_domain),
+            ("site", &self.site),
+        ];
+        for (key, value) in names {
+            ensure!(!value.is_empty(), fault(tree, key, "must not be empty"));
+        }
+        ensure!(
+            self.platform_addr().is_some(),
+            fault(
+                tree,
+                "platform",
+                "expected a URL such as http://10.0.0.1:7000"
+            )
+        );
+        Ok(())
+    }
+}
+
+fn fault(tree: &Node, key: &str, message: &str) -> Report<SettingsError> {
+    Report::new(SettingsError {
+        faults: vec![Fault {
+            origin: tree.origin_of(key),
+            key: key.to_owned(),
+            message: message.to_owned(),
+        }],
+    })
+}
--- /dev/null
+++ b/crates/gateway/src/state/tally.rs
@@ -0,0 +1,32 @@
+//! Usage counted since the state task last took it.
+
+use std::collections::BTreeMap;
+use std::sync::{Mutex, PoisonError};
+
+use nutmegbay_core::record::Usage;
+
+/// Usage by client account.
+#[derive(Debug, Default)]
+pub struct Tally {
+    counts: Mutex<BTreeMap<Box<str>, Usage>>,
+}
+
+impl Tally {
+    /// Counts one complete answer.
+    pub fn add(&self, account: &str, prompt_tokens: u32, completion_tokens: u32) {
+        let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
+        if !counts.contains_key(account) {
+            counts.insert(account.into(), Usage::default());
+        }
+        if let Some(usage) = counts.get_mut(account) {
+            usage.calls += 1;
+            usage.prompt_tokens += u64::from(prompt_tokens);
+            usage.completion_tokens += u64::from(completion_tokens);
+        }
+    }
+
+    /// Takes what was counted.
+    pub fn take(&self) -> BTreeMap<Box<str>, Usage> {
+        std::mem::take(&mut *self.counts.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/support/mod.rs
@@ -0,0 +1,142 @@
+//! Stand-ins for platform, sidecars and callers, driven step by step by the tests.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+pub mod caller;
+pub mod platform;
+pub mod sidecar;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use nutmegbay_core::record::Body;
+use nutmegbay_gateway::settings::GatewaySettings;
+use nutmegbay_gateway::{RunError, bind};
+use nutmegbay_proto::platform::{Instance, InstanceKind, InstanceState};
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+use caller::Caller;
+use platform::Platform;
+use sidecar::Sidecar;
+
+/// Good key of client account `acme`.
+pub const KEY: &str = "nb_k1_s3cret";
+
+/// Longest time that any step of a test may take.
+pub const STEP: Duration = Duration::from_secs(10);
+
+/// Base configuration of the tests.
+pub fn base() -> serde_json::Value {
+    serde_json::json!({
+        "accounts": [{ "name": "acme", "share": 1 }, { "name": "other", "share": 1 }],
+        "models": [{ "name": "verse", "version": "1", "max_tokens": 1000 }],
+        "routes": [
+            { "path": "/orders", "methods": ["GET"], "service": "orders", "idempotent": true,
+              "timeout_ms": 2000 },
+            { "path": "/place", "methods": ["POST"], "service": "orders", "idempotent": false,
+              "timeout_ms": 2000 },
+            { "path": "/hours", "methods": ["GET"], "service": "orders", "idempotent": true,
+              "open": true }
+        ],
+        "upstreams": [],
+        "limits": { "max_body_bytes": 65536, "max_queued": 100, "queue_deadline_ms": 1000,
+                    "progress_timeout_ms": 1000 },
+        "usage": { "window_s": 60, "grace_s": 10 },
+        "planner": { "enabled": false, "interval_s": 5, "horizon_s": 60 }
+    })
+}
+
+/// A gateway with its surroundings.
+pub struct Site {
+    pub platform: Platform,
+    pub listen: SocketAddr,
+    pub admin: SocketAddr,
+    pub stop: CancellationToken,
+    pub done: JoinHandle<Result<(), error_stack::Report<RunError>>>,
+}
+
+impl Site {
+    /// Starts a gateway in front of `sidecars` and waits until it is ready.
+    pub async fn start(sidecars: &[&Sidecar]) -> Self {
+        let platform = Platform::start().await;
+        platform.publish_base(&base());
+        platform.grant("k1", "acme", "s3cret");
+        platform.grant("k2", "other", "s3cret2");
+        for sidecar in sidecars {
+            platform.list(sidecar.instance());
+        }
+        let site = Self::start_with(platform).await;
+        site.until_ready().await;
+        site
+    }
+
+    /// Starts a gateway without waiting.
+    pub async fn start_with(platform: Platform) -> Self {
+        let text = format!(
+            r#"{{ // test
+                "instance": "gw1", "failure_domain": "a", "site": "test",
+                "listen": "127.0.0.1:0", "control": "127.0.0.1:0", "admin": "127.0.0.1:0",
+                "platform": "http://{}" }}"#,
+            platform.addr
+        );
+        let settings = GatewaySettings::parse("test", &text).expect("settings");
+        let _ = nutmegbay_telemetry::log::init(None);
+        let bound = bind(settings).await.expect("addresses");
+        let stop = CancellationToken::new();
+        let (listen, admin) = (bound.listen().expect("address"), bound.admin());
+        let done = tokio::spawn(bound.serve(stop.clone()));
+        Self {
+            platform,
+            listen,
+            admin,
+            stop,
+            done,
+        }
+    }
+
+    pub async fn until_ready(&self) {
+        let admin = Caller::new(self.admin);
+        until(async || admin.get("/ready", None).await.status == 200).await;
+    }
+
+    pub fn caller(&self) -> Caller {
+        Caller::new(self.listen)
+    }
+}
+
+/// Polls until `check` holds.
+pub async fn until(check: impl AsyncFn() -> bool) {
+    let polling = async {
+        while !check().await {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(STEP, polling)
+        .await
+        .expect("the condition did not come about");
+}
+
+/// Entry of the instance list.
+pub fn instance(name: &str, kind: InstanceKind, serves: &str, addr: SocketAddr) -> Instance {
+    Instance {
+        name: name.into(),
+        kind,
+        serves: serves.into(),
+        failure_domain: "a".into(),
+        data: addr,
+        control: addr,
+        state: InstanceState::Live,
+    }
+}
+
+/// Record content of a grant.
+pub fn grant(key: &str, account: &str, secret: &str) -> Body {
+    use sha2::{Digest, Sha256};
+    let digest = Sha256::digest(secret.as_bytes());
+    let hex: Vec<String> = digest.iter().map(|b| format!("{b:02x}")).collect();
+    Body::KeyGrant(nutmegbay_core::record::KeyGrant {
+        key: key.into(),
+        account: account.into(),
+        secret_sha256: hex.concat().into(),
+    })
+}
