--- a/crates/platform/tests/call_verdicts.rs
+++ b/crates/platform/tests/call_verdicts.rs
@@ -20,7 +20,7 @@
             let (mut stream, _) = listener.accept().await.unwrap();
             tokio::spawn(async move {
                 let mut buf = [0; 4_096];
-                stream.read(&mut buf).await.unwrap();
+                assert!(stream.read(&mut buf).await.unwrap() > 0);
                 stream.write_all(answer.as_bytes()).await.unwrap();
                 if hold {
                     std::future::pending::<()>().await;
