--- /dev/null
+++ b/crates/policy/src/join.rs
@@ -0,0 +1,159 @@
+//! Identical requests of one account share one run.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use nutmegbay_core::ids::Fingerprint;
+use nutmegbay_core::world::Moment;
+use slotmap::SlotMap;
+
+use crate::AccountKey;
+
+/// Time for which a run goes on without a caller. Impatient callers hang up and repeat at once, so
+/// the repeat comes within a connection set-up.
+const LINGER: Duration = Duration::from_secs(2);
+
+/// Age at which a run is announced to peers. Shorter runs end before their caller loses patience.
+const ANNOUNCE_AFTER: Duration = Duration::from_millis(250);
+
+/// Time for which a peer's announcement holds without being repeated.
+const ANNOUNCED_FOR: Duration = Duration::from_secs(2);
+
+slotmap::new_key_type! {
+    /// Key of a run in a [`JoinTable`].
+    pub struct FlightKey;
+}
+
+/// Runs in flight by account and fingerprint.
+#[derive(Debug)]
+pub struct JoinTable<P> {
+    flights: SlotMap<FlightKey, Flight>,
+    local: HashMap<(AccountKey, Fingerprint), FlightKey>,
+    remote: HashMap<(AccountKey, Fingerprint), (P, Moment)>,
+}
+
+#[derive(Debug)]
+struct Flight {
+    id: (AccountKey, Fingerprint),
+    since: Moment,
+    callers: u32,
+    left: Moment,
+}
+
+/// How a request relates to runs in flight. `P` names a peer gateway.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Join<P> {
+    /// It is the first: run it and call [`JoinTable::finish`] at its end.
+    First(FlightKey),
+    /// It shares a run of this gateway.
+    Joined(FlightKey),
+    /// It shares a run of a peer, to which it is to be passed on.
+    AtPeer(P),
+}
+
+impl<P> Default for JoinTable<P> {
+    fn default() -> Self {
+        Self {
+            flights: SlotMap::with_key(),
+            local: HashMap::new(),
+            remote: HashMap::new(),
+        }
+    }
+}
+
+impl<P: Copy + PartialEq> JoinTable<P> {
+    /// Enters a request.
+    pub fn enter(&mut self, account: AccountKey, work: Fingerprint, now: Moment) -> Join<P> {
+        let id = (account, work);
+        if let Some(&key) = self.local.get(&id) {
+            self.flights[key].callers += 1;
+            return Join::Joined(key);
+        }
+        match self.remote.get(&id) {
+            Some(&(peer, seen)) if now.since(seen) <= ANNOUNCED_FOR => return Join::AtPeer(peer),
+            _ => {}
+        }
+        self.open(id, now)
+    }
+
+    /// Enters a request that a peer passed on; it is never passed on again, so that two gateways
+    /// with outdated announcements do not send it back and forth.
+    pub fn enter_passed(&mut self, account: AccountKey, work: Fingerprint, now: Moment) -> Join<P> {
+        let id = (account, work);
+        if let Some(&key) = self.local.get(&id) {
+            self.flights[key].callers += 1;
+            return Join::Joined(key);
+        }
+        self.open(id, now)
+    }
+
+    fn open(&mut self, id: (AccountKey, Fingerprint), now: Moment) -> Join<P> {
+        let key = self.flights.insert(Flight {
+            id,
+            since: now,
+            callers: 1,
+            left: now,
+        });
+        self.local.insert(id, key);
+        Join::First(key)
+    }
+
+    /// Notes that a caller hung up. The run goes on for a while, see [`Self::abandoned`].
+    pub fn leave(&mut self, key: FlightKey, now: Moment) {
+        if let Some(flight) = self.flights.get_mut(key) {
+            flight.callers = flight.callers.saturating_sub(1);
+            flight.left = now;
+        }
+    }
+
+    /// Ends a run; later requests start a new one.
+    pub fn finish(&mut self, key: FlightKey) {
+        if let Some(flight) = self.flights.remove(key) {
+            self.local.remove(&flight.id);
+        }
+    }
+
+    /// Callers that wait for a run.
+    pub fn callers(&self, key: FlightKey) -> u32 {
+        self.flights.get(key).map_or(0, |flight| flight.callers)
+    }
+
+    /// Removes and returns the runs whose last caller left too long ago; they are to be cancelled.
+    pub fn abandoned(&mut self, now: Moment) -> Vec<FlightKey> {
+        let keys: Vec<_> = self
+            .flights
+            .iter()
+            .filter(|(_, flight)| flight.callers == 0 && now.since(flight.left) > LINGER)
+            .map(|(key, _)| key)
+            .collect();
+        for &key in &keys {
+            self.finish(key);
+        }
+        keys
+    }
+
+    /// Runs to name in gossip: those long enough in flight that a repeat may reach a peer.
+    pub fn announcements(
+        &self,
+        now: Moment,
+    ) -> impl Iterator<Item = (AccountKey, Fingerprint)> + '_ {
+        self.flights
+            .values()
+            .filter(move |flight| now.since(flight.since) >= ANNOUNCE_AFTER)
+            .map(|flight| flight.id)
+    }
+
+    /// Takes the announcements of a peer, which replace its earlier ones.
+    pub fn announced(
+        &mut self,
+        peer: P,
+        runs: impl IntoIterator<Item = (AccountKey, Fingerprint)>,
+        now: Moment,
+    ) {
+        self.remote
+            .retain(|_, &mut (p, seen)| p != peer && now.since(seen) <= ANNOUNCED_FOR);
+        for id in runs {
+            self.remote.insert(id, (peer, now));
+        }
+    }
+}
