Forward model work and plain calls in the sidecar

Cause: gateways need a process beside each upstream to send work to.

Change: `nutmegbay-sidecar` binds one data port and one admin port, reads JSON-with-comments settings, forwards `POST /work` to the engine's `/generate` with checks of id, attempt and sequence number on each frame, keep-alive frames every 500 ms and cancellation when the gateway leaves, and forwards `/call/...` to a plain service without callers' secrets. SIGTERM refuses new work, waits for work in flight and exits with 0.

--- /dev/null
+++ b/crates/sidecar/tests/common/mod.rs
@@ -0,0 +1,155 @@
+//! A sidecar on loopback beside an upstream that the test writes as an axum router.
+#![allow(dead_code)] // Each test file uses a part of it.
+
+use std::net::SocketAddr;
+
+use axum::Router;
+use axum::body::Body;
+use axum::http::request::Builder;
+use axum::http::{Request, Response};
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use nutmegbay_core::ids::{Fingerprint, Incarnation, RequestId};
+use nutmegbay_proto::frame::{End, Frame, FrameBody};
+use nutmegbay_proto::work::Work;
+use nutmegbay_sidecar::{RunError, Settings, Sidecar};
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+use tokio_util::sync::{CancellationToken, DropGuard};
+
+pub struct Rig {
+    pub data: SocketAddr,
+    pub admin: SocketAddr,
+    pub incarnation: Incarnation,
+    pub client: Client<HttpConnector, Body>,
+    pub stop: CancellationToken,
+    pub done: JoinHandle<Result<(), error_stack::Report<RunError>>>,
+    _stop: DropGuard,
+}
+
+/// Serves `router` on a free loopback port for the rest of the test.
+pub async fn serve(router: Router) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    tokio::spawn(async move { axum::serve(listener, router).await.unwrap() });
+    addr
+}
+
+pub fn settings(kind: &str, upstream: SocketAddr) -> Settings {
+    Settings::parse(&format!(
+        r#"{{
+            // Ports are free ones.
+            "instance": "w1", "failure_domain": "a", "kind": "{kind}",
+            "listen": "127.0.0.1:0", "admin": "127.0.0.1:0", "upstream": "{upstream}",
+            "linger_ms": 10, "poll_ms": 20,
+        }}"#
+    ))
+    .unwrap()
+}
+
+impl Rig {
+    pub async fn start(kind: &str, router: Router) -> Self {
+        Self::with(settings(kind, serve(router).await))
+    }
+
+    pub fn with(settings: Settings) -> Self {
+        let sidecar = Sidecar::bind(settings).unwrap();
+        let stop = CancellationToken::new();
+        Self {
+            data: sidecar.data_addr().unwrap(),
+            admin: sidecar.admin_addr().unwrap(),
+            incarnation: sidecar.incarnation(),
+            client: Client::builder(TokioExecutor::new()).build_http(),
+            done: tokio::spawn(sidecar.run(stop.clone())),
+            _stop: stop.clone().drop_guard(),
+            stop,
+        }
+    }
+
+    pub fn request(&self, method: &str, path: &str) -> Builder {
+        Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.data))
+    }
+
+    pub async fn send(&self, req: Request<Body>) -> Response<Incoming> {
+        self.client.request(req).await.unwrap()
+    }
+
+    pub async fn work(&self, work: &Work) -> Response<Incoming> {
+        let body = serde_json::to_vec(work).unwrap();
+        let req = self
+            .request("POST", "/work")
+            .header("content-type", "application/json")
+            .body(body.into())
+            .unwrap();
+        self.send(req).await
+    }
+
+    /// Runs `work` and returns all frames but keep-alives.
+    pub async fn frames(&self, work: &Work) -> Vec<Frame> {
+        let body = body(self.work(work).await).await;
+        parse_frames(&body)
+    }
+}
+
+pub fn parse_frames(body: &[u8]) -> Vec<Frame> {
+    body.split(|b| *b == b'\n')
+        .filter(|line| !line.is_empty())
+        .map(|line| serde_json::from_slice::<Frame>(line).unwrap())
+        .filter(|frame| frame.body != FrameBody::KeepAlive)
+        .collect()
+}
+
+pub async fn body(res: Response<Incoming>) -> Bytes {
+    res.into_body().collect().await.unwrap().to_bytes()
+}
+
+pub fn work(id: u128) -> Work {
+    Work {
+        id: RequestId(id),
+        attempt: 1,
+        account: "acme".into(),
+        model: "m".into(),
+        prompt: "p".into(),
+        max_tokens: 8,
+        priority: 0,
+        delivered: Vec::new(),
+        fingerprint: Fingerprint(id),
+        exclusive: false,
+        deadline_ms: 10_000,
+    }
+}
+
+pub fn frame(id: u128, attempt: u32, seq: u32, body: FrameBody) -> Bytes {
+    let frame = Frame {
+        id: RequestId(id),
+        attempt,
+        seq,
+        body,
+    };
+    let mut line = serde_json::to_vec(&frame).unwrap();
+    line.push(b'\n');
+    line.into()
+}
+
+pub fn token(id: u128, seq: u32) -> Bytes {
+    frame(id, 1, seq, FrameBody::Token(format!("t{seq}").into()))
+}
+
+pub fn end(id: u128, seq: u32) -> Bytes {
+    frame(
+        id,
+        1,
+        seq,
+        FrameBody::End(End {
+            finish: "stop".into(),
+            prompt_tokens: 1,
+            cached_tokens: 0,
+        }),
+    )
+}
--- /dev/null
+++ b/crates/sidecar/tests/forward_call.rs
@@ -0,0 +1,101 @@
+//! Guards against services that see a caller's key, and against calls changed on their way.
+
+mod common;
+
+use axum::Router;
+use axum::body::Body;
+use axum::extract::Request;
+use axum::response::IntoResponse;
+use common::Rig;
+use nutmegbay_core::ids::RequestId;
+use nutmegbay_core::verdict::Verdict;
+use nutmegbay_proto::problem::Problem;
+use nutmegbay_proto::work::{CALL_HEADER, CallHead};
+
+/// Service that answers with what it saw: method, path, headers and body.
+async fn echo(req: Request) -> impl IntoResponse {
+    let (parts, body) = req.into_parts();
+    let body = axum::body::to_bytes(body, 1 << 20).await.unwrap();
+    let names: Vec<String> = parts
+        .headers
+        .iter()
+        .map(|(name, value)| format!("{name}={}", value.to_str().unwrap()))
+        .collect();
+    let text = format!(
+        "{} {} [{}] {}",
+        parts.method,
+        parts.uri,
+        names.join(","),
+        String::from_utf8_lossy(&body)
+    );
+    (
+        [
+            ("x-nutmegbay-account", "forged"),
+            ("keep-alive", "timeout=5"),
+            ("x-service", "yes"),
+        ],
+        text,
+    )
+}
+
+fn head() -> String {
+    serde_json::to_string(&CallHead {
+        id: RequestId(7),
+        account: Some("acme".into()),
+        once: None,
+        deadline_ms: 5_000,
+    })
+    .unwrap()
+}
+
+#[tokio::test]
+async fn stripped_headers() {
+    let rig = Rig::start("service", Router::new().fallback(echo)).await;
+    let req = rig
+        .request("PUT", "/call/orders/7?x=%20y")
+        .header(CALL_HEADER, head())
+        .header("authorization", "Bearer nb_a_secret")
+        .header("x-api-key", "nb_a_secret")
+        .header("cookie", "k=nb_a_secret")
+        .header("x-nutmegbay-account", "someone-else")
+        .header("x-nutmegbay-anything", "nb_a_secret")
+        .header("connection", "x-hop")
+        .header("x-hop", "nb_a_secret")
+        .header("te", "trailers")
+        .header("accept", "text/plain")
+        .body(Body::from("two cards"))
+        .unwrap();
+    let res = rig.send(req).await;
+    assert!(res.headers().contains_key("x-service"));
+    for name in ["x-nutmegbay-account", "keep-alive"] {
+        assert!(
+            !res.headers().contains_key(name),
+            "`{name}` reached the gateway"
+        );
+    }
+    let seen = String::from_utf8(common::body(res).await.to_vec()).unwrap();
+    assert!(seen.starts_with("PUT /orders/7?x=%20y "), "{seen}");
+    assert!(seen.ends_with(" two cards"), "{seen}");
+    assert!(seen.contains("x-nutmegbay-account=acme"), "{seen}");
+    assert!(seen.contains("accept=text/plain"), "{seen}");
+    for text in [
+        "secret",
+        "someone-else",
+        "x-hop",
+        "te=",
+        "x-nutmegbay-call",
+        "cookie",
+    ] {
+        assert!(!seen.contains(text), "the service saw `{text}`: {seen}");
+    }
+}
+
+#[tokio::test]
+async fn missing_head() {
+    let rig = Rig::start("service", Router::new().fallback(echo)).await;
+    let req = rig.request("GET", "/call/x").body(Body::empty()).unwrap();
+    let res = rig.send(req).await;
+    assert_eq!(res.status(), 400);
+    let problem: Problem = serde_json::from_slice(&common::body(res).await).unwrap();
+    assert_eq!(problem.verdict, Verdict::NotRun);
+}
