Add fake engine, plain service and platform

Tests, the demo and the load tool need the outside systems on loopback, with faults that can be set while they run. Each fake can be embedded (`start`, `stop`, `kill`) or run as its own process with `--listen` and `--config JSON`; the bound address is printed as one key=value line.

The engine batches continuously with a configurable cost model and a prefix cache of 2,048-token pieces; its tokens are a function of model, prompt and index. All fakes share a server that can drop connections, silence open ones, crash and come back on the same port. A bound socket that does not listen holds the port during a crash.

--- /dev/null
+++ b/crates/bins/src/bin/nutmegbay-fake-service.rs
@@ -0,0 +1,9 @@
+//! Fake service as its own process.
+
+use std::process::ExitCode;
+
+use nutmegbay_fakes::service::FakeService;
+
+fn main() -> ExitCode {
+    nutmegbay_fakes::cli::main::<FakeService>()
+}
--- /dev/null
+++ b/crates/fakes/src/engine/http.rs
@@ -0,0 +1,183 @@
+//! HTTP interface of the fake engine.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use axum::body::Body;
+use axum::extract::{Extension, Query, Request, State};
+use axum::middleware::{Next, from_fn_with_state};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, post};
+use axum::{Json, Router};
+use futures::StreamExt;
+use http::{HeaderMap, StatusCode, header};
+use nutmegbay_core::verdict::Verdict;
+use nutmegbay_proto::engine::{
+    CacheEvents, CacheExport, CachePieces, Cancel, EngineOrder, Generate, Load, OrderState,
+};
+use nutmegbay_proto::prefix::piece_hashes;
+use nutmegbay_proto::problem::{PROBLEM_JSON, Problem, ProblemKind};
+use serde::Deserialize;
+use tokio::time::Instant;
+
+use super::Shared;
+use super::batch::EngineSeen;
+use super::config::EngineFaults;
+use super::orders::Refusal;
+use crate::server::ConnId;
+
+/// Largest body taken, for prompts of several hundred thousand tokens.
+const MAX_BODY_BYTES: usize = 16 << 20;
+
+type Cx = State<Arc<Shared>>;
+
+pub(super) fn router(shared: Arc<Shared>) -> Router {
+    Router::new()
+        .route("/generate", post(generate))
+        .route("/cancel", post(cancel))
+        .route("/load", get(load))
+        .route("/cache/events", get(cache_events))
+        .route("/cache/export", post(cache_export))
+        .route("/cache/import", post(cache_import))
+        .route("/order", post(order).get(order_state))
+        .layer(from_fn_with_state(Arc::clone(&shared), answering))
+        .route("/faults", get(faults).put(set_faults))
+        .route("/seen", get(seen))
+        .layer(axum::extract::DefaultBodyLimit::max(MAX_BODY_BYTES))
+        .with_state(shared)
+}
+
+async fn answering(State(shared): Cx, req: Request, next: Next) -> Response {
+    shared.wait_answering().await;
+    next.run(req).await
+}
+
+async fn generate(
+    State(shared): Cx,
+    headers: HeaderMap,
+    Json(generate): Json<Generate>,
+) -> Result<Response, Refused> {
+    let mut engine = shared.engine();
+    engine
+        .seen
+        .header_names
+        .extend(headers.keys().map(ToString::to_string));
+    if engine
+        .orders
+        .done_at()
+        .is_some_and(|at| at > Instant::now())
+    {
+        return Err(refused(
+            ProblemKind::Draining,
+            "the engine carries out an order",
+        ));
+    }
+    if !engine.orders.serves(&generate.model) {
+        let detail = format!("model {} is not loaded", generate.model);
+        return Err(refused(ProblemKind::UnknownModel, detail));
+    }
+    let mut lines = engine.submit(&generate);
+    drop(engine);
+    shared.changed.notify_one();
+    let lines = futures::stream::poll_fn(move |cx| lines.poll_recv(cx));
+    let body = Body::from_stream(lines.fuse());
+    Ok(([(header::CONTENT_TYPE, "application/x-ndjson")], body).into_response())
+}
+
+async fn cancel(State(shared): Cx, Json(cancel): Json<Cancel>) -> StatusCode {
+    shared.engine().cancel(cancel.id);
+    StatusCode::NO_CONTENT
+}
+
+async fn load(State(shared): Cx) -> Json<Load> {
+    Json(shared.engine().load(Instant::now()))
+}
+
+#[derive(Debug, Deserialize)]
+struct EventsQuery {
+    #[serde(default)]
+    from: u64,
+}
+
+async fn cache_events(State(shared): Cx, Query(query): Query<EventsQuery>) -> Json<CacheEvents> {
+    Json(shared.engine().cache.events(query.from, Instant::now()))
+}
+
+async fn cache_export(State(shared): Cx, Json(export): Json<CacheExport>) -> Json<CachePieces> {
+    let pieces = piece_hashes(&export.model, &export.prompt);
+    Json(CachePieces {
+        pieces: shared.engine().cache.prefix(&pieces).to_vec(),
+    })
+}
+
+async fn cache_import(State(shared): Cx, Json(import): Json<CachePieces>) -> StatusCode {
+    shared.engine().cache.store(&import.pieces);
+    StatusCode::NO_CONTENT
+}
+
+async fn order(
+    State(shared): Cx,
+    Json(order): Json<EngineOrder>,
+) -> Result<Json<OrderState>, (StatusCode, Json<OrderState>)> {
+    let mut engine = shared.engine();
+    let now = Instant::now();
+    engine.orders.complete(now).then(|| engine.cache.clear());
+    match engine.orders.take(order.clone(), now) {
+        Ok(true) => {
+            engine.seen.orders_under_load += u64::from(engine.jobs() > 0);
+            engine.seen.orders.push(order);
+        }
+        Ok(false) => {}
+        Err(refusal) => {
+            engine.seen.fenced_orders += u64::from(refusal == Refusal::Fenced);
+            let status = match refusal {
+                Refusal::Fenced | Refusal::Busy => StatusCode::CONFLICT,
+                Refusal::NotForEngines => StatusCode::BAD_REQUEST,
+            };
+            return Err((status, Json(engine.orders.state())));
+        }
+    }
+    let state = engine.orders.state();
+    drop(engine);
+    shared.changed.notify_one();
+    Ok(Json(state))
+}
+
+async fn order_state(State(shared): Cx) -> Json<OrderState> {
+    let mut engine = shared.engine();
+    engine
+        .orders
+        .complete(Instant::now())
+        .then(|| engine.cache.clear());
+    Json(engine.orders.state())
+}
+
+async fn faults(State(shared): Cx) -> Json<EngineFaults> {
+    Json(shared.engine().faults)
+}
+
+async fn set_faults(
+    State(shared): Cx,
+    Extension(conn): Extension<ConnId>,
+    Json(faults): Json<EngineFaults>,
+) -> StatusCode {
+    shared.set_faults(faults, Some(conn));
+    StatusCode::NO_CONTENT
+}
+
+async fn seen(State(shared): Cx) -> Result<Json<EngineSeen>, Infallible> {
+    Ok(Json(shared.engine().seen.clone()))
+}
+
+struct Refused(Problem);
+
+impl IntoResponse for Refused {
+    fn into_response(self) -> Response {
+        let status = StatusCode::from_u16(self.0.status).unwrap_or(StatusCode::BAD_REQUEST);
+        (status, [(header::CONTENT_TYPE, PROBLEM_JSON)], Json(self.0)).into_response()
+    }
+}
+
+fn refused(kind: ProblemKind, detail: impl Into<Box<str>>) -> Refused {
+    Refused(Problem::new(kind, Verdict::NotRun, detail))
+}
