Prove the thin path as separate processes

Cause: the system must work from caller to upstream and back over real sockets. Change: process tests start platform, engine, service, sidecars and gateways, publish through the operators' tool and call through the gateway; gateway and sidecar announce their bound addresses on standard output, so that no test needs a fixed port. Ruled out: waiting for readiness alone, since the instance list lags behind it by 500 ms. Conclusion: one streamed call, one service call and one published setting work end to end.

--- a/crates/bins/src/bin/nutmegbay-gateway.rs
+++ b/crates/bins/src/bin/nutmegbay-gateway.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 use nutmegbay_gateway::settings::GatewaySettings;
-use nutmegbay_gateway::{cli, run};
+use nutmegbay_gateway::{bind, cli};
 use nutmegbay_telemetry::exit::Exit;
 use nutmegbay_telemetry::{log, signals};
 
@@ -33,7 +33,20 @@
             return Exit::Failure.into();
         }
     };
-    match run(settings, stop).await {
+    let bound = match bind(settings).await {
+        Ok(bound) => bound,
+        Err(e) => {
+            eprintln!("{e:?}");
+            return Exit::Failure.into();
+        }
+    };
+    if let Ok(addr) = bound.listen() {
+        println!(
+            "event=listening name=nutmegbay-gateway addr={addr} admin={}",
+            bound.admin()
+        );
+    }
+    match bound.serve(stop).await {
         Ok(()) => Exit::Ok.into(),
         Err(e) => {
             eprintln!("{e:?}");
--- a/crates/bins/tests/command_line.rs
+++ b/crates/bins/tests/command_line.rs
@@ -2,7 +2,14 @@
 
 use std::process::{Command, Output};
 
-const BINARIES: &[&str] = &[env!("CARGO_BIN_EXE_nutmegbay-ctl")];
+const BINARIES: &[&str] = &[
+    env!("CARGO_BIN_EXE_nutmegbay-ctl"),
+    env!("CARGO_BIN_EXE_nutmegbay-fake-engine"),
+    env!("CARGO_BIN_EXE_nutmegbay-fake-platform"),
+    env!("CARGO_BIN_EXE_nutmegbay-fake-service"),
+    env!("CARGO_BIN_EXE_nutmegbay-gateway"),
+    env!("CARGO_BIN_EXE_nutmegbay-sidecar"),
+];
 
 fn run(binary: &str, args: &[&str]) -> Output {
     Command::new(binary)
--- /dev/null
+++ b/crates/bins/tests/thin_path.rs
@@ -0,0 +1,107 @@
+//! Guards against a path that does not work from end to end as separate processes.
+
+mod common;
+
+use std::time::Duration;
+
+use common::http::{chat_text, events};
+use common::site::{BASE, Site};
+use http::Method;
+use nutmegbay_fakes::engine::expected_text;
+
+#[tokio::test]
+async fn streamed_chat() {
+    let site = Site::start(1, 1, 0).await;
+    let (_, token) = site.grant_everywhere("shop").await;
+    let answer = site
+        .chat(0, &token, "a verse about thyme", 40, true)
+        .await
+        .unwrap();
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    let (events, is_done) = events(answer.text());
+    assert!(is_done, "the stream lacks its end");
+    let usage = &events.last().unwrap()["usage"];
+    assert_eq!(usage["completion_tokens"], 40);
+    let whole = site
+        .chat(0, &token, "a verse about thyme", 40, false)
+        .await
+        .unwrap()
+        .json();
+    assert_eq!(
+        whole["choices"][0]["message"]["content"],
+        chat_text(&events)
+    );
+}
+
+#[tokio::test]
+async fn status_call() {
+    let site = Site::start(1, 0, 1).await;
+    let (_, token) = site.grant_everywhere("shop").await;
+    let bearer = format!("Bearer {token}");
+    let headers = [("authorization", &*bearer), ("x-trace", "7")];
+    let service = site.services[0].upstream.addr("addr");
+    let placed = [("x-reference", "r1")];
+    site.http
+        .call(Method::POST, service, "/status", &placed, "")
+        .await
+        .unwrap();
+    let path = "/status/r1?echo=headers";
+    let answer = site
+        .http
+        .call(Method::GET, site.gateway(0), path, &headers, "")
+        .await
+        .unwrap();
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    assert!(answer.text().contains("x-trace"), "{}", answer.text());
+    assert!(
+        !answer.text().contains(&token),
+        "the service saw the caller's key"
+    );
+}
+
+#[tokio::test]
+async fn setting_followed() {
+    let site = Site::start(1, 1, 0).await;
+    let (_, token) = site.grant_everywhere("shop").await;
+    let bearer = format!("Bearer {token}");
+    let headers = [("authorization", &*bearer)];
+    site.publish_base(&BASE.replace("\"verse\"", "\"sonnet\""));
+    tokio::time::timeout(Duration::from_secs(4), async {
+        site.until("the new model is listed", async || {
+            let models = site
+                .http
+                .call(Method::GET, site.gateway(0), "/v1/models", &headers, "")
+                .await;
+            models.is_ok_and(|a| a.text().contains("sonnet"))
+        })
+        .await;
+    })
+    .await
+    .expect("the published setting was not in force within 4 s");
+}
+
+#[tokio::test]
+async fn expected_tokens() {
+    let site = Site::start(1, 2, 0).await;
+    let (_, token) = site.grant_everywhere("shop").await;
+    let body = serde_json::json!({ "model": "verse", "prompt": "thyme", "max_tokens": 12 });
+    let bearer = format!("Bearer {token}");
+    let headers = [("authorization", &*bearer)];
+    let addr = site.gateway(0);
+    let answer = site
+        .http
+        .call(
+            Method::POST,
+            addr,
+            "/v1/completions",
+            &headers,
+            body.to_string(),
+        )
+        .await
+        .unwrap();
+    let text = answer.json()["choices"][0]["text"]
+        .as_str()
+        .unwrap()
+        .to_owned();
+    assert_eq!(text, expected_text("verse", "thyme", 12));
+}
--- a/crates/sidecar/src/cli.rs
+++ b/crates/sidecar/src/cli.rs
@@ -6,7 +6,7 @@
 use error_stack::{Report, ResultExt};
 use tokio_util::sync::CancellationToken;
 
-use crate::server::RunError;
+use crate::server::{RunError, Sidecar};
 use crate::settings::Settings;
 
 /// Command line of the sidecar.
@@ -41,5 +41,11 @@
     if matches.get_flag("check") {
         return Ok(());
     }
-    crate::run(settings, stop).await
+    let sidecar = Sidecar::bind(settings)?;
+    println!(
+        "event=listening name=nutmegbay-sidecar addr={} admin={}",
+        sidecar.data_addr()?,
+        sidecar.admin_addr()?
+    );
+    sidecar.run(stop).await
 }
