Test the fakes' behaviour

The other crates' tests rely on the fakes: log offsets without gaps, lost answers that took effect, rate limits, long polls, resumed answers, fencing, crashes, silent connections, frame faults, the prefix cache and counted executions. A fake that hides a fault makes such tests pass untested, so each behaviour has its own test over a socket on port 0.

--- /dev/null
+++ b/crates/fakes/tests/common/mod.rs
@@ -0,0 +1,166 @@
+//! HTTP calls of the tests.
+#![allow(dead_code, reason = "each test uses some of it")]
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use nutmegbay_core::ids::RequestId;
+use nutmegbay_platform::{ClientSettings, PlatformClient};
+use nutmegbay_proto::engine::Generate;
+use nutmegbay_proto::frame::{Frame, FrameBody};
+use serde::Serialize;
+
+/// Bound on every wait, far above what a wait takes.
+pub const DEADLINE: Duration = Duration::from_secs(20);
+
+/// Waits for `done`, at most until the deadline.
+pub async fn soon<T>(done: impl Future<Output = T>) -> T {
+    tokio::time::timeout(DEADLINE, done)
+        .await
+        .expect("deadline")
+}
+
+/// Polls until `done`, at most until the deadline.
+pub async fn until(mut done: impl FnMut() -> bool) {
+    soon(async {
+        while !done() {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    })
+    .await;
+}
+
+/// Client with its own connections.
+#[derive(Debug, Clone)]
+pub struct Http(Client<HttpConnector, Full<Bytes>>);
+
+pub type Failed = hyper_util::client::legacy::Error;
+
+impl Http {
+    pub fn new() -> Self {
+        Self(
+            Client::builder(TokioExecutor::new())
+                .retry_canceled_requests(false)
+                .build_http(),
+        )
+    }
+
+    pub async fn send(
+        &self,
+        method: Method,
+        addr: SocketAddr,
+        path: &str,
+        body: &impl Serialize,
+    ) -> Result<Response<Incoming>, Failed> {
+        let req = Request::builder()
+            .method(method)
+            .uri(format!("http://{addr}{path}"))
+            .header("content-type", "application/json")
+            .body(Full::from(serde_json::to_vec(body).unwrap()))
+            .unwrap();
+        soon(self.0.request(req)).await
+    }
+
+    pub async fn post(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+        body: &impl Serialize,
+    ) -> Result<Response<Incoming>, Failed> {
+        self.send(Method::POST, addr, path, body).await
+    }
+
+    pub async fn put(&self, addr: SocketAddr, path: &str, body: &impl Serialize) -> StatusCode {
+        self.send(Method::PUT, addr, path, body)
+            .await
+            .unwrap()
+            .status()
+    }
+
+    pub async fn get<T: serde::de::DeserializeOwned>(&self, addr: SocketAddr, path: &str) -> T {
+        json(self.send(Method::GET, addr, path, &()).await.unwrap()).await
+    }
+
+    /// Starts a generation and returns its frames.
+    pub async fn generate(&self, addr: SocketAddr, generate: &Generate) -> Frames {
+        let res = self.post(addr, "/generate", generate).await.unwrap();
+        assert_eq!(res.status(), StatusCode::OK);
+        Frames {
+            body: res.into_body(),
+            buf: Vec::new(),
+        }
+    }
+}
+
+pub async fn json<T: serde::de::DeserializeOwned>(res: Response<Incoming>) -> T {
+    let body = soon(res.into_body().collect()).await.unwrap().to_bytes();
+    serde_json::from_slice(&body).unwrap()
+}
+
+/// Frames of one answer.
+#[derive(Debug)]
+pub struct Frames {
+    body: Incoming,
+    buf: Vec<u8>,
+}
+
+impl Frames {
+    /// Next frame, none at the end of the answer, an error where the connection was cut.
+    pub async fn next(&mut self) -> Result<Option<Frame>, hyper::Error> {
+        loop {
+            if let Some(end) = self.buf.iter().position(|&byte| byte == b'\n') {
+                let line: Vec<u8> = self.buf.drain(..=end).collect();
+                return Ok(Some(serde_json::from_slice(&line).unwrap()));
+            }
+            match soon(self.body.frame()).await {
+                Some(frame) => self.buf.extend_from_slice(frame?.data_ref().unwrap()),
+                None => return Ok(None),
+            }
+        }
+    }
+
+    /// All frames of an answer that is not cut.
+    pub async fn all(mut self) -> Vec<Frame> {
+        let mut all = Vec::new();
+        while let Some(frame) = self.next().await.unwrap() {
+            all.push(frame);
+        }
+        all
+    }
+}
+
+pub fn generate(id: u128, prompt: &str, max_tokens: u32) -> Generate {
+    Generate {
+        id: RequestId(id),
+        attempt: 1,
+        model: "m".into(),
+        prompt: prompt.into(),
+        max_tokens,
+        priority: 0,
+        delivered: Vec::new(),
+    }
+}
+
+/// Texts of the token frames.
+pub fn tokens(frames: &[Frame]) -> Vec<Box<str>> {
+    let text = |frame: &Frame| match &frame.body {
+        FrameBody::Token(text) => Some(text.clone()),
+        _ => None,
+    };
+    frames.iter().filter_map(text).collect()
+}
+
+pub fn client(addr: SocketAddr, instance: &str) -> PlatformClient {
+    PlatformClient::new(ClientSettings::new(addr, instance))
+}
+
+pub fn record(text: &str) -> Box<serde_json::value::RawValue> {
+    serde_json::value::to_raw_value(text).unwrap()
+}
--- /dev/null
+++ b/crates/fakes/tests/received_calls.rs
@@ -0,0 +1,121 @@
+//! Upstream orders and usage reports as the platform received them. Guards against a fake that
+//! hides a doubled order or a second report with other figures.
+
+mod common;
+
+use common::{Http, client};
+use nutmegbay_core::ids::{Epoch, RecordId, WindowId};
+use nutmegbay_core::record::{OrderCommand, Usage};
+use nutmegbay_fakes::platform::{FakePlatform, PlatformConfig};
+use nutmegbay_platform::{Cause, InstanceDirectory, UpstreamOrders, UsageReports};
+use nutmegbay_proto::platform::{InstanceList, UpstreamOrder, UsageReport};
+use serde_json::json;
+
+#[tokio::test]
+async fn repeated_order() {
+    let platform = FakePlatform::start(PlatformConfig::default())
+        .await
+        .unwrap();
+    let order = UpstreamOrder {
+        order: RecordId(1),
+        epoch: Epoch(4),
+        command: OrderCommand::RemoveUpstream {
+            upstream: "e1".into(),
+        },
+    };
+    client(platform.addr(), "g1").order(&order).await.unwrap();
+    client(platform.addr(), "g2").order(&order).await.unwrap();
+    let seen: Vec<(Box<str>, Epoch, bool)> = platform
+        .orders()
+        .into_iter()
+        .map(|seen| (seen.client, seen.order.epoch, seen.effective))
+        .collect();
+    assert_eq!(
+        seen,
+        [
+            ("g1".into(), Epoch(4), true),
+            ("g2".into(), Epoch(4), false)
+        ]
+    );
+}
+
+#[tokio::test]
+async fn other_figures() {
+    let platform = FakePlatform::start(PlatformConfig::default())
+        .await
+        .unwrap();
+    let reports = client(platform.addr(), "g1");
+    let usage = Usage {
+        calls: 1,
+        prompt_tokens: 2,
+        completion_tokens: 3,
+    };
+    let mut report = UsageReport {
+        window: WindowId(7),
+        epoch: Epoch(4),
+        accounts: [("a".into(), usage)].into(),
+        late: [].into(),
+    };
+    reports.report(&report).await.unwrap();
+    report.epoch = Epoch(5);
+    reports.report(&report).await.unwrap();
+    report.accounts.insert("b".into(), usage);
+    let refused = reports.report(&report).await.unwrap_err();
+    assert_eq!(refused.current_context().cause, Cause::Conflict);
+    let accepted: Vec<bool> = platform
+        .reports()
+        .iter()
+        .map(|seen| seen.accepted)
+        .collect();
+    assert_eq!(accepted, [true, true, false]);
+}
+
+#[tokio::test]
+async fn lagging_instances() {
+    let cfg = PlatformConfig {
+        instance_lag_ms: 3_600_000,
+        ..PlatformConfig::default()
+    };
+    let platform = FakePlatform::start(cfg).await.unwrap();
+    let list = json!({"instances": [{
+        "name": "g1", "kind": "gateway", "serves": "", "failure_domain": "a",
+        "data": "127.0.0.1:1", "control": "127.0.0.1:2", "state": "live",
+    }]});
+    assert_eq!(
+        Http::new().put(platform.addr(), "/instances", &list).await,
+        204
+    );
+    let directory = client(platform.addr(), "g1");
+    assert_eq!(
+        directory.instances().await.unwrap(),
+        InstanceList::default()
+    );
+    let cfg = PlatformConfig {
+        instance_lag_ms: 0,
+        ..PlatformConfig::default()
+    };
+    let platform = FakePlatform::start(cfg).await.unwrap();
+    assert_eq!(
+        Http::new().put(platform.addr(), "/instances", &list).await,
+        204
+    );
+    let directory = client(platform.addr(), "g1");
+    assert_eq!(directory.instances().await.unwrap().instances.len(), 1);
+}
+
+#[tokio::test]
+async fn unknown_fault() {
+    let platform = FakePlatform::start(PlatformConfig::default())
+        .await
+        .unwrap();
+    let faults = json!({"rules": [{"outtage": "cut"}]});
+    assert_eq!(
+        Http::new().put(platform.addr(), "/faults", &faults).await,
+        422
+    );
+    let faults = json!({"rules": [{"outage": "cut", "interface": "log", "client": "g1"}]});
+    assert_eq!(
+        Http::new().put(platform.addr(), "/faults", &faults).await,
+        204
+    );
+}
