--- a/crates/gateway/src/auth.rs
+++ b/crates/gateway/src/auth.rs
@@ -1,6 +1,7 @@
 //! Finds out for which client account a request comes.
 
 use http::HeaderMap;
+use nutmegbay_core::replica::KeyRef;
 use nutmegbay_proto::problem::{Problem, ProblemKind};
 
 use crate::data::headers::key_token;
@@ -10,8 +11,8 @@
 
 /// A caller whose key is good.
 pub struct Identity {
-    /// Client account.
-    pub account: Box<str>,
+    /// Key and client account.
+    pub key: KeyRef,
     /// Resolves when the key stops being good.
     pub ended: Ended,
 }
@@ -22,18 +23,20 @@
         let detail = "send the key as `Authorization: Bearer` or `X-Api-Key`";
         not_run(ProblemKind::MissingKey, detail)
     })?;
-    let (key, _) = check(gateway, token)?;
-    let ended = gateway.open_keys.register(&key);
+    let view = gateway.view();
+    view.confirm_current()?;
+    let key = view.keys.check(token).map_err(|_| invalid())?;
+    let ended = gateway.open_keys.register(&key.key);
     // A withdrawal between check and registration would not have ended this request.
-    let (_, account) = check(gateway, token)?;
-    Ok(Identity { account, ended })
-}
-
-fn check(gateway: &Gateway, token: &str) -> Result<(Box<str>, Box<str>), Problem> {
     let view = gateway.view();
     view.confirm_current()?;
-    view.keys.check(token).ok_or_else(|| {
-        let detail = "the key is unknown, wrong or withdrawn; ask the operators for a new one";
-        not_run(ProblemKind::InvalidKey, detail)
-    })
+    if !view.keys.is_live(&key.key) {
+        return Err(invalid());
+    }
+    Ok(Identity { key, ended })
+}
+
+fn invalid() -> Problem {
+    let detail = "the key is unknown, wrong or withdrawn; ask the operators for a new one";
+    not_run(ProblemKind::InvalidKey, detail)
 }
--- a/crates/gateway/src/data/models.rs
+++ b/crates/gateway/src/data/models.rs
@@ -27,12 +27,15 @@
     let view = gateway.view();
     let site = view.site()?;
     let ask = Ask::parse(style, body, site)?;
-    let account = site.accounts.iter().find(|a| a.name == caller.account);
+    let account = site
+        .accounts
+        .iter()
+        .find(|a| *a.name == *caller.key.account);
     let id = gateway.request_id();
     let job = Job {
         id,
-        fingerprint: Fingerprint::of(&caller.account, &ask.model, &ask.prompt),
-        account: caller.account.clone(),
+        fingerprint: Fingerprint::of(&caller.key.account, &ask.model, &ask.prompt),
+        account: (*caller.key.account).into(),
         model: ask.model,
         prompt: ask.prompt,
         max_tokens: ask.max_tokens,
@@ -45,7 +48,7 @@
         Arc::clone(gateway),
         Arc::clone(&flight),
         seat,
-        caller.account,
+        caller.key.account,
         caller.ended,
     );
     if is_first {
--- a/crates/gateway/src/data/reader.rs
+++ b/crates/gateway/src/data/reader.rs
@@ -21,7 +21,7 @@
     gateway: Arc<Gateway>,
     flight: Arc<Flight>,
     seat: SeatId,
-    account: Box<str>,
+    account: Arc<str>,
     ended: Ended,
     _in_flight: InFlight,
 }
@@ -32,7 +32,7 @@
         gateway: Arc<Gateway>,
         flight: Arc<Flight>,
         seat: SeatId,
-        account: Box<str>,
+        account: Arc<str>,
         ended: Ended,
     ) -> Self {
         let in_flight = gateway.enter();
--- a/crates/gateway/src/data/serve.rs
+++ b/crates/gateway/src/data/serve.rs
@@ -1,11 +1,11 @@
 //! Accepts callers' connections and dispatches their requests.
 
 use std::convert::Infallible;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::request::Parts;
 use http::{Method, Request, Response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body as _, Incoming};
@@ -114,34 +114,34 @@
             let detail = "this build does not run non-idempotent calls";
             return Err(not_run(ProblemKind::Internal, detail));
         }
-        let body = read_body(body, &parts, max_body).await?;
+        let body = read_body(body, max_body).await?;
         return services::call(gateway, route, caller, &parts, body).await;
     };
     drop(view);
     let caller = identify(gateway, &parts.headers)?;
-    let body = read_body(body, &parts, max_body).await?;
+    let body = read_body(body, max_body).await?;
     let res = models::complete(gateway, style, caller, &body).await;
     drop(in_flight);
     res
 }
 
-async fn read_body(body: Incoming, parts: &Parts, max: usize) -> Result<Bytes, Problem> {
+/// Reads a whole body of at most `max` bytes.
+pub async fn read_body<B>(body: B, max: usize) -> Result<Bytes, Problem>
+where
+    B: hyper::body::Body<Data = Bytes, Error: std::error::Error + Send + Sync + 'static>,
+{
     let too_large = || {
         let detail = format!("the body may have at most {max} bytes");
         not_run(ProblemKind::BodyTooLarge, detail)
     };
-    let is_over = body.size_hint().lower() > max as u64;
-    if is_over {
+    if body.size_hint().lower() > max as u64 {
         return Err(too_large());
     }
-    let mut body = Limited::new(body, max);
+    let mut body = pin!(Limited::new(body, max));
     let mut whole = Vec::with_capacity(usize::try_from(body.size_hint().lower()).unwrap_or(0));
     loop {
         let frame = timeout(BODY_TIMEOUT, body.frame()).await.map_err(|_| {
-            let detail = format!(
-                "the body of {} stopped for {BODY_TIMEOUT:?}",
-                parts.uri.path()
-            );
+            let detail = format!("no part of the body came for {BODY_TIMEOUT:?}");
             not_run(ProblemKind::IncompleteBody, detail)
         })?;
         match frame {
--- a/crates/gateway/src/data/services.rs
+++ b/crates/gateway/src/data/services.rs
@@ -81,7 +81,7 @@
         };
         let head = CallHead {
             id,
-            account: caller.as_ref().map(|c| c.account.clone()),
+            account: caller.as_ref().map(|c| (*c.key.account).into()),
             once: None,
             deadline_ms: millis(deadline.saturating_duration_since(Instant::now())),
         };
--- a/crates/gateway/src/state/actor.rs
+++ b/crates/gateway/src/state/actor.rs
@@ -2,13 +2,12 @@
 
 use std::sync::Arc;
 
-use nutmegbay_core::ids::Offset;
-use nutmegbay_core::record::{Body, ConfigPublish, ConfigScope, Record};
+use nutmegbay_core::record::Body;
+use nutmegbay_core::replica::{Applied, Replica};
 use nutmegbay_proto::platform::{InstanceList, ReadResponse};
 use nutmegbay_settings::parse_site;
 use tokio::sync::{mpsc, watch};
 
-use super::keys::Keys;
 use super::revoke::OpenKeys;
 use super::upstreams;
 use super::view::View;
@@ -27,11 +26,7 @@
     site: Box<str>,
     open_keys: Arc<OpenKeys>,
     view: watch::Sender<Arc<View>>,
-    next: Offset,
-    base: Option<Box<str>>,
-    overlay: Option<Box<str>>,
-    last_config: Option<Offset>,
-    keys: Keys,
+    replica: Replica,
 }
 
 impl Actor {
@@ -42,11 +37,7 @@
             site,
             open_keys,
             view,
-            next: Offset::default(),
-            base: None,
-            overlay: None,
-            last_config: None,
-            keys: Keys::default(),
+            replica: Replica::new(),
         };
         (actor, rx)
     }
@@ -65,42 +56,35 @@
     }
 
     fn apply(&mut self, read: &ReadResponse) {
-        let config = self.last_config;
+        let config = self.replica.config().last();
         let mut has_keys = false;
         let mut withdrawn = Vec::new();
         for entry in &read.records {
-            if entry.offset < self.next {
-                continue;
-            }
-            self.next = entry.offset.next();
-            let Ok(record) = serde_json::from_str::<Record>(entry.record.get()) else {
-                tracing::warn!(event = "record_skipped", offset = %entry.offset);
-                continue;
-            };
-            match record.body {
-                Body::ConfigPublish(publish) => self.publish(entry.offset, publish),
-                Body::KeyGrant(grant) => {
-                    self.keys.grant(&grant);
-                    has_keys = true;
-                }
-                Body::KeyWithdraw(withdraw) => {
-                    self.keys.withdraw(&withdraw);
-                    withdrawn.push(withdraw.key);
-                    has_keys = true;
+            match self.replica.apply(entry.offset, entry.record.get()) {
+                Applied::Accepted(record) => match record.body {
+                    Body::KeyGrant(_) => has_keys = true,
+                    Body::KeyWithdraw(withdraw) => {
+                        has_keys = true;
+                        withdrawn.push(withdraw.key);
+                    }
+                    _ => {}
+                },
+                Applied::Unreadable(reason) => {
+                    tracing::warn!(event = "record_skipped", offset = %entry.offset, reason);
                 }
                 _ => {}
             }
         }
-        let is_current = self.next >= read.head;
+        let is_current = self.replica.next() >= read.head;
         self.view.send_modify(|view| {
             let view = Arc::make_mut(view);
-            view.next = self.next;
+            view.next = self.replica.next();
             view.is_current |= is_current;
             if has_keys {
-                view.keys = Arc::new(self.keys.clone());
+                view.keys = Arc::new(self.replica.keys().clone());
             }
         });
-        if config != self.last_config {
+        if config != self.replica.config().last() {
             self.put_in_force();
         }
         for key in withdrawn {
@@ -108,34 +92,26 @@
         }
     }
 
-    fn publish(&mut self, offset: Offset, publish: ConfigPublish) {
-        if publish.prev != self.last_config {
-            return;
-        }
-        self.last_config = Some(offset);
-        match publish.scope {
-            ConfigScope::Base => self.base = Some(publish.text),
-            ConfigScope::Overlay(site) if site == self.site => self.overlay = Some(publish.text),
-            ConfigScope::Overlay(_) => {}
-        }
-    }
-
     fn put_in_force(&mut self) {
-        let Some(base) = &self.base else {
+        let config = self.replica.config();
+        let Some(base) = config.base() else {
             return;
         };
-        let parsed = parse_site(base, self.overlay.as_deref());
+        let overlay = config.overlay(&self.site).map(|o| &*o.text);
+        let offset = config.last();
+        let parsed = parse_site(&base.text, overlay);
         self.view.send_modify(|view| {
             let view = Arc::make_mut(view);
             match parsed {
                 Ok(site) => {
                     view.site = Some(Arc::new(site));
-                    view.config = self.last_config;
+                    view.config = offset;
                     view.config_rejected = None;
+                    tracing::info!(event = "config_applied", offset = offset.map(|o| o.0));
                 }
                 Err(e) => {
                     tracing::error!(event = "config_rejected", error = %e.current_context());
-                    view.config_rejected = self.last_config;
+                    view.config_rejected = offset;
                 }
             }
         });
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -1,7 +1,6 @@
 //! The task that owns the replicated state, and what it feeds to the data path.
 
 mod actor;
-pub mod keys;
 pub mod revoke;
 pub mod tally;
 mod tasks;
--- a/crates/gateway/src/state/view.rs
+++ b/crates/gateway/src/state/view.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use nutmegbay_core::ids::Offset;
+use nutmegbay_core::replica::Keys;
 use nutmegbay_proto::problem::{Problem, ProblemKind};
 use nutmegbay_settings::model::SiteSettings;
 
-use super::keys::Keys;
 use super::upstreams::Upstream;
 use crate::data::refuse::not_run;
 
--- /dev/null
+++ b/crates/gateway/tests/bad_requests.rs
@@ -0,0 +1,267 @@
+//! Guards against panics, lost requests and unclear errors on bad input.
+
+mod support;
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body::Frame;
+use nutmegbay_core::verdict::Verdict;
+use nutmegbay_gateway::data::serve::read_body;
+use nutmegbay_proto::problem::ProblemKind;
+use support::caller::{Answer, chat, raw};
+use support::sidecar::Sidecar;
+use support::{KEY, Site};
+use tokio::time::timeout;
+
+const CHAT: &str = "/v1/chat/completions";
+
+fn refused(answer: &Answer, kind: ProblemKind) {
+    let problem = answer.problem();
+    assert_eq!(problem.kind, kind);
+    assert_eq!(problem.verdict, Verdict::NotRun);
+}
+
+#[tokio::test]
+async fn missing_key() {
+    let site = Site::start(&[]).await;
+    let answer = site.caller().post(CHAT, None, &chat("x", false)).await;
+    refused(&answer, ProblemKind::MissingKey);
+    // HTTP drops the space behind an empty token.
+    let answer = site.caller().post(CHAT, Some(""), &chat("x", false)).await;
+    refused(&answer, ProblemKind::MissingKey);
+}
+
+#[tokio::test]
+async fn unknown_key() {
+    let site = Site::start(&[]).await;
+    for key in ["nb_k1_wrong", "nb_k9_s3cret", "k1", "nb_", "nb__"] {
+        let answer = site.caller().post(CHAT, Some(key), &chat("x", false)).await;
+        refused(&answer, ProblemKind::InvalidKey);
+    }
+}
+
+#[tokio::test]
+async fn oversized_body() {
+    let site = Site::start(&[]).await;
+    let body = chat(&"x".repeat(70_000), false);
+    let answer = site.caller().post(CHAT, Some(KEY), &body).await;
+    refused(&answer, ProblemKind::BodyTooLarge);
+    let chunked = format!(
+        "POST {CHAT} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\n\
+         transfer-encoding: chunked\r\nconnection: close\r\n\r\n11170\r\n{}\r\n0\r\n\r\n",
+        "x".repeat(0x1_1170)
+    );
+    let answer = raw(site.listen, chunked.as_bytes()).await;
+    assert!(answer.starts_with("HTTP/1.1 413"), "{answer}");
+}
+
+#[tokio::test]
+async fn malformed_json() {
+    let site = Site::start(&[]).await;
+    let bodies = [
+        "",
+        "{",
+        "[]",
+        "{\"model\":\"verse\"}",
+        "{\"model\":\"verse\",\"messages\":[]}",
+        "{\"model\":\"verse\",\"messages\":[{\"role\":\"user\",\"content\":7}]}",
+        "{\"model\":\"verse\",\"max_tokens\":-1,\"messages\":[{\"role\":\"user\",\"content\":\"x\"}]}",
+        "{\"model\":\"verse\",\"max_tokens\":0,\"messages\":[{\"role\":\"user\",\"content\":\"x\"}]}",
+        "\u{0}\u{1}",
+    ];
+    let caller = site.caller();
+    for body in bodies {
+        let req = caller.request("POST", CHAT, Some(KEY), body);
+        refused(&caller.send(req).await, ProblemKind::MalformedBody);
+    }
+    let deep = format!("{{\"model\":{}", "[".repeat(60_000));
+    let req = caller.request("POST", CHAT, Some(KEY), deep);
+    refused(&caller.send(req).await, ProblemKind::MalformedBody);
+}
+
+#[tokio::test]
+async fn unknown_model() {
+    let site = Site::start(&[]).await;
+    let body = serde_json::json!({ "model": "prose", "prompt": "x" });
+    let answer = site
+        .caller()
+        .post("/v1/completions", Some(KEY), &body)
+        .await;
+    refused(&answer, ProblemKind::UnknownModel);
+}
+
+#[tokio::test]
+async fn unknown_route() {
+    let sidecar = Sidecar::service("s1").await;
+    let site = Site::start(&[&sidecar]).await;
+    let paths = [
+        "/",
+        "/ordersx",
+        "/v1/files",
+        "/orders/../place",
+        "/orders//x",
+        "/orders/%2e%2E/x",
+    ];
+    for path in paths {
+        let answer = site.caller().get(path, Some(KEY)).await;
+        refused(&answer, ProblemKind::UnknownRoute);
+    }
+    let answer = site
+        .caller()
+        .post("/orders", Some(KEY), &chat("x", false))
+        .await;
+    refused(&answer, ProblemKind::UnknownRoute);
+    assert!(sidecar.calls().is_empty());
+}
+
+#[tokio::test]
+async fn smuggled_headers() {
+    let sidecar = Sidecar::service("s1").await;
+    let site = Site::start(&[&sidecar]).await;
+    let caller = site.caller();
+    let mut req = caller.request("GET", "/orders/7", Some(KEY), "");
+    let headers = req.headers_mut();
+    for (name, value) in [
+        ("x-nutmegbay-account", "other"),
+        ("x-nutmegbay-call", "{}"),
+        ("x-nutmegbay-anything", "1"),
+        ("x-api-key", "nb_k2_s3cret2"),
+        ("cookie", "session=1"),
+        ("connection", "keep-alive, x-private"),
+        ("x-private", "1"),
+        ("x-kept", "1"),
+    ] {
+        headers.insert(name, value.parse().expect("value"));
+    }
+    let answer = caller.send(req).await;
+    assert_eq!(&answer.body[..], b"done for acme");
+    assert!(!answer.headers.contains_key("x-nutmegbay-load"));
+    let call = &sidecar.calls()[0];
+    assert_eq!(call.head.account.as_deref(), Some("acme"));
+    let names: Vec<_> = call.headers.keys().map(http::HeaderName::as_str).collect();
+    for name in names {
+        let is_own = name == "x-nutmegbay-call";
+        let is_expected = ["x-kept", "host", "content-length"].contains(&name);
+        assert!(is_own || is_expected, "{name} reached the sidecar");
+    }
+}
+
+#[tokio::test]
+async fn smuggled_request() {
+    let sidecar = Sidecar::service("s1").await;
+    let site = Site::start(&[&sidecar]).await;
+    let head = format!("GET /orders/1 HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\n");
+    let inner = "GET /orders/2 HTTP/1.1\r\nhost: x\r\n\r\n";
+    let both = format!(
+        "{head}content-length: 5\r\ntransfer-encoding: chunked\r\nconnection: close\r\n\r\n0\r\n\r\n{inner}"
+    );
+    let lengths = format!(
+        "{head}content-length: 0\r\ncontent-length: {}\r\n\r\n{inner}",
+        inner.len()
+    );
+    let coding = format!("{head}transfer-encoding: chunked, identity\r\n\r\n0\r\n\r\n{inner}");
+    raw(site.listen, both.as_bytes()).await;
+    for text in [
+        lengths,
+        coding,
+        "\u{1}\r\n\r\n".into(),
+        "GET /\r\n\r\n".into(),
+    ] {
+        let answer = raw(site.listen, text.as_bytes()).await;
+        assert!(answer.starts_with("HTTP/1.1 400"), "{answer}");
+    }
+    assert!(
+        sidecar
+            .calls()
+            .iter()
+            .all(|call| call.path == "/call/orders/1")
+    );
+    assert_eq!(site.caller().get("/orders/3", Some(KEY)).await.status, 200);
+}
+
+/// Body that never goes on.
+struct Stopped;
+
+impl http_body::Body for Stopped {
+    type Data = Bytes;
+    type Error = std::convert::Infallible;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        Poll::Pending
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn stopped_body() {
+    let problem = read_body(Stopped, 100).await.expect_err("a refusal");
+    assert_eq!(problem.kind, ProblemKind::IncompleteBody);
+    assert_eq!(problem.verdict, Verdict::NotRun);
+}
+
+#[tokio::test]
+async fn broken_body() {
+    let sidecar = Sidecar::engine("e1").await;
+    let site = Site::start(&[&sidecar]).await;
+    let half = format!(
+        "POST {CHAT} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\n\
+         content-length: 500\r\n\r\n{{\"model\":"
+    );
+    let mut socket = tokio::net::TcpStream::connect(site.listen)
+        .await
+        .expect("connection");
+    tokio::io::AsyncWriteExt::write_all(&mut socket, half.as_bytes())
+        .await
+        .expect("request");
+    drop(socket);
+    let answer = site.caller().get("/v1/models", Some(KEY)).await;
+    assert_eq!(answer.status, 200);
+    assert!(!sidecar.has_work().await);
+}
+
+#[tokio::test]
+async fn slow_reader() {
+    const TOKEN: usize = 64 * 1024;
+    let sidecar = Sidecar::engine("e1").await;
+    let site = Site::start(&[&sidecar]).await;
+    let caller = site.caller();
+    let (mut running, mut events) = tokio::join!(
+        async {
+            let mut running = sidecar.next().await;
+            running.accept();
+            running.token("first").await;
+            running
+        },
+        caller.stream(KEY, "long")
+    );
+    let text = "x".repeat(TOKEN);
+    let mut sent = 1;
+    // The caller does not read: sooner or later the sidecar cannot send any more.
+    while timeout(Duration::from_millis(500), running.token(&text))
+        .await
+        .is_ok()
+    {
+        sent += 1;
+        assert!(sent < 900, "no back pressure");
+    }
+    let send_rest = async {
+        running.retry_token(&text).await;
+        running.end().await;
+    };
+    let read_all = async {
+        let mut tokens = vec![events.token().await];
+        for _ in 0..sent {
+            tokens.push(events.token().await);
+        }
+        (tokens, events.rest().await)
+    };
+    let ((), (tokens, rest)) = tokio::join!(send_rest, read_all);
+    assert_eq!(tokens.len(), sent + 1);
+    assert!(tokens[1..].iter().all(|token| *token == text));
+    assert_eq!(rest.last().map(String::as_str), Some("[DONE]"));
+}
--- a/crates/gateway/tests/support/sidecar.rs
+++ b/crates/gateway/tests/support/sidecar.rs
@@ -158,9 +158,20 @@
 
     /// Sends the next token.
     pub async fn token(&mut self, text: &str) -> bool {
-        let is_sent = self.own(FrameBody::Token(text.into())).await;
         self.next += 1;
-        is_sent
+        self.retry_token(text).await
+    }
+
+    /// Sends a token again that [`Self::token`] was interrupted at.
+    pub async fn retry_token(&mut self, text: &str) -> bool {
+        let token = FrameBody::Token(text.into());
+        let (id, attempt) = (self.work.id, self.work.attempt);
+        self.frame(id, attempt, self.next - 1, token).await
+    }
+
+    /// Counts a token that is not sent.
+    pub fn skip_token(&mut self) {
+        self.next += 1;
     }
 
     pub async fn keep_alive(&mut self) -> bool {
