Add leases, freshness, usage, orders and the node

LeaseKeeper, Freshness, UsageMeter, Reporter, OrderDriver and Snapshotter are driven by one input type and ask for effects through World. GatewayNode composes them with the replica behind on_event.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,10 +4,17 @@
 //! log, peers and upstreams only through [`world::World`], so that an embedder supplies the
 //! transport and a test supplies the clock.
 
+pub mod append;
+pub mod freshness;
 pub mod ids;
+pub mod lease;
 #[doc(hidden)]
 pub mod mutation;
+pub mod node;
+pub mod orders;
 pub mod record;
 pub mod replica;
+pub mod snapshot;
+pub mod usage;
 pub mod verdict;
 pub mod world;
--- /dev/null
+++ b/crates/core/src/node/mod.rs
@@ -0,0 +1,493 @@
+//! All coordination of one gateway behind one event and effect interface.
+
+mod event;
+mod start;
+
+use std::time::Duration;
+
+use strum::IntoEnumIterator;
+
+use crate::append::Input;
+use crate::freshness::{ASK_EVERY, Freshness, LogView};
+use crate::ids::{Epoch, Incarnation, Offset};
+use crate::lease::{LeaseKeeper, LeaseTerms};
+use crate::mutation::{Mutation, Mutations};
+use crate::orders::OrderDriver;
+use crate::record::{Body, LeaseRole};
+use crate::replica::{Applied, KeyFault, KeyRef, Replica};
+use crate::snapshot::{Image, PART_BYTES, Snapshotter};
+use crate::usage::{Reporter, UsageMeter, WindowTerms};
+use crate::world::{Moment, World};
+
+pub use event::{Effect, Entry, Event, TailRead};
+use start::{Found, Search};
+
+/// Longest wait of a read at the head. Twice this plus the time of a read stays below the age from
+/// which a replica counts as lagging.
+pub const READ_WAIT: Duration = Duration::from_millis(500);
+
+/// Pause after a failed read of the log.
+const READ_RETRY: Duration = Duration::from_millis(250);
+
+/// Time without a successful read after which a starting process asks a peer for its state.
+const IMAGE_AFTER: Duration = Duration::from_secs(1);
+
+/// Identity and durations of a node.
+#[derive(Debug, Clone)]
+pub struct NodeConfig {
+    /// Name of the instance.
+    pub instance: Box<str>,
+    /// Life of the process.
+    pub incarnation: Incarnation,
+    /// Leases.
+    pub lease: LeaseTerms,
+    /// Longest time that an effect under a lease takes.
+    pub send_budget: Duration,
+    /// Usage windows.
+    pub windows: WindowTerms,
+    /// Records between two snapshots.
+    pub snapshot_every: u64,
+    /// Text of one snapshot part in bytes.
+    pub part_bytes: usize,
+    /// Deliberate fault of the tests.
+    #[doc(hidden)]
+    pub mutations: Mutations,
+}
+
+impl NodeConfig {
+    /// Defaults of the design.
+    pub fn new(instance: &str, incarnation: Incarnation) -> Self {
+        Self {
+            instance: instance.into(),
+            incarnation,
+            lease: LeaseTerms::default(),
+            send_budget: Duration::from_millis(500),
+            windows: WindowTerms::default(),
+            snapshot_every: 16_384,
+            part_bytes: PART_BYTES,
+            mutations: Mutations::default(),
+        }
+    }
+}
+
+/// Replica, leases, freshness, usage and orders of one gateway.
+pub struct GatewayNode {
+    cfg: NodeConfig,
+    replica: Replica,
+    freshness: Freshness,
+    keepers: Vec<LeaseKeeper>,
+    meter: UsageMeter,
+    reporter: Reporter,
+    orders: OrderDriver,
+    snapshotter: Snapshotter,
+    /// Search for a snapshot, none once the replica follows the log.
+    search: Option<Search>,
+    /// Earliest moment of the next read, none while one is in flight.
+    read_at: Option<Moment>,
+    /// When reads began to fail, none while they succeed.
+    failing_since: Option<Moment>,
+    /// Since when the chart is in `fresh`.
+    fresh_since: Option<Moment>,
+    ask_at: Moment,
+    stop: Stop,
+}
+
+/// Progress of a planned stop.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stop {
+    No,
+    /// Effects under leases are to end.
+    Draining,
+    /// Leases are being released.
+    Releasing,
+    /// The embedder was told that it may exit.
+    Done,
+}
+
+impl GatewayNode {
+    /// Node of a process that has read nothing yet. The first tick starts it.
+    pub fn new(cfg: NodeConfig) -> Self {
+        let (name, mutations) = (&*cfg.instance, cfg.mutations);
+        let keeper = |role| {
+            LeaseKeeper::new(role, name, cfg.incarnation, cfg.lease).with_mutations(mutations)
+        };
+        Self {
+            replica: Replica::new().with_mutations(mutations),
+            freshness: Freshness::default().with_mutations(mutations),
+            keepers: LeaseRole::iter().map(keeper).collect(),
+            meter: UsageMeter::new(name, cfg.incarnation, cfg.windows).with_mutations(mutations),
+            reporter: Reporter::new(name, cfg.windows, cfg.send_budget).with_mutations(mutations),
+            orders: OrderDriver::new(name, cfg.send_budget).with_mutations(mutations),
+            snapshotter: Snapshotter::new(name, cfg.snapshot_every, cfg.part_bytes),
+            search: Some(Search::default()),
+            read_at: Some(Moment::default()),
+            failing_since: None,
+            fresh_since: None,
+            ask_at: Moment::default(),
+            stop: Stop::No,
+            cfg,
+        }
+    }
+
+    /// Handles one event.
+    pub fn on_event<W: World<Effect = Effect>>(&mut self, world: &mut W, event: Event) {
+        match event {
+            Event::TailRead(read) => self.on_read(world, &read),
+            Event::TailFailed => {
+                let now = world.now();
+                self.read_at = Some(now.plus(READ_RETRY));
+                self.failing_since.get_or_insert(now);
+            }
+            Event::AppendDone { token } => self.feed(world, Input::AppendDone { token }),
+            Event::AppendFailed {
+                token,
+                may_have_run,
+            } => {
+                let input = Input::AppendFailed {
+                    token,
+                    may_have_run,
+                };
+                self.feed(world, input);
+            }
+            Event::Peers(peers) => self.freshness.set_peers(peers),
+            Event::PartyView { party, asked, view } => {
+                self.freshness.on_view(&party, asked, view);
+                self.catch_up(world);
+            }
+            Event::PartySilent(party) => self.freshness.on_silence(&party),
+            Event::Offered(entries) => {
+                if self.search.is_none() {
+                    self.apply(world, &entries);
+                }
+            }
+            Event::PeerImage {
+                party,
+                asked,
+                view,
+                image,
+            } => {
+                if self.search.is_some() && self.load(world, &image) {
+                    self.freshness.on_view(&party, asked, view);
+                }
+            }
+            Event::Served { account, usage } => self.meter.count(world.wall_ms(), &account, usage),
+            Event::OrderWanted(command) => self.orders.want(command),
+            Event::OrderAnswered(order, answer) => {
+                self.orders.on_answer(world.now(), order, answer);
+            }
+            Event::ReportAnswered { window, is_taken } => {
+                self.reporter.on_answer(world.now(), window, is_taken);
+            }
+            Event::Tick => {}
+            Event::StopRequested => self.begin_stop(world),
+        }
+        self.judge(world);
+        self.feed(world, Input::Tick);
+        self.read(world);
+        self.ask(world);
+        self.advance_stop(world);
+    }
+
+    /// Checks the key of a request that starts now.
+    pub fn check_key(&self, now: Moment, token: &str) -> Result<KeyRef, KeyRefusal> {
+        if !self.freshness.may_serve_keyed(now) {
+            return Err(KeyRefusal::Isolated);
+        }
+        match self.replica.keys().check(token) {
+            Err(KeyFault::Withdrawn) if self.cfg.mutations.has(Mutation::NoKeyCheck) => {
+                let id = token.split('_').nth(1).unwrap_or_default();
+                let account = self.replica.keys().get(id).map(|key| key.account.clone());
+                Ok(KeyRef {
+                    key: id.into(),
+                    account: account.unwrap_or_default(),
+                })
+            }
+            checked => checked.map_err(KeyRefusal::Fault),
+        }
+    }
+
+    /// State of the log below [`Replica::next`].
+    pub fn replica(&self) -> &Replica {
+        &self.replica
+    }
+
+    /// How current that state is.
+    pub fn freshness(&self) -> &Freshness {
+        &self.freshness
+    }
+
+    /// What to tell other parties.
+    pub fn view(&self, now: Moment) -> LogView {
+        self.freshness.view(now, self.replica.next())
+    }
+
+    /// State for a peer that starts, none while this process is starting itself.
+    pub fn image(&self) -> Option<Image> {
+        self.search.is_none().then(|| Image::of(&self.replica))
+    }
+
+    /// Whether the replica follows the log.
+    pub fn is_started(&self) -> bool {
+        self.search.is_none()
+    }
+
+    /// Fencing number under which an effect of `role` may start at `now`.
+    pub fn may_act(&self, role: LeaseRole, now: Moment) -> Option<Epoch> {
+        if self.stop != Stop::No {
+            return None;
+        }
+        self.keeper(role).may_act(now, self.cfg.send_budget)
+    }
+
+    /// Leases that this process holds.
+    pub fn leases(&self, now: Moment) -> impl Iterator<Item = (LeaseRole, Epoch)> {
+        let epoch = move |keeper: &LeaseKeeper| {
+            let epoch = keeper.may_act(now, Duration::ZERO)?;
+            Some((keeper.role(), epoch))
+        };
+        self.keepers.iter().filter_map(epoch)
+    }
+
+    /// Changes the usage windows, when a configuration says so.
+    pub fn set_windows(&mut self, terms: WindowTerms) {
+        self.meter.set_terms(terms);
+        self.reporter.set_terms(terms);
+    }
+
+    fn keeper(&self, role: LeaseRole) -> &LeaseKeeper {
+        let index = LeaseRole::iter().position(|r| r == role).unwrap_or(0);
+        &self.keepers[index]
+    }
+
+    fn on_read<W: World<Effect = Effect>>(&mut self, world: &mut W, read: &TailRead) {
+        self.failing_since = None;
+        self.read_at = Some(world.now());
+        if let Some(search) = &mut self.search {
+            match search.on_read(read) {
+                Found::ReadFrom(from) => {
+                    self.start_read(world, from, Duration::ZERO);
+                    return;
+                }
+                Found::Snapshot(image) => {
+                    if !self.load(world, &image) {
+                        self.search = Some(Search::default());
+                        self.read_at = Some(world.now().plus(IMAGE_AFTER));
+                    }
+                    return;
+                }
+                Found::ReplayAll => self.search = None,
+                Found::Nothing => {
+                    self.read_at = Some(world.now().plus(IMAGE_AFTER));
+                    world.perform(Effect::AskImage);
+                    return;
+                }
+            }
+        }
+        if read.oldest > self.replica.next() {
+            // The log has dropped records that this replica lacks.
+            self.search = Some(Search::default());
+            return;
+        }
+        self.apply(world, &read.entries);
+        if self.replica.next() >= read.head {
+            self.freshness.on_head(read.started);
+            let started = read.started;
+            self.feed(world, Input::HeadRead { started });
+        }
+    }
+
+    fn apply<W: World<Effect = Effect>>(&mut self, world: &mut W, entries: &[Entry]) {
+        let mut withdrawn = Vec::new();
+        let config = self.replica.config().last();
+        for (offset, text) in entries {
+            let applied = self.replica.apply(*offset, text);
+            if matches!(applied, Applied::Stale | Applied::Gap) {
+                continue;
+            }
+            if let Applied::Accepted(record) = &applied
+                && let Body::KeyWithdraw(withdraw) = &record.body
+            {
+                withdrawn.push(withdraw.key.clone());
+            }
+            self.feed(world, Input::Applied(*offset, &applied));
+            world.perform(Effect::Applied(*offset, applied));
+        }
+        if !withdrawn.is_empty() {
+            world.perform(Effect::KeysWithdrawn(withdrawn));
+        }
+        if self.replica.config().last() != config {
+            world.perform(Effect::ConfigChanged);
+        }
+    }
+
+    /// Replaces the state by that of an image and returns whether that was possible. The state never
+    /// goes back.
+    fn load<W: World<Effect = Effect>>(&mut self, world: &mut W, image: &Image) -> bool {
+        let Ok(replica) = image.load() else {
+            return false;
+        };
+        if replica.next() < self.replica.next() {
+            return false;
+        }
+        let is_live = |key: &str| replica.keys().is_live(key);
+        let before = self.replica.keys().iter().map(|(key, _)| key);
+        let withdrawn: Vec<Box<str>> = before
+            .filter(|key| self.replica.keys().is_live(key) && !is_live(key))
+            .map(Into::into)
+            .collect();
+        let is_config_new = replica.config().last() != self.replica.config().last();
+        self.replica = replica.with_mutations(self.cfg.mutations);
+        self.search = None;
+        self.feed_loaded(world);
+        world.perform(Effect::Reloaded);
+        if !withdrawn.is_empty() {
+            world.perform(Effect::KeysWithdrawn(withdrawn));
+        }
+        if is_config_new {
+            world.perform(Effect::ConfigChanged);
+        }
+        true
+    }
+
+    fn feed_loaded<W: World<Effect = Effect>>(&mut self, world: &mut W) {
+        let replica = std::mem::take(&mut self.replica);
+        for keeper in &mut self.keepers {
+            keeper.on_event(world, Input::Loaded(&replica));
+        }
+        self.meter.on_event(world, Input::Loaded(&replica));
+        self.replica = replica;
+    }
+
+    /// Gives one input to all components.
+    fn feed<W: World<Effect = Effect>>(&mut self, world: &mut W, input: Input<'_>) {
+        for keeper in &mut self.keepers {
+            keeper.on_event(world, input);
+        }
+        self.meter.on_event(world, input);
+        let settled = self
+            .fresh_since
+            .map_or(Duration::ZERO, |since| world.now().since(since));
+        let [planner, reporter, snapshot] = &self.keepers[..] else {
+            return;
+        };
+        self.reporter
+            .on_event(world, input, &self.replica, reporter, settled);
+        self.orders.on_event(world, input, &self.replica, planner);
+        let differs = self
+            .snapshotter
+            .on_event(world, input, &self.replica, snapshot);
+        if let Some(as_of) = differs {
+            world.perform(Effect::SnapshotDiffers(as_of));
+        }
+    }
+
+    /// Judges freshness again.
+    fn judge<W: World<Effect = Effect>>(&mut self, world: &mut W) {
+        let now = world.now();
+        if !self.freshness.on_tick(now, self.replica.next()) {
+            return;
+        }
+        let is_fresh = self.freshness.state() == "fresh";
+        self.fresh_since = is_fresh.then_some(now);
+        world.perform(Effect::FreshnessChanged);
+        if self.freshness.state() == "isolated" {
+            world.perform(Effect::EndKeyed);
+        }
+    }
+
+    fn read<W: World<Effect = Effect>>(&mut self, world: &mut W) {
+        if self.read_at.is_some_and(|at| world.now() >= at) {
+            let from = self.replica.next();
+            self.start_read(world, from, READ_WAIT);
+        }
+    }
+
+    fn start_read<W: World<Effect = Effect>>(
+        &mut self,
+        world: &mut W,
+        from: Offset,
+        wait: Duration,
+    ) {
+        self.read_at = None;
+        world.perform(Effect::ReadTail { from, wait });
+    }
+
+    /// Asks the other parties while the log cannot be read.
+    fn ask<W: World<Effect = Effect>>(&mut self, world: &mut W) {
+        let now = world.now();
+        if self.freshness.is_fresh(now) || now < self.ask_at {
+            return;
+        }
+        self.ask_at = now.plus(ASK_EVERY);
+        let is_failing = self
+            .failing_since
+            .is_some_and(|since| now.since(since) >= IMAGE_AFTER);
+        if self.search.is_some() && is_failing {
+            world.perform(Effect::AskImage);
+        }
+        world.perform(Effect::AskParties);
+    }
+
+    fn catch_up<W: World<Effect = Effect>>(&mut self, world: &mut W) {
+        let from = self.replica.next();
+        if self.search.is_some() || self.freshness.is_fresh(world.now()) {
+            return;
+        }
+        if let Some(party) = self.freshness.ahead(from) {
+            let party = party.into();
+            world.perform(Effect::ReadParty { party, from });
+        }
+    }
+
+    fn begin_stop<W: World<Effect = Effect>>(&mut self, world: &mut W) {
+        if self.stop != Stop::No {
+            return;
+        }
+        self.stop = Stop::Draining;
+        self.meter.on_event(world, Input::Stop);
+        let [planner, reporter, snapshot] = &self.keepers[..] else {
+            return;
+        };
+        self.reporter
+            .on_event(world, Input::Stop, &self.replica, reporter, Duration::ZERO);
+        self.orders
+            .on_event(world, Input::Stop, &self.replica, planner);
+        self.snapshotter
+            .on_event(world, Input::Stop, &self.replica, snapshot);
+    }
+
+    fn advance_stop<W: World<Effect = Effect>>(&mut self, world: &mut W) {
+        let now = world.now();
+        if self.stop == Stop::Draining && self.reporter.is_idle(now) && self.orders.is_idle(now) {
+            self.stop = Stop::Releasing;
+            for keeper in &mut self.keepers {
+                keeper.on_event(world, Input::Stop);
+            }
+        }
+        let is_released = self.keepers.iter().all(LeaseKeeper::is_stopped);
+        if self.stop == Stop::Releasing && is_released && self.meter.is_flushed() {
+            self.stop = Stop::Done;
+            world.perform(Effect::MayExit);
+        }
+    }
+}
+
+/// Why a keyed request is refused. It has not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum KeyRefusal {
+    /// This process cannot know whether the key was withdrawn.
+    Isolated,
+    /// The token is not valid.
+    Fault(KeyFault),
+}
+
+impl std::fmt::Display for KeyRefusal {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Isolated => f.write_str("the log cannot be read and not all peers were reached"),
+            Self::Fault(fault) => write!(f, "the key is not valid: {fault}"),
+        }
+    }
+}
+
+impl std::error::Error for KeyRefusal {}
--- a/crates/core/src/replica/mod.rs
+++ b/crates/core/src/replica/mod.rs
@@ -36,6 +36,7 @@
 mod leases;
 mod orders;
 mod seen;
+mod snapshots;
 mod usage;
 
 use serde::{Deserialize, Serialize};
@@ -52,6 +53,7 @@
 pub use leases::{LeaseState, Leases};
 pub use orders::{Finished, Orders, Outstanding};
 pub use seen::Seen;
+pub use snapshots::Snapshots;
 pub use usage::{Figures, Sealed, UsageLedger};
 
 /// State that results from the log below [`Replica::next`].
@@ -66,6 +68,7 @@
     usage: UsageLedger,
     orders: Orders,
     drains: Drains,
+    snapshots: Snapshots,
     audit: Audit,
     #[serde(skip)]
     mutations: Mutations,
@@ -154,8 +157,15 @@
                 self.drains.request(offset, drain);
                 Ok(())
             }
-            Body::SnapshotMark(mark) => self.require(LeaseRole::Snapshot, mark.epoch),
-            Body::SnapshotPart(part) => self.require(LeaseRole::Snapshot, part.epoch),
+            Body::SnapshotMark(mark) => {
+                self.require(LeaseRole::Snapshot, mark.epoch)?;
+                self.snapshots.mark(offset, mark);
+                Ok(())
+            }
+            Body::SnapshotPart(part) => {
+                self.require(LeaseRole::Snapshot, part.epoch)?;
+                self.snapshots.part(part)
+            }
             // Dispatch point of `replica/attempts.rs` and `replica/quarantine.rs`.
             Body::AttemptOpen(_)
             | Body::AttemptFence(_)
@@ -217,6 +227,11 @@
         &self.drains
     }
 
+    /// Snapshots in the log.
+    pub fn snapshots(&self) -> &Snapshots {
+        &self.snapshots
+    }
+
     /// Recent changes with author and verdict.
     pub fn audit(&self) -> &Audit {
         &self.audit
