--- a/crates/bins/tests/common/site.rs
+++ b/crates/bins/tests/common/site.rs
@@ -40,7 +40,7 @@
 /// An upstream with its sidecar.
 pub struct Upstream {
     pub instance: Instance,
-    pub upstream: Process,
+    pub backend: Process,
     pub sidecar: Process,
 }
 
@@ -244,7 +244,7 @@
         for service in &self.services {
             all.push(
                 self.http
-                    .get(service.upstream.addr("addr"), "/executions")
+                    .get(service.backend.addr("addr"), "/executions")
                     .await
                     .json(),
             );
@@ -297,17 +297,18 @@
 
     /// Logs of all processes, for failed tests.
     pub fn logs(&self) -> String {
-        let mut text = String::new();
-        for entry in std::fs::read_dir(self.dir.path()).unwrap().flatten() {
-            let path = entry.path();
-            if path.extension().is_some_and(|e| e == "log") {
+        let entries = std::fs::read_dir(self.dir.path()).unwrap().flatten();
+        let paths = entries.map(|entry| entry.path());
+        let logs = paths.filter(|path| path.extension().is_some_and(|e| e == "log"));
+        let tails: Vec<String> = logs
+            .map(|path| {
                 let log = std::fs::read_to_string(&path).unwrap_or_default();
-                let tail: Vec<_> = log.lines().rev().take(20).collect();
-                let tail: Vec<_> = tail.into_iter().rev().collect();
-                text.push_str(&format!("--- {}\n{}\n", path.display(), tail.join("\n")));
-            }
-        }
-        text
+                let lines: Vec<_> = log.lines().collect();
+                let tail = lines[lines.len().saturating_sub(20)..].join("\n");
+                format!("--- {}\n{tail}\n", path.display())
+            })
+            .collect();
+        tails.concat()
     }
 
     /// Starts a gateway that is not in the instance list yet.
@@ -390,13 +391,13 @@
         config: &str,
     ) -> Upstream {
         let log = self.dir.path().join(format!("{name}.log"));
-        let upstream = Process::start(binary, &["--config", config], &log);
+        let backend = Process::start(binary, &["--config", config], &log);
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        let sidecar = self.start_sidecar(name, kind, i, any, upstream.addr("addr"));
+        let sidecar = self.start_sidecar(name, kind, i, any, backend.addr("addr"));
         let data = sidecar.addr("addr");
         Upstream {
             instance: instance(name, kind, serves, i, data, data),
-            upstream,
+            backend,
             sidecar,
         }
     }
--- a/crates/bins/tests/thin_path.rs
+++ b/crates/bins/tests/thin_path.rs
@@ -39,7 +39,7 @@
     let (_, token) = site.grant_everywhere("shop").await;
     let bearer = format!("Bearer {token}");
     let headers = [("authorization", &*bearer), ("x-trace", "7")];
-    let service = site.services[0].upstream.addr("addr");
+    let service = site.services[0].backend.addr("addr");
     let placed = [("x-reference", "r1")];
     site.http
         .call(Method::POST, service, "/status", &placed, "")
