Keep a stopping gateway answering until callers have left

Cause: the new process test gateway_stop showed a request cut by SIGTERM: the gateway closed a caller's kept-open connection at the moment at which the caller sent its next request over it. Change: after SIGTERM the gateway is not ready but goes on taking requests for linger_ms (5 s by default, in the settings), and every answer closes its connection. The fake engine sends keep-alive frames, as the engines' protocol now says, so that a silent engine connection can be told from a long prefill. Ruled out: closing idle connections at once, which cannot be told from a request on its way.

--- a/crates/bins/tests/common/site.rs
+++ b/crates/bins/tests/common/site.rs
@@ -318,7 +318,7 @@
         let settings = format!(
             r#"{{ "instance": "{name}", "failure_domain": "fd-{domain}", "site": "{SITE}",
                 "listen": "127.0.0.1:0", "control": "{control}", "admin": "127.0.0.1:0",
-                "platform": "http://{platform}" }}"#,
+                "platform": "http://{platform}", "linger_ms": 500 }}"#,
             domain = i % 3,
             platform = self.platform(),
         );
--- a/crates/fakes/src/engine/http.rs
+++ b/crates/fakes/src/engine/http.rs
@@ -9,19 +9,22 @@
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use axum::{Json, Router};
-use futures::StreamExt;
+use bytes::Bytes;
+use futures::Stream;
+use futures::stream::unfold;
 use http::{HeaderMap, StatusCode, header};
 use nutmegbay_core::verdict::Verdict;
 use nutmegbay_proto::engine::{
     CacheEvents, CacheExport, CachePieces, Cancel, EngineOrder, Generate, Load, OrderState,
 };
+use nutmegbay_proto::frame::{Frame, FrameBody};
 use nutmegbay_proto::prefix::piece_hashes;
 use nutmegbay_proto::problem::{PROBLEM_JSON, Problem, ProblemKind};
 use serde::Deserialize;
-use tokio::time::Instant;
+use tokio::time::{Duration, Instant, timeout};
 
 use super::Shared;
-use super::batch::EngineSeen;
+use super::batch::{EngineSeen, Lines, Lost};
 use super::config::EngineFaults;
 use super::orders::Refusal;
 use crate::server::ConnId;
@@ -29,6 +32,9 @@
 /// Largest body taken, for prompts of several hundred thousand tokens.
 const MAX_BODY_BYTES: usize = 16 << 20;
 
+/// Time without any frame after which a sign of life is sent, as the engines' protocol requires.
+const KEEP_ALIVE: Duration = Duration::from_millis(500);
+
 type Cx = State<Arc<Shared>>;
 
 pub(super) fn router(shared: Arc<Shared>) -> Router {
@@ -76,14 +82,47 @@
         let detail = format!("model {} is not loaded", generate.model);
         return Err(refused(ProblemKind::UnknownModel, detail));
     }
-    let mut lines = engine.submit(&generate);
+    let lines = engine.submit(&generate);
     drop(engine);
     shared.changed.notify_one();
-    let lines = futures::stream::poll_fn(move |cx| lines.poll_recv(cx));
-    let body = Body::from_stream(lines.fuse());
+    let body = Body::from_stream(with_keep_alive(shared, &generate, lines));
     Ok(([(header::CONTENT_TYPE, "application/x-ndjson")], body).into_response())
 }
 
+/// Adds a sign of life wherever no frame comes for [`KEEP_ALIVE`].
+fn with_keep_alive(
+    shared: Arc<Shared>,
+    generate: &Generate,
+    lines: Lines,
+) -> impl Stream<Item = Result<Bytes, Lost>> + use<> {
+    let first = u32::try_from(generate.delivered.len()).unwrap_or(u32::MAX);
+    let frame = Frame {
+        id: generate.id,
+        attempt: generate.attempt,
+        seq: first,
+        body: FrameBody::KeepAlive,
+    };
+    unfold(
+        (shared, lines, frame),
+        async |(shared, mut lines, mut frame)| {
+            loop {
+                match timeout(KEEP_ALIVE, lines.recv()).await {
+                    Ok(line) => {
+                        frame.seq += 1;
+                        return line.map(|line| (line, (shared, lines, frame)));
+                    }
+                    Err(_) if shared.engine().faults.stop_answering => {}
+                    Err(_) => {
+                        let mut line = serde_json::to_vec(&frame).unwrap_or_default();
+                        line.push(b'\n');
+                        return Some((Ok(line.into()), (shared, lines, frame)));
+                    }
+                }
+            }
+        },
+    )
+}
+
 async fn cancel(State(shared): Cx, Json(cancel): Json<Cancel>) -> StatusCode {
     shared.engine().cancel(cancel.id);
     StatusCode::NO_CONTENT
--- a/crates/gateway/src/data/serve.rs
+++ b/crates/gateway/src/data/serve.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Method, Request, Response};
+use http::{HeaderValue, Method, Request, Response, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body as _, Incoming};
 use hyper::server::conn::http1;
@@ -37,12 +37,24 @@
 /// Pause after a failed accept, which is usually a lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Serves callers until `stop`, then finishes what is in flight.
-pub async fn serve(gateway: Arc<Gateway>, listener: TcpListener, stop: CancellationToken) {
+/// Serves callers until `linger` after `stop`, then finishes what is in flight.
+///
+/// Between the two every answer closes its connection. Closing connections at once would cut the
+/// requests that callers send at that moment over connections that they keep open.
+pub async fn serve(
+    gateway: Arc<Gateway>,
+    listener: TcpListener,
+    stop: CancellationToken,
+    linger: Duration,
+) {
     let graceful = GracefulShutdown::new();
+    let mut over = pin!(async {
+        stop.cancelled().await;
+        sleep(linger).await;
+    });
     loop {
         let stream = tokio::select! {
-            () = stop.cancelled() => break,
+            () = &mut over => break,
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => stream,
                 Err(error) => {
@@ -77,6 +89,15 @@
 
 async fn handle(gateway: &Arc<Gateway>, req: Request<Incoming>) -> Response<Body> {
     gateway.metrics.count("requests");
+    let mut res = answer(gateway, req).await;
+    if gateway.is_draining() {
+        let close = HeaderValue::from_static("close");
+        res.headers_mut().insert(header::CONNECTION, close);
+    }
+    res
+}
+
+async fn answer(gateway: &Arc<Gateway>, req: Request<Incoming>) -> Response<Body> {
     match dispatch(gateway, req).await {
         Ok(res) => res,
         Err(problem) => {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use error_stack::{Report, ResultExt};
 use nutmegbay_platform::{ClientSettings, PlatformClient};
@@ -89,6 +90,7 @@
     /// Serves until `stop`, then finishes what is in flight.
     pub async fn serve(self, stop: CancellationToken) -> Result<(), Report<RunError>> {
         let instance = self.settings.instance.clone();
+        let linger = Duration::from_millis(self.settings.linger_ms);
         let metrics = Metrics::new(self.settings.statsd)
             .change_context(RunError)
             .attach("metrics socket")?;
@@ -122,7 +124,10 @@
             stopping.drain();
             readiness.set(false);
         };
-        tokio::join!(serve(Arc::clone(&gateway), self.listener, stop), announce);
+        tokio::join!(
+            serve(Arc::clone(&gateway), self.listener, stop, linger),
+            announce
+        );
         gateway.idle().await;
         self.admin_stop.cancel();
         tracing::info!(event = "stopped", %instance);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -28,6 +28,10 @@
     /// Address of a statsd server that takes metrics over UDP.
     #[serde(default)]
     pub statsd: Option<SocketAddr>,
+    /// Time for which a stopping gateway still takes requests, in milliseconds. It must cover the
+    /// time that the load balancer takes to see that the gateway is not ready.
+    #[serde(default = "default_linger_ms")]
+    pub linger_ms: u64,
 }
 
 impl GatewaySettings {
@@ -73,6 +77,10 @@
     }
 }
 
+fn default_linger_ms() -> u64 {
+    5_000
+}
+
 fn fault(tree: &Node, key: &str, message: &str) -> Report<SettingsError> {
     Report::new(SettingsError {
         faults: vec![Fault {
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -76,7 +76,7 @@
             r#"{{ // test
                 "instance": "gw1", "failure_domain": "a", "site": "test",
                 "listen": "127.0.0.1:0", "control": "127.0.0.1:0", "admin": "127.0.0.1:0",
-                "platform": "http://{}" }}"#,
+                "platform": "http://{}", "linger_ms": 100 }}"#,
             platform.addr
         );
         let settings = GatewaySettings::parse("test", &text).expect("settings");
--- a/crates/proto/src/engine.rs
+++ b/crates/proto/src/engine.rs
@@ -2,7 +2,7 @@
 //!
 //! | method and path | body | answer |
 //! |---|---|---|
-//! | `POST /generate` | [`Generate`] | [`Frame`](crate::frame::Frame)s, one a line |
+//! | `POST /generate` | [`Generate`] | [`Frame`](crate::frame::Frame)s, one a line, a keep-alive at least every 500 ms |
 //! | `POST /cancel` | [`Cancel`] | 204 |
 //! | `GET /load` | | [`Load`] |
 //! | `GET /cache/events?from=N` | | [`CacheEvents`] |
