Add at-most-once coordinator, guard tables and quarantine to core

Change: `attempt` coordinates calls in a gateway along `charts/attempt.json`; `guard` holds the tables of a sidecar (attempts with a low-water offset, fencing number from a contiguous piece of the log, exclusive runs); `quarantine` is a gateway's view of suspects; replay judges attempts, crash reports and the lock for exclusive runs. `AttemptRef` and `AttemptState` move from proto to core, which proto exports under the old names; `AttemptRef` carries the opening offset and `AttemptState` gains `NotSeen`.

Conclusion: the record types gain `ExclusiveRun`, since a lock for the fleet must be in the log.

--- /dev/null
+++ b/crates/core/src/attempt/group.rs
@@ -0,0 +1,67 @@
+use std::time::Duration;
+
+use crate::record::Record;
+use crate::world::{Append, Moment};
+
+/// Collects the appends of a gateway into groups, each of which is one append to the log.
+///
+/// A group is closed when its first record has waited for the window, or when it is full. One group
+/// is under way at a time, so a slow log makes larger groups instead of more appends.
+#[derive(Debug)]
+pub struct GroupCommit {
+    window: Duration,
+    max_records: usize,
+    records: Vec<Record>,
+    tokens: Vec<u64>,
+    due: Option<Moment>,
+    is_under_way: bool,
+}
+
+impl GroupCommit {
+    /// Groups of up to `max_records`, each held for at most `window`.
+    pub fn new(window: Duration, max_records: usize) -> Self {
+        Self {
+            window,
+            max_records,
+            records: Vec::new(),
+            tokens: Vec::new(),
+            due: None,
+            is_under_way: false,
+        }
+    }
+
+    /// Adds an append.
+    pub fn push(&mut self, append: Append, now: Moment) {
+        self.due.get_or_insert(now.plus(self.window));
+        self.tokens.push(append.token);
+        self.records.extend(append.records);
+    }
+
+    /// Moment at which the open group is to be sent, none if it is empty or another one is under
+    /// way.
+    pub fn due(&self) -> Option<Moment> {
+        match self.due {
+            _ if self.is_under_way => None,
+            Some(_) if self.records.len() >= self.max_records => Some(Moment::default()),
+            due => due,
+        }
+    }
+
+    /// Takes the open group if it is due: its records, and the tokens of the appends in it.
+    pub fn take(&mut self, now: Moment) -> Option<(Vec<Record>, Vec<u64>)> {
+        if self.due()? > now {
+            return None;
+        }
+        self.due = None;
+        self.is_under_way = true;
+        Some((
+            std::mem::take(&mut self.records),
+            std::mem::take(&mut self.tokens),
+        ))
+    }
+
+    /// Tells that the group under way was answered or given up.
+    pub fn done(&mut self) {
+        self.is_under_way = false;
+    }
+}
--- /dev/null
+++ b/crates/core/src/guard/authority.rs
@@ -0,0 +1,252 @@
+use crate::ids::{Epoch, Offset};
+use crate::record::{Body, LeaseRole, Record};
+
+/// Lease records that are kept while it is not yet known which of them replay accepted. The holder
+/// renews every second, so the second renewal in a row settles it.
+const UNDECIDED_KEPT: usize = 64;
+
+/// Decides whether an order's fencing number is current.
+///
+/// A sidecar has no replica. It reads a contiguous piece of the log and finds out from the lease
+/// records in it which one replay accepted last: a process names in `prev` only a record that its
+/// own replica has accepted, so a record whose `prev` lies inside the piece settles that record,
+/// and from there on the piece can be replayed exactly.
+#[derive(Debug, Default)]
+pub struct Authority {
+    highest: Epoch,
+    head_at_start: Option<Offset>,
+    next: Option<Offset>,
+    lease: Lease,
+}
+
+/// Why an order is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OrderRefused {
+    /// Its fencing number is below one that was seen.
+    Old {
+        /// Lowest fencing number that may be accepted.
+        lowest: Epoch,
+    },
+    /// The sidecar does not know yet who holds the planner lease.
+    NotConfirmed,
+}
+
+impl std::fmt::Display for OrderRefused {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Old { lowest } => write!(f, "the fencing number is below {lowest}"),
+            Self::NotConfirmed => f.write_str(
+                "the sidecar has not seen yet which planner lease is in force since its start",
+            ),
+        }
+    }
+}
+
+impl std::error::Error for OrderRefused {}
+
+#[derive(Debug)]
+enum Lease {
+    /// No record is known to be accepted.
+    Undecided(Vec<(Offset, Change)>),
+    /// The last accepted record is known.
+    Known(Option<Held>),
+}
+
+#[derive(Debug, Clone)]
+struct Held {
+    last: Offset,
+    epoch: Epoch,
+    holder: Box<str>,
+    released: bool,
+}
+
+#[derive(Debug, Clone)]
+struct Change {
+    author: Box<str>,
+    prev: Option<Offset>,
+    kind: ChangeKind,
+}
+
+#[derive(Debug, Clone)]
+enum ChangeKind {
+    Claim { holder: Box<str> },
+    Renew(Epoch),
+    Release(Epoch),
+}
+
+impl Default for Lease {
+    fn default() -> Self {
+        Self::Undecided(Vec::new())
+    }
+}
+
+impl Authority {
+    /// Knows nothing and refuses every order.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Tells the offset after the last record, as observed by a read that began after the start of
+    /// this process. Only the first such observation counts.
+    pub fn set_head(&mut self, head: Offset) {
+        self.head_at_start.get_or_insert(head);
+    }
+
+    /// Offset of the next record wanted, none before the first one.
+    pub fn next(&self) -> Option<Offset> {
+        self.next
+    }
+
+    /// Reads the record at `offset`; `None` stands for one that does not parse. Records that were
+    /// read before are ignored, and a gap makes the authority start over.
+    pub fn observe(&mut self, offset: Offset, record: Option<&Record>) {
+        match self.next {
+            Some(next) if offset < next => return,
+            Some(next) if offset == next => {}
+            // At the first offset of the log no lease record precedes, so the state is known.
+            _ if offset == Offset(0) => self.lease = Lease::Known(None),
+            _ => self.lease = Lease::default(),
+        }
+        self.next = Some(offset.next());
+        if let Some(change) = record.and_then(change) {
+            self.lease.apply(offset, change);
+            self.raise();
+        }
+    }
+
+    /// Tells that no record is missing between what was read and `head`.
+    pub fn reached(&mut self, head: Offset) {
+        if self.next.is_none() && head == Offset(0) {
+            self.next = Some(head);
+            self.lease = Lease::Known(None);
+        }
+    }
+
+    /// Whether orders can be judged: a lease record at or after the head at the start, or the
+    /// absence of one, is known.
+    pub fn is_confirmed(&self) -> bool {
+        let reached_head = match (self.next, self.head_at_start) {
+            (Some(next), Some(head)) => next >= head,
+            _ => false,
+        };
+        reached_head && matches!(self.lease, Lease::Known(_))
+    }
+
+    /// Highest fencing number that was accepted or seen in force.
+    pub fn highest(&self) -> Epoch {
+        self.highest
+    }
+
+    /// Accepts or refuses an order under `epoch`; an accepted one becomes the highest seen.
+    pub fn check(&mut self, epoch: Epoch) -> Result<(), OrderRefused> {
+        if epoch < self.highest {
+            return Err(OrderRefused::Old {
+                lowest: self.highest,
+            });
+        }
+        if !self.is_confirmed() {
+            return Err(OrderRefused::NotConfirmed);
+        }
+        self.highest = epoch;
+        Ok(())
+    }
+
+    /// A claim in force refuses all earlier ones; a released lease refuses its own number too.
+    fn raise(&mut self) {
+        if let Lease::Known(Some(held)) = &self.lease {
+            let lowest = if held.released {
+                Epoch(held.last.0)
+            } else {
+                held.epoch
+            };
+            self.highest = self.highest.max(lowest);
+        }
+    }
+}
+
+impl Lease {
+    fn apply(&mut self, offset: Offset, change: Change) {
+        match self {
+            Self::Known(held) => replay(held, offset, change),
+            Self::Undecided(records) => {
+                records.push((offset, change));
+                if let Some(held) = settle(records) {
+                    *self = Self::Known(Some(held));
+                } else if records.len() > UNDECIDED_KEPT {
+                    records.remove(0);
+                }
+            }
+        }
+    }
+}
+
+/// Finds a record that the newest one names as accepted, and replays from there.
+fn settle(records: &[(Offset, Change)]) -> Option<Held> {
+    let prev = records.last()?.1.prev?;
+    let place = records.iter().position(|(offset, _)| *offset == prev)?;
+    let (offset, change) = &records[place];
+    let (epoch, holder, released) = match &change.kind {
+        ChangeKind::Claim { holder } => (Epoch::from(*offset), holder, false),
+        ChangeKind::Renew(epoch) => (*epoch, &change.author, false),
+        ChangeKind::Release(epoch) => (*epoch, &change.author, true),
+    };
+    let mut held = Some(Held {
+        last: *offset,
+        epoch,
+        holder: holder.clone(),
+        released,
+    });
+    for (offset, change) in &records[place + 1..] {
+        replay(&mut held, *offset, change.clone());
+    }
+    held
+}
+
+/// Same rules as the lease state of the replica.
+fn replay(held: &mut Option<Held>, offset: Offset, change: Change) {
+    if change.prev != held.as_ref().map(|held| held.last) {
+        return;
+    }
+    match (change.kind, held) {
+        (ChangeKind::Claim { holder }, held) => {
+            *held = Some(Held {
+                last: offset,
+                epoch: offset.into(),
+                holder,
+                released: false,
+            });
+        }
+        (ChangeKind::Renew(epoch), Some(held)) if held.is_held(epoch, &change.author) => {
+            held.last = offset;
+        }
+        (ChangeKind::Release(epoch), Some(held)) if held.is_held(epoch, &change.author) => {
+            held.last = offset;
+            held.released = true;
+        }
+        _ => {}
+    }
+}
+
+impl Held {
+    fn is_held(&self, epoch: Epoch, author: &str) -> bool {
+        !self.released && self.epoch == epoch && &*self.holder == author
+    }
+}
+
+fn change(record: &Record) -> Option<Change> {
+    let author = record.author.clone();
+    let (prev, kind) = match &record.body {
+        Body::LeaseClaim(claim) if claim.role == LeaseRole::Planner => {
+            let holder = claim.holder.clone();
+            (claim.prev, ChangeKind::Claim { holder })
+        }
+        Body::LeaseRenew(change) if change.role == LeaseRole::Planner => {
+            (Some(change.prev), ChangeKind::Renew(change.epoch))
+        }
+        Body::LeaseRelease(change) if change.role == LeaseRole::Planner => {
+            (Some(change.prev), ChangeKind::Release(change.epoch))
+        }
+        _ => return None,
+    };
+    Some(Change { author, prev, kind })
+}
--- /dev/null
+++ b/crates/core/src/guard/slots.rs
@@ -0,0 +1,66 @@
+use std::collections::{HashSet, VecDeque};
+
+/// Runs on one upstream, of which some must have it to themselves. Waiting runs start in the order
+/// of their arrival, so that neither kind keeps the other out for ever.
+#[derive(Debug, Default)]
+pub struct Slots {
+    running: HashSet<u64>,
+    alone: Option<u64>,
+    waiting: VecDeque<(u64, bool)>,
+}
+
+impl Slots {
+    /// Nothing is running.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Registers a run and returns whether it starts at once; otherwise a later call of
+    /// [`Self::leave`] returns it.
+    pub fn enter(&mut self, run: u64, exclusive: bool) -> bool {
+        if self.waiting.is_empty() && self.fits(exclusive) {
+            self.start(run, exclusive);
+            return true;
+        }
+        self.waiting.push_back((run, exclusive));
+        false
+    }
+
+    /// Removes a run that ended or gave up waiting, and returns the runs that start now.
+    #[must_use]
+    pub fn leave(&mut self, run: u64) -> Vec<u64> {
+        self.running.remove(&run);
+        self.alone = self.alone.filter(|alone| *alone != run);
+        self.waiting.retain(|(waiting, _)| *waiting != run);
+        let mut started = Vec::new();
+        while let Some(&(run, exclusive)) = self.waiting.front()
+            && self.fits(exclusive)
+        {
+            self.waiting.pop_front();
+            self.start(run, exclusive);
+            started.push(run);
+        }
+        started
+    }
+
+    /// Number of runs that have started.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Number of runs that wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    fn fits(&self, exclusive: bool) -> bool {
+        self.alone.is_none() && (!exclusive || self.running.is_empty())
+    }
+
+    fn start(&mut self, run: u64, exclusive: bool) {
+        self.running.insert(run);
+        if exclusive {
+            self.alone = Some(run);
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,9 +4,12 @@
 //! log, peers and upstreams only through [`world::World`], so that an embedder supplies the
 //! transport and a test supplies the clock.
 
+pub mod attempt;
+pub mod guard;
 pub mod ids;
 #[doc(hidden)]
 pub mod mutation;
+pub mod quarantine;
 pub mod record;
 pub mod replica;
 pub mod verdict;
--- a/crates/core/src/mutation.rs
+++ b/crates/core/src/mutation.rs
@@ -32,6 +32,28 @@
     NoKeyCheck,
     /// A flush drops the counts of an append that failed.
     DropFailedCounts,
+    /// Replay accepts an attempt while another one of the same call is open.
+    OpenWithoutPrev,
+    /// A sidecar runs an attempt again that it has seen.
+    RunSeenAttempt,
+    /// A sidecar runs an attempt that it has promised never to run.
+    RunFencedAttempt,
+    /// A sidecar runs attempts that are bound to another life of it.
+    RunOtherLife,
+    /// A sidecar answers "never seen" for attempts whose record it has dropped.
+    NoLowWater,
+    /// A gateway says "not run" although its replica may lack an attempt.
+    StaleNotRun,
+    /// A gateway dispatches an attempt after it has given up the right to.
+    DispatchRevoked,
+    /// A gateway gives each caller the answer of a fresh look-up instead of the logged one.
+    ForgetAnswer,
+    /// A gateway treats a failed dispatch as ended and never asks the sidecar.
+    AbandonLostDispatch,
+    /// A gateway ignores crash reports when it decides how a request runs.
+    IgnoreCrashes,
+    /// A gateway keeps a suspect request suspect after it ran alone without a crash.
+    NeverClear,
 }
 
 /// The fault of a component, if any.
--- a/crates/core/src/record.rs
+++ b/crates/core/src/record.rs
@@ -66,6 +66,8 @@
     CrashReport(CrashReport),
     /// Records that a suspect request finished without a crash, or that an operator cleared it.
     QuarantineClear(QuarantineClear),
+    /// Takes or gives back the right to run one suspect request alone.
+    ExclusiveRun(ExclusiveRun),
     /// Asks an instance to drain.
     DrainRequest(DrainRequest),
     /// Fixes the offset as of which the next snapshot is written.
@@ -221,6 +223,13 @@
     pub body: Option<Box<str>>,
 }
 
+impl Answer {
+    /// Bytes of the body.
+    pub fn size(&self) -> usize {
+        self.body.as_ref().map_or(0, |body| body.len())
+    }
+}
+
 /// Content of [`Body::OrderIntent`].
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct OrderIntent {
@@ -422,6 +431,22 @@
     pub fingerprint: Fingerprint,
 }
 
+/// Content of [`Body::ExclusiveRun`]. The lock also ends when the request is cleared or crashes an
+/// upstream again.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ExclusiveRun {
+    /// Suspect request.
+    pub fingerprint: Fingerprint,
+    /// Life of the gateway that runs it.
+    pub gateway: Incarnation,
+    /// Last accepted record that took the lock, if any; not checked when it is given back.
+    pub prev: Option<Offset>,
+    /// Time after which another gateway may take the lock, in milliseconds.
+    pub ttl_ms: u64,
+    /// Whether the lock is taken or given back.
+    pub taken: bool,
+}
+
 /// Content of [`Body::DrainRequest`].
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct DrainRequest {
--- a/crates/core/src/replica/audit.rs
+++ b/crates/core/src/replica/audit.rs
@@ -87,7 +87,8 @@
         | Body::UsageCounts(_)
         | Body::AttemptOpen(_)
         | Body::AttemptFence(_)
-        | Body::AttemptOutcome(_) => return None,
+        | Body::AttemptOutcome(_)
+        | Body::ExclusiveRun(_) => return None,
     };
     Some(text)
 }
--- a/crates/core/src/replica/mod.rs
+++ b/crates/core/src/replica/mod.rs
@@ -29,12 +29,14 @@
 //! assert_eq!(replica.next(), Offset(3));
 //! ```
 
+mod attempts;
 mod audit;
 mod config;
 mod drains;
 mod keys;
 mod leases;
 mod orders;
+mod quarantine;
 mod seen;
 mod usage;
 
@@ -45,12 +47,14 @@
 use crate::mutation::{Mutation, Mutations};
 use crate::record::{Body, LeaseRole, Record, SCHEMA};
 
+pub use attempts::{Attempts, CallState, Phase};
 pub use audit::{Audit, AuditEntry};
 pub use config::{Config, Published};
 pub use drains::Drains;
 pub use keys::{KeyFault, KeyRef, KeyState, Keys};
 pub use leases::{LeaseState, Leases};
 pub use orders::{Finished, Orders, Outstanding};
+pub use quarantine::{ExclusiveLock, Quarantine, Suspect};
 pub use seen::Seen;
 pub use usage::{Figures, Sealed, UsageLedger};
 
@@ -65,6 +69,8 @@
     keys: Keys,
     usage: UsageLedger,
     orders: Orders,
+    attempts: Attempts,
+    quarantine: Quarantine,
     drains: Drains,
     audit: Audit,
     #[serde(skip)]
@@ -156,12 +162,15 @@
             }
             Body::SnapshotMark(mark) => self.require(LeaseRole::Snapshot, mark.epoch),
             Body::SnapshotPart(part) => self.require(LeaseRole::Snapshot, part.epoch),
-            // Dispatch point of `replica/attempts.rs` and `replica/quarantine.rs`.
-            Body::AttemptOpen(_)
-            | Body::AttemptFence(_)
-            | Body::AttemptOutcome(_)
-            | Body::CrashReport(_)
-            | Body::QuarantineClear(_) => Ok(()),
+            Body::AttemptOpen(open) => {
+                let any_prev = self.mutations.has(Mutation::OpenWithoutPrev);
+                self.attempts.open(offset, open, any_prev)
+            }
+            Body::AttemptFence(fence) => self.attempts.fence(offset, fence),
+            Body::AttemptOutcome(outcome) => self.attempts.outcome(outcome),
+            Body::CrashReport(report) => self.quarantine.crash(offset, report),
+            Body::QuarantineClear(clear) => self.quarantine.clear(clear),
+            Body::ExclusiveRun(run) => self.quarantine.exclusive(offset, run),
         }
     }
 
@@ -212,6 +221,16 @@
         &self.orders
     }
 
+    /// Non-idempotent calls.
+    pub fn attempts(&self) -> &Attempts {
+        &self.attempts
+    }
+
+    /// Requests that were running when upstreams crashed.
+    pub fn quarantine(&self) -> &Quarantine {
+        &self.quarantine
+    }
+
     /// Instances that were asked to drain.
     pub fn drains(&self) -> &Drains {
         &self.drains
@@ -300,4 +319,6 @@
     EarlierWindowOpen,
     /// The window is not sealed.
     WindowOpen,
+    /// The idempotency key was used before with other content.
+    OtherContent,
 }
--- /dev/null
+++ b/crates/core/tests/attempt_calls.rs
@@ -0,0 +1,200 @@
+//! Guards against gateways that dispatch without the log's consent or give untrue verdicts.
+
+mod common;
+
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use common::Log;
+use nutmegbay_core::attempt::{
+    AppendResult, CallRequest, Coordinator, DispatchResult, Effect, End, Event, Target, TicketId,
+    Timing,
+};
+use nutmegbay_core::ids::{CallKey, Fingerprint, Incarnation};
+use nutmegbay_core::record::{Answer, Record};
+use nutmegbay_core::verdict::Verdict;
+use nutmegbay_core::world::{Moment, World};
+
+const CALL: CallKey = CallKey(5);
+const GATEWAY: Incarnation = Incarnation(2);
+const SIDECAR: Incarnation = Incarnation(1);
+
+#[derive(Default)]
+struct Outside {
+    now: Moment,
+    random: u128,
+    effects: Vec<Effect>,
+}
+
+impl World for Outside {
+    type Effect = Effect;
+
+    fn now(&self) -> Moment {
+        self.now
+    }
+
+    fn wall_ms(&self) -> u64 {
+        0
+    }
+
+    fn random(&mut self) -> u128 {
+        self.random += 1;
+        // Apart from the identities that `Log` gives to its own records.
+        self.random << 64
+    }
+
+    fn perform(&mut self, effect: Effect) {
+        self.effects.push(effect);
+    }
+}
+
+/// One gateway with its log.
+struct Rig {
+    coordinator: Coordinator,
+    log: Log,
+    world: Outside,
+}
+
+impl Rig {
+    fn new() -> Self {
+        Self {
+            coordinator: Coordinator::new("g1", GATEWAY, Timing::default()).unwrap(),
+            log: Log::default(),
+            world: Outside::default(),
+        }
+    }
+
+    fn begin(&mut self, ticket: u64, content: u128) {
+        let req = CallRequest {
+            ticket: TicketId(ticket),
+            call: CALL,
+            content: Fingerprint(content),
+            deadline: self.world.now.plus(Duration::from_secs(10)),
+        };
+        let attempts = self.log.replica.attempts();
+        self.coordinator.begin(req, attempts, &mut self.world);
+    }
+
+    fn on(&mut self, event: Event) {
+        let attempts = self.log.replica.attempts();
+        self.coordinator.on(event, attempts, &mut self.world);
+    }
+
+    fn chosen(&mut self) {
+        let target = Target {
+            upstream: "o1".into(),
+            sidecar: SIDECAR,
+        };
+        self.on(Event::Chosen(CALL, Some(target)));
+    }
+
+    fn wait(&mut self, ms: u64) {
+        self.world.now = self.world.now.plus(Duration::from_millis(ms));
+        let attempts = self.log.replica.attempts();
+        self.coordinator.tick(attempts, &mut self.world);
+    }
+
+    fn effects(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.world.effects)
+    }
+
+    /// Takes the append that was asked for last.
+    fn appended(&mut self) -> (u64, Record) {
+        assert_matches!(self.effects().pop(), Some(Effect::Append(mut append)) => {
+            (append.token, append.records.remove(0))
+        })
+    }
+
+    /// Lets the log take a record.
+    fn replay(&mut self, record: &Record) {
+        let text = serde_json::to_string(record).unwrap();
+        let next = self.log.replica.next();
+        assert!(self.log.replica.apply(next, &text).is_accepted());
+        self.on(Event::Replayed(CALL, record.id));
+    }
+}
+
+fn answer() -> Answer {
+    Answer {
+        status: 201,
+        content_type: None,
+        body: Some("order 9".into()),
+    }
+}
+
+#[test]
+fn log_first() {
+    let mut rig = Rig::new();
+    rig.begin(1, 7);
+    assert_eq!(rig.effects(), [Effect::Choose(CALL)]);
+    rig.chosen();
+    let (token, open) = rig.appended();
+    rig.on(Event::Appended(token, AppendResult::Done));
+    assert_eq!(rig.effects(), [], "dispatched before replay had accepted");
+    rig.replay(&open);
+    let effects = rig.effects();
+    assert_matches!(&effects[..], [Effect::Dispatch { attempt, .. }] => {
+        let result = DispatchResult::Answered(answer());
+        rig.on(Event::Dispatched(*attempt, result));
+    });
+    let (_, outcome) = rig.appended();
+    rig.replay(&outcome);
+    let end = End::Answered(answer());
+    let ticket = TicketId(1);
+    assert_eq!(rig.effects(), [Effect::Finish { ticket, end }]);
+    assert!(rig.coordinator.is_empty());
+
+    // A retry gets the logged answer.
+    rig.begin(2, 7);
+    let end = End::Answered(answer());
+    let ticket = TicketId(2);
+    assert_eq!(rig.effects(), [Effect::Finish { ticket, end }]);
+}
+
+#[test]
+fn reused_key() {
+    let mut rig = Rig::new();
+    rig.begin(1, 7);
+    rig.effects();
+    rig.begin(2, 8);
+    let (ticket, end) = (TicketId(2), End::Reused);
+    assert_eq!(rig.effects(), [Effect::Finish { ticket, end }]);
+}
+
+#[test]
+fn outage_verdict() {
+    for (is_complete, verdict) in [(true, Verdict::NotRun), (false, Verdict::MayHaveRun)] {
+        let mut rig = Rig::new();
+        rig.begin(1, 7);
+        rig.chosen();
+        let (token, _) = rig.appended();
+        rig.on(Event::Appended(token, AppendResult::Refused));
+        if is_complete {
+            rig.on(Event::CompleteAsOf(Moment(Duration::from_millis(1))));
+        }
+        rig.wait(10_000);
+        let (ticket, end) = (TicketId(1), End::Failed(verdict));
+        assert!(
+            rig.effects().contains(&Effect::Finish { ticket, end }),
+            "{verdict}"
+        );
+    }
+}
+
+#[test]
+fn revoked_right() {
+    // The caller was told "not run" while its attempt's append was under way.
+    let mut rig = Rig::new();
+    rig.begin(1, 7);
+    rig.chosen();
+    let (token, open) = rig.appended();
+    rig.on(Event::Appended(token, AppendResult::Lost));
+    rig.on(Event::CompleteAsOf(Moment(Duration::from_millis(1))));
+    rig.wait(10_000);
+    rig.effects();
+    rig.replay(&open);
+    let (_, fence) = rig.appended();
+    rig.replay(&fence);
+    assert_eq!(rig.effects(), []);
+    assert!(rig.coordinator.is_empty());
+}
--- a/crates/proto/src/control.rs
+++ b/crates/proto/src/control.rs
@@ -4,10 +4,12 @@
 
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::proc_macros::rpc;
-use nutmegbay_core::ids::{CallKey, Epoch, Fingerprint, Incarnation, Offset, RecordId};
-use nutmegbay_core::record::{Answer, CrashReport, LeaseRole};
+use nutmegbay_core::ids::{Epoch, Fingerprint, Incarnation, Offset, RecordId};
+use nutmegbay_core::record::{CrashReport, LeaseRole};
 use serde::{Deserialize, Serialize};
 
+pub use nutmegbay_core::guard::{AttemptRef, AttemptState};
+
 use crate::engine::{CacheEvents, EngineOrder, Load, OrderState};
 use crate::platform::Entry;
 
@@ -130,33 +132,6 @@
     pub state: OrderState,
 }
 
-/// Names an attempt of a non-idempotent call.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct AttemptRef {
-    /// Call.
-    pub call: CallKey,
-    /// Attempt.
-    pub number: u32,
-    /// Life of the sidecar that the attempt is bound to.
-    pub sidecar: Incarnation,
-}
-
-/// What a sidecar knows of an attempt.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum AttemptState {
-    /// It never arrived and will never run.
-    Fenced,
-    /// It is running.
-    Running,
-    /// It ran with this answer.
-    Answered(Answer),
-    /// It was sent to the upstream, which did not answer: nobody can know.
-    Unknown,
-    /// The attempt is bound to another life of the sidecar, which may have run it.
-    OtherIncarnation,
-}
-
 /// State of a gateway.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct GatewayStatus {
--- a/crates/proto/src/work.rs
+++ b/crates/proto/src/work.rs
@@ -1,6 +1,7 @@
 //! Data path between gateway and sidecar.
 
-use nutmegbay_core::ids::{CallKey, Fingerprint, Incarnation, Offset, RequestId};
+use nutmegbay_core::guard::AttemptRef;
+use nutmegbay_core::ids::{Fingerprint, RequestId};
 use serde::{Deserialize, Serialize};
 
 /// Path of model work at the sidecar: JSON [`Work`] in, frames out, one a line.
@@ -64,14 +65,4 @@
 }
 
 /// Identity of one attempt of a non-idempotent call.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Once {
-    /// Call.
-    pub call: CallKey,
-    /// Attempt.
-    pub number: u32,
-    /// Offset of the record that opened the attempt.
-    pub opened: Offset,
-    /// Life of the sidecar that the attempt is bound to.
-    pub sidecar: Incarnation,
-}
+pub type Once = AttemptRef;
