--- a/crates/core/src/attempt/actions.rs
+++ b/crates/core/src/attempt/actions.rs
@@ -120,8 +120,8 @@
         let Some(machine) = self.calls.get_mut(&call) else {
             return;
         };
-        let token = self.next_token;
-        self.next_token += 1;
+        #[expect(clippy::cast_possible_truncation, reason = "64 of 128 random bits")]
+        let token = world.random() as u64;
         let record = Record {
             id: RecordId(world.random()),
             author: self.instance.clone(),
@@ -132,6 +132,7 @@
         machine.append = Some(Pending {
             token,
             record: record.id,
+            ended: None,
         });
         self.appends.insert(token, call);
         let records = vec![record];
--- a/crates/core/src/attempt/machine.rs
+++ b/crates/core/src/attempt/machine.rs
@@ -39,6 +39,8 @@
 pub(super) struct Pending {
     pub(super) token: u64,
     pub(super) record: RecordId,
+    /// When its answer came or was lost.
+    pub(super) ended: Option<Moment>,
 }
 
 impl Machine {
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -96,7 +96,6 @@
     /// Other holder of the lock and the moment at which this gateway read of it.
     seen: Option<(Offset, Moment)>,
     clears: BTreeMap<Fingerprint, Try>,
-    next_token: u64,
     mutations: Mutations,
 }
 
@@ -146,7 +145,6 @@
             lock: Lock::None,
             seen: None,
             clears: BTreeMap::new(),
-            next_token: 0,
             mutations: Mutations::default(),
         }
     }
@@ -558,8 +556,8 @@
         if now < last.retry_at {
             return last;
         }
-        let token = self.next_token;
-        self.next_token += 1;
+        #[expect(clippy::cast_possible_truncation, reason = "64 of 128 random bits")]
+        let token = world.random() as u64;
         let record = Record {
             id: RecordId(world.random()),
             author: self.instance.clone(),
--- a/crates/core/src/replica/mod.rs
+++ b/crates/core/src/replica/mod.rs
@@ -38,6 +38,7 @@
 mod orders;
 mod quarantine;
 mod seen;
+mod snapshots;
 mod usage;
 
 use serde::{Deserialize, Serialize};
@@ -56,6 +57,7 @@
 pub use orders::{Finished, Orders, Outstanding};
 pub use quarantine::{ExclusiveLock, Quarantine, Suspect};
 pub use seen::Seen;
+pub use snapshots::Snapshots;
 pub use usage::{Figures, Sealed, UsageLedger};
 
 /// State that results from the log below [`Replica::next`].
@@ -72,6 +74,7 @@
     attempts: Attempts,
     quarantine: Quarantine,
     drains: Drains,
+    snapshots: Snapshots,
     audit: Audit,
     #[serde(skip)]
     mutations: Mutations,
@@ -160,8 +163,15 @@
                 self.drains.request(offset, drain);
                 Ok(())
             }
-            Body::SnapshotMark(mark) => self.require(LeaseRole::Snapshot, mark.epoch),
-            Body::SnapshotPart(part) => self.require(LeaseRole::Snapshot, part.epoch),
+            Body::SnapshotMark(mark) => {
+                self.require(LeaseRole::Snapshot, mark.epoch)?;
+                self.snapshots.mark(offset, mark);
+                Ok(())
+            }
+            Body::SnapshotPart(part) => {
+                self.require(LeaseRole::Snapshot, part.epoch)?;
+                self.snapshots.part(part)
+            }
             Body::AttemptOpen(open) => {
                 let any_prev = self.mutations.has(Mutation::OpenWithoutPrev);
                 self.attempts.open(offset, open, any_prev)
@@ -236,6 +246,11 @@
         &self.drains
     }
 
+    /// Snapshots in the log.
+    pub fn snapshots(&self) -> &Snapshots {
+        &self.snapshots
+    }
+
     /// Recent changes with author and verdict.
     pub fn audit(&self) -> &Audit {
         &self.audit
