Add the demo of the whole path

One process runs platform, two gateways, three engines and two service instances with a sidecar each, every one of our processes on its own runtime so that a kill ends all its tasks and connections. Callers check each answer against the expected tokens; the demo drains and kills engines under traffic, withdraws a key under an open stream, publishes, repeats non-idempotent calls at the other gateway and compares with what the fakes saw. It exits with 1 if an exercised promise was broken.

--- /dev/null
+++ b/crates/bins/src/bin/nutmegbay-demo.rs
@@ -0,0 +1,7 @@
+//! The whole path in one process.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    nutmegbay_demo::cli::main()
+}
