Run the gateway's state on the coordination node of core

Peers and operators reach it over the control interface, sidecars are watched and given recent records.

GatewayNode gets is_flushed, which a planned stop needs after the streams in flight have ended.

--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -248,6 +248,11 @@
         self.keepers.iter().filter_map(epoch)
     }
 
+    /// Whether replay has accepted everything that was counted here.
+    pub fn is_flushed(&self) -> bool {
+        self.meter.is_flushed()
+    }
+
     /// Changes the usage windows, when a configuration says so.
     pub fn set_windows(&mut self, terms: WindowTerms) {
         self.meter.set_terms(terms);
--- a/crates/gateway/src/auth.rs
+++ b/crates/gateway/src/auth.rs
@@ -24,12 +24,12 @@
         not_run(ProblemKind::MissingKey, detail)
     })?;
     let view = gateway.view();
-    view.confirm_current()?;
+    gateway.check_current()?;
     let key = view.keys.check(token).map_err(|_| invalid())?;
     let ended = gateway.open_keys.register(&key.key);
     // A withdrawal between check and registration would not have ended this request.
     let view = gateway.view();
-    view.confirm_current()?;
+    gateway.check_current()?;
     if !view.keys.is_live(&key.key) {
         return Err(invalid());
     }
--- a/crates/gateway/src/data/models.rs
+++ b/crates/gateway/src/data/models.rs
@@ -15,7 +15,7 @@
 use super::reader::Reader;
 use super::sse::{Style, Writer};
 use crate::auth::{self, Identity};
-use crate::gateway::{Gateway, wall_ms};
+use crate::gateway::Gateway;
 
 /// Runs a model request.
 pub async fn complete(
@@ -42,7 +42,7 @@
         priority: account.map_or(0, |a| a.priority),
     };
     drop(view);
-    let writer = Writer::new(style, id, wall_ms() / 1_000, &job.model);
+    let writer = Writer::new(style, id, gateway.clock.wall_ms() / 1_000, &job.model);
     let (flight, seat, is_first) = gateway.flights.join(job.fingerprint, job.max_tokens);
     let mut reader = Reader::new(
         Arc::clone(gateway),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -3,18 +3,20 @@
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError, Weak};
-use std::time::SystemTime;
 
 use nutmegbay_core::ids::{Fingerprint, Incarnation, RequestId};
+use nutmegbay_proto::problem::Problem;
 use tokio::sync::{Notify, watch};
 
 use crate::data::client::Upstreams;
 use crate::data::flight::{Flight, SeatId};
 use crate::metrics::Metrics;
 use crate::settings::GatewaySettings;
+use crate::state::Parts;
 use crate::state::revoke::OpenKeys;
 use crate::state::tally::Tally;
-use crate::state::view::View;
+use crate::state::view::{Gate, View};
+use crate::state::world::Clock;
 
 /// Shared state of one gateway.
 pub struct Gateway {
@@ -22,6 +24,8 @@
     pub settings: GatewaySettings,
     /// Life of this process.
     pub incarnation: Incarnation,
+    /// Clocks.
+    pub clock: Clock,
     /// Client towards sidecars.
     pub client: Upstreams,
     /// Open streams by key.
@@ -30,8 +34,8 @@
     pub flights: Flights,
     /// Counters and timers.
     pub metrics: Metrics,
-    /// Usage not yet handed to the state task.
-    pub tally: Tally,
+    tally: Arc<Tally>,
+    gate: Arc<Gate>,
     view: watch::Receiver<Arc<View>>,
     in_flight: AtomicU32,
     idle: Notify,
@@ -39,21 +43,18 @@
 }
 
 impl Gateway {
-    /// Creates the shared state; `view` is fed by the state task.
-    pub fn new(
-        settings: GatewaySettings,
-        open_keys: Arc<OpenKeys>,
-        metrics: Metrics,
-        view: watch::Receiver<Arc<View>>,
-    ) -> Arc<Self> {
+    /// Creates the shared state; `view` is fed by the state task, which has the same `parts`.
+    pub fn new<P>(parts: &Parts<P>, view: watch::Receiver<Arc<View>>) -> Arc<Self> {
         Arc::new(Self {
-            settings,
-            incarnation: Incarnation(rand::random()),
+            settings: parts.settings.clone(),
+            incarnation: parts.incarnation,
+            clock: parts.clock,
             client: Upstreams::new(),
-            open_keys,
+            open_keys: Arc::clone(&parts.open_keys),
             flights: Flights::default(),
-            metrics,
-            tally: Tally::default(),
+            metrics: parts.metrics.clone(),
+            tally: Arc::clone(&parts.tally),
+            gate: Arc::clone(&parts.gate),
             view,
             in_flight: AtomicU32::new(0),
             idle: Notify::new(),
@@ -61,6 +62,11 @@
         })
     }
 
+    /// Refuses if the keys known here may be out of date.
+    pub fn check_current(&self) -> Result<(), Problem> {
+        self.gate.check(self.clock.now())
+    }
+
     /// Newest state that the state task has published.
     pub fn view(&self) -> Arc<View> {
         Arc::clone(&self.view.borrow())
@@ -156,10 +162,3 @@
         }
     }
 }
-
-/// Wall-clock time in milliseconds since 1970: for window numbers, answers and the audit trail.
-pub fn wall_ms() -> u64 {
-    SystemTime::now()
-        .duration_since(SystemTime::UNIX_EPOCH)
-        .map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod auth;
 pub mod cli;
+pub mod control;
 pub mod data;
 pub mod gateway;
 pub mod metrics;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -1,21 +1,37 @@
 //! Start and planned stop of a gateway.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, PoisonError};
+use std::time::Duration;
 
 use error_stack::{Report, ResultExt};
+use jsonrpsee::server::{Server, ServerConfig};
+use nutmegbay_core::ids::Incarnation;
+use nutmegbay_core::node::Event;
 use nutmegbay_platform::{ClientSettings, PlatformClient};
+use nutmegbay_proto::control::GatewayControlServer;
 use nutmegbay_telemetry::admin::{self, Readiness};
 use tokio::net::TcpListener;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::AbortOnDropHandle;
 
+use crate::control::Control;
 use crate::data::serve::serve;
 use crate::gateway::Gateway;
 use crate::metrics::Metrics;
 use crate::settings::GatewaySettings;
-use crate::state::revoke::OpenKeys;
-use crate::state::{Actor, instances, tail};
+use crate::state::view::View;
+use crate::state::world::Clock;
+use crate::state::{Actor, Input, Parts, append, instances, relay};
+
+/// Largest control message in bytes: a whole replica state.
+const MAX_CONTROL_BYTES: u32 = 64 << 20;
+
+/// Longest wait for the log at a planned stop. Afterwards leases expire by themselves, and counts
+/// that the log has not taken are lost.
+const RELEASE_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Inputs that may wait for the state task.
 const INPUT_QUEUE: usize = 256;
@@ -37,6 +53,7 @@
     settings: GatewaySettings,
     platform: SocketAddr,
     listener: TcpListener,
+    control: Server,
     admin: SocketAddr,
     readiness: Readiness,
     admin_stop: CancellationToken,
@@ -59,6 +76,17 @@
         .await
         .change_context(RunError)
         .attach_with(|| format!("address for callers {}", settings.listen))?;
+    let control = Server::builder()
+        .set_config(
+            ServerConfig::builder()
+                .max_request_body_size(MAX_CONTROL_BYTES)
+                .max_response_body_size(MAX_CONTROL_BYTES)
+                .build(),
+        )
+        .build(settings.control)
+        .await
+        .change_context(RunError)
+        .attach_with(|| format!("control address {}", settings.control))?;
     let readiness = Readiness::new();
     let admin_stop = CancellationToken::new();
     let admin = admin::serve(settings.admin, readiness.clone(), admin_stop.clone())
@@ -69,6 +97,7 @@
         settings,
         platform,
         listener,
+        control,
         admin,
         readiness,
         admin_stop,
@@ -81,6 +110,11 @@
         self.listener.local_addr()
     }
 
+    /// Address of the control interface.
+    pub fn control(&self) -> std::io::Result<SocketAddr> {
+        self.control.local_addr()
+    }
+
     /// Address of `/ready` and `/health`.
     pub fn admin(&self) -> SocketAddr {
         self.admin
@@ -92,40 +126,85 @@
         let metrics = Metrics::new(self.settings.statsd)
             .change_context(RunError)
             .attach("metrics socket")?;
-        let platform = PlatformClient::new(ClientSettings::new(self.platform, instance.clone()));
-        let open_keys = Arc::new(OpenKeys::default());
-        let (actor, view) = Actor::new(self.settings.site.clone(), Arc::clone(&open_keys));
-        let mut changes = view.clone();
-        let gateway = Gateway::new(self.settings, open_keys, metrics, view);
-        let (inputs, rx) = mpsc::channel(INPUT_QUEUE);
-        let background = CancellationToken::new();
-        let _stop_background = background.clone().drop_guard();
-        tokio::spawn(background.clone().run_until_cancelled_owned(actor.run(rx)));
-        let task = tail(platform.clone(), inputs.clone());
-        tokio::spawn(background.clone().run_until_cancelled_owned(task));
-        let task = instances(platform, inputs);
-        tokio::spawn(background.clone().run_until_cancelled_owned(task));
-        let shown = Arc::clone(&gateway);
-        let readiness = self.readiness.clone();
-        let task = async move {
-            while changes.changed().await.is_ok() {
-                readiness.set(shown.is_ready());
-            }
+        let parts = Parts {
+            platform: PlatformClient::new(ClientSettings::new(self.platform, instance.clone())),
+            settings: self.settings,
+            incarnation: Incarnation(rand::random()),
+            clock: Clock::new(),
+            open_keys: Arc::default(),
+            recent: Arc::default(),
+            clients: Arc::default(),
+            gate: Arc::default(),
+            tally: Arc::default(),
+            metrics,
         };
-        tokio::spawn(background.clone().run_until_cancelled_owned(task));
+        let (inputs, inputs_rx) = mpsc::channel(INPUT_QUEUE);
+        let (appends, appends_rx) = mpsc::unbounded_channel();
+        let (actor, view) = Actor::new(parts.clone(), inputs.clone(), appends);
+        let changes = view.clone();
+        let gateway = Gateway::new(&parts, view);
+        let background = Background::default();
+        background.spawn(actor.run(inputs_rx));
+        background.spawn(append::run(
+            parts.platform.clone(),
+            appends_rx,
+            inputs.clone(),
+        ));
+        background.spawn(instances(parts.platform.clone(), inputs.clone()));
+        background.spawn(relay(Arc::clone(&gateway), parts.clone(), inputs.clone()));
+        background.spawn(announce(
+            Arc::clone(&gateway),
+            changes,
+            self.readiness.clone(),
+        ));
+        let control = Control::new(Arc::clone(&gateway), parts.recent, inputs.clone());
+        let control = self.control.start(control.into_rpc());
         tracing::info!(event = "started", %instance, incarnation = %gateway.incarnation);
-        let stopping = Arc::clone(&gateway);
-        let readiness = self.readiness;
-        let signal = stop.clone();
-        let announce = async move {
-            signal.cancelled().await;
-            stopping.drain();
-            readiness.set(false);
+
+        let serving = serve(Arc::clone(&gateway), self.listener, stop.clone());
+        let stopping = async {
+            stop.cancelled().await;
+            tracing::info!(event = "stopping", %instance, in_flight = gateway.in_flight());
+            gateway.drain();
+            self.readiness.set(false);
+            // Leases go to others at once, while the streams in flight are finished.
+            let _ = inputs.send(Input::Node(Event::StopRequested)).await;
         };
-        tokio::join!(serve(Arc::clone(&gateway), self.listener, stop), announce);
+        tokio::join!(serving, stopping);
         gateway.idle().await;
+        let (reply, stopped) = oneshot::channel();
+        let _ = inputs.send(Input::Stop(reply)).await;
+        if timeout(RELEASE_TIMEOUT, stopped).await.is_err() {
+            tracing::warn!(event = "stopped_without_log", %instance);
+        }
+        let _ = control.stop();
         self.admin_stop.cancel();
         tracing::info!(event = "stopped", %instance);
         Ok(())
     }
 }
+
+/// Tasks that end with the gateway.
+#[derive(Default)]
+struct Background {
+    tasks: std::sync::Mutex<Vec<AbortOnDropHandle<()>>>,
+}
+
+impl Background {
+    fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        let task = AbortOnDropHandle::new(tokio::spawn(task));
+        let mut tasks = self.tasks.lock().unwrap_or_else(PoisonError::into_inner);
+        tasks.push(task);
+    }
+}
+
+/// Keeps the answer of `/ready` current.
+async fn announce(
+    gateway: Arc<Gateway>,
+    mut changes: watch::Receiver<Arc<View>>,
+    readiness: Readiness,
+) {
+    while changes.changed().await.is_ok() {
+        readiness.set(gateway.is_ready());
+    }
+}
--- a/crates/gateway/src/state/actor.rs
+++ b/crates/gateway/src/state/actor.rs
@@ -1,119 +1,416 @@
-//! State task: the only writer of the state.
+//! State task: the only writer of the replicated state.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
-use nutmegbay_core::record::Body;
-use nutmegbay_core::replica::{Applied, Replica};
-use nutmegbay_proto::platform::{InstanceList, ReadResponse};
+use nutmegbay_core::freshness::ISOLATED_AFTER;
+use nutmegbay_core::ids::{Epoch, Incarnation, Offset};
+use nutmegbay_core::node::{self, Event, GatewayNode, NodeConfig, TailRead};
+use nutmegbay_core::record::{Body, LeaseRole};
+use nutmegbay_core::replica::Applied;
+use nutmegbay_core::snapshot::Image;
+use nutmegbay_core::usage::WindowTerms;
+use nutmegbay_core::verdict::Verdict;
+use nutmegbay_core::world::Moment;
+use nutmegbay_platform::{Log, UpstreamOrders, UsageReports};
+use nutmegbay_proto::control::LogStatus;
+use nutmegbay_proto::platform::{Entry, InstanceKind, InstanceList, ReadResponse};
 use nutmegbay_settings::parse_site;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::{MissedTickBehavior, interval};
 
+use super::append::{Appended, Source, Wanted};
+use super::parties::{Clients, Party, status_of};
+use super::recent::Recent;
 use super::revoke::OpenKeys;
+use super::tally::Tally;
 use super::upstreams;
-use super::view::View;
+use super::view::{Gate, View};
+use super::world::{Clock, Outside};
+use crate::metrics::Metrics;
+use crate::settings::GatewaySettings;
+
+/// Time between two ticks of the components.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Time for which one tick vouches for an outage: a process that was paused must judge again first.
+const OUTAGE_VOUCHED: Duration = Duration::from_millis(250);
 
 /// What the state task is told.
 #[derive(Debug)]
 pub enum Input {
-    /// Records from the log.
-    Read(ReadResponse),
+    /// An event for the node.
+    Node(Event),
+    /// A read of the log that began at this moment has returned.
+    Read(Moment, ReadResponse),
+    /// Records from a peer, a sidecar or an operator.
+    Offered(Vec<Entry>),
+    /// An append has ended.
+    Appended(Appended),
     /// The platform's list of instances.
     Instances(InstanceList),
+    /// Asks for the status.
+    Status(oneshot::Sender<Status>),
+    /// Asks for the whole state.
+    Image(oneshot::Sender<Option<Image>>),
+    /// Is answered once no lease is held and all counts are in the log. Comes after
+    /// [`Event::StopRequested`] and the last request.
+    Stop(oneshot::Sender<()>),
+}
+
+/// Status of the state task.
+#[derive(Debug, Clone)]
+pub struct Status {
+    /// View of the log.
+    pub log: LogStatus,
+    /// State of the freshness chart.
+    pub freshness: Box<str>,
+    /// Leases that this process holds.
+    pub leases: BTreeMap<LeaseRole, Epoch>,
+}
+
+/// What the state task shares with the rest of the process.
+#[derive(Clone)]
+pub struct Parts<P> {
+    /// Process settings.
+    pub settings: GatewaySettings,
+    /// Life of the process.
+    pub incarnation: Incarnation,
+    /// Clocks.
+    pub clock: Clock,
+    /// Client of the platform.
+    pub platform: P,
+    /// Open streams by key.
+    pub open_keys: Arc<OpenKeys>,
+    /// Recent log records.
+    pub recent: Arc<Recent>,
+    /// Control clients.
+    pub clients: Arc<Clients>,
+    /// Until when keyed requests may be answered.
+    pub gate: Arc<Gate>,
+    /// Usage that was counted on the data path.
+    pub tally: Arc<Tally>,
+    /// Counters and timers.
+    pub metrics: Metrics,
 }
 
 /// State task.
-pub struct Actor {
-    site: Box<str>,
-    open_keys: Arc<OpenKeys>,
+pub struct Actor<P> {
+    pub(super) parts: Parts<P>,
+    pub(super) node: GatewayNode,
+    pub(super) inputs: mpsc::Sender<Input>,
+    pub(super) appends: mpsc::UnboundedSender<Wanted>,
+    pub(super) parties: Vec<Party>,
+    world: Outside<node::Effect>,
     view: watch::Sender<Arc<View>>,
-    replica: Replica,
+    next: View,
+    /// Parts of the view that are to be built again.
+    stale: Stale,
+    /// Head of the log when this process had first read it.
+    started_at: Option<Offset>,
+    stop: Option<oneshot::Sender<()>>,
+    may_exit: bool,
+}
+
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+struct Stale {
+    view: bool,
+    keys: bool,
+    config: bool,
 }
 
-impl Actor {
-    /// Creates the state of the given site and the channel on which it is published.
-    pub fn new(site: Box<str>, open_keys: Arc<OpenKeys>) -> (Self, watch::Receiver<Arc<View>>) {
+impl<P> Actor<P>
+where
+    P: Log + UsageReports + UpstreamOrders + Clone + 'static,
+{
+    /// Creates the state and the channel on which it is published.
+    pub fn new(
+        parts: Parts<P>,
+        inputs: mpsc::Sender<Input>,
+        appends: mpsc::UnboundedSender<Wanted>,
+    ) -> (Self, watch::Receiver<Arc<View>>) {
         let (view, rx) = watch::channel(Arc::default());
+        let cfg = NodeConfig::new(&parts.settings.instance, parts.incarnation);
         let actor = Self {
-            site,
-            open_keys,
+            node: GatewayNode::new(cfg),
+            world: Outside::new(parts.clock),
+            parts,
+            inputs,
+            appends,
+            parties: Vec::new(),
             view,
-            replica: Replica::new(),
+            next: View::default(),
+            stale: Stale::default(),
+            started_at: None,
+            stop: None,
+            may_exit: false,
         };
         (actor, rx)
     }
 
     /// Handles inputs until all senders are gone.
     pub async fn run(mut self, mut inputs: mpsc::Receiver<Input>) {
-        while let Some(input) = inputs.recv().await {
-            match input {
-                Input::Read(read) => self.apply(&read),
-                Input::Instances(list) => self.view.send_modify(|view| {
-                    let view = Arc::make_mut(view);
-                    view.upstreams = upstreams::merge(&view.upstreams, &list);
-                }),
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                input = inputs.recv() => match input {
+                    Some(input) => self.on_input(input),
+                    None => return,
+                },
+                _ = ticks.tick() => self.on_tick(),
             }
+            while let Ok(input) = inputs.try_recv() {
+                self.on_input(input);
+            }
+            self.settle();
         }
     }
 
-    fn apply(&mut self, read: &ReadResponse) {
-        let config = self.replica.config().last();
-        let mut has_keys = false;
-        let mut withdrawn = Vec::new();
-        for entry in &read.records {
-            match self.replica.apply(entry.offset, entry.record.get()) {
-                Applied::Accepted(record) => match record.body {
-                    Body::KeyGrant(_) => has_keys = true,
-                    Body::KeyWithdraw(withdraw) => {
-                        has_keys = true;
-                        withdrawn.push(withdraw.key);
-                    }
-                    _ => {}
-                },
-                Applied::Unreadable(reason) => {
-                    tracing::warn!(event = "record_skipped", offset = %entry.offset, reason);
+    fn on_input(&mut self, input: Input) {
+        match input {
+            Input::Node(event) => self.feed(event),
+            Input::Read(started, read) => self.on_read(started, read),
+            Input::Offered(entries) => self.on_offered(entries),
+            Input::Appended(appended) => self.on_appended(appended),
+            Input::Instances(list) => self.on_instances(&list),
+            Input::Status(reply) => {
+                // The asker may have given up.
+                let _ = reply.send(self.status());
+            }
+            Input::Image(reply) => {
+                let _ = reply.send(self.node.image());
+            }
+            Input::Stop(reply) => {
+                self.stop = Some(reply);
+                self.on_tick();
+            }
+        }
+    }
+
+    fn on_tick(&mut self) {
+        for (account, usage) in self.parts.tally.take() {
+            self.feed(Event::Served { account, usage });
+        }
+        self.feed(Event::Tick);
+    }
+
+    fn feed(&mut self, event: Event) {
+        self.node.on_event(&mut self.world, event);
+        self.perform();
+    }
+
+    fn perform(&mut self) {
+        for effect in self.world.take() {
+            self.on_effect(effect);
+        }
+    }
+
+    fn on_effect(&mut self, effect: node::Effect) {
+        match effect {
+            node::Effect::Applied(offset, applied) => self.on_applied(offset, applied),
+            node::Effect::Reloaded => {
+                self.stale = Stale {
+                    view: true,
+                    keys: true,
+                    config: true,
+                };
+            }
+            node::Effect::KeysWithdrawn(keys) => {
+                self.stale.keys = true;
+                self.publish();
+                for key in keys {
+                    self.parts.open_keys.withdraw(&key);
+                    tracing::info!(event = "key_withdrawn", key);
                 }
-                _ => {}
             }
+            node::Effect::ConfigChanged => self.stale.config = true,
+            node::Effect::FreshnessChanged => {
+                let state = self.node.freshness().state();
+                tracing::info!(event = "freshness_changed", state);
+            }
+            node::Effect::EndKeyed => {
+                self.open_gate();
+                self.parts.open_keys.end_all();
+            }
+            node::Effect::SnapshotDiffers(as_of) => {
+                self.parts.metrics.count("snapshot_differs");
+                tracing::error!(event = "snapshot_differs", %as_of);
+            }
+            node::Effect::MayExit => self.may_exit = true,
+            effect => self.start(effect),
         }
-        let is_current = self.replica.next() >= read.head;
-        self.view.send_modify(|view| {
-            let view = Arc::make_mut(view);
-            view.next = self.replica.next();
-            view.is_current |= is_current;
-            if has_keys {
-                view.keys = Arc::new(self.replica.keys().clone());
+    }
+
+    fn on_applied(&mut self, offset: Offset, applied: Applied) {
+        match applied {
+            Applied::Accepted(record) => match record.body {
+                Body::KeyGrant(_) | Body::KeyWithdraw(_) => self.stale.keys = true,
+                Body::DrainRequest(_) => self.stale.view = true,
+                _ => {}
+            },
+            Applied::Rejected(record, reason) => {
+                let kind: &str = (&record.body).into();
+                tracing::info!(event = "record_rejected", %offset, kind, %reason,
+                    author = record.author);
+            }
+            Applied::Unreadable(reason) => {
+                self.parts.metrics.count("record_skipped");
+                tracing::warn!(event = "record_skipped", %offset, reason);
             }
-        });
-        if config != self.replica.config().last() {
-            self.put_in_force();
+            Applied::Duplicate(_) | Applied::Stale | Applied::Gap => {}
+        }
+    }
+
+    fn on_read(&mut self, started: Moment, read: ReadResponse) {
+        let ReadResponse {
+            records,
+            head,
+            oldest,
+        } = read;
+        let read = TailRead {
+            started,
+            entries: records.iter().map(text_of).collect(),
+            head,
+            oldest,
+        };
+        self.feed(Event::TailRead(read));
+        self.remember(records);
+        if self.started_at.is_none() && self.node.is_started() {
+            self.started_at = Some(head);
+            self.stale.view = true;
+        }
+    }
+
+    fn on_offered(&mut self, entries: Vec<Entry>) {
+        self.feed(Event::Offered(entries.iter().map(text_of).collect()));
+        self.remember(entries);
+    }
+
+    /// Keeps applied records for peers and sidecars.
+    fn remember(&self, entries: Vec<Entry>) {
+        let next = self.node.replica().next();
+        for entry in entries.into_iter().filter(|entry| entry.offset < next) {
+            self.parts.recent.push(entry);
+        }
+    }
+
+    fn on_appended(&mut self, appended: Appended) {
+        let token = appended.token;
+        match (appended.source, appended.verdict) {
+            (Source::Node, Verdict::Ran) => self.feed(Event::AppendDone { token }),
+            (Source::Node, verdict) => self.feed(Event::AppendFailed {
+                token,
+                may_have_run: verdict == Verdict::MayHaveRun,
+            }),
+            (Source::Once | Source::Suspects, _) => {}
+        }
+    }
+
+    fn on_instances(&mut self, list: &InstanceList) {
+        let own = &self.parts.settings.instance;
+        let others = list.instances.iter().filter(|i| i.name != *own);
+        self.parties = others
+            .map(|i| Party {
+                name: i.name.clone(),
+                kind: i.kind,
+                control: i.control,
+            })
+            .collect();
+        let addrs: Vec<_> = self.parties.iter().map(|p| p.control).collect();
+        self.parts.clients.retain(|addr| addrs.contains(&addr));
+        self.next.upstreams = upstreams::merge(&self.next.upstreams, list);
+        self.stale.view = true;
+        let peers = self.peers().map(|p| p.name.clone()).collect();
+        self.feed(Event::Peers(peers));
+    }
+
+    pub(super) fn peers(&self) -> impl Iterator<Item = &Party> {
+        let is_peer = |p: &&Party| p.kind == InstanceKind::Gateway;
+        self.parties.iter().filter(is_peer)
+    }
+
+    /// Publishes what has changed and opens the gate for keyed requests.
+    fn settle(&mut self) {
+        self.publish();
+        self.open_gate();
+        let is_over = self.may_exit && self.node.is_flushed() && self.parts.tally.is_empty();
+        if is_over && let Some(stop) = self.stop.take() {
+            let _ = stop.send(());
+        }
+    }
+
+    fn publish(&mut self) {
+        let stale = std::mem::take(&mut self.stale);
+        if stale == Stale::default() {
+            return;
         }
-        for key in withdrawn {
-            self.open_keys.withdraw(&key);
+        let replica = self.node.replica();
+        let view = &mut self.next;
+        view.is_started = self.node.is_started();
+        if stale.keys {
+            view.keys = Arc::new(replica.keys().clone());
         }
+        let instance = &self.parts.settings.instance;
+        let is_asked = |since| replica.drains().is_requested(instance, since);
+        view.is_drained = self.started_at.is_some_and(is_asked);
+        if stale.config {
+            self.apply_config();
+        }
+        self.view.send_replace(Arc::new(self.next.clone()));
     }
 
-    fn put_in_force(&mut self) {
-        let config = self.replica.config();
+    fn apply_config(&mut self) {
+        let config = self.node.replica().config();
         let Some(base) = config.base() else {
             return;
         };
-        let overlay = config.overlay(&self.site).map(|o| &*o.text);
+        let overlay = config.overlay(&self.parts.settings.site);
         let offset = config.last();
-        let parsed = parse_site(&base.text, overlay);
-        self.view.send_modify(|view| {
-            let view = Arc::make_mut(view);
-            match parsed {
-                Ok(site) => {
-                    view.site = Some(Arc::new(site));
-                    view.config = offset;
-                    view.config_rejected = None;
-                    tracing::info!(event = "config_applied", offset = offset.map(|o| o.0));
-                }
-                Err(e) => {
-                    tracing::error!(event = "config_rejected", error = %e.current_context());
-                    view.config_rejected = offset;
-                }
+        match parse_site(&base.text, overlay.map(|o| &*o.text)) {
+            Ok(site) => {
+                self.node.set_windows(WindowTerms {
+                    window_ms: site.usage.window_s.saturating_mul(1_000),
+                    grace_ms: site.usage.grace_s.saturating_mul(1_000),
+                });
+                self.next.site = Some(Arc::new(site));
+                self.next.config = offset;
+                self.next.config_rejected = None;
+                tracing::info!(event = "config_applied", offset = offset.map(|o| o.0));
+            }
+            Err(e) => {
+                let error = e.current_context();
+                tracing::error!(event = "config_rejected", offset = offset.map(|o| o.0), %error);
+                self.next.config_rejected = offset;
             }
-        });
+        }
+    }
+
+    fn open_gate(&self) {
+        let now = self.parts.clock.now();
+        let freshness = self.node.freshness();
+        let until = match freshness.fresh_age(now) {
+            _ if !freshness.may_serve_keyed(now) => Moment::default(),
+            Some(age) if age < ISOLATED_AFTER => now.plus(ISOLATED_AFTER.saturating_sub(age)),
+            _ => now.plus(OUTAGE_VOUCHED),
+        };
+        self.parts.gate.open_until(until);
     }
+
+    pub(super) fn log_status(&self) -> LogStatus {
+        status_of(self.node.view(self.parts.clock.now()))
+    }
+
+    fn status(&self) -> Status {
+        Status {
+            log: self.log_status(),
+            freshness: self.node.freshness().state().into(),
+            leases: self.node.leases(self.parts.clock.now()).collect(),
+        }
+    }
+}
+
+fn text_of(entry: &Entry) -> node::Entry {
+    (entry.offset, entry.record.get().into())
 }
--- /dev/null
+++ b/crates/gateway/src/state/relay.rs
@@ -0,0 +1,89 @@
+//! Watches sidecars and hands them recent log records.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future::join_all;
+use nutmegbay_core::ids::Offset;
+use nutmegbay_proto::control::{LogStatus, SidecarControlClient, SidecarQuery, Tail};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{MissedTickBehavior, interval};
+
+use super::{Input, Parts};
+use crate::gateway::Gateway;
+use crate::state::upstreams::Upstream;
+
+/// Time between two rounds.
+const ROUND: Duration = Duration::from_millis(250);
+
+/// Sidecars in one round. Each gateway watches all sidecars in turn, so that the control traffic of
+/// a node does not grow with the fleet.
+const PER_ROUND: usize = 8;
+
+/// Watches the sidecars until the state task ends.
+pub async fn relay<P>(gateway: Arc<Gateway>, parts: Parts<P>, inputs: mpsc::Sender<Input>) {
+    let mut rounds = interval(ROUND);
+    rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut turn = 0;
+    let mut known: HashMap<SocketAddr, Offset> = HashMap::new();
+    loop {
+        rounds.tick().await;
+        let (reply, status) = oneshot::channel();
+        if inputs.send(Input::Status(reply)).await.is_err() {
+            return;
+        }
+        let Ok(status) = status.await else {
+            return;
+        };
+        let view = gateway.view();
+        let count = view.upstreams.len();
+        known.retain(|addr, _| view.upstreams.iter().any(|u| u.control == *addr));
+        let chosen = (0..count.min(PER_ROUND)).map(|i| &view.upstreams[(turn + i) % count]);
+        let calls = chosen.map(|upstream| {
+            let next = known.get(&upstream.control).copied();
+            visit(&parts, upstream, status.log, next)
+        });
+        for (addr, next) in join_all(calls).await.into_iter().flatten() {
+            known.insert(addr, next);
+        }
+        turn = (turn + PER_ROUND) % count.max(1);
+    }
+}
+
+/// Asks one sidecar for its status and gives it the records that it lacks. Returns the offset after
+/// the last record that it has.
+async fn visit<P>(
+    parts: &Parts<P>,
+    upstream: &Upstream,
+    log: LogStatus,
+    next: Option<Offset>,
+) -> Option<(SocketAddr, Offset)> {
+    let client = parts.clients.get(upstream.control)?;
+    let asked = parts.clock.now();
+    let query = SidecarQuery {
+        cache_from: upstream.cache_next(),
+        log,
+    };
+    match SidecarControlClient::status(&client, query).await {
+        Ok(status) => upstream.report(&status, asked),
+        Err(error) => {
+            tracing::debug!(event = "sidecar_silent", upstream = %upstream.name, %error);
+            return None;
+        }
+    }
+    let entries = match next {
+        Some(next) if next >= log.next => return Some((upstream.control, next)),
+        Some(next) => parts.recent.from(next),
+        None => Vec::new(),
+    };
+    let entries = match (entries.is_empty(), parts.recent.oldest()) {
+        (true, Some(oldest)) => parts.recent.from(oldest),
+        _ => entries,
+    };
+    let after = entries.last().map(|entry| entry.offset.next());
+    let tail = Tail { entries, log };
+    let reply = SidecarControlClient::relay(&client, tail).await.ok()?;
+    Some((upstream.control, after.unwrap_or(reply.next)))
+}
--- a/crates/gateway/src/state/tally.rs
+++ b/crates/gateway/src/state/tally.rs
@@ -25,6 +25,12 @@
         }
     }
 
+    /// Whether everything was taken.
+    pub fn is_empty(&self) -> bool {
+        let counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
+        counts.is_empty()
+    }
+
     /// Takes what was counted.
     pub fn take(&self) -> BTreeMap<Box<str>, Usage> {
         std::mem::take(&mut *self.counts.lock().unwrap_or_else(PoisonError::into_inner))
--- a/crates/gateway/src/state/upstreams.rs
+++ b/crates/gateway/src/state/upstreams.rs
@@ -1,9 +1,14 @@
 //! Upstreams that this gateway knows, with the work it has dispatched to them.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
+use nutmegbay_core::ids::Incarnation;
+use nutmegbay_core::world::Moment;
+use nutmegbay_proto::control::SidecarStatus;
+use nutmegbay_proto::engine::Load;
 use nutmegbay_proto::platform::{Instance, InstanceKind, InstanceList, InstanceState};
 
 /// One upstream.
@@ -29,6 +34,20 @@
     draining: AtomicBool,
     /// Its sidecar did not answer lately.
     failing: AtomicBool,
+    status: Mutex<Option<Reported>>,
+}
+
+/// What the sidecar of an upstream has reported last.
+#[derive(Debug, Clone)]
+pub struct Reported {
+    /// Life of the sidecar.
+    pub incarnation: Incarnation,
+    /// Load of the upstream.
+    pub load: Load,
+    /// When the load was taken.
+    pub taken: Moment,
+    /// First cache event that is wanted next.
+    pub cache_next: u64,
 }
 
 /// Counts one request at an upstream while it is open.
@@ -51,6 +70,7 @@
             leaving: AtomicBool::new(instance.state == InstanceState::Leaving),
             draining: AtomicBool::new(false),
             failing: AtomicBool::new(false),
+            status: Mutex::new(None),
         }
     }
 
@@ -82,6 +102,38 @@
         self.draining.store(draining, Ordering::Relaxed);
     }
 
+    /// Life of its sidecar, as far as it is known.
+    pub fn incarnation(&self) -> Option<Incarnation> {
+        self.reported().map(|reported| reported.incarnation)
+    }
+
+    /// Last report of its sidecar.
+    pub fn reported(&self) -> Option<Reported> {
+        self.lock().clone()
+    }
+
+    /// First cache event that is wanted from its sidecar.
+    pub fn cache_next(&self) -> u64 {
+        self.lock().as_ref().map_or(0, |r| r.cache_next)
+    }
+
+    /// Takes a report of its sidecar that was asked for at `asked`.
+    pub fn report(&self, status: &SidecarStatus, asked: Moment) {
+        let age = Duration::from_millis(status.load.age_ms);
+        *self.lock() = Some(Reported {
+            incarnation: status.incarnation,
+            load: status.load.clone(),
+            taken: Moment(asked.0.saturating_sub(age)),
+            cache_next: status.cache.next,
+        });
+        self.set_draining(status.draining);
+        self.set_failing(!status.healthy);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Option<Reported>> {
+        self.status.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Records whether its sidecar answers.
     pub fn set_failing(&self, failing: bool) {
         self.failing.store(failing, Ordering::Relaxed);
--- a/crates/gateway/src/state/view.rs
+++ b/crates/gateway/src/state/view.rs
@@ -1,10 +1,13 @@
 //! Snapshot of the state for the readers on the data path.
 
+use std::collections::HashSet;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use nutmegbay_core::ids::Offset;
+use nutmegbay_core::ids::{Fingerprint, Offset};
 use nutmegbay_core::replica::Keys;
+use nutmegbay_core::world::Moment;
 use nutmegbay_proto::problem::{Problem, ProblemKind};
 use nutmegbay_settings::model::SiteSettings;
 
@@ -27,10 +30,12 @@
     pub keys: Arc<Keys>,
     /// Upstreams.
     pub upstreams: Arc<[Arc<Upstream>]>,
-    /// Offset after the last record applied.
-    pub next: Offset,
-    /// Whether the log was read to its head at least once.
-    pub is_current: bool,
+    /// Requests that have crashed an upstream, as far as this gateway knows.
+    pub suspects: Arc<HashSet<Fingerprint>>,
+    /// Whether the replica follows the log.
+    pub is_started: bool,
+    /// Whether an operator asked this instance to drain.
+    pub is_drained: bool,
 }
 
 impl View {
@@ -39,15 +44,6 @@
         self.site.as_deref().ok_or_else(stale)
     }
 
-    /// Refuses if the keys may be out of date.
-    pub fn confirm_current(&self) -> Result<(), Problem> {
-        if self.is_current {
-            Ok(())
-        } else {
-            Err(stale())
-        }
-    }
-
     /// Time without a frame after which a connection counts as silent.
     pub fn progress_timeout(&self) -> Duration {
         self.site.as_ref().map_or(DEFAULT_PROGRESS, |site| {
@@ -57,7 +53,30 @@
 
     /// Whether requests can be served.
     pub fn is_ready(&self) -> bool {
-        self.is_current && self.site.is_some() && self.config_rejected.is_none()
+        let can_apply = self.config_rejected.is_none() && self.site.is_some();
+        self.is_started && can_apply && !self.is_drained
+    }
+}
+
+/// Moment until which keyed requests may be answered.
+///
+/// It holds on its own: if the state task or the whole process is paused, the moment passes.
+#[derive(Debug, Default)]
+pub struct Gate {
+    until_ms: AtomicU64,
+}
+
+impl Gate {
+    /// Allows keyed requests until `moment`.
+    pub fn open_until(&self, moment: Moment) {
+        let ms = u64::try_from(moment.0.as_millis()).unwrap_or(u64::MAX);
+        self.until_ms.store(ms, Ordering::Release);
+    }
+
+    /// Refuses if the keys may be out of date at `now`.
+    pub fn check(&self, now: Moment) -> Result<(), Problem> {
+        let until = Duration::from_millis(self.until_ms.load(Ordering::Acquire));
+        if now.0 < until { Ok(()) } else { Err(stale()) }
     }
 }
 
