Complete the sidecar: at-most-once calls, orders, drain, crashes

Cause: the first version refused non-idempotent calls and had no control interface.

Change: `/call` runs each attempt of a non-idempotent call at most once, on a connection of its own and to its end even if the gateway leaves; every refusal "not run" is backed by a fence. The control interface (JSON-RPC on the data port) has status, order, fence, outcome, relay, tail and drain. Orders need the fencing number that the relayed or read log shows in force since the start. A dead connection or failed health check reports all running fingerprints once per life of the engine; work that must run alone waits for the upstream to be free. Work with the identity of a running attempt starts after that one is cancelled, since engines cancel by request alone. Problem kinds `UpstreamCrashed`, `OtherIncarnation` and `AnswerNotKept` and the header `x-nutmegbay-verdict` on the sidecar's own refusals are new.

Conclusion: an engine that answers with an error counts as alive; only missing answers count as a crash.

--- a/crates/sidecar/src/call.rs
+++ b/crates/sidecar/src/call.rs
@@ -4,15 +4,18 @@
 
 use axum::body::Body;
 use axum::extract::{Request, State};
-use axum::http::{HeaderMap, HeaderName, HeaderValue, Uri, header};
+use axum::http::{HeaderMap, HeaderName, HeaderValue, header};
 use axum::response::{IntoResponse, Response};
 use http_body_util::BodyExt;
 use nutmegbay_core::verdict::Verdict;
 use nutmegbay_proto::problem::ProblemKind;
-use nutmegbay_proto::work::{ACCOUNT_HEADER, CALL_HEADER, CALL_PATH, CallHead};
+use nutmegbay_proto::work::{
+    ACCOUNT_HEADER, CALL_HEADER, CALL_PATH, CallHead, LOAD_HEADER, REQUEST_HEADER,
+};
 use nutmegbay_settings::model::UpstreamKind;
 use tokio::time::{Duration, timeout};
 
+use crate::once;
 use crate::refuse::Refusal;
 use crate::state::Shared;
 
@@ -41,30 +44,44 @@
 
 /// Handles every method on `/call/...`.
 pub(crate) async fn handle(State(shared): State<Arc<Shared>>, req: Request) -> Response {
-    match forward(&shared, req).await {
-        Ok(res) => res,
-        Err(refusal) => refusal.into_response(),
+    let (head, res) = match call_head(req.headers()) {
+        Ok(head) => {
+            let res = forward(&shared, &head, req).await;
+            (Some(head), res)
+        }
+        Err(refusal) => (None, Err(refusal)),
+    };
+    let mut res = res.unwrap_or_else(IntoResponse::into_response);
+    let id = head.and_then(|head| HeaderValue::try_from(head.id.to_string()).ok());
+    if let Some(id) = id {
+        res.headers_mut().insert(REQUEST_HEADER, id);
+    }
+    res
+}
+
+/// Removes from an answer what concerns one connection or only nutmegbay sets, and adds the load.
+pub(crate) fn strip_answer(shared: &Shared, headers: &mut HeaderMap) {
+    strip_hop_by_hop(headers);
+    strip_own(headers);
+    if let Some(load) = shared.load_header() {
+        headers.insert(LOAD_HEADER, load);
     }
 }
 
-async fn forward(shared: &Arc<Shared>, req: Request) -> Result<Response, Refusal> {
+async fn forward(shared: &Arc<Shared>, head: &CallHead, req: Request) -> Result<Response, Refusal> {
     if shared.settings.kind != UpstreamKind::Service {
         return Err(Refusal::not_run(
             ProblemKind::NoUpstream,
             format!("upstream `{}` is not a service", shared.settings.instance),
         ));
     }
-    let head = call_head(req.headers())?;
-    let in_flight = shared.enter()?;
-    if head.once.is_some() {
-        return Err(Refusal::not_run(
-            ProblemKind::NoUpstream,
-            "this build does not run non-idempotent calls",
-        ));
+    if let Some(attempt) = head.once {
+        return once::forward(shared, head, attempt, req).await;
     }
-    let req = upstream_request(shared, &head, req)?;
+    let in_flight = shared.enter()?;
+    let req = upstream_request(shared, head, req)?;
     let deadline = Duration::from_millis(head.deadline_ms);
-    let res = match timeout(deadline, shared.upstream.request(req)).await {
+    let res = match timeout(deadline, shared.upstream.send(req)).await {
         Ok(Ok(res)) => res,
         Ok(Err(e)) if e.is_connect() => {
             return Err(Refusal::not_run(
@@ -88,8 +105,7 @@
         }
     };
     let (mut parts, body) = res.into_parts();
-    strip_hop_by_hop(&mut parts.headers);
-    strip_own(&mut parts.headers);
+    strip_answer(shared, &mut parts.headers);
     // The call is in flight until its answer's body is complete or abandoned.
     let body = Body::new(body.map_frame(move |frame| {
         let _ = &in_flight;
@@ -108,7 +124,7 @@
 }
 
 /// The request as the service sees it: no caller's secrets, no header of nutmegbay but the account.
-fn upstream_request(
+pub(crate) fn upstream_request(
     shared: &Shared,
     head: &CallHead,
     req: Request,
@@ -125,11 +141,9 @@
     } else {
         format!("/{path}")
     };
-    parts.uri = Uri::builder()
-        .scheme("http")
-        .authority(shared.settings.upstream.to_string())
-        .path_and_query(path)
-        .build()
+    parts.uri = shared
+        .upstream
+        .uri(&path)
         .map_err(|e| malformed(format!("the path cannot be forwarded: {e}")))?;
     strip_hop_by_hop(&mut parts.headers);
     strip_own(&mut parts.headers);
--- a/crates/sidecar/src/cli.rs
+++ b/crates/sidecar/src/cli.rs
@@ -2,11 +2,10 @@
 
 use std::path::{Path, PathBuf};
 
-use clap::{Arg, ArgAction, Command, value_parser};
-use error_stack::{Report, ResultExt};
-use tokio_util::sync::CancellationToken;
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use nutmegbay_telemetry::exit::Exit;
+use nutmegbay_telemetry::{log, signals};
 
-use crate::server::RunError;
 use crate::settings::Settings;
 
 /// Command line of the sidecar.
@@ -31,15 +30,37 @@
         )
 }
 
-/// Parses the command line and runs the sidecar until `stop` is cancelled.
-pub async fn main(stop: CancellationToken) -> Result<(), Report<RunError>> {
-    let matches = command().get_matches();
+/// Runs the sidecar as a process: until a termination signal, and then until its work has ended.
+pub async fn main(matches: &ArgMatches) -> Exit {
+    if let Err(e) = log::init(None) {
+        eprintln!("nutmegbay-sidecar: {e}");
+        return Exit::Usage;
+    }
     let path = matches
         .get_one::<PathBuf>("settings")
         .map_or(Path::new(""), PathBuf::as_path);
-    let settings = Settings::read(path).change_context(RunError::Settings)?;
+    let settings = match Settings::read(path) {
+        Ok(settings) => settings,
+        Err(e) => {
+            eprintln!("nutmegbay-sidecar: {}", e.current_context());
+            return Exit::Usage;
+        }
+    };
     if matches.get_flag("check") {
-        return Ok(());
+        return Exit::Ok;
+    }
+    let stop = match signals::stop_token() {
+        Ok(stop) => stop,
+        Err(e) => {
+            eprintln!("nutmegbay-sidecar: signal handlers cannot be installed: {e}");
+            return Exit::Failure;
+        }
+    };
+    match crate::run(settings, stop).await {
+        Ok(()) => Exit::Ok,
+        Err(e) => {
+            eprintln!("nutmegbay-sidecar: {e:?}");
+            Exit::Failure
+        }
     }
-    crate::run(settings, stop).await
 }
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -9,9 +9,18 @@
 pub mod settings;
 
 mod call;
+mod control;
+mod crashes;
 mod frames;
+mod gate;
+mod log_view;
+mod monitor;
+mod once;
+mod orders;
 mod refuse;
+mod requests;
 mod state;
+mod upstream;
 mod work;
 
 use error_stack::Report;
--- a/crates/sidecar/src/refuse.rs
+++ b/crates/sidecar/src/refuse.rs
@@ -4,6 +4,7 @@
 use axum::response::{IntoResponse, Response};
 use nutmegbay_core::verdict::Verdict;
 use nutmegbay_proto::problem::{PROBLEM_JSON, Problem, ProblemKind};
+use nutmegbay_proto::work::VERDICT_HEADER;
 
 /// A refusal on its way to the gateway.
 #[derive(Debug)]
@@ -28,6 +29,8 @@
         let mut res = (status, body).into_response();
         let headers = res.headers_mut();
         headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(PROBLEM_JSON));
+        let verdict: &'static str = self.0.verdict.into();
+        headers.insert(VERDICT_HEADER, HeaderValue::from_static(verdict));
         if let Some(seconds) = self.0.retry_after_s {
             headers.insert(header::RETRY_AFTER, seconds.into());
         }
--- a/crates/sidecar/src/server.rs
+++ b/crates/sidecar/src/server.rs
@@ -1,23 +1,29 @@
 //! Binding, serving and stopping.
 
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use axum::Router;
-use axum::extract::{DefaultBodyLimit, State};
-use axum::http::StatusCode;
-use axum::routing::{any, get, post};
+use axum::extract::{DefaultBodyLimit, Request};
+use axum::response::Response;
+use axum::routing::{any, post};
 use axum::serve::ListenerExt;
 use error_stack::{Report, ResultExt};
 use nutmegbay_core::ids::Incarnation;
 use nutmegbay_proto::work::{CALL_PATH, WORK_PATH};
+use nutmegbay_telemetry::admin;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::time::Duration;
 use tokio_util::sync::CancellationToken;
+use tower::Service;
 
 use crate::settings::Settings;
 use crate::state::Shared;
-use crate::{call, work};
+use crate::{call, control, log_view, monitor, work};
+
+/// Path of the control interface on the data port.
+const CONTROL_PATH: &str = "/";
 
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1_024;
@@ -32,8 +38,6 @@
 /// Why the sidecar could not run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RunError {
-    /// The settings cannot be used.
-    Settings,
     /// An address cannot be bound.
     Bind,
     /// Serving failed.
@@ -43,7 +47,6 @@
 impl std::fmt::Display for RunError {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.write_str(match self {
-            Self::Settings => "the settings cannot be used",
             Self::Bind => "an address cannot be bound",
             Self::Serve => "serving failed",
         })
@@ -89,8 +92,13 @@
         } = self;
         let closed = CancellationToken::new();
         let _close_on_exit = closed.clone().drop_guard();
-        let admin = serve(admin, admin_router(&shared), closed.clone());
-        let work = serve(data, data_router(&shared), closed.clone());
+        let (rpc, _rpc_handle) = control::service(&shared);
+        let admin = serve(
+            admin,
+            admin::router(shared.readiness.clone()),
+            closed.clone(),
+        );
+        let work = serve(data, data_router(&shared, rpc), closed.clone());
         let stopping = async {
             stop.cancelled().await;
             shared.drain();
@@ -102,12 +110,21 @@
             closed.cancel();
             Ok(())
         };
+        let background = async {
+            let tasks = async { tokio::join!(monitor::run(&shared), log_view::run(&shared)) };
+            tokio::select! {
+                _ = tasks => {}
+                () = closed.cancelled() => {}
+            }
+            Ok(())
+        };
         tracing::info!(
             event = "started",
             instance = %shared.settings.instance,
             incarnation = %shared.incarnation
         );
-        tokio::try_join!(admin, work, stopping)?;
+        shared.readiness.set(true);
+        tokio::try_join!(admin, work, stopping, background)?;
         tracing::info!(event = "stopped", instance = %shared.settings.instance);
         Ok(())
     }
@@ -147,7 +164,15 @@
         .change_context(RunError::Serve)
 }
 
-fn data_router(shared: &Arc<Shared>) -> Router {
+/// Routes of the data port: work, calls and the control interface.
+fn data_router<S>(shared: &Arc<Shared>, rpc: S) -> Router
+where
+    S: Service<Request, Response = Response, Error = Infallible, Future: Send + 'static>
+        + Clone
+        + Send
+        + Sync
+        + 'static,
+{
     Router::new()
         .route(WORK_PATH, post(work::handle))
         .route(&format!("{CALL_PATH}/{{*path}}"), any(call::handle))
@@ -155,19 +180,5 @@
         .route(&format!("{CALL_PATH}/"), any(call::handle))
         .layer(DefaultBodyLimit::max(shared.settings.max_body_bytes))
         .with_state(Arc::clone(shared))
-}
-
-fn admin_router(shared: &Arc<Shared>) -> Router {
-    Router::new()
-        .route("/health", get(|| async { StatusCode::OK }))
-        .route("/ready", get(ready))
-        .with_state(Arc::clone(shared))
-}
-
-async fn ready(State(shared): State<Arc<Shared>>) -> StatusCode {
-    if shared.is_draining() {
-        StatusCode::SERVICE_UNAVAILABLE
-    } else {
-        StatusCode::OK
-    }
+        .route_service(CONTROL_PATH, rpc)
 }
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -3,9 +3,9 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
-use error_stack::{Report, ResultExt, ensure};
-use jsonc_parser::ParseOptions;
+use error_stack::Report;
 use nutmegbay_settings::model::UpstreamKind;
+use nutmegbay_settings::{Fault, Node, Origin, SettingsError, Source};
 use serde::Deserialize;
 
 /// Settings of one sidecar.
@@ -24,9 +24,10 @@
     pub upstream: SocketAddr,
     /// Kind of the upstream.
     pub kind: UpstreamKind,
-    /// Address of the platform, from which the log is read before the first order.
+    /// Base URL of the platform, such as `http://10.0.0.1:7000`, from which the log is read until it
+    /// is known who holds the planner lease.
     #[serde(default)]
-    pub platform: Option<SocketAddr>,
+    pub platform: Option<Box<str>>,
     /// Whether the engine refuses orders with an old fencing number.
     #[serde(default)]
     pub checks_fencing: bool,
@@ -47,53 +48,86 @@
 impl Settings {
     /// Reads and checks the settings in the file at `path`.
     pub fn read(path: &Path) -> Result<Self, Report<SettingsError>> {
-        let text = std::fs::read_to_string(path)
-            .change_context(SettingsError)
-            .attach_with(|| format!("check the path {}", path.display()))?;
-        Self::parse(&text).attach_with(|| format!("file {}", path.display()))
+        let name = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|e| {
+            Report::new(SettingsError {
+                faults: vec![Fault {
+                    origin: Origin {
+                        file: name.as_str().into(),
+                        line: 0,
+                        column: 0,
+                    },
+                    key: String::new(),
+                    message: e.to_string(),
+                }],
+            })
+        })?;
+        Self::parse(&name, &text)
     }
 
-    /// Parses and checks settings.
-    pub fn parse(text: &str) -> Result<Self, Report<SettingsError>> {
-        let settings: Self = jsonc_parser::parse_to_serde_value(text, &ParseOptions::default())
-            .map_err(|e| Report::new(SettingsError).attach(format!("{e}")))?;
-        settings.check()?;
+    /// Parses and checks settings; `name` is the file's name in error messages.
+    pub fn parse(name: &str, text: &str) -> Result<Self, Report<SettingsError>> {
+        let tree = Node::parse(Source { name, text })?;
+        let settings: Self = tree.read()?;
+        settings.check(&tree)?;
         Ok(settings)
     }
 
-    fn check(&self) -> Result<(), Report<SettingsError>> {
-        let faults = [
-            (self.instance.is_empty(), "`instance` is empty"),
-            (self.failure_domain.is_empty(), "`failure_domain` is empty"),
-            (self.upstream.port() == 0, "`upstream` has no port"),
-            (self.upstream == self.listen, "`upstream` equals `listen`"),
+    /// Address of the platform, none if it is not set or not of the form `http://<IP>:<port>`.
+    pub fn platform_addr(&self) -> Option<SocketAddr> {
+        let addr = self.platform.as_deref()?.strip_prefix("http://")?;
+        addr.trim_end_matches('/').parse().ok()
+    }
+
+    fn check(&self, tree: &Node) -> Result<(), Report<SettingsError>> {
+        let checks = [
+            ("instance", self.instance.is_empty(), "must not be empty"),
+            (
+                "failure_domain",
+                self.failure_domain.is_empty(),
+                "must not be empty",
+            ),
+            ("upstream", self.upstream.port() == 0, "needs a port"),
             (
+                "upstream",
+                self.upstream == self.listen,
+                "must differ from `listen`",
+            ),
+            (
+                "admin",
                 self.admin == self.listen && self.listen.port() != 0,
-                "`admin` equals `listen`",
+                "must differ from `listen`",
+            ),
+            (
+                "platform",
+                self.platform.is_some() && self.platform_addr().is_none(),
+                "expected a URL such as http://10.0.0.1:7000",
             ),
-            (self.poll_ms == 0, "`poll_ms` is zero"),
-            (self.probe_timeout_ms == 0, "`probe_timeout_ms` is zero"),
-            (self.max_body_bytes == 0, "`max_body_bytes` is zero"),
+            ("poll_ms", self.poll_ms == 0, "must not be 0"),
+            (
+                "probe_timeout_ms",
+                self.probe_timeout_ms == 0,
+                "must not be 0",
+            ),
+            ("max_body_bytes", self.max_body_bytes == 0, "must not be 0"),
         ];
-        for (fault, what) in faults {
-            ensure!(!fault, Report::new(SettingsError).attach(what));
+        let faults: Vec<Fault> = checks
+            .into_iter()
+            .filter(|(_, is_fault, _)| *is_fault)
+            .map(|(key, _, message)| Fault {
+                origin: tree.origin_of(key),
+                key: key.to_owned(),
+                message: message.to_owned(),
+            })
+            .collect();
+        if faults.is_empty() {
+            Ok(())
+        } else {
+            Err(Report::new(SettingsError { faults }))
         }
-        Ok(())
     }
 }
 
-/// The settings cannot be used.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct SettingsError;
-
-impl std::fmt::Display for SettingsError {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("the sidecar's settings cannot be used")
-    }
-}
-
-impl std::error::Error for SettingsError {}
-
 fn default_poll_ms() -> u64 {
     100
 }
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -1,55 +1,88 @@
 //! State shared by all handlers of one sidecar.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use axum::body::Body;
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
+use axum::http::HeaderValue;
+use nutmegbay_core::guard::{Guard, Limits};
 use nutmegbay_core::ids::Incarnation;
 use nutmegbay_proto::problem::ProblemKind;
-use tokio::sync::watch;
-use tokio::time::Duration;
+use nutmegbay_telemetry::admin::Readiness;
+use rand::random;
+use tokio::sync::{Notify, watch};
 
+use crate::crashes::Crashes;
+use crate::gate::Gate;
+use crate::log_view::LogView;
+use crate::monitor::Monitor;
+use crate::orders::OrderDesk;
 use crate::refuse::Refusal;
+use crate::requests::Requests;
 use crate::settings::Settings;
-
-/// HTTP client towards the upstream.
-pub(crate) type Upstream = Client<HttpConnector, Body>;
-
-/// Time for a connection to the upstream on the same instance.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+use crate::upstream::Upstream;
 
 /// State shared by all handlers.
 pub(crate) struct Shared {
     pub(crate) settings: Settings,
     pub(crate) incarnation: Incarnation,
-    /// Client for work that may be sent again on a new connection if the old one was closed
-    /// before anything was written to it.
     pub(crate) upstream: Upstream,
+    pub(crate) readiness: Readiness,
+    pub(crate) requests: Requests,
+    pub(crate) gate: Arc<Gate>,
+    pub(crate) crashes: Crashes,
+    pub(crate) monitor: Monitor,
+    pub(crate) orders: OrderDesk,
+    pub(crate) log: Mutex<LogView>,
+    /// Woken whenever an attempt ends.
+    pub(crate) attempt_ended: Notify,
+    guard: Mutex<Guard>,
     draining: AtomicBool,
     in_flight: watch::Sender<u32>,
 }
 
 impl Shared {
     pub(crate) fn new(settings: Settings) -> Self {
+        let incarnation = Incarnation(random());
         Self {
-            settings,
-            incarnation: Incarnation(rand::random()),
-            upstream: client(true),
+            incarnation,
+            upstream: Upstream::new(&settings),
+            readiness: Readiness::new(),
+            requests: Requests::default(),
+            gate: Arc::default(),
+            crashes: Crashes::new(settings.instance.clone()),
+            monitor: Monitor::default(),
+            orders: OrderDesk::default(),
+            log: Mutex::new(LogView::new()),
+            attempt_ended: Notify::new(),
+            guard: Mutex::new(Guard::new(incarnation, Limits::default())),
             draining: AtomicBool::new(false),
             in_flight: watch::Sender::new(0),
+            settings,
         }
     }
 
+    /// Tables of attempts. The lock is held for table operations only, never across I/O.
+    pub(crate) fn guard(&self) -> MutexGuard<'_, Guard> {
+        lock(&self.guard)
+    }
+
+    pub(crate) fn log(&self) -> MutexGuard<'_, LogView> {
+        lock(&self.log)
+    }
+
     pub(crate) fn is_draining(&self) -> bool {
         self.draining.load(Ordering::SeqCst)
     }
 
     /// Refuses new work from now on and returns what is still running.
     pub(crate) fn drain(&self) -> u32 {
+        self.readiness.set(false);
         self.draining.store(true, Ordering::SeqCst);
+        self.in_flight()
+    }
+
+    /// Requests in flight.
+    pub(crate) fn in_flight(&self) -> u32 {
         *self.in_flight.borrow()
     }
 
@@ -64,19 +97,30 @@
     pub(crate) fn enter(self: &Arc<Self>) -> Result<InFlight, Refusal> {
         // The count goes up before the flag is read, so that `drain` followed by `idle` never
         // misses a request that read the flag as false.
-        self.in_flight.send_modify(|count| *count += 1);
-        let entered = InFlight(Arc::clone(self));
+        let entered = self.count();
         if self.is_draining() {
-            return Err(Refusal::not_run(
-                ProblemKind::Draining,
-                format!(
-                    "upstream `{}` is draining; use another one",
-                    self.settings.instance
-                ),
-            ));
+            return Err(self.draining_refusal());
         }
         Ok(entered)
     }
+
+    /// Registers a request that is allowed in even while draining.
+    pub(crate) fn count(self: &Arc<Self>) -> InFlight {
+        self.in_flight.send_modify(|count| *count += 1);
+        InFlight(Arc::clone(self))
+    }
+
+    pub(crate) fn draining_refusal(&self) -> Refusal {
+        let instance = &self.settings.instance;
+        let detail = format!("upstream `{instance}` is draining; use another one");
+        Refusal::not_run(ProblemKind::Draining, detail)
+    }
+
+    /// Current load for the header of an answer.
+    pub(crate) fn load_header(&self) -> Option<HeaderValue> {
+        let load = serde_json::to_string(&self.monitor.load(self.in_flight())).ok()?;
+        HeaderValue::from_str(&load).ok()
+    }
 }
 
 /// One request in flight; it ends when this is dropped.
@@ -88,14 +132,7 @@
     }
 }
 
-/// HTTP/1 client that sends again only what never left the process, and that only if
-/// `retry_unsent` is set.
-pub(crate) fn client(retry_unsent: bool) -> Upstream {
-    let mut connector = HttpConnector::new();
-    connector.set_nodelay(true);
-    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-    Client::builder(TokioExecutor::new())
-        .pool_timer(TokioTimer::new())
-        .retry_canceled_requests(retry_unsent)
-        .build(connector)
+/// Locks a mutex whose holders never leave its content half changed.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/sidecar/src/work.rs
+++ b/crates/sidecar/src/work.rs
@@ -8,7 +8,7 @@
 use axum::body::Body;
 use axum::extract::State;
 use axum::extract::rejection::JsonRejection;
-use axum::http::{HeaderValue, Request, Uri, header};
+use axum::http::{HeaderValue, header};
 use axum::response::{IntoResponse, Response};
 use bytes::{Bytes, BytesMut};
 use futures::Stream;
@@ -16,17 +16,21 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper_util::client::legacy::ResponseFuture;
-use nutmegbay_core::ids::RequestId;
+use nutmegbay_core::ids::{Fingerprint, RequestId};
 use nutmegbay_core::verdict::Verdict;
 use nutmegbay_proto::engine::{Cancel, Generate};
 use nutmegbay_proto::frame::{Frame, FrameBody};
 use nutmegbay_proto::problem::{Problem, ProblemKind};
-use nutmegbay_proto::work::Work;
+use nutmegbay_proto::work::{LOAD_HEADER, Work};
 use nutmegbay_settings::model::UpstreamKind;
+use tokio::runtime::Handle;
 use tokio::time::{Duration, Instant, sleep_until};
 
+use crate::crashes::Run;
 use crate::frames::{Check, Checked};
+use crate::gate::Place;
 use crate::refuse::Refusal;
+use crate::requests::Attempt;
 use crate::state::{InFlight, Shared};
 
 /// Media type of a stream of frames.
@@ -41,9 +45,6 @@
 /// Most of an engine's refusal that is read.
 const MAX_REFUSAL_BYTES: usize = 16 << 10;
 
-/// Time for the engine to take a cancellation.
-const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
-
 /// Handles `POST /work`.
 pub(crate) async fn handle(
     State(shared): State<Arc<Shared>>,
@@ -61,36 +62,44 @@
 }
 
 fn start(shared: &Arc<Shared>, work: Work) -> Result<Relay, Refusal> {
+    let instance = &shared.settings.instance;
     if shared.settings.kind != UpstreamKind::Engine {
         return Err(Refusal::not_run(
             ProblemKind::NoUpstream,
-            format!("upstream `{}` is not an engine", shared.settings.instance),
+            format!("upstream `{instance}` is not an engine"),
         ));
     }
     let in_flight = shared.enter()?;
+    let Some(attempt) = shared.requests.enter(work.id, work.attempt) else {
+        return Err(Refusal::not_run(
+            ProblemKind::Fenced,
+            format!("attempt {} or a later one is running", work.attempt),
+        ));
+    };
     let first = u32::try_from(work.delivered.len()).unwrap_or(u32::MAX);
     let now = Instant::now();
-    let deadline = now + Duration::from_millis(work.deadline_ms);
-    let check = Check::new(work.id, work.attempt, first);
-    let id = work.id;
-    let req = generate(shared, work)?;
+    let running = Running {
+        place: Some(shared.gate.enter(work.exclusive)),
+        in_flight: Some(in_flight),
+        attempt: Some(attempt),
+        run: None,
+        id: work.id,
+        at_engine: false,
+    };
     Ok(Relay {
-        source: Source::Head(shared.upstream.request(req)),
-        check,
+        check: Check::new(work.id, work.attempt, first),
         buf: BytesMut::new(),
         keep_alive_at: now + KEEP_ALIVE,
-        deadline,
+        deadline: now + Duration::from_millis(work.deadline_ms),
         ended: false,
-        running: Running {
-            in_flight,
-            id,
-            at_engine: true,
-        },
+        fingerprint: work.fingerprint,
+        source: Source::Waiting(Box::new(generate(work))),
+        running,
     })
 }
 
-fn generate(shared: &Shared, work: Work) -> Result<Request<Body>, Refusal> {
-    let generate = Generate {
+fn generate(work: Work) -> Generate {
+    Generate {
         id: work.id,
         attempt: work.attempt,
         model: work.model,
@@ -98,35 +107,20 @@
         max_tokens: work.max_tokens,
         priority: work.priority,
         delivered: work.delivered,
-    };
-    json_request(shared, "/generate", &generate)
-}
-
-/// Builds `POST path` with a JSON body for the upstream.
-pub(crate) fn json_request<T: serde::Serialize>(
-    shared: &Shared,
-    path: &str,
-    body: &T,
-) -> Result<Request<Body>, Refusal> {
-    let internal =
-        |e: &dyn std::fmt::Display| Refusal::not_run(ProblemKind::Internal, e.to_string());
-    let body = serde_json::to_vec(body).map_err(|e| internal(&e))?;
-    let uri = Uri::builder()
-        .scheme("http")
-        .authority(shared.settings.upstream.to_string())
-        .path_and_query(path)
-        .build()
-        .map_err(|e| internal(&e))?;
-    Request::post(uri)
-        .header(header::CONTENT_TYPE, "application/json")
-        .body(Body::from(body))
-        .map_err(|e| internal(&e))
+    }
 }
 
 fn stream(relay: Relay) -> Response {
+    let load = relay
+        .running
+        .shared()
+        .and_then(|shared| shared.load_header());
     let mut res = Body::from_stream(relay.into_stream()).into_response();
-    res.headers_mut()
-        .insert(header::CONTENT_TYPE, HeaderValue::from_static(NDJSON));
+    let headers = res.headers_mut();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(NDJSON));
+    if let Some(load) = load {
+        headers.insert(LOAD_HEADER, load);
+    }
     res
 }
 
@@ -139,16 +133,22 @@
     keep_alive_at: Instant,
     deadline: Instant,
     ended: bool,
+    fingerprint: Fingerprint,
     running: Running,
 }
 
 enum Source {
+    /// Until the previous attempt is gone and the upstream is free.
+    Waiting(Box<Generate>),
     Head(ResponseFuture),
     Body(Incoming),
 }
 
 /// What the engine sent next.
 enum Event {
+    MayStart,
+    Superseded,
+    UpstreamDied,
     Head(Response<Incoming>),
     Data(Bytes),
     End,
@@ -181,7 +181,9 @@
         tokio::select! {
             biased;
             () = sleep_until(self.deadline) => Event::DeadlinePassed,
-            event = self.source.next() => event,
+            event = interrupted(self.running.attempt.as_ref(), self.running.run.as_mut()) => event,
+            event = self.source.next(self.running.attempt.as_ref(), self.running.place.as_mut())
+                => event,
             () = sleep_until(self.keep_alive_at) => Event::KeepAliveDue,
         }
     }
@@ -189,6 +191,13 @@
     /// Handles one event; the result is what to send to the gateway, if anything.
     async fn on_event(&mut self, event: Event) -> Option<Bytes> {
         match event {
+            Event::MayStart => self.send(),
+            Event::Superseded => Some(self.fail(Problem::new(
+                ProblemKind::Fenced,
+                Verdict::MayHaveRun,
+                "a later attempt of the request has arrived",
+            ))),
+            Event::UpstreamDied => Some(self.crashed("the engine's health check failed")),
             Event::Head(res) if res.status().is_success() => {
                 self.source = Source::Body(res.into_body());
                 None
@@ -213,8 +222,38 @@
                     detail,
                 )))
             }
-            Event::End => Some(self.lost("the engine's answer stopped before its last frame")),
-            Event::Lost(detail) => Some(self.lost(&detail)),
+            Event::End => {
+                // The engine ended the answer in order, so it is alive.
+                self.running.at_engine = false;
+                Some(self.fail(Problem::new(
+                    ProblemKind::UpstreamLost,
+                    Verdict::MayHaveRun,
+                    "the engine's answer stopped before its last frame",
+                )))
+            }
+            Event::Lost(detail) => Some(self.crashed(&detail)),
+        }
+    }
+
+    /// Sends the work to the engine.
+    fn send(&mut self) -> Option<Bytes> {
+        let shared = self.running.shared()?;
+        let Source::Waiting(generate) = &self.source else {
+            return None;
+        };
+        match shared.upstream.json("/generate", &**generate) {
+            Ok(req) => {
+                let run = shared.crashes.start(self.fingerprint);
+                self.source = Source::Head(shared.upstream.send(req));
+                self.running.run = Some(run);
+                self.running.at_engine = true;
+                None
+            }
+            Err(e) => Some(self.fail(Problem::new(
+                ProblemKind::Internal,
+                Verdict::NotRun,
+                format!("the work cannot be sent: {e}"),
+            ))),
         }
     }
 
@@ -265,13 +304,17 @@
         ))
     }
 
-    /// Ends the answer because the engine's connection died with the work in flight.
-    fn lost(&mut self, detail: &str) -> Bytes {
-        tracing::warn!(event = "upstream_lost", request = %self.running.id, detail);
+    /// Ends the answer because the engine died with the work in flight.
+    fn crashed(&mut self, detail: &str) -> Bytes {
+        let crash = match (self.running.shared(), &self.running.run) {
+            (Some(shared), Some(run)) => shared.crashes.lost(run).to_string(),
+            _ => String::new(),
+        };
+        tracing::warn!(event = "upstream_lost", request = %self.running.id, crash, detail);
         self.fail(Problem::new(
-            ProblemKind::UpstreamLost,
+            ProblemKind::UpstreamCrashed,
             Verdict::MayHaveRun,
-            detail,
+            format!("crash {crash}: {detail}"),
         ))
     }
 
@@ -282,8 +325,17 @@
 }
 
 impl Source {
-    async fn next(&mut self) -> Event {
+    async fn next(&mut self, attempt: Option<&Attempt>, place: Option<&mut Place>) -> Event {
         match self {
+            Self::Waiting(_) => {
+                if let Some(attempt) = attempt {
+                    attempt.previous_gone().await;
+                }
+                if let Some(place) = place {
+                    place.started().await;
+                }
+                Event::MayStart
+            }
             Self::Head(head) => match head.await {
                 Ok(res) => Event::Head(res),
                 Err(e) if e.is_connect() => {
@@ -308,37 +360,76 @@
     }
 }
 
-/// Work that the engine may be running; dropped early, it is cancelled there.
+/// Returns when the work has to end before the engine's answer does.
+async fn interrupted(attempt: Option<&Attempt>, run: Option<&mut Run>) -> Event {
+    let superseded = async {
+        match attempt {
+            Some(attempt) => attempt.stop.cancelled().await,
+            None => std::future::pending().await,
+        }
+    };
+    let died = async {
+        match run {
+            Some(run) => run.upstream_died().await,
+            None => std::future::pending().await,
+        }
+    };
+    tokio::select! {
+        () = superseded => Event::Superseded,
+        () = died => Event::UpstreamDied,
+    }
+}
+
+/// Work that the engine may be running; dropped early, it is cancelled there. Its place and its
+/// identity are free again only when the engine has taken the cancellation.
 struct Running {
-    in_flight: InFlight,
+    in_flight: Option<InFlight>,
+    place: Option<Place>,
+    attempt: Option<Attempt>,
+    run: Option<Run>,
     id: RequestId,
     at_engine: bool,
 }
 
+impl Running {
+    fn shared(&self) -> Option<&Arc<Shared>> {
+        self.in_flight.as_ref().map(|in_flight| &in_flight.0)
+    }
+}
+
 impl Drop for Running {
     fn drop(&mut self) {
+        let Some(in_flight) = self.in_flight.take() else {
+            return;
+        };
+        let place = self.place.take();
+        let (attempt, run) = (self.attempt.take(), self.run.take());
+        let leave = move |shared: &Shared| {
+            if let Some(run) = &run {
+                shared.crashes.end(run);
+            }
+            if let Some(attempt) = &attempt {
+                shared.requests.leave(attempt);
+            }
+        };
         if !self.at_engine {
+            leave(&in_flight.0);
             return;
         }
-        let shared = Arc::clone(&self.in_flight.0);
         let id = self.id;
-        if let Ok(runtime) = tokio::runtime::Handle::try_current() {
-            runtime.spawn(async move { cancel(&shared, id).await });
+        if let Ok(runtime) = Handle::try_current() {
+            runtime.spawn(async move {
+                cancel(&in_flight.0, id).await;
+                leave(&in_flight.0);
+                drop(place);
+            });
         }
     }
 }
 
 async fn cancel(shared: &Shared, id: RequestId) {
-    let Ok(req) = json_request(shared, "/cancel", &Cancel { id }) else {
-        return;
-    };
-    match tokio::time::timeout(CANCEL_TIMEOUT, shared.upstream.request(req)).await {
-        Ok(Ok(res)) if res.status().is_success() => {}
-        Ok(Ok(res)) => {
-            tracing::warn!(event = "cancel_refused", request = %id, status = res.status().as_u16());
-        }
-        Ok(Err(error)) => tracing::warn!(event = "cancel_failed", request = %id, %error),
-        Err(_) => tracing::warn!(event = "cancel_timed_out", request = %id),
+    if let Err(error) = shared.upstream.tell("/cancel", &Cancel { id }).await {
+        tracing::warn!(event = "cancel_failed", request = %id, %error);
     }
 }
 
--- a/crates/sidecar/tests/common/mod.rs
+++ b/crates/sidecar/tests/common/mod.rs
@@ -13,9 +13,10 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
-use nutmegbay_core::ids::{Fingerprint, Incarnation, RequestId};
+use nutmegbay_core::guard::AttemptRef;
+use nutmegbay_core::ids::{CallKey, Fingerprint, Incarnation, Offset, RequestId};
 use nutmegbay_proto::frame::{End, Frame, FrameBody};
-use nutmegbay_proto::work::Work;
+use nutmegbay_proto::work::{CallHead, Work};
 use nutmegbay_sidecar::{RunError, Settings, Sidecar};
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
@@ -40,14 +41,17 @@
 }
 
 pub fn settings(kind: &str, upstream: SocketAddr) -> Settings {
-    Settings::parse(&format!(
-        r#"{{
+    Settings::parse(
+        "sidecar.jsonc",
+        &format!(
+            r#"{{
             // Ports are free ones.
             "instance": "w1", "failure_domain": "a", "kind": "{kind}",
             "listen": "127.0.0.1:0", "admin": "127.0.0.1:0", "upstream": "{upstream}",
             "linger_ms": 10, "poll_ms": 20,
         }}"#
-    ))
+        ),
+    )
     .unwrap()
 }
 
@@ -80,6 +84,13 @@
         self.client.request(req).await.unwrap()
     }
 
+    /// Client of the control interface, which shares the data port.
+    pub fn control(&self) -> jsonrpsee::http_client::HttpClient {
+        jsonrpsee::http_client::HttpClientBuilder::default()
+            .build(format!("http://{}/", self.data))
+            .unwrap()
+    }
+
     pub async fn work(&self, work: &Work) -> Response<Incoming> {
         let body = serde_json::to_vec(work).unwrap();
         let req = self
@@ -97,6 +108,27 @@
     }
 }
 
+/// Attempt `number` of one call, bound to the sidecar of `rig`.
+pub fn attempt(rig: &Rig, number: u32) -> AttemptRef {
+    AttemptRef {
+        call: CallKey(5),
+        number,
+        opened: Offset(number.into()),
+        sidecar: rig.incarnation,
+    }
+}
+
+/// Call head of an attempt.
+pub fn head(attempt: AttemptRef) -> String {
+    serde_json::to_string(&CallHead {
+        id: RequestId(7),
+        account: Some("acme".into()),
+        once: Some(attempt),
+        deadline_ms: 5_000,
+    })
+    .unwrap()
+}
+
 pub fn parse_frames(body: &[u8]) -> Vec<Frame> {
     body.split(|b| *b == b'\n')
         .filter(|line| !line.is_empty())
