--- a/crates/bins/tests/common/site.rs
+++ b/crates/bins/tests/common/site.rs
@@ -371,7 +371,7 @@
         let settings = format!(
             r#"{{ "instance": "{name}", "failure_domain": "fd-{domain}", "kind": "{kind}",
                 "listen": "{listen}", "admin": "127.0.0.1:0", "upstream": "{addr}",
-                "platform": "{platform}", "poll_ms": 50, "linger_ms": 200 }}"#,
+                "platform": "http://{platform}", "poll_ms": 50, "linger_ms": 200 }}"#,
             domain = domain % 3,
             platform = self.platform(),
         );
