Fuzz the node against a log in memory

Faults: cuts in one or both directions, log outages, slow reads, lost, failed, delayed and repeated appends, pauses past the lease, kills, planned stops, two faults on one node.

The fuzzing found that a gateway paused for more than eight windows lost the rest of a window that it had flushed in part: its totals were dropped by age. Totals now go when the gateway's own flush leaves the window out, and by age only after 64 windows of silence.

--- a/crates/core/src/record.rs
+++ b/crates/core/src/record.rs
@@ -348,7 +348,8 @@
     pub gateway: Incarnation,
     /// Sequence number within that life.
     pub seq: u64,
-    /// Totals by window, then by client account.
+    /// Totals by window, then by client account. A window that is left out although a later one is
+    /// not has its final total in an earlier accepted record.
     pub windows: BTreeMap<WindowId, BTreeMap<Box<str>, Usage>>,
 }
 
--- a/crates/core/src/replica/usage.rs
+++ b/crates/core/src/replica/usage.rs
@@ -6,9 +6,9 @@
 use crate::ids::{Epoch, Incarnation, Offset, WindowId};
 use crate::record::{Usage, UsageCounts, WindowReported, WindowSeal};
 
-/// Sealed windows for which the totals of each gateway are kept. A gateway whose accepted flush is
-/// older than that cannot add to those windows any more.
-const TOTALS_KEPT: u64 = 8;
+/// Windows before the last sealed one for which the totals of a silent gateway are kept. A gateway
+/// that was silent for longer cannot add to windows of which it has flushed a part.
+const TOTALS_KEPT: u64 = 64;
 
 /// Reported windows that are kept for the operators.
 const REPORTED_KEPT: usize = 64;
@@ -120,6 +120,9 @@
                 }
             }
         }
+        if let Some(counter) = self.counters.get_mut(&counts.gateway) {
+            counter.let_go(counts);
+        }
         self.evict_counter();
         Ok(())
     }
@@ -219,6 +222,14 @@
         Ok(deltas)
     }
 
+    /// Drops the totals of windows that the gateway will not add to: those before the last one of
+    /// its flush that the flush leaves out.
+    fn let_go(&mut self, counts: &UsageCounts) {
+        let last = counts.windows.keys().next_back();
+        self.totals
+            .retain(|window, _| Some(window) >= last || counts.windows.contains_key(window));
+    }
+
     fn note(&mut self, delta: &Delta<'_>) {
         if self.pruned_through < Some(delta.window) {
             let totals = self.totals.entry(delta.window).or_default();
--- /dev/null
+++ b/crates/core/tests/cluster/outside.rs
@@ -0,0 +1,160 @@
+//! What callers, operators and faults do to the cluster.
+
+use nutmegbay_core::ids::RecordId;
+use nutmegbay_core::node::Event;
+use nutmegbay_core::record::{
+    Body, ConfigPublish, ConfigScope, EngineRole, KeyGrant, KeyWithdraw, OrderCommand, Record,
+    SCHEMA,
+};
+
+use super::steps::{Fault, Step};
+use super::{Cluster, HOP_MS, Message, NODES, OFFER_EVERY_MS, SECRET};
+use crate::common::sha256;
+
+impl Cluster {
+    pub fn step(&mut self, step: &Step) {
+        let t = self.t;
+        match step {
+            Step::Run { ms } => self.run(*ms),
+            Step::Fault { node, fault } => self.fault(*node, fault),
+            Step::TwoFaults { node, faults } => {
+                self.fault(*node, &faults.0);
+                self.fault(*node, &faults.1);
+            }
+            Step::LogDown { ms } => self.down_until = t + ms,
+            Step::Grant => self.grant(),
+            Step::Withdraw { key } => self.withdraw(&format!("k{}", key + 1)),
+            Step::Publish { operators } => self.publish(*operators),
+            Step::Want { engine, version } => self.want(*engine, *version),
+            Step::LoseOrders { count } => self.lose_orders = *count,
+            Step::DelayOrder { ms } => self.delay_order = Some(*ms),
+            Step::RepeatOrder { ms } => self.repeat_order = Some(*ms),
+            Step::ReportsDown { ms } => self.reports_down_until = t + ms,
+            Step::LoseReportAnswers { count } => self.lose_report_answers = *count,
+        }
+    }
+
+    pub(super) fn fault(&mut self, node: usize, fault: &Fault) {
+        let t = self.t;
+        let slot = &mut self.nodes[node];
+        match *fault {
+            Fault::CutLog { ms } => slot.cut_log(t + ms),
+            Fault::CutReads { ms } => slot.cut_reads_until = t + ms,
+            Fault::CutAppends { ms } => slot.cut_appends_until = t + ms,
+            Fault::CutPeers { ms } => slot.cut_peers_until = t + ms,
+            Fault::Isolate { ms } => {
+                slot.cut_log(t + ms);
+                slot.cut_peers_until = t + ms;
+            }
+            Fault::SlowReads { delay, ms } => slot.slow = (t + ms, delay),
+            Fault::LoseAnswers { count } => slot.lose_answers = count,
+            Fault::FailAppends { count } => slot.fail_appends = count,
+            Fault::DelayAppend { ms } => slot.delay_append = Some(ms),
+            Fault::RepeatAppend { ms } => slot.repeat_append = Some(ms),
+            Fault::Pause { ms } => self.pause(node, ms),
+            Fault::Kill { ms } => self.kill(node, ms),
+            Fault::Stop { ms } => self.stop(node, ms),
+        }
+    }
+
+    pub(super) fn publish(&mut self, operators: u8) {
+        let prev = self.oracle.truth.config().last();
+        for operator in 0..operators {
+            self.operate(Body::ConfigPublish(ConfigPublish {
+                scope: ConfigScope::Base,
+                prev,
+                text: format!("{operator}").into(),
+            }));
+        }
+    }
+
+    pub(super) fn want(&mut self, engine: u8, version: u8) {
+        let upstream = format!("e{engine}").into();
+        let command = match version {
+            0 => OrderCommand::SetRole {
+                upstream,
+                role: EngineRole::Decode,
+            },
+            1 => OrderCommand::SetRole {
+                upstream,
+                role: EngineRole::Prefill,
+            },
+            _ => OrderCommand::LoadModel {
+                upstream,
+                model: "m".into(),
+                version: "2".into(),
+            },
+        };
+        for node in 0..NODES {
+            let life = self.nodes[node].life;
+            self.give(node, life, Event::OrderWanted(command.clone()));
+        }
+    }
+
+    /// An operator writes a record, if the log is up.
+    pub(super) fn operate(&mut self, body: Body) -> bool {
+        if self.t < self.down_until {
+            return false;
+        }
+        self.ids += 1;
+        let record = Record {
+            id: RecordId(self.ids),
+            author: "operator".into(),
+            at_ms: self.t,
+            schema: SCHEMA,
+            body,
+        };
+        self.write(&record)
+    }
+
+    pub(super) fn grant(&mut self) {
+        self.keys += 1;
+        self.operate(Body::KeyGrant(KeyGrant {
+            key: format!("k{}", self.keys).into(),
+            account: "a".into(),
+            secret_sha256: sha256(SECRET),
+        }));
+    }
+
+    /// The operators' tool offers a withdrawal to all nodes that it reaches until they have it.
+    pub(super) fn withdraw(&mut self, key: &str) {
+        if self.operate(Body::KeyWithdraw(KeyWithdraw { key: key.into() })) {
+            self.oracle.withdrawn.push((self.t, key.into()));
+            self.post(HOP_MS, Message::Offer { left: 20 });
+        }
+    }
+
+    pub(super) fn on_offer(&mut self, left: u32) {
+        for node in 0..NODES {
+            if self.t >= self.nodes[node].cut_peers_until {
+                let (life, next) = (self.nodes[node].life, self.nodes[node].next());
+                let entries = self.entries(next, self.head(), 500);
+                self.answer(HOP_MS, node, life, Event::Offered(entries));
+            }
+        }
+        if left > 0 {
+            self.post(OFFER_EVERY_MS, Message::Offer { left: left - 1 });
+        }
+    }
+
+    pub(super) fn pause(&mut self, node: usize, ms: u64) {
+        if self.nodes[node].node.is_some() {
+            self.nodes[node].paused_until = self.t + ms;
+            self.nodes[node].blame(self.t + ms);
+            self.post(ms, Message::Resume(node));
+        }
+    }
+
+    pub(super) fn kill(&mut self, node: usize, ms: u64) {
+        let end = self.nodes[node].end_if_killed(self.t);
+        self.end(node, end, ms);
+    }
+
+    pub(super) fn stop(&mut self, node: usize, ms: u64) {
+        if self.nodes[node].node.is_some() && !self.nodes[node].is_stopping {
+            self.nodes[node].is_stopping = true;
+            let life = self.nodes[node].life;
+            self.answer(ms % 100, node, life, Event::StopRequested);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/cluster/transport.rs
@@ -0,0 +1,262 @@
+//! The log, the links between the nodes, the fake engines and the fake report interface.
+
+use nutmegbay_core::freshness::LogView;
+use nutmegbay_core::ids::Offset;
+use nutmegbay_core::node::{Event, GatewayNode, TailRead};
+use nutmegbay_core::orders::{OrderAnswer, SendOrder};
+use nutmegbay_core::record::{LeaseRole, Record};
+use nutmegbay_core::usage::SendUsageReport;
+use nutmegbay_core::world::{Append, Moment};
+
+use super::{BUDGET_MS, Cluster, HOP_MS, Message, NODES, SILENCE_MS, TIMEOUT_MS};
+
+impl Cluster {
+    pub(super) fn send_append(&mut self, from: usize, life: u32, append: Append) {
+        let token = append.token;
+        let failed = |may_have_run| Event::AppendFailed {
+            token,
+            may_have_run,
+        };
+        let slot = &mut self.nodes[from];
+        if slot.fail_appends > 0 {
+            slot.fail_appends -= 1;
+            slot.blame(self.t);
+            return self.answer(HOP_MS, from, life, failed(false));
+        }
+        let is_lost = slot.lose_answers > 0;
+        slot.lose_answers = slot.lose_answers.saturating_sub(1);
+        let delay = slot.delay_append.take();
+        if is_lost || delay.is_some() || slot.repeat_append.is_some() {
+            slot.blame(self.t);
+        }
+        let delay = delay.unwrap_or(HOP_MS);
+        if let Some(after) = slot.repeat_append.take() {
+            let append = append.clone();
+            self.post(
+                after,
+                Message::Append {
+                    from,
+                    life,
+                    append,
+                    is_answered: false,
+                },
+            );
+        }
+        let is_answered = !is_lost && delay < TIMEOUT_MS;
+        if !is_answered {
+            self.answer(TIMEOUT_MS, from, life, failed(true));
+        }
+        self.post(
+            delay,
+            Message::Append {
+                from,
+                life,
+                append,
+                is_answered,
+            },
+        );
+    }
+
+    pub(super) fn on_append(&mut self, from: usize, life: u32, append: &Append, is_answered: bool) {
+        let token = append.token;
+        if self.t < self.down_until.max(self.nodes[from].cut_appends_until) {
+            self.nodes[from].blame(self.t);
+            if is_answered {
+                let may_have_run = true;
+                let event = Event::AppendFailed {
+                    token,
+                    may_have_run,
+                };
+                self.answer(HOP_MS, from, life, event);
+            }
+            return;
+        }
+        for record in &append.records {
+            self.write(record);
+        }
+        if is_answered {
+            self.answer(HOP_MS, from, life, Event::AppendDone { token });
+        }
+    }
+
+    /// Puts a record into the log and wakes the waiting reads.
+    pub(super) fn write(&mut self, record: &Record) -> bool {
+        let text = serde_json::to_string(record).unwrap();
+        let is_accepted = self.oracle.on_record(self.t, &text).is_accepted();
+        self.log.push(text.into());
+        for (node, life, offset, started, until) in std::mem::take(&mut self.waiting) {
+            let read = Message::Read {
+                from: node,
+                life,
+                offset,
+                started,
+                until,
+            };
+            self.post(0, read);
+        }
+        is_accepted
+    }
+
+    pub(super) fn on_read(
+        &mut self,
+        from: usize,
+        life: u32,
+        offset: Offset,
+        started: Moment,
+        until: u64,
+    ) {
+        if self.nodes[from].life != life {
+            return;
+        }
+        if self.t < self.down_until.max(self.nodes[from].cut_reads_until) {
+            self.nodes[from].blame(self.t);
+            return self.answer(HOP_MS, from, life, Event::TailFailed);
+        }
+        if offset >= self.head() && self.t < until {
+            // Looked at again with the next record, or when the wait ends.
+            self.waiting.retain(|waiting| waiting.0 != from);
+            self.waiting.push((from, life, offset, started, until));
+            let read = Message::Read {
+                from,
+                life,
+                offset,
+                started,
+                until,
+            };
+            return self.post(until - self.t, read);
+        }
+        let was_answered = !self.nodes[from].answer_read(life, started);
+        if was_answered {
+            return;
+        }
+        let read = TailRead {
+            started,
+            entries: self.entries(offset, self.head(), 200),
+            head: self.head(),
+            oldest: self.oldest(),
+        };
+        let (slow_until, delay) = self.nodes[from].slow;
+        let delay = if self.t < slow_until { delay } else { HOP_MS };
+        self.answer(delay, from, life, Event::TailRead(read));
+    }
+
+    pub(super) fn on_ask(&mut self, from: usize, life: u32, asked: Moment) {
+        for peer in (0..NODES).filter(|peer| *peer != from) {
+            let party = self.nodes[peer].name.clone();
+            if self.are_linked(from, peer) {
+                let view: LogView = self.nodes[peer].view(self.t);
+                self.answer(HOP_MS, from, life, Event::PartyView { party, asked, view });
+            } else {
+                self.answer(SILENCE_MS, from, life, Event::PartySilent(party));
+            }
+        }
+    }
+
+    pub(super) fn on_ask_image(&mut self, from: usize, life: u32, asked: Moment) {
+        for peer in (0..NODES).filter(|peer| *peer != from) {
+            let slot = &self.nodes[peer];
+            let image = slot.node.as_ref().and_then(GatewayNode::image);
+            if let Some(image) = image.filter(|_| self.are_linked(from, peer)) {
+                let (party, view) = (slot.name.clone(), slot.view(self.t));
+                let event = Event::PeerImage {
+                    party,
+                    asked,
+                    view,
+                    image,
+                };
+                self.answer(HOP_MS, from, life, event);
+            }
+        }
+    }
+
+    pub(super) fn send_order(&mut self, from: usize, life: u32, order: SendOrder) {
+        let end = self.t + BUDGET_MS;
+        let id = (LeaseRole::Planner, order.order.0);
+        self.oracle.on_effect(id, order.epoch, from, self.t, end);
+        let is_lost = self.lose_orders > 0;
+        self.lose_orders = self.lose_orders.saturating_sub(1);
+        let delay = self.delay_order.take().unwrap_or(HOP_MS);
+        if let Some(after) = self.repeat_order.take() {
+            let order = order.clone();
+            self.post(
+                after,
+                Message::Order {
+                    from,
+                    life,
+                    order,
+                    is_answered: false,
+                },
+            );
+        }
+        let is_answered = !is_lost && delay < BUDGET_MS;
+        if !is_answered {
+            let event = Event::OrderAnswered(order.order, OrderAnswer::Unknown);
+            self.answer(BUDGET_MS, from, life, event);
+        }
+        // An odd identity loses the order itself, an even one only its answer.
+        if !is_lost || order.order.0.is_multiple_of(2) {
+            self.post(
+                delay,
+                Message::Order {
+                    from,
+                    life,
+                    order,
+                    is_answered,
+                },
+            );
+        }
+    }
+
+    pub(super) fn on_order(
+        &mut self,
+        from: usize,
+        life: u32,
+        order: &SendOrder,
+        is_answered: bool,
+    ) {
+        let upstream = order.command.upstream().unwrap_or_default();
+        let highest = self.engine_epochs.entry(upstream.into()).or_default();
+        let is_current = order.epoch >= *highest;
+        *highest = order.epoch.max(*highest);
+        if is_current {
+            self.oracle.on_order(order);
+        }
+        if is_answered {
+            let answer = if is_current {
+                OrderAnswer::Applied("".into())
+            } else {
+                OrderAnswer::Unknown
+            };
+            self.answer(
+                HOP_MS,
+                from,
+                life,
+                Event::OrderAnswered(order.order, answer),
+            );
+        }
+    }
+
+    pub(super) fn send_report(&mut self, from: usize, life: u32, report: SendUsageReport) {
+        let epoch = self.nodes[from].acting(LeaseRole::Reporter, self.t);
+        let epoch = epoch.unwrap_or_default();
+        let end = self.t + BUDGET_MS;
+        let id = (LeaseRole::Reporter, u128::from(report.window.0));
+        self.oracle.on_effect(id, epoch, from, self.t, end);
+        let is_answered = self.lose_report_answers == 0 && self.t >= self.reports_down_until;
+        self.lose_report_answers = self.lose_report_answers.saturating_sub(1);
+        if !is_answered {
+            let (window, is_taken) = (report.window, false);
+            let event = Event::ReportAnswered { window, is_taken };
+            self.answer(BUDGET_MS, from, life, event);
+        }
+        self.post(
+            HOP_MS,
+            Message::Report {
+                from,
+                life,
+                report,
+                is_answered,
+            },
+        );
+    }
+}
