--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -149,7 +149,10 @@
                 };
                 self.feed(world, input);
             }
-            Event::Peers(peers) => self.freshness.set_peers(peers),
+            Event::Peers(mut peers) => {
+                peers.retain(|peer| *peer != self.cfg.instance);
+                self.freshness.set_peers(peers);
+            }
             Event::PartyView { party, asked, view } => {
                 self.freshness.on_view(&party, asked, view);
                 self.catch_up(world);
@@ -254,6 +257,9 @@
     }
 
     /// Changes the usage windows, when a configuration says so.
+    ///
+    /// The length must not grow while counts of the old length are in the log: window numbers would
+    /// go back, and counts of the new windows would all be late.
     pub fn set_windows(&mut self, terms: WindowTerms) {
         self.meter.set_terms(terms);
         self.reporter.set_terms(terms);
--- a/crates/core/tests/cluster/mod.rs
+++ b/crates/core/tests/cluster/mod.rs
@@ -417,7 +417,7 @@
         }
     }
 
-    fn holders(&self, role: LeaseRole) -> Vec<(usize, Epoch)> {
+    pub fn holders(&self, role: LeaseRole) -> Vec<(usize, Epoch)> {
         let acting = |node: usize| Some((node, self.nodes[node].acting(role, self.t)?));
         (0..NODES).filter_map(acting).collect()
     }
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -11,7 +11,7 @@
     Body, ConfigPublish, ConfigScope, KeyGrant, LeaseChange, LeaseClaim, LeaseRole, Record, SCHEMA,
     SnapshotMark, Usage, UsageCounts,
 };
-use nutmegbay_core::replica::{Reason, Replica};
+use nutmegbay_core::replica::{Applied, Reason, Replica};
 use nutmegbay_core::snapshot::Image;
 use sha2::{Digest, Sha256};
 
@@ -37,6 +37,14 @@
         .unwrap()
     }
 
+    /// Appends a record that a component wrote.
+    pub fn write(&mut self, record: &Record) -> Applied {
+        let text = serde_json::to_string(record).unwrap();
+        let applied = self.replica.apply(self.replica.next(), &text);
+        self.texts.push(text);
+        applied
+    }
+
     /// Appends a record and returns why replay rejected it, if it did.
     pub fn put(&mut self, author: &str, body: Body) -> Option<Reason> {
         let text = self.text(author, body);
--- /dev/null
+++ b/crates/core/tests/freshness_states.rs
@@ -0,0 +1,127 @@
+//! Guards against a gateway that serves keys although it cannot know of a withdrawal, and against one
+//! that refuses them in a plain outage of the log.
+
+mod common;
+
+use std::time::Duration;
+
+use nutmegbay_core::freshness::{Freshness, LogView};
+use nutmegbay_core::ids::Offset;
+use nutmegbay_core::world::Moment;
+
+const NEXT: Offset = Offset(10);
+
+fn at(ms: u64) -> Moment {
+    Moment(Duration::from_millis(ms))
+}
+
+fn view(next: u64, age_ms: u64) -> LogView {
+    LogView {
+        next: Offset(next),
+        fresh_age: Some(Duration::from_millis(age_ms)),
+    }
+}
+
+/// Fresh as of 1,000 ms, with the peers g2 and g3.
+fn fresh() -> Freshness {
+    let mut freshness = Freshness::default();
+    freshness.set_peers(["g2", "g3"]);
+    freshness.on_head(at(1_000));
+    freshness.on_tick(at(1_000), NEXT);
+    assert_eq!(freshness.state(), "fresh");
+    freshness
+}
+
+fn state_at(freshness: &mut Freshness, ms: u64) -> String {
+    freshness.on_tick(at(ms), NEXT);
+    assert_eq!(
+        freshness.may_serve_keyed(at(ms)),
+        freshness.state() != "isolated"
+    );
+    freshness.state().to_owned()
+}
+
+#[test]
+fn silent_peers() {
+    let mut freshness = fresh();
+    assert_eq!(state_at(&mut freshness, 2_499), "fresh");
+    assert_eq!(state_at(&mut freshness, 2_500), "lagging");
+    assert_eq!(state_at(&mut freshness, 3_999), "lagging");
+    assert_eq!(state_at(&mut freshness, 4_000), "isolated");
+    freshness.on_head(at(4_100));
+    assert_eq!(state_at(&mut freshness, 4_110), "fresh");
+}
+
+#[test]
+fn one_missing() {
+    let mut freshness = fresh();
+    freshness.on_view("g2", at(3_900), view(10, 2_900));
+    freshness.on_view("sidecar", at(3_900), view(10, 2_900));
+    assert_eq!(
+        state_at(&mut freshness, 4_050),
+        "isolated",
+        "one peer was not reached, and it may read the log"
+    );
+    freshness.on_view("g3", at(4_100), view(10, 3_000));
+    assert_eq!(state_at(&mut freshness, 4_110), "outage");
+}
+
+#[test]
+fn ended_evidence() {
+    let mut freshness = fresh();
+    for peer in ["g2", "g3"] {
+        freshness.on_view(peer, at(5_000), view(10, 4_500));
+    }
+    assert_eq!(state_at(&mut freshness, 5_010), "outage");
+    // The process was paused, or the peers were cut off: no tick in between.
+    assert!(freshness.may_serve_keyed(at(6_200)));
+    assert!(
+        !freshness.may_serve_keyed(at(6_250)),
+        "old answers of the peers still count as an outage"
+    );
+    freshness.on_silence("g2");
+    assert_eq!(state_at(&mut freshness, 5_020), "isolated");
+}
+
+#[test]
+fn working_peer() {
+    let mut freshness = fresh();
+    freshness.on_view("g2", at(5_000), view(12, 100));
+    freshness.on_view("g3", at(5_000), view(10, 4_000));
+    assert_eq!(
+        state_at(&mut freshness, 5_010),
+        "isolated",
+        "a peer has records that this replica lacks"
+    );
+    assert_eq!(freshness.ahead(NEXT), Some("g2"));
+    // With the peer's records it is as fresh as the peer was, with 5 % for its clock.
+    freshness.on_tick(at(5_020), Offset(12));
+    assert_eq!(freshness.state(), "fresh");
+    let age = freshness.fresh_age(at(5_020)).unwrap();
+    assert_eq!(age, Duration::from_millis(125));
+}
+
+#[test]
+fn unknown_peers() {
+    let mut freshness = Freshness::default();
+    freshness.on_head(at(0));
+    assert_eq!(
+        state_at(&mut freshness, 3_000),
+        "isolated",
+        "an outage was assumed without knowing the peers"
+    );
+    freshness.set_peers(Vec::<Box<str>>::new());
+    assert_eq!(state_at(&mut freshness, 3_010), "outage");
+}
+
+#[test]
+fn never_read() {
+    let mut freshness = Freshness::default();
+    freshness.set_peers(["g2"]);
+    freshness.on_view("g2", at(10), LogView::default());
+    assert_eq!(
+        state_at(&mut freshness, 20),
+        "isolated",
+        "a process without any state served keys"
+    );
+}
--- /dev/null
+++ b/crates/core/tests/lease_clock.rs
@@ -0,0 +1,250 @@
+//! Guards against a holder that acts past its lease, a candidate that claims too early, and an append
+//! that is repeated although it may be in the log.
+
+mod common;
+
+use std::time::Duration;
+
+use common::Log;
+use nutmegbay_core::append::Input;
+use nutmegbay_core::ids::{Epoch, Incarnation, Offset};
+use nutmegbay_core::lease::{LeaseKeeper, LeaseTerms};
+use nutmegbay_core::record::{Body, LeaseRole};
+use nutmegbay_core::replica::Applied;
+use nutmegbay_core::world::{Append, Moment, World};
+
+const BUDGET: Duration = Duration::from_millis(500);
+const ROLE: LeaseRole = LeaseRole::Planner;
+
+/// Clock and appends of one process.
+#[derive(Default)]
+struct Host {
+    now: Moment,
+    random: u128,
+    appends: Vec<Append>,
+}
+
+impl World for Host {
+    type Effect = Append;
+
+    fn now(&self) -> Moment {
+        self.now
+    }
+
+    fn wall_ms(&self) -> u64 {
+        0
+    }
+
+    fn random(&mut self) -> u128 {
+        self.random += 1;
+        self.random
+    }
+
+    fn perform(&mut self, append: Append) {
+        self.appends.push(append);
+    }
+}
+
+/// One process with its keeper.
+struct Process {
+    host: Host,
+    keeper: LeaseKeeper,
+}
+
+impl Process {
+    fn new(name: &str, life: u128) -> Self {
+        let terms = LeaseTerms {
+            claim_spread: Duration::ZERO,
+            ..LeaseTerms::default()
+        };
+        let host = Host {
+            random: life << 64,
+            ..Host::default()
+        };
+        let keeper = LeaseKeeper::new(ROLE, name, Incarnation(life), terms);
+        Self { host, keeper }
+    }
+
+    fn give(&mut self, input: Input<'_>) {
+        self.keeper.on_event(&mut self.host, input);
+    }
+
+    fn at(&mut self, ms: u64) {
+        self.host.now = Moment(Duration::from_millis(ms));
+        self.give(Input::Tick);
+    }
+
+    fn read_head(&mut self) {
+        let started = self.host.now;
+        self.give(Input::HeadRead { started });
+    }
+
+    /// The one append that was asked for.
+    fn take(&mut self) -> Option<Append> {
+        assert!(self.host.appends.len() <= 1, "two appends at once");
+        self.host.appends.pop()
+    }
+
+    fn may_act(&self) -> Option<Epoch> {
+        self.keeper.may_act(self.host.now, BUDGET)
+    }
+}
+
+/// Puts an append into the log and returns what replay said, for all processes to read.
+fn write(log: &mut Log, append: &Append) -> (Offset, Applied) {
+    let offset = log.replica.next();
+    let text = serde_json::to_string(&append.records[0]).unwrap();
+    (offset, log.replica.apply(offset, &text))
+}
+
+/// A process that holds the lease since its claim was sent at 3,350 ms.
+fn holder(log: &mut Log) -> Process {
+    let mut process = Process::new("g1", 1);
+    process.read_head();
+    process.at(3_349);
+    assert!(process.take().is_none(), "a started process did not wait");
+    process.at(3_350);
+    let (offset, applied) = write(log, &process.take().unwrap());
+    process.host.now = Moment(Duration::from_millis(3_800));
+    process.give(Input::Applied(offset, &applied));
+    process
+}
+
+#[test]
+fn counts_from_send() {
+    let mut log = Log::default();
+    let mut process = holder(&mut log);
+    process.host.now = Moment(Duration::from_millis(5_850));
+    assert_eq!(process.may_act(), Some(Epoch(0)));
+    process.host.now = Moment(Duration::from_millis(5_851));
+    assert_eq!(
+        process.may_act(),
+        None,
+        "the lease was counted from the answer, or the send budget was left out"
+    );
+}
+
+#[test]
+fn renewal_extends() {
+    let mut log = Log::default();
+    let mut process = holder(&mut log);
+    process.at(4_400);
+    let renewal = process.take().unwrap();
+    assert!(matches!(renewal.records[0].body, Body::LeaseRenew(_)));
+    process.at(5_800);
+    assert!(process.take().is_none(), "a renewal in flight was repeated");
+    assert!(process.may_act().is_some());
+    let (offset, applied) = write(&mut log, &renewal);
+    process.give(Input::Applied(offset, &applied));
+    process.host.now = Moment(Duration::from_millis(6_900));
+    assert_eq!(process.may_act(), Some(Epoch(0)));
+    process.host.now = Moment(Duration::from_millis(6_901));
+    assert_eq!(process.may_act(), None);
+}
+
+#[test]
+fn lost_answer() {
+    let mut log = Log::default();
+    let mut process = holder(&mut log);
+    process.at(4_400);
+    let renewal = process.take().unwrap();
+    let token = renewal.token;
+    let may_have_run = true;
+    process.at(5_000);
+    process.give(Input::AppendFailed {
+        token,
+        may_have_run,
+    });
+    // A read that started before the loss does not show an append that arrived late.
+    let started = Moment(Duration::from_millis(4_900));
+    process.give(Input::HeadRead { started });
+    process.at(6_000);
+    assert!(
+        process.take().is_none(),
+        "a lost append was repeated blindly"
+    );
+    process.read_head();
+    process.at(6_200);
+    let second = process
+        .take()
+        .expect("no renewal although the first is not in the log");
+    assert_ne!(second.records[0].id, renewal.records[0].id);
+    let (offset, applied) = write(&mut log, &second);
+    process.give(Input::Applied(offset, &applied));
+    // The lost one arrives after all: replay rejects it, and nothing changes.
+    let (offset, applied) = write(&mut log, &renewal);
+    assert!(!applied.is_accepted());
+    process.give(Input::Applied(offset, &applied));
+    assert_eq!(process.may_act(), Some(Epoch(0)));
+}
+
+#[test]
+fn candidate_waits() {
+    let mut log = Log::default();
+    let mut first = holder(&mut log);
+    first.at(4_400);
+    let renewal = first.take().unwrap();
+    let mut second = Process::new("g2", 2);
+    second.give(Input::Loaded(&log.replica));
+    second.read_head();
+    second.at(3_000);
+    let (offset, applied) = write(&mut log, &renewal);
+    second.give(Input::Applied(offset, &applied));
+    second.at(3_000 + 3_349);
+    assert!(
+        second.take().is_none(),
+        "a candidate did not count from the last record that it read"
+    );
+    second.at(3_000 + 3_350);
+    let claim = second.take().unwrap();
+    let (offset, applied) = write(&mut log, &claim);
+    assert!(applied.is_accepted());
+    second.give(Input::Applied(offset, &applied));
+    assert_eq!(second.may_act(), Some(Epoch(2)));
+    first.give(Input::Applied(offset, &applied));
+    assert_eq!(first.keeper.state(), "waiting");
+}
+
+#[test]
+fn planned_stop() {
+    let mut log = Log::default();
+    let mut first = holder(&mut log);
+    let mut second = Process::new("g2", 2);
+    second.give(Input::Loaded(&log.replica));
+    second.read_head();
+    second.at(4_000);
+    first.at(4_100);
+    first.give(Input::Stop);
+    assert_eq!(first.may_act(), None, "a stopping holder acted");
+    let release = first.take().unwrap();
+    let (offset, applied) = write(&mut log, &release);
+    first.give(Input::Applied(offset, &applied));
+    assert!(first.keeper.is_stopped());
+    second.give(Input::Applied(offset, &applied));
+    second.at(4_001);
+    assert!(
+        second.take().is_some(),
+        "the lease was released and not claimed at once"
+    );
+}
+
+#[test]
+fn stop_while_claiming() {
+    let mut log = Log::default();
+    let mut process = Process::new("g1", 1);
+    process.read_head();
+    process.at(3_400);
+    let claim = process.take().unwrap();
+    process.give(Input::Stop);
+    assert!(!process.keeper.is_stopped());
+    let (offset, applied) = write(&mut log, &claim);
+    process.give(Input::Applied(offset, &applied));
+    assert_eq!(process.may_act(), None);
+    let release = process
+        .take()
+        .expect("a stopping process kept a lease that it claimed");
+    let (offset, applied) = write(&mut log, &release);
+    process.give(Input::Applied(offset, &applied));
+    assert!(process.keeper.is_stopped());
+    assert_eq!(log.replica.leases().current(ROLE), None);
+}
--- /dev/null
+++ b/crates/core/tests/order_flow.rs
@@ -0,0 +1,101 @@
+//! Guards against an order without an intent, a second identity for one order, and a forgotten
+//! order of a former holder.
+
+mod common;
+
+use common::Log;
+use common::host::Host;
+use nutmegbay_core::ids::Incarnation;
+use nutmegbay_core::node::{Effect, Event, NodeConfig};
+use nutmegbay_core::orders::{OrderAnswer, SendOrder};
+use nutmegbay_core::record::{EngineRole, OrderCommand};
+
+fn host(name: &str, life: u128) -> Host {
+    let mut host = Host::new(NodeConfig::new(name, Incarnation(life)));
+    host.outside.seed = life << 64;
+    host
+}
+
+fn command(role: EngineRole) -> OrderCommand {
+    let upstream = "e1".into();
+    OrderCommand::SetRole { upstream, role }
+}
+
+fn orders(effects: &[Effect]) -> Vec<SendOrder> {
+    let order = |effect: &Effect| match effect {
+        Effect::SendOrder(order) => Some(order.clone()),
+        _ => None,
+    };
+    effects.iter().filter_map(order).collect()
+}
+
+#[test]
+fn intent_first() {
+    let mut log = Log::default();
+    let mut gateway = host("g1", 1);
+    gateway.run(&mut log, 5_000);
+    gateway.give(Event::OrderWanted(command(EngineRole::Decode)));
+    let unwritten: Vec<Effect> = gateway.outside.effects.iter().cloned().collect();
+    assert!(
+        orders(&unwritten).is_empty(),
+        "an order was sent before its intent was accepted"
+    );
+    let sent = orders(&gateway.pump(&mut log));
+    assert_eq!(sent.len(), 1);
+    assert_eq!(log.replica.orders().outstanding()[0].order, sent[0].order);
+    // The engine is busy: another order for it is dropped.
+    gateway.give(Event::OrderWanted(command(EngineRole::Prefill)));
+    assert!(orders(&gateway.run(&mut log, 400)).is_empty());
+    let applied = OrderAnswer::Applied("done".into());
+    gateway.give(Event::OrderAnswered(sent[0].order, applied));
+    gateway.pump(&mut log);
+    assert!(log.replica.orders().outstanding().is_empty());
+    assert!(log.replica.orders().finished().next().unwrap().applied);
+}
+
+#[test]
+fn successor_finishes() {
+    let mut log = Log::default();
+    let mut first = host("g1", 1);
+    first.run(&mut log, 5_000);
+    first.give(Event::OrderWanted(command(EngineRole::Decode)));
+    let sent = orders(&first.pump(&mut log)).remove(0);
+    // The first process is gone before the answer; another one takes over and repeats the order.
+    let mut second = host("g2", 2);
+    let effects = second.run(&mut log, 5_000);
+    let repeated = orders(&effects).remove(0);
+    assert_eq!(
+        repeated.order, sent.order,
+        "the successor gave the order a new identity"
+    );
+    assert!(repeated.epoch > sent.epoch);
+    second.give(Event::OrderAnswered(repeated.order, OrderAnswer::Unknown));
+    let again = orders(&second.run(&mut log, 2_000));
+    assert!(again.iter().all(|order| order.order == sent.order));
+    assert!(
+        !again.is_empty(),
+        "an order with unknown end was not repeated"
+    );
+    // The former holder wakes up with the answer: it may neither end the order nor send.
+    first.outside.now = second.outside.now;
+    first.give(Event::OrderAnswered(
+        sent.order,
+        OrderAnswer::Refused("old".into()),
+    ));
+    let effects = first.run(&mut log, 1_000);
+    assert!(orders(&effects).is_empty(), "a former holder sent an order");
+    assert_eq!(log.replica.orders().outstanding().len(), 1);
+}
+
+#[test]
+fn without_lease() {
+    let mut log = Log::default();
+    let mut gateway = host("g1", 1);
+    gateway.run(&mut log, 1_000);
+    gateway.give(Event::OrderWanted(command(EngineRole::Decode)));
+    let effects = gateway.run(&mut log, 5_000);
+    assert!(
+        orders(&effects).is_empty(),
+        "a command that was wanted without the lease was sent later"
+    );
+}
