Add policy experiments with fakes on a virtual clock

Cause: the policy has targets that need the real decision code, several gateways and impatient callers in one deterministic run. Change: nutmegbay-load policy with deployments, scenarios, baselines, JSON and a report page; queue learns its drain rate, repeats keep the deadline of the first sending, and a mix change is a reversal of the mix.

--- /dev/null
+++ b/crates/bins/src/bin/nutmegbay-load.rs
@@ -0,0 +1,7 @@
+//! Load tool.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    nutmegbay_load::cli::main()
+}
--- /dev/null
+++ b/crates/load/src/cli.rs
@@ -0,0 +1,165 @@
+//! Command line.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use indicatif::{ProgressBar, ProgressDrawTarget, ProgressStyle};
+use strum::IntoEnumIterator;
+
+use crate::policy::{Deployment, Experiment, Outcome, Policy, Scenario, write_report};
+
+/// Exit code for a command that failed.
+const FAILED: u8 = 1;
+
+/// The command line of `nutmegbay-load`.
+pub fn command() -> Command {
+    Command::new("nutmegbay-load")
+        .about("Drives a running system, runs the policy experiments and measures slopes")
+        .version(clap::crate_version!())
+        .subcommand_required(true)
+        .subcommand(policy_command())
+}
+
+fn policy_command() -> Command {
+    Command::new("policy")
+        .about("Runs the decision code before fakes of the engines on a virtual clock")
+        .arg(names::<Deployment>(
+            "deployment",
+            "Deployment; all if not given",
+        ))
+        .arg(names::<Scenario>("scenario", "Scenario; all if not given"))
+        .arg(names::<Policy>("policy", "Policy; all if not given"))
+        .arg(number("seed", "First seed").default_value("1"))
+        .arg(number("seeds", "Number of seeds; figures are medians").default_value("1"))
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .action(ArgAction::SetTrue)
+                .help("Print JSON in place of a table"),
+        )
+        .arg(
+            Arg::new("report")
+                .long("report")
+                .value_name("DIR")
+                .value_parser(value_parser!(PathBuf))
+                .help("Write a page with plots into this folder"),
+        )
+}
+
+fn names<T: IntoEnumIterator + ToString>(name: &'static str, help: &'static str) -> Arg {
+    let values: Vec<_> = T::iter().map(|value| value.to_string()).collect();
+    Arg::new(name)
+        .long(name)
+        .action(ArgAction::Append)
+        .value_parser(clap::builder::PossibleValuesParser::new(values))
+        .help(help)
+}
+
+fn number(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_parser(value_parser!(u64).range(1..=10_000))
+        .help(help)
+}
+
+/// Runs the command line of this process.
+pub fn main() -> ExitCode {
+    match command().get_matches().subcommand() {
+        Some(("policy", args)) => policy(args),
+        _ => ExitCode::from(FAILED),
+    }
+}
+
+fn policy(args: &ArgMatches) -> ExitCode {
+    let experiment = Experiment {
+        deployments: chosen(args, "deployment"),
+        scenarios: chosen(args, "scenario"),
+        policies: chosen(args, "policy"),
+        seed: args.get_one("seed").copied().unwrap_or(1),
+        seeds: args.get_one("seeds").copied().unwrap_or(1),
+    };
+    // Without a terminal the bar draws nothing.
+    let bar = ProgressBar::with_draw_target(None, ProgressDrawTarget::stderr());
+    if let Ok(style) = ProgressStyle::with_template("{bar:40} {pos}/{len} runs, {eta} left") {
+        bar.set_style(style);
+    }
+    let outcomes = experiment.run(&bar);
+    if args.get_flag("json") {
+        match serde_json::to_string_pretty(&outcomes) {
+            Ok(text) => println!("{text}"),
+            Err(e) => {
+                eprintln!("cannot write JSON: {e}");
+                return ExitCode::from(FAILED);
+            }
+        }
+    } else {
+        print_table(&outcomes);
+    }
+    let Some(dir) = args.get_one::<PathBuf>("report") else {
+        return ExitCode::SUCCESS;
+    };
+    match write_report(dir, &outcomes) {
+        Ok(path) => {
+            eprintln!("report written to {}", path.display());
+            ExitCode::SUCCESS
+        }
+        Err(e) => {
+            eprintln!("cannot write the report to {}: {e}", dir.display());
+            ExitCode::from(FAILED)
+        }
+    }
+}
+
+fn chosen<T>(args: &ArgMatches, name: &str) -> Vec<T>
+where
+    T: IntoEnumIterator + std::str::FromStr + PartialEq,
+{
+    match args.get_many::<String>(name) {
+        Some(values) => values.filter_map(|value| value.parse().ok()).collect(),
+        None => T::iter().collect(),
+    }
+}
+
+fn print_table(outcomes: &[Outcome]) {
+    println!(
+        "{:<12} {:<14} {:<18} {:>9} {:>6} {:>6} {:>6} {:>5} {:>4} {:>7} {:>6} {:>6} {:>6} {:>9} {:>5}",
+        "deployment",
+        "scenario",
+        "policy",
+        "goodput",
+        "ratio",
+        "met",
+        "worst",
+        "roles",
+        "max",
+        "ttft95",
+        "itl95",
+        "dup",
+        "storm",
+        "cost",
+        "back"
+    );
+    for outcome in outcomes {
+        let f = &outcome.figures;
+        println!(
+            "{:<12} {:<14} {:<18} {:>9.0} {:>6.3} {:>6.3} {:>6.3} {:>5} {:>4} {:>7.2} {:>6.3} {:>6.3} {:>6} {:>9.2e} {:>5}",
+            outcome.deployment,
+            outcome.scenario,
+            outcome.policy,
+            f.goodput_tokens_per_s,
+            f.goodput_ratio_to_clairvoyant.unwrap_or(f64::NAN),
+            f.deadline_met_share,
+            f.worst_account_share,
+            f.role_changes,
+            f.role_changes_per_engine_and_mix,
+            f.ttft_p95_s,
+            f.itl_p95_s,
+            f.duplicated_work_share,
+            f.after_storm_ratio
+                .map_or_else(|| "-".into(), |ratio| format!("{ratio:.3}")),
+            f.cost_per_good_token,
+            f.given_back,
+        );
+    }
+}
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -1,1 +1,10 @@
-//! Load and experiment tool.
+//! Load tool: drives a running system, runs the policy experiments and measures slopes.
+#![allow(
+    clippy::cast_precision_loss,
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "token counts and virtual seconds stay far below 2^52"
+)]
+
+pub mod cli;
+pub mod policy;
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -8,11 +8,14 @@
 use slotmap::SlotMap;
 
 use crate::UpstreamKey;
-use crate::cost::{CostModel, usual_batch};
+use crate::cost::CostModel;
 
 /// Age from which a report is stale. Reports come about once a second, so three were missed.
 const STALE_AFTER: Duration = Duration::from_secs(3);
 
+/// Slots assumed until the embedder sets them.
+const DEFAULT_SLOTS: u32 = 64;
+
 /// Pieces remembered per upstream. Beyond it the oldest are forgotten: 4,096 pieces of 2,048
 /// tokens are more than an engine caches, and cost 64 KiB.
 const MAX_PIECES: usize = 4_096;
@@ -58,6 +61,8 @@
     pub role: EngineRole,
     /// Whether new work may be sent: it answers, does not drain and is in no change.
     pub accepting: bool,
+    /// Sequences that it runs in parallel.
+    pub slots: u32,
     report: LoadReport,
     taken: Moment,
     sent: VecDeque<(Moment, f64, u32)>,
@@ -73,6 +78,7 @@
             domain,
             role,
             accepting: true,
+            slots: DEFAULT_SLOTS,
             report: LoadReport {
                 role,
                 ..LoadReport::default()
@@ -115,7 +121,7 @@
         self.upstreams.iter()
     }
 
-    /// Notes a dispatch of `work` engine seconds that brings `decode_tokens` to the upstream.
+    /// Notes a dispatch that brings `work` seconds of prefill and `decode_tokens` to the upstream.
     pub fn dispatched(&mut self, key: UpstreamKey, work: f64, decode_tokens: u32, now: Moment) {
         if let Some(up) = self.upstreams.get_mut(key) {
             up.sent.push_back((now, work, decode_tokens));
@@ -176,35 +182,40 @@
     /// Sequences that run in parallel, with those sent since the report.
     pub fn batch(&self) -> u32 {
         let sent = self.sent.iter().filter(|&&(.., tokens)| tokens > 0).count();
-        (self.report.running + self.report.waiting + sent as u32).max(1)
+        self.report.running + self.report.waiting + sent as u32
     }
 
-    /// Engine seconds of work that wait at the upstream: the report, drained by its age, plus
+    /// Seconds until prefill of a new request starts: the report, drained by its age, plus
     /// dispatches since.
     ///
     /// A stale report would drain to nothing and attract all work, so that unfinished work of this
     /// gateway is the lower bound and the time without a report is added.
     pub fn backlog(&self, cost: &CostModel, now: Moment) -> f64 {
-        let report = &self.report;
-        let batch = (report.running + report.waiting)
-            .max(usual_batch(self.role))
-            .max(1);
-        let mut work = cost.prefill(report.prefill_tokens.min(u64::from(u32::MAX)) as u32)
-            + cost.decode(
-                report.decode_tokens.min(u64::from(u32::MAX)) as u32,
-                batch.min(64),
-            );
+        let rate = prefill_rate(self.role);
+        let mut work = cost.prefill(self.report.prefill_tokens.min(u64::from(u32::MAX)) as u32);
         let mut at = self.taken;
         for &(moment, sent, _) in &self.sent {
-            work = (work - moment.since(at).as_secs_f64()).max(0.0) + sent;
+            work = (work - moment.since(at).as_secs_f64() * rate).max(0.0) + sent;
             at = at.max(moment);
         }
-        work = (work - now.since(at).as_secs_f64()).max(0.0);
+        work = (work - now.since(at).as_secs_f64() * rate).max(0.0);
         if !self.is_stale(now) {
-            return work;
+            return work / rate;
         }
         let silent = now.since(self.taken).saturating_sub(STALE_AFTER);
-        work.max(self.in_flight_work) + silent.as_secs_f64()
+        work.max(self.in_flight_work) / rate + silent.as_secs_f64()
+    }
+
+    /// Seconds until a slot for a new sequence is free.
+    pub fn slot_wait(&self, cost: &CostModel) -> f64 {
+        let batch = self.batch();
+        if batch < self.slots {
+            return 0.0;
+        }
+        let running = self.report.running.max(1);
+        let tokens = self.report.decode_tokens as f64 / f64::from(running + self.report.waiting);
+        let turn = tokens * cost.step(running) / f64::from(running);
+        f64::from(batch - self.slots + 1) * turn
     }
 
     /// Cached pieces, for updates.
@@ -306,3 +317,12 @@
         }
     }
 }
+
+/// Seconds of prefill that an engine does per second beside its other work.
+fn prefill_rate(role: EngineRole) -> f64 {
+    match role {
+        EngineRole::Prefill => 1.0,
+        EngineRole::Mixed => 0.75,
+        EngineRole::Decode => 0.5,
+    }
+}
--- a/crates/policy/src/join.rs
+++ b/crates/policy/src/join.rs
@@ -16,6 +16,10 @@
 /// Age at which a run is announced to peers. Shorter runs end before their caller loses patience.
 const ANNOUNCE_AFTER: Duration = Duration::from_millis(250);
 
+/// Time for which a request is remembered after it was seen last. Refused callers repeat at once,
+/// so a pause this long means that the caller has given up.
+const SEEN_FOR: Duration = Duration::from_secs(5);
+
 /// Time for which a peer's announcement holds without being repeated.
 const ANNOUNCED_FOR: Duration = Duration::from_secs(2);
 
@@ -30,6 +34,13 @@
     flights: SlotMap<FlightKey, Flight>,
     local: HashMap<(AccountKey, Fingerprint), FlightKey>,
     remote: HashMap<(AccountKey, Fingerprint), (P, Moment)>,
+    seen: HashMap<(AccountKey, Fingerprint), Seen>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Seen {
+    first: Moment,
+    last: Moment,
 }
 
 #[derive(Debug)]
@@ -57,11 +68,28 @@
             flights: SlotMap::with_key(),
             local: HashMap::new(),
             remote: HashMap::new(),
+            seen: HashMap::new(),
         }
     }
 }
 
 impl<P: Copy + PartialEq> JoinTable<P> {
+    /// Moment at which a request was seen first, now if it was not seen lately.
+    ///
+    /// A repeat after a refusal keeps the deadline of the first sending: with a new one, work is
+    /// done for callers who have given up, and each repeat counts as new demand.
+    pub fn first_seen(&mut self, account: AccountKey, work: Fingerprint, now: Moment) -> Moment {
+        let entry = self.seen.entry((account, work)).or_insert(Seen {
+            first: now,
+            last: now,
+        });
+        if now.since(entry.last) > SEEN_FOR {
+            entry.first = now;
+        }
+        entry.last = now;
+        entry.first
+    }
+
     /// Enters a request.
     pub fn enter(&mut self, account: AccountKey, work: Fingerprint, now: Moment) -> Join<P> {
         let id = (account, work);
@@ -129,6 +157,7 @@
         for &key in &keys {
             self.finish(key);
         }
+        self.seen.retain(|_, seen| now.since(seen.last) <= SEEN_FOR);
         keys
     }
 
--- a/crates/policy/src/plan/capacity.rs
+++ b/crates/policy/src/plan/capacity.rs
@@ -96,13 +96,36 @@
     }
 }
 
-/// Share of prefill at which an engine was changed last, to tell whether the mix has changed since.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Mix(pub f64);
+/// Tells changes of the mix apart from noise: a change is a move by a step against the direction
+/// of the last one.
+///
+/// A mix that goes on in one direction is the same change, however long its ramp, so that an
+/// engine is not changed at every step of it.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct MixTracker {
+    epoch: u32,
+    extreme: Option<f64>,
+    rising: Option<bool>,
+}
+
+impl MixTracker {
+    /// Takes the current share of prefill; `step` is the smallest move that counts.
+    pub fn sample(&mut self, share: f64, step: f64) {
+        let extreme = *self.extreme.get_or_insert(share);
+        let moved = share - extreme;
+        match self.rising {
+            Some(rising) if rising == (moved > 0.0) => self.extreme = Some(share),
+            _ if moved.abs() >= step => {
+                self.epoch += 1;
+                self.rising = Some(moved > 0.0);
+                self.extreme = Some(share);
+            }
+            _ => {}
+        }
+    }
 
-impl Mix {
-    /// Whether `now` is another mix by at least `step`.
-    pub fn differs(self, now: Self, step: f64) -> bool {
-        (self.0 - now.0).abs() >= step
+    /// Number of changes so far.
+    pub fn epoch(&self) -> u32 {
+        self.epoch
     }
 }
--- a/crates/policy/src/plan/mod.rs
+++ b/crates/policy/src/plan/mod.rs
@@ -14,7 +14,7 @@
 use crate::UpstreamKey;
 
 pub use baseline::{Clairvoyant, StaticRoles};
-pub use capacity::{Mix, RoleCounts, Shape};
+pub use capacity::{MixTracker, RoleCounts, Shape};
 pub use forecast::Forecast;
 pub use role::RolePlanner;
 
--- a/crates/policy/src/plan/role.rs
+++ b/crates/policy/src/plan/role.rs
@@ -7,7 +7,9 @@
 use nutmegbay_core::world::Moment;
 use slotmap::SecondaryMap;
 
-use super::{Demand, EngineView, Engines, Forecast, Mix, Order, PlanSettings, Planner, RoleCounts};
+use super::{
+    Demand, EngineView, Engines, Forecast, MixTracker, Order, PlanSettings, Planner, RoleCounts,
+};
 use crate::UpstreamKey;
 
 /// Age of a report from which an engine counts as lost for planning.
@@ -31,6 +33,7 @@
     evaluated: Option<Moment>,
     pending: SecondaryMap<UpstreamKey, Pending>,
     changed: SecondaryMap<UpstreamKey, Changed>,
+    mix: MixTracker,
     fleet: FleetSize,
 }
 
@@ -45,7 +48,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Changed {
     at: Moment,
-    mix: Mix,
+    epoch: u32,
 }
 
 /// Memory for ordering and giving back.
@@ -66,6 +69,7 @@
             evaluated: None,
             pending: SecondaryMap::new(),
             changed: SecondaryMap::new(),
+            mix: MixTracker::default(),
             fleet: FleetSize::default(),
         }
     }
@@ -112,18 +116,20 @@
         }
     }
 
-    fn may_change(&self, key: UpstreamKey, engine: &EngineView, mix: Mix, now: Moment) -> bool {
+    fn may_change(&self, key: UpstreamKey, engine: &EngineView, now: Moment) -> bool {
         is_usable(engine)
             && !self.pending.contains_key(key)
             && self.changed.get(key).is_none_or(|changed| {
-                changed.mix.differs(mix, self.settings.mix_step)
+                changed.epoch != self.mix.epoch()
                     && now.since(changed.at) >= self.settings.interval + self.settings.change
             })
     }
 
     /// Orders role changes, the one with the highest gain first.
     fn roles(&mut self, engines: &Engines, demand: Demand, now: Moment, orders: &mut Vec<Order>) {
-        let mix = Mix(demand.prefill_share());
+        self.mix
+            .sample(demand.prefill_share(), self.settings.mix_step);
+        let epoch = self.mix.epoch();
         let mut counts = RoleCounts::of(engines, |key| self.role(key, &engines[key]));
         let shape = self.settings.shape;
         let in_change = self
@@ -135,7 +141,7 @@
             let current = counts.value(demand, &shape);
             let mut best: Option<(f64, UpstreamKey, EngineRole)> = None;
             for (key, engine) in engines {
-                if !self.may_change(key, engine, mix, now) {
+                if !self.may_change(key, engine, now) {
                     continue;
                 }
                 for to in [EngineRole::Prefill, EngineRole::Decode, EngineRole::Mixed] {
@@ -156,7 +162,7 @@
             counts = counts.changed(engines[key].role, role);
             let order = Order::SetRole(key, role);
             self.pending.insert(key, Pending { order, since: now });
-            self.changed.insert(key, Changed { at: now, mix });
+            self.changed.insert(key, Changed { at: now, epoch });
             orders.push(order);
         }
     }
--- a/crates/policy/src/queue/fair.rs
+++ b/crates/policy/src/queue/fair.rs
@@ -14,6 +14,12 @@
 /// account that was served alone for an hour would then wait for an hour.
 const MAX_LEAD_S: f64 = 10.0;
 
+/// Time over which one sample of the drain rate is taken.
+const DRAIN_SAMPLE: Duration = Duration::from_secs(1);
+
+/// Weight of one sample of the drain rate.
+const DRAIN_GAIN: f64 = 0.3;
+
 /// Start-time fair queueing: each account has a start tag that grows by cost over share, and the
 /// account with the smallest tag goes first. Within an account, priority and deadline decide.
 #[derive(Debug)]
@@ -22,6 +28,7 @@
     order: BTreeSet<(Tag, AccountKey)>,
     virtual_time: f64,
     rate: f64,
+    drain: Drain,
     queued: usize,
     queued_cost: f64,
     active_share: f64,
@@ -29,6 +36,41 @@
     seq: u64,
 }
 
+/// Rate at which work leaves the queue while some waits.
+#[derive(Debug, Default)]
+struct Drain {
+    since: Option<Moment>,
+    popped: f64,
+    rate: Option<f64>,
+}
+
+impl Drain {
+    fn popped(&mut self, cost: f64, still_waiting: bool, now: Moment) {
+        if !still_waiting {
+            self.since = None;
+            self.popped = 0.0;
+            return;
+        }
+        self.popped += cost;
+        self.tick(now);
+    }
+
+    fn tick(&mut self, now: Moment) {
+        let since = *self.since.get_or_insert(now);
+        let time = now.since(since);
+        if time < DRAIN_SAMPLE {
+            return;
+        }
+        let rate = self.popped / time.as_secs_f64();
+        self.rate = Some(
+            self.rate
+                .map_or(rate, |old| old + DRAIN_GAIN * (rate - old)),
+        );
+        self.since = Some(now);
+        self.popped = 0.0;
+    }
+}
+
 #[derive(Debug)]
 struct Backlog<T> {
     share: f64,
@@ -96,6 +138,7 @@
             order: BTreeSet::new(),
             virtual_time: 0.0,
             rate: 1.0,
+            drain: Drain::default(),
             queued: 0,
             queued_cost: 0.0,
             active_share: 0.0,
@@ -128,7 +171,23 @@
         let lead = (backlog.tag - self.virtual_time).max(0.0) * backlog.share;
         let own = (before + lead) * active / backlog.share;
         let ahead = own.min(self.queued_cost);
-        Duration::from_secs_f64((ahead / self.rate.max(1e-6)).min(86_400.0))
+        let rate = self
+            .drain
+            .rate
+            .map_or(self.rate, |drain| drain.clamp(self.rate * 0.05, self.rate));
+        Duration::from_secs_f64((ahead / rate.max(1e-6)).min(86_400.0))
+    }
+
+    fn insert(&mut self, entry: Entry<T>) {
+        let account = entry.ticket.account;
+        if self.accounts[account].tickets.is_empty() {
+            self.wake(account);
+        }
+        let backlog = &mut self.accounts[account];
+        backlog.cost += entry.ticket.cost;
+        self.queued_cost += entry.ticket.cost;
+        self.queued += 1;
+        backlog.tickets.push(entry);
     }
 
     fn wake(&mut self, account: AccountKey) {
@@ -207,20 +266,15 @@
                 retry_after: wait,
             });
         }
-        if self.accounts[account].tickets.is_empty() {
-            self.wake(account);
-        }
-        let backlog = &mut self.accounts[account];
-        backlog.cost += ticket.cost;
-        self.queued_cost += ticket.cost;
-        self.queued += 1;
         self.seq += 1;
-        let seq = self.seq;
-        backlog.tickets.push(Entry { seq, ticket });
+        self.insert(Entry {
+            seq: self.seq,
+            ticket,
+        });
         Ok(())
     }
 
-    fn pop(&mut self, _now: Moment) -> Option<Ticket<T>> {
+    fn pop(&mut self, now: Moment) -> Option<Ticket<T>> {
         let &(tag, account) = self.order.first()?;
         let ticket = self.accounts[account].tickets.pop()?.ticket;
         self.virtual_time = self.virtual_time.max(tag.0);
@@ -235,9 +289,22 @@
         } else {
             self.retag(account, step);
         }
+        self.drain.popped(ticket.cost, self.queued > 0, now);
         Some(ticket)
     }
 
+    fn put_back(&mut self, ticket: Ticket<T>) {
+        let account = ticket.account;
+        self.drain.popped = (self.drain.popped - ticket.cost).max(0.0);
+        let step = ticket.cost / self.accounts[account].share;
+        if self.accounts[account].tickets.is_empty() {
+            self.accounts[account].tag -= step;
+        } else {
+            self.retag(account, -step);
+        }
+        self.insert(Entry { seq: 0, ticket });
+    }
+
     fn expire(&mut self, now: Moment) -> Vec<Ticket<T>> {
         let mut late = Vec::new();
         let waiting: Vec<_> = self.order.iter().map(|&(_, account)| account).collect();
--- a/crates/policy/src/queue/fifo.rs
+++ b/crates/policy/src/queue/fifo.rs
@@ -35,6 +35,10 @@
         self.tickets.pop_front()
     }
 
+    fn put_back(&mut self, ticket: Ticket<T>) {
+        self.tickets.push_front(ticket);
+    }
+
     fn expire(&mut self, now: Moment) -> Vec<Ticket<T>> {
         let (late, kept) = std::mem::take(&mut self.tickets)
             .into_iter()
--- a/crates/policy/src/queue/mod.rs
+++ b/crates/policy/src/queue/mod.rs
@@ -50,6 +50,9 @@
     /// Takes the next ticket.
     fn pop(&mut self, now: Moment) -> Option<Ticket<T>>;
 
+    /// Puts back the ticket that [`Self::pop`] returned last, as if it had not been taken.
+    fn put_back(&mut self, ticket: Ticket<T>);
+
     /// Removes the tickets whose deadline has passed.
     fn expire(&mut self, now: Moment) -> Vec<Ticket<T>>;
 
--- a/crates/policy/src/route/baseline.rs
+++ b/crates/policy/src/route/baseline.rs
@@ -90,6 +90,7 @@
         upstream,
         cache,
         cached_tokens: 0,
+        wait: Duration::ZERO,
         first_token: Duration::ZERO,
     })
 }
--- a/crates/policy/src/route/load.rs
+++ b/crates/policy/src/route/load.rs
@@ -12,6 +12,9 @@
 use crate::cost::CostModel;
 use crate::fleet::Fleet;
 
+/// Waiting prefill from which on a mixed engine has some in every step.
+const BUSY_S: f64 = 0.2;
+
 /// Settings of a [`LoadRouter`].
 #[derive(Debug, Clone, Copy)]
 pub struct LoadRouterSettings {
@@ -21,6 +24,8 @@
     pub transfer_s_per_token: f64,
     /// Fixed seconds of a cache transfer.
     pub transfer_base_s: f64,
+    /// Prompt tokens that a mixed engine adds to a step.
+    pub chunk_tokens: u32,
     /// Scores closer than this are a tie, decided by failure domain.
     pub tie_s: f64,
 }
@@ -31,6 +36,7 @@
             candidates: 2,
             transfer_s_per_token: 4e-6,
             transfer_base_s: 0.01,
+            chunk_tokens: 512,
             tie_s: 0.005,
         }
     }
@@ -46,7 +52,7 @@
     tied: Vec<UpstreamKey>,
 }
 
-/// A way to run a request, with its seconds to the first token and its engine seconds.
+/// A way to run a request, with the seconds until its answer is complete.
 #[derive(Debug, Clone, Copy)]
 struct Plan {
     choice: Choice,
@@ -54,6 +60,15 @@
     domain: u16,
 }
 
+/// What a plan is made for.
+#[derive(Clone, Copy)]
+struct View<'a> {
+    ask: &'a Ask<'a>,
+    fleet: &'a Fleet,
+    cost: &'a CostModel,
+    now: Moment,
+}
+
 impl LoadRouter {
     /// Creates a router. Gateways need different seeds: with equal ones they choose alike.
     pub fn new(seed: u64, settings: LoadRouterSettings) -> Self {
@@ -66,22 +81,23 @@
     }
 
     /// Fills `self.pool` with random candidates of a role and the best prefix holder among them.
-    fn draw(&mut self, ask: &Ask<'_>, fleet: &Fleet, role: fn(EngineRole) -> bool, count: usize) {
+    fn draw(&mut self, view: View<'_>, role: fn(EngineRole) -> bool) {
         self.pool.clear();
         self.tied.clear();
-        let mut most = 0;
-        for (key, up) in eligible(fleet, ask, role) {
+        let pieces = view.ask.pieces;
+        let mut most = 1;
+        for (key, up) in eligible(view.fleet, view.ask, role) {
             self.pool.push(key);
-            let cached = if ask.pieces.is_empty() {
+            let cached = if pieces.is_empty() {
                 0
             } else {
-                up.cached(ask.pieces)
+                up.cached(pieces)
             };
             if cached > most {
                 most = cached;
                 self.tied.clear();
             }
-            if cached == most && cached > 0 {
+            if cached == most {
                 self.tied.push(key);
             }
         }
@@ -89,7 +105,7 @@
             0 => None,
             n => Some(self.tied[self.rng.random_range(0..n)]),
         };
-        let count = count.min(self.pool.len());
+        let count = self.settings.candidates.min(self.pool.len());
         for i in 0..count {
             let j = self.rng.random_range(i..self.pool.len());
             self.pool.swap(i, j);
@@ -100,33 +116,30 @@
         }
     }
 
+    /// Best plan over the drawn candidates.
+    fn best(&self, domain: u16, plan: impl Fn(UpstreamKey) -> Option<Plan>) -> Option<Plan> {
+        self.pool
+            .iter()
+            .filter_map(|&key| plan(key))
+            .reduce(|best, next| better(best, next, domain, self.settings.tie_s))
+    }
+
     fn transfer(&self, tokens: u32) -> f64 {
         self.settings.transfer_base_s + f64::from(tokens) * self.settings.transfer_s_per_token
     }
 
     /// Prefill and generation on one upstream, with an import of the prefix where that is cheaper.
-    fn plan_own(
-        &mut self,
-        ask: &Ask<'_>,
-        fleet: &Fleet,
-        cost: &CostModel,
-        now: Moment,
-    ) -> Option<Plan> {
-        self.draw(
-            ask,
-            fleet,
-            |role| role == EngineRole::Mixed,
-            self.settings.candidates,
-        );
+    fn plan_own(&mut self, view: View<'_>, role: fn(EngineRole) -> bool) -> Option<Plan> {
+        self.draw(view, role);
+        let (ask, cost) = (view.ask, view.cost);
         let holder = self
             .pool
             .iter()
-            .filter_map(|&key| Some((ask.uncached(fleet.get(key)?), key)))
+            .filter_map(|&key| Some((ask.uncached(view.fleet.get(key)?), key)))
             .min();
-        let mut best: Option<Plan> = None;
-        for &key in &self.pool {
-            let Some(up) = fleet.get(key) else { continue };
-            let uncached = ask.uncached(up);
+        self.best(ask.domain, |key| {
+            let up = view.fleet.get(key)?;
+            let mut uncached = ask.uncached(up);
             let mut prefill = cost.prefill(uncached);
             let mut cache = CacheFrom::Own;
             match holder {
@@ -134,115 +147,77 @@
                     let import = self.transfer(ask.prompt_tokens - least) + cost.prefill(least);
                     if import < prefill {
                         prefill = import;
+                        uncached = least;
                         cache = CacheFrom::Holder(from);
                     }
                 }
                 _ => {}
             }
-            let batch = up.batch();
-            let score = up.backlog(cost, now) + prefill + cost.step(batch);
-            let plan = Plan {
+            let wait = up.backlog(cost, view.now) + up.slot_wait(cost);
+            // Prefill of others takes part of each step of a mixed engine while any waits.
+            let busy = (wait / BUSY_S).min(1.0);
+            let step = cost.step(up.batch() + 1) + busy * cost.prefill(self.settings.chunk_tokens);
+            let first = wait + prefill + step;
+            Some(Plan {
                 choice: Choice {
                     upstream: key,
                     cache,
                     cached_tokens: ask.prompt_tokens - uncached,
-                    first_token: Duration::from_secs_f64(score),
+                    wait: Duration::from_secs_f64(wait),
+                    first_token: Duration::from_secs_f64(first),
                 },
-                score,
+                score: first + f64::from(ask.output_tokens) * step,
                 domain: up.domain,
-            };
-            best = Some(better(best, plan, ask.domain, self.settings.tie_s));
-        }
-        best
+            })
+        })
     }
 
     /// Prefill on one upstream and generation on another.
-    fn plan_split(
-        &mut self,
-        ask: &Ask<'_>,
-        fleet: &Fleet,
-        cost: &CostModel,
-        now: Moment,
-    ) -> Option<Plan> {
-        self.draw(
-            ask,
-            fleet,
-            |role| role == EngineRole::Prefill,
-            self.settings.candidates,
-        );
-        let mut first: Option<Plan> = None;
-        for &key in &self.pool {
-            let Some(up) = fleet.get(key) else { continue };
+    fn plan_split(&mut self, view: View<'_>) -> Option<Plan> {
+        let (ask, cost) = (view.ask, view.cost);
+        self.draw(view, |role| role == EngineRole::Prefill);
+        let first = self.best(ask.domain, |key| {
+            let up = view.fleet.get(key)?;
             let uncached = ask.uncached(up);
-            let score = up.backlog(cost, now) + cost.prefill(uncached);
-            let plan = Plan {
+            let wait = up.backlog(cost, view.now);
+            let score = wait + cost.prefill(uncached);
+            Some(Plan {
                 choice: Choice {
                     upstream: key,
                     cache: CacheFrom::Own,
                     cached_tokens: ask.prompt_tokens - uncached,
+                    wait: Duration::from_secs_f64(wait),
                     first_token: Duration::from_secs_f64(score),
                 },
                 score,
                 domain: up.domain,
-            };
-            first = Some(better(first, plan, ask.domain, self.settings.tie_s));
-        }
-        let first = first?;
-        self.draw(
-            ask,
-            fleet,
-            |role| role == EngineRole::Decode,
-            self.settings.candidates,
-        );
-        let mut best: Option<Plan> = None;
-        for &key in &self.pool {
-            let Some(up) = fleet.get(key) else { continue };
-            let score = first.score
-                + self.transfer(ask.prompt_tokens)
-                + up.backlog(cost, now)
-                + cost.step(up.batch());
-            let plan = Plan {
-                choice: Choice {
-                    upstream: key,
-                    cache: CacheFrom::Prefill(first.choice.upstream),
-                    cached_tokens: first.choice.cached_tokens,
-                    first_token: Duration::from_secs_f64(score),
-                },
-                score,
-                domain: up.domain,
-            };
-            best = Some(better(best, plan, first.domain, self.settings.tie_s));
-        }
-        best
+            })
+        })?;
+        self.plan_decode(view, &first)
     }
 
-    /// Any upstream that accepts work, for fleets that lost all of a role.
-    fn plan_any(
-        &mut self,
-        ask: &Ask<'_>,
-        fleet: &Fleet,
-        cost: &CostModel,
-        now: Moment,
-    ) -> Option<Plan> {
-        self.draw(ask, fleet, |_| true, self.settings.candidates);
-        let mut best: Option<Plan> = None;
-        for &key in &self.pool {
-            let Some(up) = fleet.get(key) else { continue };
-            let uncached = ask.uncached(up);
-            let score = up.backlog(cost, now) + cost.prefill(uncached);
-            let plan = Plan {
+    /// Generation on a decode upstream after the prefill in `first`.
+    fn plan_decode(&mut self, view: View<'_>, first: &Plan) -> Option<Plan> {
+        let (ask, cost) = (view.ask, view.cost);
+        self.draw(view, |role| role == EngineRole::Decode);
+        let moved = first.score + self.transfer(ask.prompt_tokens);
+        self.best(first.domain, |key| {
+            let up = view.fleet.get(key)?;
+            let step = cost.step(up.batch() + 1);
+            let slot_wait = up.slot_wait(cost);
+            let start = moved + slot_wait + step;
+            Some(Plan {
                 choice: Choice {
                     upstream: key,
-                    cache: CacheFrom::Own,
-                    cached_tokens: ask.prompt_tokens - uncached,
-                    first_token: Duration::from_secs_f64(score),
+                    cache: CacheFrom::Prefill(first.choice.upstream),
+                    wait: first.choice.wait.max(Duration::from_secs_f64(slot_wait)),
+                    first_token: Duration::from_secs_f64(start),
+                    ..first.choice
                 },
-                score,
+                score: start + f64::from(ask.output_tokens) * step,
                 domain: up.domain,
-            };
-            best = Some(better(best, plan, ask.domain, self.settings.tie_s));
-        }
-        best
+            })
+        })
     }
 }
 
@@ -254,30 +229,64 @@
         cost: &CostModel,
         now: Moment,
     ) -> Option<Choice> {
-        let own = self.plan_own(ask, fleet, cost, now);
-        let split = self.plan_split(ask, fleet, cost, now);
+        let view = View {
+            ask,
+            fleet,
+            cost,
+            now,
+        };
+        let own = self.plan_own(view, |role| role == EngineRole::Mixed);
+        let split = self.plan_split(view);
         let best = match (own, split) {
             (Some(own), Some(split)) if split.score < own.score => Some(split),
             (Some(own), _) => Some(own),
             (None, split) => split,
         };
-        best.or_else(|| self.plan_any(ask, fleet, cost, now))
+        // A fleet that lost all engines of a role still serves on the others.
+        best.or_else(|| self.plan_own(view, |_| true))
             .map(|plan| plan.choice)
     }
+
+    fn hand_over(
+        &mut self,
+        ask: &Ask<'_>,
+        fleet: &Fleet,
+        cost: &CostModel,
+        now: Moment,
+    ) -> Option<UpstreamKey> {
+        let view = View {
+            ask,
+            fleet,
+            cost,
+            now,
+        };
+        self.draw(view, |role| role != EngineRole::Prefill);
+        self.best(ask.domain, |key| {
+            let up = fleet.get(key)?;
+            let step = cost.step(up.batch() + 1);
+            Some(Plan {
+                choice: Choice {
+                    upstream: key,
+                    cache: CacheFrom::Own,
+                    cached_tokens: 0,
+                    wait: Duration::ZERO,
+                    first_token: Duration::ZERO,
+                },
+                score: up.slot_wait(cost) + f64::from(ask.output_tokens) * step,
+                domain: up.domain,
+            })
+        })
+        .map(|plan| plan.choice.upstream)
+    }
 }
 
 /// The plan with the lower score; on a tie the one in `domain`.
-fn better(best: Option<Plan>, plan: Plan, domain: u16, tie_s: f64) -> Plan {
-    match best {
-        None => plan,
-        Some(best) if (best.score - plan.score).abs() < tie_s => {
-            if plan.domain == domain && best.domain != domain {
-                plan
-            } else {
-                best
-            }
-        }
-        Some(best) if plan.score < best.score => plan,
-        Some(best) => best,
-    }
+fn better(best: Plan, next: Plan, domain: u16, tie_s: f64) -> Plan {
+    let is_tie = (best.score - next.score).abs() < tie_s;
+    let next_wins = if is_tie {
+        next.domain == domain && best.domain != domain
+    } else {
+        next.score < best.score
+    };
+    if next_wins { next } else { best }
 }
--- a/crates/policy/src/route/mod.rs
+++ b/crates/policy/src/route/mod.rs
@@ -49,6 +49,8 @@
     pub cache: CacheFrom,
     /// Prompt tokens expected to be in the cache of the upstream that does the prefill.
     pub cached_tokens: u32,
+    /// Estimated time until the upstream that does the prefill starts on it.
+    pub wait: Duration,
     /// Estimated time to the first token.
     pub first_token: Duration,
 }
@@ -74,6 +76,18 @@
         cost: &CostModel,
         now: Moment,
     ) -> Option<Choice>;
+
+    /// Chooses where a request goes on whose prefill has ended elsewhere, with what is known by
+    /// then; none keeps the earlier choice.
+    fn hand_over(
+        &mut self,
+        _ask: &Ask<'_>,
+        _fleet: &Fleet,
+        _cost: &CostModel,
+        _now: Moment,
+    ) -> Option<UpstreamKey> {
+        None
+    }
 }
 
 /// Upstreams that may take `ask` and fit `role`.
