Fuzz at-most-once calls with gateways and sidecars in memory

Change: histories of calls, retries, kills, pauses, log outages and lost, late and repeated messages run against coordinators, guards and fake services; plain predicates check what the services saw and what callers were told. Found by it and fixed: an attempt sent to a later life of its sidecar, whose refusal was lost, ended as "may have run"; the later life now remembers that the attempt arrived there. The tests `other_life` of guard and sidecar expect that now; before the arrival they still expect `OtherIncarnation`.

Conclusion: a "not run" verdict covers the other requests of the call that had ended before; requests alive at the same time get their own.

--- a/crates/core/src/guard/mod.rs
+++ b/crates/core/src/guard/mod.rs
@@ -167,6 +167,7 @@
             AttemptState::Unknown => false,
         };
         if !runs_anyway {
+            self.note_foreign(attempt, &state);
             return Admission::Known(state);
         }
         self.set(attempt, AttemptState::Running);
@@ -176,7 +177,12 @@
     /// What is known of an attempt.
     pub fn state(&self, attempt: AttemptRef) -> AttemptState {
         if attempt.sidecar != self.me {
-            return AttemptState::OtherIncarnation;
+            let is_refused = self.attempts.contains_key(&(attempt.call, attempt.number));
+            return if is_refused {
+                AttemptState::Fenced
+            } else {
+                AttemptState::OtherIncarnation
+            };
         }
         match self.attempts.get(&(attempt.call, attempt.number)) {
             Some(entry) => entry.state.clone(),
@@ -189,9 +195,24 @@
         }
     }
 
+    /// Refuses an attempt that has arrived, for another reason than the tables give. If this returns
+    /// `Fenced`, it did not run and a late duplicate will not run either.
+    pub fn refuse(&mut self, attempt: AttemptRef) -> AttemptState {
+        let state = self.fence(attempt);
+        self.note_foreign(attempt, &state);
+        state
+    }
+
+    /// Remembers that an attempt bound to another life arrived here. Each attempt is sent once, so
+    /// the other life never had it: a gateway that lost the refusal can still learn that it did not
+    /// run.
+    fn note_foreign(&mut self, attempt: AttemptRef, state: &AttemptState) {
+        if *state == AttemptState::OtherIncarnation {
+            self.set(attempt, AttemptState::Fenced);
+        }
+    }
+
     /// Promises never to run an attempt that has not arrived; otherwise tells what is known of it.
-    /// A sidecar that refuses an attempt as not run must call this first, so that a late duplicate
-    /// of the attempt is refused as well.
     pub fn fence(&mut self, attempt: AttemptRef) -> AttemptState {
         let state = self.state(attempt);
         if state != AttemptState::NotSeen {
--- a/crates/core/tests/guard_promises.rs
+++ b/crates/core/tests/guard_promises.rs
@@ -49,8 +49,10 @@
     let mut guard = Guard::new(Incarnation(8), Limits::default());
     let a = attempt(1, 1);
     let other = AttemptState::OtherIncarnation;
-    assert_eq!(guard.admit(a), Admission::Known(other.clone()));
-    assert_eq!(guard.fence(a), other);
+    assert_eq!(guard.fence(a), other, "promised for another life");
+    assert_eq!(guard.admit(a), Admission::Known(other));
+    // The attempt was sent once, and it came here: a lost refusal must not make it unknown.
+    assert_eq!(guard.fence(a), AttemptState::Fenced);
 }
 
 #[test]
--- /dev/null
+++ b/crates/core/tests/once_sim/gateway.rs
@@ -0,0 +1,323 @@
+//! Gateways: coordinator, replica and their messages.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use nutmegbay_core::attempt::{
+    AppendResult, Coordinator, DispatchResult, Effect, Event as Input, Target, Timing,
+};
+use nutmegbay_core::ids::{CallKey, Incarnation};
+use nutmegbay_core::record::{Body, Record};
+use nutmegbay_core::replica::{Applied, Replica};
+use nutmegbay_core::world::{Moment, World};
+
+use super::event::Event;
+use super::{APPEND_TIMEOUT_MS, RPC_TIMEOUT_MS, SIDECARS, Sim};
+
+pub struct Gateway {
+    pub life: Incarnation,
+    pub paused_until: u64,
+    coordinator: Coordinator,
+    replica: Replica,
+    /// Lives of the sidecars as this gateway knows them, which may be old.
+    known: [Incarnation; SIDECARS],
+    tick_at: Option<u64>,
+}
+
+struct Outside<'a> {
+    now: Moment,
+    random: &'a mut dyn FnMut() -> u64,
+    effects: Vec<Effect>,
+}
+
+impl World for Outside<'_> {
+    type Effect = Effect;
+
+    fn now(&self) -> Moment {
+        self.now
+    }
+
+    fn wall_ms(&self) -> u64 {
+        0
+    }
+
+    fn random(&mut self) -> u128 {
+        (self.random)().into()
+    }
+
+    fn perform(&mut self, effect: Effect) {
+        self.effects.push(effect);
+    }
+}
+
+fn moment(ms: u64) -> Moment {
+    Moment(Duration::from_millis(ms))
+}
+
+fn millis(wait: Duration) -> u64 {
+    u64::try_from(wait.as_millis()).unwrap()
+}
+
+/// Call that a record is about.
+fn call_of(record: &Record) -> Option<CallKey> {
+    match &record.body {
+        Body::AttemptOpen(open) => Some(open.call),
+        Body::AttemptFence(fence) => Some(fence.call),
+        Body::AttemptOutcome(outcome) => Some(outcome.call),
+        _ => None,
+    }
+}
+
+impl Sim {
+    pub(super) fn new_gateway(&mut self) -> Gateway {
+        let life = self.new_life();
+        let timing = Timing {
+            join_grace: Duration::from_millis(200),
+            join_wait: Duration::from_millis(500),
+            record_wait: Duration::from_millis(200),
+            ..Timing::default()
+        };
+        let coordinator = Coordinator::new("g", life, timing).unwrap();
+        Gateway {
+            life,
+            paused_until: 0,
+            coordinator: coordinator.with_mutations(self.mutations),
+            replica: Replica::new().with_mutations(self.mutations),
+            known: std::array::from_fn(|sidecar| self.sidecars[sidecar].life),
+            tick_at: None,
+        }
+    }
+
+    pub(super) fn kill_gateway(&mut self, gateway: usize) {
+        let open: Vec<_> = self
+            .tickets
+            .iter()
+            .filter(|(_, ticket)| ticket.gateway == gateway && ticket.ended.is_none())
+            .map(|(id, _)| *id)
+            .collect();
+        for ticket in open {
+            self.end(ticket, None);
+        }
+        self.gateways[gateway] = self.new_gateway();
+        self.read(gateway);
+    }
+
+    pub(super) fn on_gateway(&mut self, gateway: usize, event: Event) {
+        match event {
+            Event::Begin { req, .. } => self.with(gateway, |coordinator, replica, world| {
+                coordinator.begin(req, replica.attempts(), world);
+            }),
+            Event::Gone { ticket, .. } => {
+                self.end(ticket, None);
+                self.with(gateway, |coordinator, replica, world| {
+                    coordinator.gone(ticket, replica.attempts(), world);
+                });
+            }
+            Event::Tick { .. } => {
+                self.gateways[gateway].tick_at = None;
+                self.with(gateway, |coordinator, replica, world| {
+                    coordinator.tick(replica.attempts(), world);
+                });
+            }
+            Event::Choose { call, .. } => {
+                let target = self.choose(gateway);
+                self.input(gateway, Input::Chosen(call, target));
+            }
+            Event::Appended { token, result, .. } => {
+                self.input(gateway, Input::Appended(token, result));
+            }
+            Event::Dispatched {
+                attempt, result, ..
+            } => {
+                self.oracle.dispatched(attempt, &result);
+                self.input(gateway, Input::Dispatched(attempt, result));
+            }
+            Event::Queried { attempt, state, .. } => {
+                self.input(gateway, Input::Queried(attempt, state));
+            }
+            Event::ReadAnswered {
+                started, records, ..
+            } => self.on_read_answered(gateway, started, records),
+            _ => {}
+        }
+    }
+
+    fn input(&mut self, gateway: usize, input: Input) {
+        self.with(gateway, |coordinator, replica, world| {
+            coordinator.on(input, replica.attempts(), world);
+        });
+    }
+
+    fn on_read_answered(&mut self, gateway: usize, started: u64, records: Option<Vec<Rc<str>>>) {
+        let Some(records) = records else {
+            self.read_later(gateway, 50);
+            return;
+        };
+        for text in records {
+            let replica = &mut self.gateways[gateway].replica;
+            let applied = replica.apply(replica.next(), &text);
+            let (Applied::Accepted(record) | Applied::Rejected(record, _)) = applied else {
+                continue;
+            };
+            if let Some(call) = call_of(&record) {
+                self.input(gateway, Input::Replayed(call, record.id));
+            }
+        }
+        self.input(gateway, Input::CompleteAsOf(moment(started)));
+        self.read(gateway);
+    }
+
+    /// Starts the next read of the log.
+    pub(super) fn read(&mut self, gateway: usize) {
+        self.read_later(gateway, 0);
+    }
+
+    fn read_later(&mut self, gateway: usize, after: u64) {
+        let target = &self.gateways[gateway];
+        let event = Event::ReadArrives {
+            gateway,
+            life: target.life,
+            started: self.now + after,
+            from: usize::try_from(target.replica.next().0).unwrap(),
+        };
+        let at = self.now + after + self.latency();
+        self.queue.push(at, event);
+    }
+
+    /// Chooses a sidecar that is not known to drain; what is known of its life may be old.
+    fn choose(&mut self, gateway: usize) -> Option<Target> {
+        let sidecar = usize::try_from(self.below(SIDECARS as u64)).unwrap();
+        if self.below(4) > 0 {
+            if self.sidecars[sidecar].draining {
+                return None;
+            }
+            self.gateways[gateway].known[sidecar] = self.sidecars[sidecar].life;
+        }
+        Some(Target {
+            upstream: sidecar.to_string().into(),
+            sidecar: self.gateways[gateway].known[sidecar],
+        })
+    }
+
+    /// Lets a coordinator act and performs what it asks for.
+    fn with(
+        &mut self,
+        gateway: usize,
+        act: impl FnOnce(&mut Coordinator, &Replica, &mut Outside<'_>),
+    ) {
+        let now = self.now;
+        let mut seed = self.bits();
+        let mut random = || {
+            seed = seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+            seed
+        };
+        let mut world = Outside {
+            now: moment(now),
+            random: &mut random,
+            effects: Vec::new(),
+        };
+        let target = &mut self.gateways[gateway];
+        act(&mut target.coordinator, &target.replica, &mut world);
+        let effects = world.effects;
+        let life = target.life;
+        for effect in effects {
+            self.perform(gateway, life, effect);
+        }
+        self.schedule_tick(gateway);
+    }
+
+    fn schedule_tick(&mut self, gateway: usize) {
+        let target = &mut self.gateways[gateway];
+        let Some(wake) = target.coordinator.next_wake() else {
+            return;
+        };
+        let at = millis(wake.0).max(self.now + 1);
+        if target.tick_at.is_none_or(|known| known > at) {
+            target.tick_at = Some(at);
+            let life = target.life;
+            self.queue.push(at, Event::Tick { gateway, life });
+        }
+    }
+
+    fn perform(&mut self, gateway: usize, life: Incarnation, effect: Effect) {
+        match effect {
+            Effect::Append(append) => {
+                let text: Rc<str> = serde_json::to_string(&append.records[0]).unwrap().into();
+                let token = append.token;
+                let event = Event::Append {
+                    gateway,
+                    life,
+                    token,
+                    text,
+                };
+                self.send_lossless(event);
+                let lost = Event::Appended {
+                    gateway,
+                    life,
+                    token,
+                    result: AppendResult::Lost,
+                };
+                self.queue.push(self.now + APPEND_TIMEOUT_MS, lost);
+            }
+            Effect::Choose(call) => {
+                let event = Event::Choose {
+                    gateway,
+                    life,
+                    call,
+                };
+                self.queue.push(self.now + 1, event);
+            }
+            Effect::Dispatch {
+                attempt, upstream, ..
+            } => {
+                let sidecar: usize = upstream.parse().unwrap();
+                // The connection leads to whichever life listens now.
+                let sidecar_life = self.sidecars[sidecar].life;
+                self.oracle.sent(attempt);
+                let event = Event::Dispatch {
+                    gateway,
+                    life,
+                    sidecar,
+                    sidecar_life,
+                    attempt,
+                };
+                self.send(event);
+                let lost = Event::Dispatched {
+                    gateway,
+                    life,
+                    attempt,
+                    result: DispatchResult::Lost,
+                };
+                self.queue.push(self.now + 2 * RPC_TIMEOUT_MS, lost);
+            }
+            Effect::Query {
+                attempt,
+                upstream,
+                fence,
+                wait,
+            } => {
+                let sidecar: usize = upstream.parse().unwrap();
+                let sidecar_life = self.sidecars[sidecar].life;
+                let wait = millis(wait);
+                let event = Event::Query {
+                    gateway,
+                    life,
+                    sidecar,
+                    sidecar_life,
+                    attempt,
+                    fence,
+                    wait,
+                };
+                self.send(event);
+                let lost = Event::Queried {
+                    gateway,
+                    life,
+                    attempt,
+                    state: None,
+                };
+                self.queue.push(self.now + wait + RPC_TIMEOUT_MS, lost);
+            }
+            Effect::Finish { ticket, end } => self.end(ticket, Some(end)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/once_sim/oracle.rs
@@ -0,0 +1,100 @@
+//! Predicates over what the services saw and what the callers were told.
+
+use std::collections::BTreeMap;
+
+use nutmegbay_core::attempt::DispatchResult;
+use nutmegbay_core::guard::AttemptRef;
+use nutmegbay_core::ids::CallKey;
+use nutmegbay_core::record::Answer;
+
+#[derive(Default)]
+pub struct Oracle {
+    calls: BTreeMap<CallKey, Seen>,
+    /// Attempts that were sent, with whether the first result was an answer.
+    sent: BTreeMap<(CallKey, u32), Option<bool>>,
+    runs: u64,
+}
+
+#[derive(Default)]
+struct Seen {
+    runs: Vec<u64>,
+    answer: Option<Answer>,
+    /// Last moment at which a caller was told "not run".
+    not_run_at: Option<u64>,
+    service_died: bool,
+}
+
+impl Oracle {
+    pub fn begin(&mut self, call: CallKey) {
+        self.calls.entry(call).or_default();
+    }
+
+    pub fn calls(&self) -> Vec<CallKey> {
+        self.calls.keys().copied().collect()
+    }
+
+    /// A service executes a call; its last request began at `last_begun`.
+    pub fn run(&mut self, call: CallKey, last_begun: u64) -> u64 {
+        self.runs += 1;
+        let run = self.runs;
+        let seen = self.calls.entry(call).or_default();
+        seen.runs.push(run);
+        assert!(seen.runs.len() == 1, "once: call {call} ran twice");
+        assert!(
+            seen.not_run_at.is_none_or(|at| at <= last_begun),
+            "not run for ever: call {call} ran after its last caller was told that it did not"
+        );
+        run
+    }
+
+    /// A caller is told that the call did not run.
+    pub fn not_run(&mut self, call: CallKey, now: u64) {
+        let seen = self.calls.entry(call).or_default();
+        assert!(
+            seen.runs.is_empty(),
+            "not run: call {call} had run when its caller was told that it did not"
+        );
+        seen.not_run_at = Some(now);
+    }
+
+    /// A caller gets an answer.
+    pub fn answered(&mut self, call: CallKey, answer: &Answer) {
+        let seen = self.calls.entry(call).or_default();
+        let first = seen.answer.get_or_insert_with(|| answer.clone());
+        assert!(
+            first == answer,
+            "same answer: call {call} was answered with {first:?} and then with {answer:?}"
+        );
+        assert!(
+            !seen.runs.is_empty(),
+            "call {call} was answered without a run"
+        );
+    }
+
+    pub fn service_dies(&mut self, call: CallKey) {
+        self.calls.entry(call).or_default().service_died = true;
+    }
+
+    pub fn service_died(&self, call: CallKey) -> bool {
+        self.calls.get(&call).is_some_and(|seen| seen.service_died)
+    }
+
+    /// A gateway sends an attempt.
+    pub fn sent(&mut self, attempt: AttemptRef) {
+        self.sent.insert((attempt.call, attempt.number), None);
+    }
+
+    /// The gateway that sent an attempt gets its first result.
+    pub fn dispatched(&mut self, attempt: AttemptRef, result: &DispatchResult) {
+        if let Some(first) = self.sent.get_mut(&(attempt.call, attempt.number)) {
+            first.get_or_insert(*result != DispatchResult::Lost);
+        }
+    }
+
+    /// Whether an attempt was sent and its gateway got no answer in time.
+    pub fn is_unanswered(&self, call: CallKey, number: u32) -> bool {
+        self.sent
+            .get(&(call, number))
+            .is_some_and(|answered| *answered != Some(true))
+    }
+}
--- /dev/null
+++ b/crates/core/tests/once_sim/sidecar.rs
@@ -0,0 +1,241 @@
+//! Sidecars with their guard, and the services beside them.
+
+use std::collections::BTreeMap;
+
+use nutmegbay_core::attempt::DispatchResult;
+use nutmegbay_core::guard::{Admission, AttemptRef, AttemptState, Guard};
+use nutmegbay_core::ids::Incarnation;
+use nutmegbay_core::record::Answer;
+
+use super::Sim;
+use super::event::Event;
+
+pub struct Sidecar {
+    pub life: Incarnation,
+    pub paused_until: u64,
+    pub draining: bool,
+    pub service_dies: Option<bool>,
+    pub guard: Guard,
+    waiters: BTreeMap<u64, Waiter>,
+    next_waiter: u64,
+}
+
+/// A gateway that waits for the end of an attempt.
+#[derive(Clone, Copy)]
+struct Waiter {
+    gateway: usize,
+    life: Incarnation,
+    attempt: AttemptRef,
+    is_dispatch: bool,
+}
+
+fn answer(run: u64) -> Answer {
+    Answer {
+        status: 201,
+        content_type: None,
+        body: Some(format!("run {run}").into()),
+    }
+}
+
+impl Sim {
+    pub(super) fn new_sidecar(&mut self) -> Sidecar {
+        let life = self.new_life();
+        Sidecar {
+            life,
+            paused_until: 0,
+            draining: false,
+            service_dies: None,
+            guard: Guard::new(life, self.limits).with_mutations(self.mutations),
+            waiters: BTreeMap::new(),
+            next_waiter: 0,
+        }
+    }
+
+    pub(super) fn kill_sidecar(&mut self, sidecar: usize) {
+        let next = self.new_sidecar();
+        let ended = std::mem::replace(&mut self.sidecars[sidecar], next);
+        let table = (ended.life, ended.guard.low_water());
+        self.ended_tables.push(table);
+    }
+
+    pub(super) fn on_sidecar(&mut self, sidecar: usize, event: &Event) {
+        match event.clone() {
+            Event::Dispatch {
+                gateway,
+                life,
+                attempt,
+                ..
+            } => {
+                let waiter = Waiter {
+                    gateway,
+                    life,
+                    attempt,
+                    is_dispatch: true,
+                };
+                self.on_dispatch(sidecar, waiter);
+            }
+            Event::Query {
+                gateway,
+                life,
+                attempt,
+                fence,
+                wait,
+                ..
+            } => {
+                let guard = &mut self.sidecars[sidecar].guard;
+                let state = if fence {
+                    guard.fence(attempt)
+                } else {
+                    guard.state(attempt)
+                };
+                let waiter = Waiter {
+                    gateway,
+                    life,
+                    attempt,
+                    is_dispatch: false,
+                };
+                if matches!(state, AttemptState::Running | AttemptState::NotSeen) {
+                    let number = self.wait(sidecar, waiter);
+                    let event = Event::QueryExpires {
+                        sidecar,
+                        sidecar_life: self.sidecars[sidecar].life,
+                        waiter: number,
+                    };
+                    self.queue.push(self.now + wait, event);
+                } else {
+                    self.reply(waiter, state);
+                }
+            }
+            Event::QueryExpires { waiter, .. } => {
+                if let Some(waiter) = self.sidecars[sidecar].waiters.remove(&waiter) {
+                    let state = self.sidecars[sidecar].guard.state(waiter.attempt);
+                    self.reply(waiter, state);
+                }
+            }
+            Event::Executed { attempt, run, .. } => {
+                let state = run.map_or(AttemptState::Unknown, |run| {
+                    AttemptState::Answered(answer(run))
+                });
+                self.sidecars[sidecar].guard.finish(attempt, state);
+                self.wake(sidecar, attempt);
+            }
+            _ => {}
+        }
+    }
+
+    fn on_dispatch(&mut self, sidecar: usize, waiter: Waiter) {
+        let attempt = waiter.attempt;
+        let target = &mut self.sidecars[sidecar];
+        let admission = if target.draining {
+            Admission::Known(target.guard.refuse(attempt))
+        } else {
+            target.guard.admit(attempt)
+        };
+        match admission {
+            Admission::Run => {
+                let dies = target.service_dies.take();
+                let sidecar_life = target.life;
+                self.wait(sidecar, waiter);
+                let event = Event::Execute {
+                    sidecar,
+                    sidecar_life,
+                    attempt,
+                    dies,
+                };
+                let at = self.now + 1 + self.below(20);
+                self.queue.push(at, event);
+            }
+            Admission::Known(AttemptState::Running) => drop(self.wait(sidecar, waiter)),
+            Admission::Known(state) => {
+                self.reply(waiter, state);
+                self.wake(sidecar, attempt);
+            }
+        }
+    }
+
+    /// The service executes a call. It does so even if the sidecar that sent it is gone by now.
+    pub(super) fn on_execute(
+        &mut self,
+        sidecar: usize,
+        sidecar_life: Incarnation,
+        attempt: AttemptRef,
+        dies: Option<bool>,
+    ) {
+        let run = (dies != Some(false)).then(|| self.execute(attempt));
+        if dies.is_some() {
+            self.oracle.service_dies(attempt.call);
+        }
+        let event = Event::Executed {
+            sidecar,
+            sidecar_life,
+            attempt,
+            run: run.filter(|_| dies.is_none()),
+        };
+        // Some calls are slow, so that faults meet them in mid-run.
+        let time = if self.below(4) == 0 { 800 } else { 20 };
+        let at = self.now + 1 + self.below(time);
+        self.queue.push(at, event);
+    }
+
+    fn execute(&mut self, attempt: AttemptRef) -> u64 {
+        let begun = self.tickets.values().filter(|t| t.call == attempt.call);
+        let last_begun = begun.map(|t| t.begun).max().unwrap_or_default();
+        self.oracle.run(attempt.call, last_begun)
+    }
+
+    fn wait(&mut self, sidecar: usize, waiter: Waiter) -> u64 {
+        let target = &mut self.sidecars[sidecar];
+        target.next_waiter += 1;
+        target.waiters.insert(target.next_waiter, waiter);
+        target.next_waiter
+    }
+
+    /// Answers all who wait for an attempt whose end is known.
+    fn wake(&mut self, sidecar: usize, attempt: AttemptRef) {
+        let target = &mut self.sidecars[sidecar];
+        let state = target.guard.state(attempt);
+        if state == AttemptState::Running {
+            return;
+        }
+        let (ended, waiters) = std::mem::take(&mut target.waiters)
+            .into_iter()
+            .partition(|(_, waiter)| waiter.attempt == attempt);
+        target.waiters = waiters;
+        let ended: BTreeMap<u64, Waiter> = ended;
+        for waiter in ended.into_values() {
+            self.reply(waiter, state.clone());
+        }
+    }
+
+    fn reply(&mut self, waiter: Waiter, state: AttemptState) {
+        let Waiter {
+            gateway,
+            life,
+            attempt,
+            is_dispatch,
+        } = waiter;
+        if !is_dispatch {
+            let state = Some(state);
+            self.send(Event::Queried {
+                gateway,
+                life,
+                attempt,
+                state,
+            });
+            return;
+        }
+        let result = match state {
+            AttemptState::Answered(answer) => DispatchResult::Answered(answer),
+            AttemptState::Fenced => DispatchResult::Fenced,
+            AttemptState::OtherIncarnation => DispatchResult::OtherIncarnation,
+            AttemptState::Unknown => DispatchResult::Unknown,
+            AttemptState::Running | AttemptState::NotSeen => DispatchResult::Lost,
+        };
+        self.send(Event::Dispatched {
+            gateway,
+            life,
+            attempt,
+            result,
+        });
+    }
+}
--- a/crates/sidecar/src/once.rs
+++ b/crates/sidecar/src/once.rs
@@ -174,7 +174,7 @@
     until: Instant,
     refusal: Refusal,
 ) -> Result<Response, Refusal> {
-    let state = shared.guard().fence(attempt);
+    let state = shared.guard().refuse(attempt);
     match state {
         AttemptState::Fenced => Err(refusal),
         state => join(shared, attempt, state, until).await,
--- a/crates/sidecar/tests/once_calls.rs
+++ b/crates/sidecar/tests/once_calls.rs
@@ -101,10 +101,13 @@
         sidecar: Incarnation(1),
         ..site.attempt(1)
     };
+    let control = site.rig.control();
+    let state = control.fence(a).await.unwrap();
+    assert_eq!(state, AttemptState::OtherIncarnation);
     let refused = problem(site.call(a, "", Body::from("x")).await).await;
     assert_eq!(refused.kind, ProblemKind::OtherIncarnation);
-    let state = site.rig.control().fence(a).await.unwrap();
-    assert_eq!(state, AttemptState::OtherIncarnation);
+    // It was sent here and nowhere else, which a gateway that lost the refusal can learn.
+    assert_eq!(control.fence(a).await.unwrap(), AttemptState::Fenced);
     assert_eq!(site.runs(), 0);
 }
 
