--- a/crates/bins/tests/command_line.rs
+++ b/crates/bins/tests/command_line.rs
@@ -4,6 +4,7 @@
 
 const BINARIES: &[&str] = &[
     env!("CARGO_BIN_EXE_nutmegbay-ctl"),
+    env!("CARGO_BIN_EXE_nutmegbay-demo"),
     env!("CARGO_BIN_EXE_nutmegbay-fake-engine"),
     env!("CARGO_BIN_EXE_nutmegbay-fake-platform"),
     env!("CARGO_BIN_EXE_nutmegbay-fake-service"),
--- a/crates/fakes/src/engine/batch.rs
+++ b/crates/fakes/src/engine/batch.rs
@@ -35,8 +35,16 @@
 
 impl std::error::Error for Lost {}
 
-/// Receiver of one answer: lines of frames.
-pub(super) type Lines = mpsc::UnboundedReceiver<Result<Bytes, Lost>>;
+/// Line with one frame.
+#[derive(Debug)]
+pub(super) struct Line {
+    pub(super) bytes: Bytes,
+    /// Sequence number of the frame that follows.
+    pub(super) next: u32,
+}
+
+/// Receiver of one answer.
+pub(super) type Lines = mpsc::UnboundedReceiver<Result<Line, Lost>>;
 
 /// What the engine saw and did, for tests; survives crashes.
 #[derive(Debug, Default, Clone, Serialize)]
@@ -365,7 +373,7 @@
     priority: u8,
     arrival: u64,
     marked: bool,
-    tx: mpsc::UnboundedSender<Result<Bytes, Lost>>,
+    tx: mpsc::UnboundedSender<Result<Line, Lost>>,
 }
 
 impl Job {
@@ -387,13 +395,22 @@
     }
 
     fn send(&self, frame: &Frame) {
-        let mut line = serde_json::to_vec(frame).expect("frames are plain JSON");
-        line.push(b'\n');
+        let next = frame.seq + u32::from(matches!(frame.body, FrameBody::Token(_)));
         // The receiver is gone where the caller has left; the next step drops the job.
-        let _ = self.tx.send(Ok(line.into()));
+        let _ = self.tx.send(Ok(Line {
+            bytes: line(frame),
+            next,
+        }));
     }
 }
 
+/// Line with `frame`.
+pub(super) fn line(frame: &Frame) -> Bytes {
+    let mut line = serde_json::to_vec(frame).expect("frames are plain JSON");
+    line.push(b'\n');
+    line.into()
+}
+
 /// Takes one from a counter of due faults.
 fn take(count: &mut u32) -> bool {
     let due = *count > 0;
--- a/crates/fakes/src/engine/config.rs
+++ b/crates/fakes/src/engine/config.rs
@@ -35,6 +35,8 @@
     pub crash_marker: Box<str>,
     /// Time after a crash until the engine is back, none for never.
     pub restart_ms: Option<u64>,
+    /// Time without a frame after which an open answer carries a sign of life; 0 for none.
+    pub keep_alive_ms: u64,
     /// Tokens after which answers stop by themselves; 0 for at `max_tokens` only.
     pub natural_tokens: u32,
 }
@@ -56,6 +58,7 @@
             load_model_ms: 2_000,
             crash_marker: "crash-this-engine".into(),
             restart_ms: Some(1_000),
+            keep_alive_ms: 500,
             natural_tokens: 0,
         }
     }
--- a/crates/fakes/src/engine/http.rs
+++ b/crates/fakes/src/engine/http.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
+use std::time::Duration;
 
 use axum::body::Body;
 use axum::extract::{Extension, Query, Request, State};
@@ -9,19 +10,21 @@
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use axum::{Json, Router};
-use futures::StreamExt;
+use bytes::Bytes;
+use futures::stream::unfold;
 use http::{HeaderMap, StatusCode, header};
 use nutmegbay_core::verdict::Verdict;
 use nutmegbay_proto::engine::{
     CacheEvents, CacheExport, CachePieces, Cancel, EngineOrder, Generate, Load, OrderState,
 };
+use nutmegbay_proto::frame::{Frame, FrameBody};
 use nutmegbay_proto::prefix::piece_hashes;
 use nutmegbay_proto::problem::{PROBLEM_JSON, Problem, ProblemKind};
 use serde::Deserialize;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 
 use super::Shared;
-use super::batch::EngineSeen;
+use super::batch::{self, EngineSeen, Lines, Lost};
 use super::config::EngineFaults;
 use super::orders::Refusal;
 use crate::server::ConnId;
@@ -76,14 +79,59 @@
         let detail = format!("model {} is not loaded", generate.model);
         return Err(refused(ProblemKind::UnknownModel, detail));
     }
-    let mut lines = engine.submit(&generate);
+    let lines = engine.submit(&generate);
+    let keep_alive = Duration::from_millis(engine.cfg.keep_alive_ms);
     drop(engine);
     shared.changed.notify_one();
-    let lines = futures::stream::poll_fn(move |cx| lines.poll_recv(cx));
-    let body = Body::from_stream(lines.fuse());
+    let next = u32::try_from(generate.delivered.len()).unwrap_or(u32::MAX);
+    let head = Frame {
+        id: generate.id,
+        attempt: generate.attempt,
+        seq: next,
+        body: FrameBody::KeepAlive,
+    };
+    let answer = Answer {
+        shared,
+        lines,
+        keep_alive,
+        head,
+    };
+    let body = Body::from_stream(unfold(answer, |mut answer| async move {
+        Some((answer.next().await?, answer))
+    }));
     Ok(([(header::CONTENT_TYPE, "application/x-ndjson")], body).into_response())
 }
 
+/// One answer on its way out.
+struct Answer {
+    shared: Arc<Shared>,
+    lines: Lines,
+    keep_alive: Duration,
+    /// Sign of life at the current position.
+    head: Frame,
+}
+
+impl Answer {
+    /// Next line: a frame of the answer, or a sign of life where none is due.
+    async fn next(&mut self) -> Option<Result<Bytes, Lost>> {
+        loop {
+            let line = if self.keep_alive.is_zero() {
+                self.lines.recv().await
+            } else {
+                match timeout(self.keep_alive, self.lines.recv()).await {
+                    Ok(line) => line,
+                    Err(_) if self.shared.engine().faults.stop_answering => continue,
+                    Err(_) => return Some(Ok(batch::line(&self.head))),
+                }
+            };
+            return Some(line?.map(|line| {
+                self.head.seq = line.next;
+                line.bytes
+            }));
+        }
+    }
+}
+
 async fn cancel(State(shared): Cx, Json(cancel): Json<Cancel>) -> StatusCode {
     shared.engine().cancel(cancel.id);
     StatusCode::NO_CONTENT
--- a/crates/proto/src/engine.rs
+++ b/crates/proto/src/engine.rs
@@ -10,6 +10,9 @@
 //! | `POST /cache/import` | [`CachePieces`] | 204 |
 //! | `POST /order` | [`EngineOrder`] | [`OrderState`], 409 if fenced or busy |
 //! | `GET /order` | | [`OrderState`] |
+//!
+//! An answer on which no token is due carries a keep-alive frame every 500 ms, also while the
+//! request waits, so that a connection without frames is known to be silent.
 
 use nutmegbay_core::ids::{Epoch, RecordId, RequestId};
 use nutmegbay_core::record::{EngineRole, OrderCommand};
