--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,13 +5,16 @@
 //! transport and a test supplies the clock.
 
 pub mod append;
+pub mod attempt;
 pub mod freshness;
+pub mod guard;
 pub mod ids;
 pub mod lease;
 #[doc(hidden)]
 pub mod mutation;
 pub mod node;
 pub mod orders;
+pub mod quarantine;
 pub mod record;
 pub mod replica;
 pub mod snapshot;
