Run non-idempotent calls and suspect requests through core

Calls of non-idempotent routes go to the attempt coordinator: opened in the log, dispatched once, joined by retries. Requests that crashed an upstream wait for a permit and run alone or not at all. Idempotent calls and dispatches leave a connection that is silent for progress_timeout_ms.

Calls and crashes are not tested yet; that needs the sidecar's control interface.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -55,6 +55,7 @@
             log,
             freshness,
             leases,
+            ..
         } = self.ask(Input::Status).await?;
         let view = self.gateway.view();
         let settings = &self.gateway.settings;
@@ -78,10 +79,17 @@
         self.log().await
     }
 
-    async fn gossip(&self, _gossip: Gossip) -> RpcResult<Gossip> {
+    async fn gossip(&self, gossip: Gossip) -> RpcResult<Gossip> {
+        if !gossip.crashes.is_empty() {
+            self.tell(Input::Heard(gossip.crashes)).await?;
+        }
+        // The status comes after the news was taken, so that the answer acknowledges it.
+        let status = self.ask(Input::Status).await?;
         Ok(Gossip {
             instance: self.gateway.settings.instance.clone(),
-            log: self.log().await?,
+            log: status.log,
+            crashes: status.crashes,
+            exclusive: status.exclusive.into_iter().collect(),
             ..Gossip::default()
         })
     }
--- /dev/null
+++ b/crates/gateway/src/data/once.rs
@@ -0,0 +1,167 @@
+//! Non-idempotent calls of callers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::request::Parts;
+use http::{HeaderValue, Response, StatusCode, header};
+use nutmegbay_core::attempt::{End, TicketId};
+use nutmegbay_core::ids::{CallKey, Fingerprint, RequestId};
+use nutmegbay_core::record::Answer;
+use nutmegbay_core::verdict::Verdict;
+use nutmegbay_proto::problem::{Problem, ProblemKind};
+use nutmegbay_proto::work::REQUEST_HEADER;
+use nutmegbay_settings::model::Route;
+
+use super::body::Body;
+use super::headers;
+use super::refuse::not_run;
+use crate::auth::Identity;
+use crate::gateway::Gateway;
+use crate::state::Input;
+use crate::state::once::{OnceCall, OnceEnd, Raw};
+
+/// Longest idempotency key in bytes.
+const MAX_KEY: usize = 256;
+
+/// Runs a non-idempotent call at most once.
+pub async fn call(
+    gateway: &Arc<Gateway>,
+    route: &Route,
+    mut caller: Identity,
+    parts: Parts,
+    body: Bytes,
+) -> Result<Response<Body>, Problem> {
+    let key = idempotency_key(route, &parts)?;
+    let account = &caller.key.account;
+    let id = gateway.request_id();
+    let timeout = Duration::from_millis(route.timeout_ms);
+    let call = OnceCall {
+        id,
+        account: (**account).into(),
+        service: route.service.clone(),
+        call: CallKey::of(account, &route.path, key),
+        content: content(&parts, &body),
+        parts,
+        body,
+        deadline: gateway.clock.now().plus(timeout),
+    };
+    let ticket = gateway.ticket();
+    let waiting = Waiting { gateway, ticket };
+    let asked = gateway.ask(|reply| Input::Once(ticket, Box::new(call), reply));
+    let end = tokio::select! {
+        end = asked => end.ok_or_else(|| {
+            Problem::new(ProblemKind::Internal, Verdict::MayHaveRun, "the instance is stopping")
+        })?,
+        kind = caller.ended.wait() => {
+            drop(waiting);
+            let detail = "the key is no longer valid, or that cannot be confirmed; the call may run";
+            return Err(Problem::new(kind, Verdict::MayHaveRun, detail));
+        }
+    };
+    std::mem::forget(waiting);
+    respond(gateway, id, end)
+}
+
+/// A caller that waits; tells the state task when it leaves early.
+struct Waiting<'a> {
+    gateway: &'a Gateway,
+    ticket: TicketId,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.gateway.tell(Input::OnceGone(self.ticket));
+    }
+}
+
+fn idempotency_key<'a>(route: &Route, parts: &'a Parts) -> Result<&'a str, Problem> {
+    let name = &*route.idempotency_header;
+    let mut values = parts.headers.get_all(name).iter();
+    let value = values.next().and_then(|v| v.to_str().ok()).map(str::trim);
+    match value {
+        Some(key) if !key.is_empty() && key.len() <= MAX_KEY && values.next().is_none() => Ok(key),
+        _ => {
+            let detail = format!(
+                "send one header `{name}` of at most {MAX_KEY} characters, \
+                 the same for each repeat of this call"
+            );
+            Err(not_run(ProblemKind::MissingIdempotencyKey, detail))
+        }
+    }
+}
+
+/// Hash of method, path and body.
+fn content(parts: &Parts, body: &Bytes) -> Fingerprint {
+    let path = parts.uri.path_and_query().map_or("", |p| p.as_str());
+    match std::str::from_utf8(body) {
+        Ok(text) => Fingerprint::of(parts.method.as_str(), path, text),
+        // Another number of parts than a body in UTF-8 can have keeps the two apart.
+        Err(_) => Fingerprint::of(
+            &format!("{} binary", parts.method),
+            path,
+            &body.escape_ascii().to_string(),
+        ),
+    }
+}
+
+fn respond(gateway: &Gateway, id: RequestId, end: OnceEnd) -> Result<Response<Body>, Problem> {
+    let mut res = match (end.end, end.raw) {
+        (End::Answered(answer), Some(raw)) => passed(answer.status, raw),
+        (End::Answered(answer), None) => stored(answer)?,
+        (End::Failed(verdict), _) => return Err(failure(gateway, verdict)),
+        (End::Reused, _) => {
+            let detail = "this idempotency key was used before with other content; use a new key";
+            return Err(not_run(ProblemKind::IdempotencyKeyReused, detail));
+        }
+    };
+    if let Ok(value) = HeaderValue::from_str(&id.to_string()) {
+        res.headers_mut().insert(REQUEST_HEADER, value);
+    }
+    Ok(res)
+}
+
+fn passed(status: u16, raw: Raw) -> Response<Body> {
+    let mut res = Response::new(Body::whole(raw.body));
+    *res.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::OK);
+    headers::copy_response(&raw.headers, res.headers_mut());
+    res
+}
+
+fn stored(answer: Answer) -> Result<Response<Body>, Problem> {
+    let body = answer.body.ok_or_else(|| {
+        let detail = format!(
+            "the call ran and was answered with status {}",
+            answer.status
+        );
+        Problem::new(ProblemKind::AnswerNotKept, Verdict::Ran, detail)
+    })?;
+    let mut res = Response::new(Body::whole(String::from(body)));
+    *res.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
+    let content_type = answer.content_type;
+    if let Some(value) = content_type.and_then(|v| HeaderValue::from_str(&v).ok()) {
+        res.headers_mut().insert(header::CONTENT_TYPE, value);
+    }
+    Ok(res)
+}
+
+fn failure(gateway: &Gateway, verdict: Verdict) -> Problem {
+    if verdict != Verdict::NotRun {
+        let detail = "the call may have run; a repeat with the same idempotency key is safe and \
+                      tells its end if that is known";
+        return Problem::new(ProblemKind::UpstreamTimeout, verdict, detail).retry_after(1);
+    }
+    let problem = if gateway.is_log_readable() {
+        not_run(
+            ProblemKind::NoUpstream,
+            "no upstream took the call in time; repeat it with the same idempotency key",
+        )
+    } else {
+        not_run(
+            ProblemKind::LogUnavailable,
+            "the call could not be recorded; repeat it with the same idempotency key",
+        )
+    };
+    problem.retry_after(1)
+}
--- a/crates/gateway/src/data/pump.rs
+++ b/crates/gateway/src/data/pump.rs
@@ -17,6 +17,7 @@
 use super::client::Via;
 use super::flight::Flight;
 use super::refuse::not_run;
+use super::suspects;
 use super::wire::{FrameRef, Lines};
 use crate::gateway::Gateway;
 use crate::state::upstreams::{Dispatch, Upstream};
@@ -61,10 +62,20 @@
     Unreached,
     /// The upstream or the connection to it was lost.
     Lost(&'static str),
+    /// The upstream crashed, perhaps because of the work.
+    Crashed,
     /// The work cannot succeed anywhere.
     Failed(Problem),
 }
 
+/// One attempt.
+#[derive(Clone, Copy)]
+struct Run {
+    attempt: u32,
+    via: Via,
+    is_alone: bool,
+}
+
 /// Runs `job` and writes its answer into `flight`, until all callers have left.
 pub async fn run(gateway: Arc<Gateway>, flight: Arc<Flight>, job: Job) {
     tokio::select! {
@@ -89,13 +100,31 @@
         if is_repeat {
             sleep(RETRY_PAUSE * attempt).await;
         }
+        let alone = suspects::admit(gateway, job.fingerprint, verdict_of(has_lost)).await?;
         let dispatch = Dispatch::new(upstream);
         let upstream = &dispatch.upstream;
-        match attempt_on(gateway, flight, job, upstream, attempt, via).await {
+        let run = Run {
+            attempt,
+            via,
+            is_alone: alone.is_some(),
+        };
+        let outcome = attempt_on(gateway, flight, job, upstream, run).await;
+        match outcome {
             Attempt::Whole(end) => {
                 upstream.set_failing(false);
+                if let Some(alone) = alone {
+                    alone.survived();
+                }
                 return Ok(end);
             }
+            Attempt::Crashed => {
+                upstream.set_failing(true);
+                via = Via::New;
+                has_lost = true;
+                tracing::warn!(event = "upstream_crashed", request = %job.id, attempt,
+                    upstream = %upstream.name, delivered = flight.len());
+                suspects::report(gateway, upstream, job.fingerprint).await;
+            }
             Attempt::Failed(problem) => return Err(problem),
             Attempt::Unreached => {
                 upstream.set_failing(true);
@@ -140,16 +169,15 @@
     flight: &Flight,
     job: &Job,
     upstream: &Upstream,
-    attempt: u32,
-    via: Via,
+    run: Run,
 ) -> Attempt {
     let progress = gateway.view().progress_timeout();
     let mut deadline = Instant::now() + progress;
-    let Some(req) = request(flight, job, upstream, attempt) else {
+    let Some(req) = request(flight, job, upstream, run) else {
         return Attempt::Failed(not_run(ProblemKind::Internal, "the work cannot be encoded"));
     };
     flight.set_dispatched(true);
-    let res = match timeout_at(deadline, gateway.client.send(via, req)).await {
+    let res = match timeout_at(deadline, gateway.client.send(run.via, req)).await {
         Ok(Ok(res)) => res,
         Ok(Err(e)) if e.is_connect() => return Attempt::Unreached,
         Ok(Err(_)) => return Attempt::Lost("connection broke"),
@@ -172,7 +200,7 @@
         }
         let mut is_ahead = false;
         while let Some(line) = lines.next_line() {
-            match check(line, flight, job, attempt) {
+            match check(line, flight, job, run.attempt) {
                 Checked::Alive => deadline = Instant::now() + progress,
                 Checked::Ahead => is_ahead = true,
                 Checked::Foreign => gateway.metrics.frame_rejected(),
@@ -190,12 +218,12 @@
     flight: &Flight,
     job: &Job,
     upstream: &Upstream,
-    attempt: u32,
+    run: Run,
 ) -> Option<Request<Full<Bytes>>> {
     let deadline_ms = u64::try_from(WORK_DEADLINE.as_millis()).unwrap_or(u64::MAX);
     let work = Work {
         id: job.id,
-        attempt,
+        attempt: run.attempt,
         account: job.account.clone(),
         model: job.model.clone(),
         prompt: job.prompt.clone(),
@@ -203,7 +231,7 @@
         priority: job.priority,
         delivered: flight.tokens(),
         fingerprint: job.fingerprint,
-        exclusive: false,
+        exclusive: run.is_alone,
         deadline_ms,
     };
     Request::builder()
@@ -232,6 +260,7 @@
         ProblemKind::Quarantined | ProblemKind::MalformedBody | ProblemKind::BodyTooLarge => {
             Attempt::Failed(problem)
         }
+        ProblemKind::UpstreamCrashed => Attempt::Crashed,
         _ if problem.verdict == Verdict::NotRun => Attempt::Refused(problem),
         ProblemKind::UpstreamTimeout => Attempt::Lost("the engine did not answer in time"),
         _ => Attempt::Lost("the engine was lost"),
--- a/crates/gateway/src/data/serve.rs
+++ b/crates/gateway/src/data/serve.rs
@@ -21,7 +21,7 @@
 use super::body::Body;
 use super::refuse::{not_run, respond};
 use super::sse::Style;
-use super::{models, services};
+use super::{models, once, services};
 use crate::auth::identify;
 use crate::gateway::Gateway;
 
@@ -105,17 +105,16 @@
     let max_body = site.limits.max_body_bytes;
     let Some(style) = style else {
         let route = services::find_route(site, &parts)?;
-        let caller = if route.open {
-            None
-        } else {
-            Some(identify(gateway, &parts.headers)?)
-        };
-        if !route.idempotent {
-            let detail = "this build does not run non-idempotent calls";
-            return Err(not_run(ProblemKind::Internal, detail));
+        if route.open {
+            let body = read_body(body, max_body).await?;
+            return services::call(gateway, route, None, &parts, body).await;
         }
+        let caller = identify(gateway, &parts.headers)?;
         let body = read_body(body, max_body).await?;
-        return services::call(gateway, route, caller, &parts, body).await;
+        if route.idempotent {
+            return services::call(gateway, route, Some(caller), &parts, body).await;
+        }
+        return once::call(gateway, route, caller, parts, body).await;
     };
     drop(view);
     let caller = identify(gateway, &parts.headers)?;
--- a/crates/gateway/src/data/services.rs
+++ b/crates/gateway/src/data/services.rs
@@ -12,7 +12,7 @@
 use nutmegbay_core::verdict::Verdict;
 use nutmegbay_proto::platform::InstanceKind;
 use nutmegbay_proto::problem::{Problem, ProblemKind};
-use nutmegbay_proto::work::{CALL_HEADER, CALL_PATH, CallHead, REQUEST_HEADER};
+use nutmegbay_proto::work::{CALL_HEADER, CALL_PATH, CallHead, REQUEST_HEADER, VERDICT_HEADER};
 use nutmegbay_settings::model::{Route, SiteSettings};
 use tokio::time::{Instant, timeout_at};
 
@@ -25,7 +25,7 @@
 use crate::state::upstreams::{Dispatch, Upstream};
 
 /// Upstreams tried for one idempotent call.
-const MAX_ATTEMPTS: usize = 3;
+const MAX_ATTEMPTS: u32 = 3;
 
 /// Finds the route of a request.
 pub fn find_route<'a>(site: &'a SiteSettings, parts: &Parts) -> Result<&'a Route, Problem> {
@@ -71,11 +71,12 @@
     body: Bytes,
 ) -> Result<Response<Body>, Problem> {
     let deadline = Instant::now() + Duration::from_millis(route.timeout_ms);
+    let progress = gateway.view().progress_timeout();
     let id = gateway.request_id();
     let mut verdict = Verdict::NotRun;
     let mut avoid: Vec<Arc<Upstream>> = Vec::new();
     let mut via = Via::Pool;
-    for _ in 0..MAX_ATTEMPTS {
+    for attempt in 1..=MAX_ATTEMPTS {
         let Some(upstream) = pick(gateway, &route.service, &avoid) else {
             break;
         };
@@ -87,12 +88,20 @@
         };
         let dispatch = Dispatch::new(upstream);
         let req = request(&dispatch.upstream, &head, parts, body.clone())?;
-        match timeout_at(deadline, gateway.client.send(via, req)).await {
-            Ok(Ok(res)) if !is_refusal(&res) => {
-                dispatch.upstream.set_failing(false);
-                return Ok(pass(res, id, caller, dispatch));
-            }
-            Ok(Ok(_)) => {}
+        // The connection may be silent. As a repeat of the call is harmless, the next attempt does
+        // not wait for proof.
+        let until = match attempt {
+            MAX_ATTEMPTS => deadline,
+            _ => deadline.min(Instant::now() + progress),
+        };
+        match timeout_at(until, gateway.client.send(via, req)).await {
+            Ok(Ok(res)) => match own_verdict(&res) {
+                None => {
+                    dispatch.upstream.set_failing(false);
+                    return Ok(pass(res, id, caller, dispatch));
+                }
+                Some(told) => verdict = verdict.or(told),
+            },
             Ok(Err(e)) => {
                 dispatch.upstream.set_failing(true);
                 via = Via::New;
@@ -100,12 +109,15 @@
                     verdict = Verdict::MayHaveRun;
                 }
             }
-            Err(_) => {
-                dispatch.upstream.set_failing(true);
+            Err(_) if Instant::now() >= deadline => {
                 let detail = format!("no answer within {} ms", route.timeout_ms);
                 let verdict = Verdict::MayHaveRun;
                 return Err(Problem::new(ProblemKind::UpstreamTimeout, verdict, detail));
             }
+            Err(_) => {
+                via = Via::New;
+                verdict = Verdict::MayHaveRun;
+            }
         }
         avoid.push(Arc::clone(&dispatch.upstream));
     }
@@ -113,13 +125,11 @@
     Err(Problem::new(ProblemKind::NoUpstream, verdict, detail).retry_after(1))
 }
 
-/// Whether the sidecar, not the service, answers: it refuses with a problem of its own.
-fn is_refusal(res: &Response<Incoming>) -> bool {
-    res.status() == http::StatusCode::SERVICE_UNAVAILABLE
-        && res
-            .headers()
-            .get(http::header::CONTENT_TYPE)
-            .is_some_and(|v| v == nutmegbay_proto::problem::PROBLEM_JSON)
+/// Verdict of a refusal by the sidecar itself, none for an answer of the service.
+fn own_verdict(res: &Response<Incoming>) -> Option<Verdict> {
+    let value = res.headers().get(VERDICT_HEADER)?;
+    let verdict = value.to_str().ok().and_then(|v| v.parse().ok());
+    Some(verdict.unwrap_or(Verdict::MayHaveRun))
 }
 
 fn pick(gateway: &Gateway, service: &str, avoid: &[Arc<Upstream>]) -> Option<Arc<Upstream>> {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,22 +1,25 @@
 //! What all requests of a gateway share.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError, Weak};
 
+use nutmegbay_core::attempt::TicketId;
 use nutmegbay_core::ids::{Fingerprint, Incarnation, RequestId};
 use nutmegbay_proto::problem::Problem;
-use tokio::sync::{Notify, watch};
+use tokio::sync::mpsc::error::TrySendError;
+use tokio::sync::{Notify, mpsc, oneshot, watch};
 
 use crate::data::client::Upstreams;
 use crate::data::flight::{Flight, SeatId};
 use crate::metrics::Metrics;
 use crate::settings::GatewaySettings;
-use crate::state::Parts;
+use crate::state::parties::Clients;
 use crate::state::revoke::OpenKeys;
 use crate::state::tally::Tally;
 use crate::state::view::{Gate, View};
 use crate::state::world::Clock;
+use crate::state::{Input, Parts};
 
 /// Shared state of one gateway.
 pub struct Gateway {
@@ -28,6 +31,8 @@
     pub clock: Clock,
     /// Client towards sidecars.
     pub client: Upstreams,
+    /// Control clients.
+    pub clients: Arc<Clients>,
     /// Open streams by key.
     pub open_keys: Arc<OpenKeys>,
     /// Model work in flight.
@@ -36,6 +41,8 @@
     pub metrics: Metrics,
     tally: Arc<Tally>,
     gate: Arc<Gate>,
+    inputs: mpsc::Sender<Input>,
+    tickets: AtomicU64,
     view: watch::Receiver<Arc<View>>,
     in_flight: AtomicU32,
     idle: Notify,
@@ -44,17 +51,24 @@
 
 impl Gateway {
     /// Creates the shared state; `view` is fed by the state task, which has the same `parts`.
-    pub fn new<P>(parts: &Parts<P>, view: watch::Receiver<Arc<View>>) -> Arc<Self> {
+    pub fn new<P>(
+        parts: &Parts<P>,
+        inputs: mpsc::Sender<Input>,
+        view: watch::Receiver<Arc<View>>,
+    ) -> Arc<Self> {
         Arc::new(Self {
             settings: parts.settings.clone(),
             incarnation: parts.incarnation,
             clock: parts.clock,
-            client: Upstreams::new(),
+            client: parts.sidecars.clone(),
+            clients: Arc::clone(&parts.clients),
             open_keys: Arc::clone(&parts.open_keys),
             flights: Flights::default(),
             metrics: parts.metrics.clone(),
             tally: Arc::clone(&parts.tally),
             gate: Arc::clone(&parts.gate),
+            inputs,
+            tickets: AtomicU64::new(0),
             view,
             in_flight: AtomicU32::new(0),
             idle: Notify::new(),
@@ -62,11 +76,39 @@
         })
     }
 
+    /// Fresh name for a request at the state task.
+    pub fn ticket(&self) -> TicketId {
+        TicketId(self.tickets.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// Asks the state task; none while it stops.
+    pub async fn ask<T>(&self, input: impl FnOnce(oneshot::Sender<T>) -> Input) -> Option<T> {
+        let (reply, answer) = oneshot::channel();
+        self.inputs.send(input(reply)).await.ok()?;
+        answer.await.ok()
+    }
+
+    /// Tells the state task, also from a destructor.
+    pub fn tell(&self, input: Input) {
+        let Err(TrySendError::Full(input)) = self.inputs.try_send(input) else {
+            return;
+        };
+        let inputs = self.inputs.clone();
+        if let Ok(runtime) = tokio::runtime::Handle::try_current() {
+            runtime.spawn(async move { inputs.send(input).await });
+        }
+    }
+
     /// Refuses if the keys known here may be out of date.
     pub fn check_current(&self) -> Result<(), Problem> {
         self.gate.check(self.clock.now())
     }
 
+    /// Whether the log was read lately.
+    pub fn is_log_readable(&self) -> bool {
+        self.gate.is_log_readable()
+    }
+
     /// Newest state that the state task has published.
     pub fn view(&self) -> Arc<View> {
         Arc::clone(&self.view.borrow())
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -18,6 +18,7 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::control::Control;
+use crate::data::client::Upstreams;
 use crate::data::serve::serve;
 use crate::gateway::Gateway;
 use crate::metrics::Metrics;
@@ -133,6 +134,7 @@
             clock: Clock::new(),
             open_keys: Arc::default(),
             recent: Arc::default(),
+            sidecars: Upstreams::new(),
             clients: Arc::default(),
             gate: Arc::default(),
             tally: Arc::default(),
@@ -140,9 +142,10 @@
         };
         let (inputs, inputs_rx) = mpsc::channel(INPUT_QUEUE);
         let (appends, appends_rx) = mpsc::unbounded_channel();
-        let (actor, view) = Actor::new(parts.clone(), inputs.clone(), appends);
+        let (actor, view) = Actor::new(parts.clone(), inputs.clone(), appends)
+            .ok_or_else(|| Report::new(RunError).attach("a state chart of the build is invalid"))?;
         let changes = view.clone();
-        let gateway = Gateway::new(&parts, view);
+        let gateway = Gateway::new(&parts, inputs.clone(), view);
         let background = Background::default();
         background.spawn(actor.run(inputs_rx));
         background.spawn(append::run(
--- a/crates/gateway/src/state/actor.rs
+++ b/crates/gateway/src/state/actor.rs
@@ -4,10 +4,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use nutmegbay_core::attempt::{DispatchResult, TicketId};
 use nutmegbay_core::freshness::ISOLATED_AFTER;
-use nutmegbay_core::ids::{Epoch, Incarnation, Offset};
+use nutmegbay_core::guard::{AttemptRef, AttemptState};
+use nutmegbay_core::ids::{Epoch, Fingerprint, Incarnation, Offset};
 use nutmegbay_core::node::{self, Event, GatewayNode, NodeConfig, TailRead};
-use nutmegbay_core::record::{Body, LeaseRole};
+use nutmegbay_core::quarantine::RunEnd;
+use nutmegbay_core::record::{Body, CrashReport, LeaseRole};
 use nutmegbay_core::replica::Applied;
 use nutmegbay_core::snapshot::Image;
 use nutmegbay_core::usage::WindowTerms;
@@ -21,13 +24,16 @@
 use tokio::time::{MissedTickBehavior, interval};
 
 use super::append::{Appended, Source, Wanted};
+use super::once::{OnceCall, OnceCalls, OnceEnd, Raw};
 use super::parties::{Clients, Party, status_of};
 use super::recent::Recent;
 use super::revoke::OpenKeys;
+use super::suspects::{Permit, Suspects};
 use super::tally::Tally;
 use super::upstreams;
 use super::view::{Gate, View};
 use super::world::{Clock, Outside};
+use crate::data::client::Upstreams;
 use crate::metrics::Metrics;
 use crate::settings::GatewaySettings;
 
@@ -50,6 +56,26 @@
     Appended(Appended),
     /// The platform's list of instances.
     Instances(InstanceList),
+    /// A non-idempotent call of a caller.
+    Once(TicketId, Box<OnceCall>, oneshot::Sender<OnceEnd>),
+    /// The caller of a non-idempotent call has left.
+    OnceGone(TicketId),
+    /// The dispatch of an attempt has ended.
+    Dispatched(AttemptRef, DispatchResult, Option<Raw>),
+    /// A sidecar was asked about an attempt.
+    Queried(AttemptRef, Option<AttemptState>),
+    /// A suspect request wants to run.
+    Admit(TicketId, Fingerprint, oneshot::Sender<Permit>),
+    /// The caller of a suspect request has left.
+    AdmitGone(TicketId),
+    /// An upstream crashed under a request of this gateway; answered when all can know of it.
+    Crashed(Vec<CrashReport>, Fingerprint, oneshot::Sender<()>),
+    /// Crash reports of peers or sidecars.
+    Heard(Vec<CrashReport>),
+    /// All peers know of a crash.
+    Acknowledged(Incarnation),
+    /// A request that ran alone has ended without a crash.
+    RunEnded(Fingerprint, RunEnd),
     /// Asks for the status.
     Status(oneshot::Sender<Status>),
     /// Asks for the whole state.
@@ -68,6 +94,10 @@
     pub freshness: Box<str>,
     /// Leases that this process holds.
     pub leases: BTreeMap<LeaseRole, Epoch>,
+    /// Crash reports that the log does not show yet.
+    pub crashes: Vec<CrashReport>,
+    /// Request that this gateway runs alone.
+    pub exclusive: Option<Fingerprint>,
 }
 
 /// What the state task shares with the rest of the process.
@@ -85,6 +115,8 @@
     pub open_keys: Arc<OpenKeys>,
     /// Recent log records.
     pub recent: Arc<Recent>,
+    /// Client for the data path of sidecars.
+    pub sidecars: Upstreams,
     /// Control clients.
     pub clients: Arc<Clients>,
     /// Until when keyed requests may be answered.
@@ -102,9 +134,12 @@
     pub(super) inputs: mpsc::Sender<Input>,
     pub(super) appends: mpsc::UnboundedSender<Wanted>,
     pub(super) parties: Vec<Party>,
+    pub(super) once: OnceCalls,
+    pub(super) suspects: Suspects,
+    /// View that is published next.
+    pub(super) next: View,
     world: Outside<node::Effect>,
     view: watch::Sender<Arc<View>>,
-    next: View,
     /// Parts of the view that are to be built again.
     stale: Stale,
     /// Head of the log when this process had first read it.
@@ -114,26 +149,35 @@
 }
 
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "the parts change independently"
+)]
 struct Stale {
     view: bool,
     keys: bool,
     config: bool,
+    suspects: bool,
 }
 
 impl<P> Actor<P>
 where
     P: Log + UsageReports + UpstreamOrders + Clone + 'static,
 {
-    /// Creates the state and the channel on which it is published.
+    /// Creates the state and the channel on which it is published; none if a chart of the build does
+    /// not parse.
     pub fn new(
         parts: Parts<P>,
         inputs: mpsc::Sender<Input>,
         appends: mpsc::UnboundedSender<Wanted>,
-    ) -> (Self, watch::Receiver<Arc<View>>) {
+    ) -> Option<(Self, watch::Receiver<Arc<View>>)> {
         let (view, rx) = watch::channel(Arc::default());
+        let (instance, incarnation) = (&parts.settings.instance, parts.incarnation);
         let cfg = NodeConfig::new(&parts.settings.instance, parts.incarnation);
         let actor = Self {
             node: GatewayNode::new(cfg),
+            once: OnceCalls::new(instance, incarnation, parts.clock)?,
+            suspects: Suspects::new(instance, incarnation, parts.clock),
             world: Outside::new(parts.clock),
             parts,
             inputs,
@@ -146,7 +190,7 @@
             stop: None,
             may_exit: false,
         };
-        (actor, rx)
+        Some((actor, rx))
     }
 
     /// Handles inputs until all senders are gone.
@@ -175,6 +219,25 @@
             Input::Offered(entries) => self.on_offered(entries),
             Input::Appended(appended) => self.on_appended(appended),
             Input::Instances(list) => self.on_instances(&list),
+            Input::Once(ticket, call, reply) => {
+                let attempts = self.node.replica().attempts();
+                self.once.begin(ticket, *call, reply, attempts);
+            }
+            Input::OnceGone(ticket) => self.once.gone(ticket, self.node.replica().attempts()),
+            Input::Dispatched(attempt, result, raw) => {
+                let attempts = self.node.replica().attempts();
+                self.once.dispatched(attempt, result, raw, attempts);
+            }
+            Input::Queried(attempt, state) => {
+                let attempts = self.node.replica().attempts();
+                self.once.queried(attempt, state, attempts);
+            }
+            Input::Admit(..)
+            | Input::AdmitGone(_)
+            | Input::Crashed(..)
+            | Input::Heard(_)
+            | Input::Acknowledged(_)
+            | Input::RunEnded(..) => self.on_suspect(input),
             Input::Status(reply) => {
                 // The asker may have given up.
                 let _ = reply.send(self.status());
@@ -189,11 +252,35 @@
         }
     }
 
+    fn on_suspect(&mut self, input: Input) {
+        let replica = self.node.replica().quarantine();
+        let suspects = &mut self.suspects;
+        match input {
+            Input::Admit(ticket, fingerprint, reply) => {
+                suspects.admit(ticket, fingerprint, reply, replica);
+            }
+            Input::AdmitGone(ticket) => suspects.gone(ticket),
+            Input::Crashed(reports, fingerprint, reply) => {
+                suspects.crashed(reports, fingerprint, reply, replica);
+                self.stale.suspects = true;
+            }
+            Input::Heard(reports) => {
+                suspects.heard(reports, replica);
+                self.stale.suspects = true;
+            }
+            Input::Acknowledged(crash) => suspects.acknowledged(crash),
+            Input::RunEnded(fingerprint, end) => suspects.finished(fingerprint, end, replica),
+            _ => {}
+        }
+    }
+
     fn on_tick(&mut self) {
         for (account, usage) in self.parts.tally.take() {
             self.feed(Event::Served { account, usage });
         }
         self.feed(Event::Tick);
+        self.once.tick(self.node.replica().attempts());
+        self.suspects.advance(self.node.replica().quarantine());
     }
 
     fn feed(&mut self, event: Event) {
@@ -215,6 +302,7 @@
                     view: true,
                     keys: true,
                     config: true,
+                    suspects: true,
                 };
             }
             node::Effect::KeysWithdrawn(keys) => {
@@ -244,22 +332,32 @@
     }
 
     fn on_applied(&mut self, offset: Offset, applied: Applied) {
-        match applied {
-            Applied::Accepted(record) => match record.body {
-                Body::KeyGrant(_) | Body::KeyWithdraw(_) => self.stale.keys = true,
-                Body::DrainRequest(_) => self.stale.view = true,
-                _ => {}
-            },
+        let record = match applied {
+            Applied::Accepted(record) => record,
             Applied::Rejected(record, reason) => {
                 let kind: &str = (&record.body).into();
                 tracing::info!(event = "record_rejected", %offset, kind, %reason,
                     author = record.author);
+                record
             }
             Applied::Unreadable(reason) => {
                 self.parts.metrics.count("record_skipped");
                 tracing::warn!(event = "record_skipped", %offset, reason);
+                return;
+            }
+            Applied::Duplicate(_) | Applied::Stale | Applied::Gap => return,
+        };
+        match &record.body {
+            Body::KeyGrant(_) | Body::KeyWithdraw(_) => self.stale.keys = true,
+            Body::DrainRequest(_) => self.stale.view = true,
+            Body::AttemptOpen(open) => self.replayed_once(open.call, record.id),
+            Body::AttemptFence(fence) => self.replayed_once(fence.call, record.id),
+            Body::AttemptOutcome(outcome) => self.replayed_once(outcome.call, record.id),
+            Body::CrashReport(_) | Body::QuarantineClear(_) | Body::ExclusiveRun(_) => {
+                self.suspects.advance(self.node.replica().quarantine());
+                self.stale.suspects = true;
             }
-            Applied::Duplicate(_) | Applied::Stale | Applied::Gap => {}
+            _ => {}
         }
     }
 
@@ -277,6 +375,10 @@
         };
         self.feed(Event::TailRead(read));
         self.remember(records);
+        let replica = self.node.replica();
+        if self.node.is_started() && replica.next() >= head {
+            self.once.complete_as_of(started, replica.attempts());
+        }
         if self.started_at.is_none() && self.node.is_started() {
             self.started_at = Some(head);
             self.stale.view = true;
@@ -304,7 +406,12 @@
                 token,
                 may_have_run: verdict == Verdict::MayHaveRun,
             }),
-            (Source::Once | Source::Suspects, _) => {}
+            (Source::Once, verdict) => {
+                let now = self.parts.clock.now();
+                let attempts = self.node.replica().attempts();
+                self.once.appended(token, verdict, now, attempts);
+            }
+            (Source::Suspects, verdict) => self.suspects.appended(token, verdict),
         }
     }
 
@@ -333,9 +440,15 @@
 
     /// Publishes what has changed and opens the gate for keyed requests.
     fn settle(&mut self) {
+        // Whoever is answered below must find the view that the answer rests on.
+        self.publish();
+        self.perform_once();
+        self.perform_suspects();
         self.publish();
         self.open_gate();
-        let is_over = self.may_exit && self.node.is_flushed() && self.parts.tally.is_empty();
+        let is_idle = self.once.is_empty();
+        let is_over =
+            self.may_exit && is_idle && self.node.is_flushed() && self.parts.tally.is_empty();
         if is_over && let Some(stop) = self.stop.take() {
             let _ = stop.send(());
         }
@@ -358,6 +471,10 @@
         if stale.config {
             self.apply_config();
         }
+        if stale.suspects {
+            let replica = self.node.replica().quarantine();
+            self.next.suspects = Arc::new(self.suspects.known(replica));
+        }
         self.view.send_replace(Arc::new(self.next.clone()));
     }
 
@@ -396,6 +513,7 @@
             _ => now.plus(OUTAGE_VOUCHED),
         };
         self.parts.gate.open_until(until);
+        self.parts.gate.set_log_readable(freshness.is_fresh(now));
     }
 
     pub(super) fn log_status(&self) -> LogStatus {
@@ -407,6 +525,8 @@
             log: self.log_status(),
             freshness: self.node.freshness().state().into(),
             leases: self.node.leases(self.parts.clock.now()).collect(),
+            crashes: self.suspects.unlogged(),
+            exclusive: self.suspects.exclusive(),
         }
     }
 }
--- a/crates/gateway/src/state/effects.rs
+++ b/crates/gateway/src/state/effects.rs
@@ -2,14 +2,15 @@
 
 use std::time::Duration;
 
+use futures::future::join_all;
 use nutmegbay_core::ids::Offset;
 use nutmegbay_core::node::{Effect, Event};
 use nutmegbay_core::orders::{OrderAnswer, SendOrder};
-use nutmegbay_core::record::OrderCommand;
+use nutmegbay_core::record::{CrashReport, OrderCommand};
 use nutmegbay_core::snapshot::Image;
 use nutmegbay_core::usage::SendUsageReport;
 use nutmegbay_platform::{Cause, InstanceDirectory, Log, UpstreamOrders, UsageReports};
-use nutmegbay_proto::control::{GatewayControlClient, SidecarControlClient};
+use nutmegbay_proto::control::{GatewayControlClient, Gossip, SidecarControlClient};
 use nutmegbay_proto::engine::EngineOrder;
 use nutmegbay_proto::platform::{UpstreamOrder, UsageReport};
 use tokio::sync::mpsc;
@@ -17,8 +18,8 @@
 
 use super::actor::Actor;
 use super::append::{Source, Wanted};
-use super::parties::view_of;
-use super::{Input, Parts};
+use super::parties::{Party, view_of};
+use super::{Input, Parts, suspects};
 
 /// Records in one read.
 const READ_MAX: u32 = 1_000;
@@ -48,7 +49,7 @@
         }
     }
 
-    fn spawn<F>(&self, work: impl FnOnce(Parts<P>) -> F)
+    pub(super) fn spawn<F>(&self, work: impl FnOnce(Parts<P>) -> F)
     where
         F: Future<Output = Option<Input>> + Send + 'static,
     {
@@ -121,6 +122,39 @@
         }
     }
 
+    /// Performs what the view of suspect requests has asked for.
+    pub(super) fn perform_suspects(&mut self) {
+        let replica = self.node.replica().quarantine();
+        for todo in self.suspects.take(replica) {
+            match todo {
+                suspects::Todo::Append(append) => {
+                    let source = Source::Suspects;
+                    let _ = self.appends.send(Wanted { source, append });
+                }
+                suspects::Todo::Announce(report) => self.announce(&report),
+            }
+        }
+    }
+
+    /// Tells all peers of a crash.
+    fn announce(&self, report: &CrashReport) {
+        let crash = report.crash;
+        let peers: Vec<Party> = self.peers().cloned().collect();
+        let gossip = Gossip {
+            instance: self.parts.settings.instance.clone(),
+            log: self.log_status(),
+            crashes: vec![report.clone()],
+            ..Gossip::default()
+        };
+        self.spawn(|parts| async move {
+            let calls = peers
+                .iter()
+                .map(|peer| parts.clients.gossip(peer, gossip.clone()));
+            let are_told = join_all(calls).await.iter().all(Option::is_some);
+            are_told.then_some(Input::Acknowledged(crash))
+        });
+    }
+
     fn send_report(&self, send: SendUsageReport) {
         self.spawn(|parts| async move {
             let window = send.window;
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -3,10 +3,13 @@
 mod actor;
 pub mod append;
 mod effects;
+pub mod once;
+mod once_effects;
 pub mod parties;
 pub mod recent;
 mod relay;
 pub mod revoke;
+pub mod suspects;
 pub mod tally;
 pub mod upstreams;
 pub mod view;
--- a/crates/gateway/src/state/parties.rs
+++ b/crates/gateway/src/state/parties.rs
@@ -9,9 +9,13 @@
 use nutmegbay_core::freshness::LogView;
 use nutmegbay_core::ids::Offset;
 use nutmegbay_proto::control::{
-    GatewayControlClient, LogStatus, SidecarControlClient, SidecarQuery, Tail,
+    GatewayControlClient, Gossip, LogStatus, SidecarControlClient, SidecarQuery, Tail,
 };
 use nutmegbay_proto::platform::InstanceKind;
+use tokio::time::timeout;
+
+/// Longest time for any control call. Calls with a shorter limit of their own have it around them.
+const CLIENT_TIMEOUT: Duration = Duration::from_secs(35);
 
 /// Time for one control call. A party that is slower counts as silent; it must be well below the
 /// 1.25 s for which an answer supports the recognition of an outage.
@@ -42,7 +46,7 @@
             return Some(client.clone());
         }
         let client = HttpClient::builder()
-            .request_timeout(CALL_TIMEOUT)
+            .request_timeout(CLIENT_TIMEOUT)
             .build(format!("http://{addr}"))
             .ok()?;
         by_addr.insert(addr, client.clone());
@@ -59,24 +63,34 @@
     pub async fn log_status(&self, party: &Party, own: LogStatus) -> Option<LogStatus> {
         let client = self.get(party.control)?;
         if party.kind == InstanceKind::Gateway {
-            return Some(GatewayControlClient::status(&client).await.ok()?.log);
+            let status = GatewayControlClient::status(&client);
+            return Some(timeout(CALL_TIMEOUT, status).await.ok()?.ok()?.log);
         }
         let query = SidecarQuery {
             cache_from: u64::MAX,
             log: own,
         };
-        let status = SidecarControlClient::status(&client, query).await;
-        Some(status.ok()?.log)
+        let status = SidecarControlClient::status(&client, query);
+        Some(timeout(CALL_TIMEOUT, status).await.ok()?.ok()?.log)
+    }
+
+    /// Tells a peer the news.
+    pub async fn gossip(&self, peer: &Party, news: Gossip) -> Option<Gossip> {
+        let client = self.get(peer.control)?;
+        let answer = GatewayControlClient::gossip(&client, news);
+        timeout(CALL_TIMEOUT, answer).await.ok()?.ok()
     }
 
     /// Records from `from` on, as far as a party has them.
     pub async fn tail(&self, party: &Party, from: Offset) -> Option<Tail> {
         let client = self.get(party.control)?;
-        let tail = match party.kind {
-            InstanceKind::Gateway => GatewayControlClient::tail(&client, from).await,
-            _ => SidecarControlClient::tail(&client, from).await,
+        let tail = async {
+            match party.kind {
+                InstanceKind::Gateway => GatewayControlClient::tail(&client, from).await,
+                _ => SidecarControlClient::tail(&client, from).await,
+            }
         };
-        tail.ok()
+        timeout(CALL_TIMEOUT, tail).await.ok()?.ok()
     }
 }
 
--- a/crates/gateway/src/state/relay.rs
+++ b/crates/gateway/src/state/relay.rs
@@ -9,7 +9,7 @@
 use nutmegbay_core::ids::Offset;
 use nutmegbay_proto::control::{LogStatus, SidecarControlClient, SidecarQuery, Tail};
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{MissedTickBehavior, interval, timeout};
 
 use super::{Input, Parts};
 use crate::gateway::Gateway;
@@ -22,6 +22,9 @@
 /// a node does not grow with the fleet.
 const PER_ROUND: usize = 8;
 
+/// Time for one call of a sidecar.
+const VISIT_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// Watches the sidecars until the state task ends.
 pub async fn relay<P>(gateway: Arc<Gateway>, parts: Parts<P>, inputs: mpsc::Sender<Input>) {
     let mut rounds = interval(ROUND);
@@ -43,7 +46,7 @@
         let chosen = (0..count.min(PER_ROUND)).map(|i| &view.upstreams[(turn + i) % count]);
         let calls = chosen.map(|upstream| {
             let next = known.get(&upstream.control).copied();
-            visit(&parts, upstream, status.log, next)
+            visit(&parts, &inputs, upstream, status.log, next)
         });
         for (addr, next) in join_all(calls).await.into_iter().flatten() {
             known.insert(addr, next);
@@ -56,6 +59,7 @@
 /// the last record that it has.
 async fn visit<P>(
     parts: &Parts<P>,
+    inputs: &mpsc::Sender<Input>,
     upstream: &Upstream,
     log: LogStatus,
     next: Option<Offset>,
@@ -66,12 +70,15 @@
         cache_from: upstream.cache_next(),
         log,
     };
-    match SidecarControlClient::status(&client, query).await {
-        Ok(status) => upstream.report(&status, asked),
-        Err(error) => {
-            tracing::debug!(event = "sidecar_silent", upstream = %upstream.name, %error);
-            return None;
-        }
+    let status = timeout(VISIT_TIMEOUT, SidecarControlClient::status(&client, query)).await;
+    let Ok(Ok(status)) = status else {
+        tracing::debug!(event = "sidecar_silent", upstream = %upstream.name);
+        return None;
+    };
+    upstream.report(&status, asked);
+    if !status.crashes.is_empty() {
+        // The state task ends last; without it nobody needs the reports.
+        let _ = inputs.send(Input::Heard(status.crashes)).await;
     }
     let entries = match next {
         Some(next) if next >= log.next => return Some((upstream.control, next)),
@@ -84,6 +91,7 @@
     };
     let after = entries.last().map(|entry| entry.offset.next());
     let tail = Tail { entries, log };
-    let reply = SidecarControlClient::relay(&client, tail).await.ok()?;
+    let reply = timeout(VISIT_TIMEOUT, SidecarControlClient::relay(&client, tail)).await;
+    let reply = reply.ok()?.ok()?;
     Some((upstream.control, after.unwrap_or(reply.next)))
 }
--- a/crates/gateway/src/state/view.rs
+++ b/crates/gateway/src/state/view.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashSet;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use nutmegbay_core::ids::{Fingerprint, Offset};
@@ -64,6 +64,7 @@
 #[derive(Debug, Default)]
 pub struct Gate {
     until_ms: AtomicU64,
+    is_log_readable: AtomicBool,
 }
 
 impl Gate {
@@ -73,6 +74,16 @@
         self.until_ms.store(ms, Ordering::Release);
     }
 
+    /// Records whether the log was read lately.
+    pub fn set_log_readable(&self, is_readable: bool) {
+        self.is_log_readable.store(is_readable, Ordering::Relaxed);
+    }
+
+    /// Whether the log was read lately.
+    pub fn is_log_readable(&self) -> bool {
+        self.is_log_readable.load(Ordering::Relaxed)
+    }
+
     /// Refuses if the keys may be out of date at `now`.
     pub fn check(&self, now: Moment) -> Result<(), Problem> {
         let until = Duration::from_millis(self.until_ms.load(Ordering::Acquire));
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -8,9 +8,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use jsonrpsee::http_client::HttpClient;
 use nutmegbay_core::record::Body;
 use nutmegbay_gateway::settings::GatewaySettings;
 use nutmegbay_gateway::{RunError, bind};
+use nutmegbay_proto::control::{GatewayControlClient, GatewayStatus};
 use nutmegbay_proto::platform::{Instance, InstanceKind, InstanceState};
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
@@ -51,6 +53,7 @@
     pub platform: Platform,
     pub listen: SocketAddr,
     pub admin: SocketAddr,
+    pub control: SocketAddr,
     pub stop: CancellationToken,
     pub done: JoinHandle<Result<(), error_stack::Report<RunError>>>,
 }
@@ -65,16 +68,16 @@
         for sidecar in sidecars {
             platform.list(sidecar.instance());
         }
-        let site = Self::start_with(platform).await;
+        let site = Self::start_with(platform, "gw1").await;
         site.until_ready().await;
         site
     }
 
     /// Starts a gateway without waiting.
-    pub async fn start_with(platform: Platform) -> Self {
+    pub async fn start_with(platform: Platform, name: &str) -> Self {
         let text = format!(
             r#"{{ // test
-                "instance": "gw1", "failure_domain": "a", "site": "test",
+                "instance": "{name}", "failure_domain": "a", "site": "test",
                 "listen": "127.0.0.1:0", "control": "127.0.0.1:0", "admin": "127.0.0.1:0",
                 "platform": "http://{}" }}"#,
             platform.addr
@@ -84,11 +87,13 @@
         let bound = bind(settings).await.expect("addresses");
         let stop = CancellationToken::new();
         let (listen, admin) = (bound.listen().expect("address"), bound.admin());
+        let control = bound.control().expect("address");
         let done = tokio::spawn(bound.serve(stop.clone()));
         Self {
             platform,
             listen,
             admin,
+            control,
             stop,
             done,
         }
@@ -99,6 +104,32 @@
         until(async || admin.get("/ready", None).await.status == 200).await;
     }
 
+    /// Client of the control interface.
+    pub fn control(&self) -> HttpClient {
+        let url = format!("http://{}", self.control);
+        HttpClient::builder().build(url).expect("client")
+    }
+
+    pub async fn status(&self) -> GatewayStatus {
+        let client = self.control();
+        GatewayControlClient::status(&client).await.expect("status")
+    }
+
+    /// Entry of this gateway in the instance list.
+    pub fn instance(&self, name: &str) -> Instance {
+        let mut instance = instance(name, InstanceKind::Gateway, "", self.listen);
+        instance.control = self.control;
+        instance
+    }
+
+    /// Stops the gateway and waits for its end.
+    pub async fn stop(self) {
+        self.stop.cancel();
+        let done = tokio::time::timeout(STEP, self.done).await;
+        let result = done.expect("stop in time").expect("no panic");
+        assert!(result.is_ok());
+    }
+
     pub fn caller(&self) -> Caller {
         Caller::new(self.listen)
     }
--- a/crates/gateway/tests/support/platform.rs
+++ b/crates/gateway/tests/support/platform.rs
@@ -10,7 +10,9 @@
 use axum::routing::{get, post};
 use axum::{Json, Router};
 use nutmegbay_core::ids::{Offset, RecordId};
-use nutmegbay_core::record::{Body, ConfigPublish, ConfigScope, KeyWithdraw, Record, SCHEMA};
+use nutmegbay_core::record::{
+    Body, ConfigPublish, ConfigScope, DrainRequest, KeyWithdraw, Record, SCHEMA,
+};
 use nutmegbay_proto::platform::{
     AppendRequest, AppendResponse, Entry, Instance, InstanceList, ReadResponse, UsageReport,
 };
@@ -37,6 +39,7 @@
     instances: Vec<Instance>,
     reports: Vec<UsageReport>,
     is_down: bool,
+    is_list_down: bool,
     loses_answers: bool,
 }
 
@@ -69,13 +72,20 @@
         offset
     }
 
-    pub fn publish_base(&self, base: &serde_json::Value) {
+    /// Writes a record with its identity.
+    pub fn write_record(&self, record: &Record) {
+        let mut store = self.state.store.lock().expect("lock");
+        store.records.push(to_raw_value(record).expect("record"));
+        self.state.appended.notify_waiters();
+    }
+
+    pub fn publish_base(&self, base: &serde_json::Value) -> Offset {
         let prev = self.last_config();
         self.write(Body::ConfigPublish(ConfigPublish {
             scope: ConfigScope::Base,
             prev,
             text: base.to_string().into(),
-        }));
+        }))
     }
 
     fn last_config(&self) -> Option<Offset> {
@@ -93,14 +103,26 @@
         self.write(Body::KeyWithdraw(KeyWithdraw { key: key.into() }));
     }
 
+    pub fn drain(&self, instance: &str) {
+        let instance = instance.into();
+        self.write(Body::DrainRequest(DrainRequest { instance }));
+    }
+
     pub fn list(&self, instance: Instance) {
         let mut store = self.state.store.lock().expect("lock");
         store.instances.retain(|i| i.name != instance.name);
         store.instances.push(instance);
     }
 
+    /// Takes log and instance list down.
     pub fn set_down(&self, is_down: bool) {
+        self.set_log_down(is_down);
+        self.state.store.lock().expect("lock").is_list_down = is_down;
+    }
+
+    pub fn set_log_down(&self, is_down: bool) {
         self.state.store.lock().expect("lock").is_down = is_down;
+        self.state.appended.notify_waiters();
     }
 
     pub fn set_loses_answers(&self, loses: bool) {
@@ -171,9 +193,13 @@
     }))
 }
 
-async fn instances(State(state): State<Arc<Shared>>) -> Json<InstanceList> {
-    let instances = state.store.lock().expect("lock").instances.clone();
-    Json(InstanceList { instances })
+async fn instances(State(state): State<Arc<Shared>>) -> Result<Json<InstanceList>, StatusCode> {
+    let store = state.store.lock().expect("lock");
+    if store.is_list_down {
+        return Err(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    let instances = store.instances.clone();
+    Ok(Json(InstanceList { instances }))
 }
 
 async fn report(State(state): State<Arc<Shared>>, Json(report): Json<UsageReport>) -> Json<()> {
--- a/crates/proto/src/problem.rs
+++ b/crates/proto/src/problem.rs
@@ -77,10 +77,16 @@
     Quarantined,
     /// The upstream was lost while it ran the request.
     UpstreamLost,
+    /// The upstream crashed while it ran the request, which is suspect now.
+    UpstreamCrashed,
     /// The upstream did not answer in time.
     UpstreamTimeout,
     /// The attempt was fenced and will never run.
     Fenced,
+    /// The attempt is bound to another life of the sidecar.
+    OtherIncarnation,
+    /// The request ran, but its answer was too large to keep for a repeat.
+    AnswerNotKept,
     /// A fault of nutmegbay.
     Internal,
 }
@@ -106,8 +112,11 @@
             Self::LogUnavailable => (503, "The platform's log is unavailable"),
             Self::Quarantined => (422, "The request is quarantined"),
             Self::UpstreamLost => (502, "The upstream was lost"),
+            Self::UpstreamCrashed => (502, "The upstream crashed"),
             Self::UpstreamTimeout => (504, "The upstream did not answer in time"),
             Self::Fenced => (409, "The attempt was fenced"),
+            Self::OtherIncarnation => (409, "The sidecar was restarted"),
+            Self::AnswerNotKept => (410, "The answer was not kept"),
             Self::Internal => (500, "Internal error"),
         }
     }
--- a/crates/proto/src/work.rs
+++ b/crates/proto/src/work.rs
@@ -19,6 +19,10 @@
 /// Header with the sidecar's [`crate::engine::Load`] as JSON, sent with each answer.
 pub const LOAD_HEADER: &str = "x-nutmegbay-load";
 
+/// Header with the verdict of a sidecar's own refusal. It is removed from the answers of services, so
+/// that an answer with it comes from the sidecar.
+pub const VERDICT_HEADER: &str = "x-nutmegbay-verdict";
+
 /// Header that names the client account to a plain service.
 pub const ACCOUNT_HEADER: &str = "x-nutmegbay-account";
 
