--- a/crates/core/src/attempt/calls.rs
+++ b/crates/core/src/attempt/calls.rs
@@ -97,10 +97,17 @@
             return;
         };
         match result {
-            AppendResult::Lost => {}
-            // Replay shows what the record did.
-            AppendResult::Done => {
-                self.appends.remove(&token);
+            // Replay shows what the record did; if it shows nothing, the next read of the head does.
+            AppendResult::Done | AppendResult::Lost => {
+                let now = world.now();
+                if let Some(machine) = self.calls.get_mut(&call)
+                    && let Some(append) = &mut machine.append
+                    && append.token == token
+                {
+                    append.ended.get_or_insert(now);
+                } else {
+                    self.appends.remove(&token);
+                }
             }
             AppendResult::Refused => {
                 self.appends.remove(&token);
@@ -109,6 +116,19 @@
         }
     }
 
+    /// The replica holds everything that was accepted before `moment`: an append that ended before
+    /// that and did not show is not in the log.
+    pub(super) fn settle<W>(&mut self, moment: Moment, attempts: &Attempts, world: &mut W)
+    where
+        W: World,
+        W::Effect: From<Effect>,
+    {
+        for call in self.calls_in_order() {
+            let is_settled = |append: Pending| append.ended.is_some_and(|ended| ended <= moment);
+            self.on_resolved(call, is_settled, attempts, world);
+        }
+    }
+
     /// An append had no effect that still counts: after a refusal, a settled loss, or replay.
     pub(super) fn on_resolved<W>(
         &mut self,
@@ -124,10 +144,11 @@
         let Some(machine) = self.calls.get_mut(&call) else {
             return;
         };
-        if !machine.append.is_some_and(is_it) {
+        let Some(append) = machine.append.filter(|append| is_it(*append)) else {
             return;
-        }
+        };
         machine.append = None;
+        self.appends.remove(&append.token);
         match machine.chart.state() {
             // Waits before it chooses again.
             "opening" | "revoking" | "fencing" => {
@@ -175,9 +196,10 @@
         }
         let is_mine = |append: Pending| append.record == record;
         if let Some(machine) = self.calls.get_mut(&call)
-            && machine.append.is_some_and(is_mine)
+            && let Some(append) = machine.append.filter(|append| is_mine(*append))
         {
             machine.append = None;
+            self.appends.remove(&append.token);
         }
         self.step(call, attempts, world);
         self.abandon(call, attempts, world);
--- a/crates/core/src/attempt/mod.rs
+++ b/crates/core/src/attempt/mod.rs
@@ -48,7 +48,6 @@
     calls: HashMap<CallKey, Machine>,
     tickets: HashMap<TicketId, CallKey>,
     appends: HashMap<u64, CallKey>,
-    next_token: u64,
     /// Attempts that this gateway has dispatched and that the log still shows as open.
     dispatched: HashMap<CallKey, u32>,
     complete_as_of: Option<Moment>,
@@ -163,11 +162,12 @@
     Chosen(CallKey, Option<Target>),
     /// Result of [`Effect::Append`].
     Appended(u64, AppendResult),
-    /// The replica has passed the head that was observed after an append's answer was lost.
-    Settled(u64),
     /// The replica has applied a record about the call, whatever the result.
     Replayed(CallKey, RecordId),
-    /// The replica holds everything that was accepted before this moment.
+    /// The replica's state was replaced by a snapshot or a peer's image.
+    Loaded,
+    /// A read that started at this moment reached the head of the log, and all of it was replayed:
+    /// the replica holds everything that was accepted before.
     CompleteAsOf(Moment),
     /// Result of [`Effect::Dispatch`].
     Dispatched(AttemptRef, DispatchResult),
@@ -218,7 +218,6 @@
             calls: HashMap::new(),
             tickets: HashMap::new(),
             appends: HashMap::new(),
-            next_token: 0,
             dispatched: HashMap::new(),
             complete_as_of: None,
             mutations: Mutations::default(),
@@ -295,14 +294,16 @@
         match event {
             Event::Chosen(call, target) => self.on_chosen(call, target, attempts, world),
             Event::Appended(token, result) => self.on_appended(token, result, attempts, world),
-            Event::Settled(token) => {
-                if let Some(call) = self.appends.remove(&token) {
-                    self.on_resolved(call, |append| append.token == token, attempts, world);
-                }
-            }
             Event::Replayed(call, record) => self.on_replayed(call, record, attempts, world),
             Event::CompleteAsOf(moment) => {
                 self.complete_as_of = self.complete_as_of.max(Some(moment));
+                self.settle(moment, attempts, world);
+            }
+            Event::Loaded => {
+                for call in self.calls_in_order() {
+                    self.step(call, attempts, world);
+                    self.abandon(call, attempts, world);
+                }
             }
             Event::Dispatched(attempt, result) => {
                 self.on_dispatched(attempt, result, attempts, world);
@@ -318,17 +319,22 @@
         W::Effect: From<Effect>,
     {
         let now = world.now();
-        let due = self.calls.iter().filter(|(_, m)| m.wake() <= Some(now));
-        let mut due: Vec<CallKey> = due
-            .filter(|(_, m)| m.wake().is_some())
-            .map(|(c, _)| *c)
-            .collect();
-        due.sort_unstable();
-        for call in due {
-            self.wake(call, now, attempts, world);
+        for call in self.calls_in_order() {
+            let wake = self.calls.get(&call).and_then(Machine::wake);
+            if wake.is_some_and(|wake| wake <= now) {
+                self.wake(call, now, attempts, world);
+            }
         }
     }
 
+    /// Calls in an order that does not depend on the hash map, so that a failure of the fuzzing can
+    /// be repeated.
+    fn calls_in_order(&self) -> Vec<CallKey> {
+        let mut calls: Vec<CallKey> = self.calls.keys().copied().collect();
+        calls.sort_unstable();
+        calls
+    }
+
     /// Moment at which [`Self::tick`] has something to do.
     pub fn next_wake(&self) -> Option<Moment> {
         self.calls.values().filter_map(Machine::wake).min()
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -124,6 +124,7 @@
     /// Serves until `stop`, then finishes what is in flight.
     pub async fn serve(self, stop: CancellationToken) -> Result<(), Report<RunError>> {
         let instance = self.settings.instance.clone();
+        let linger = Duration::from_millis(self.settings.linger_ms);
         let metrics = Metrics::new(self.settings.statsd)
             .change_context(RunError)
             .attach("metrics socket")?;
@@ -164,7 +165,7 @@
         let control = self.control.start(control.into_rpc());
         tracing::info!(event = "started", %instance, incarnation = %gateway.incarnation);
 
-        let serving = serve(Arc::clone(&gateway), self.listener, stop.clone());
+        let serving = serve(Arc::clone(&gateway), self.listener, stop.clone(), linger);
         let stopping = async {
             stop.cancelled().await;
             tracing::info!(event = "stopping", %instance, in_flight = gateway.in_flight());
--- a/crates/gateway/src/state/actor.rs
+++ b/crates/gateway/src/state/actor.rs
@@ -304,6 +304,7 @@
                     config: true,
                     suspects: true,
                 };
+                self.once.loaded(self.node.replica().attempts());
             }
             node::Effect::KeysWithdrawn(keys) => {
                 self.stale.keys = true;
@@ -407,9 +408,8 @@
                 may_have_run: verdict == Verdict::MayHaveRun,
             }),
             (Source::Once, verdict) => {
-                let now = self.parts.clock.now();
                 let attempts = self.node.replica().attempts();
-                self.once.appended(token, verdict, now, attempts);
+                self.once.appended(token, verdict, attempts);
             }
             (Source::Suspects, verdict) => self.suspects.appended(token, verdict),
         }
--- a/crates/gateway/src/state/once.rs
+++ b/crates/gateway/src/state/once.rs
@@ -65,8 +65,6 @@
     world: Outside<Effect>,
     waiting: HashMap<TicketId, Waiting>,
     raw: HashMap<CallKey, Raw>,
-    /// Appends whose answer was lost, and when.
-    lost: Vec<(u64, Moment)>,
 }
 
 struct Waiting {
@@ -111,7 +109,6 @@
             world: Outside::new(clock),
             waiting: HashMap::new(),
             raw: HashMap::new(),
-            lost: Vec::new(),
         })
     }
 
@@ -146,14 +143,11 @@
     }
 
     /// An append has ended.
-    pub fn appended(&mut self, token: u64, verdict: Verdict, now: Moment, attempts: &Attempts) {
+    pub fn appended(&mut self, token: u64, verdict: Verdict, attempts: &Attempts) {
         let result = match verdict {
             Verdict::Ran => AppendResult::Done,
             Verdict::NotRun => AppendResult::Refused,
-            Verdict::MayHaveRun => {
-                self.lost.push((token, now));
-                AppendResult::Lost
-            }
+            Verdict::MayHaveRun => AppendResult::Lost,
         };
         self.on(Event::Appended(token, result), attempts);
     }
@@ -161,14 +155,11 @@
     /// A read that began then has reached the head of the log, and its records were applied.
     pub fn complete_as_of(&mut self, started: Moment, attempts: &Attempts) {
         self.on(Event::CompleteAsOf(started), attempts);
-        let settled: Vec<u64> = self
-            .lost
-            .extract_if(.., |(_, lost)| started >= *lost)
-            .map(|(token, _)| token)
-            .collect();
-        for token in settled {
-            self.on(Event::Settled(token), attempts);
-        }
+    }
+
+    /// The replica was replaced as a whole.
+    pub fn loaded(&mut self, attempts: &Attempts) {
+        self.on(Event::Loaded, attempts);
     }
 
     /// Replay has decided on a record about a call.
