--- a/crates/bins/tests/lost_upstreams.rs
+++ b/crates/bins/tests/lost_upstreams.rs
@@ -52,7 +52,7 @@
 async fn killed_sidecar() {
     let site = Site::start_with(1, 2, 0, ENGINE).await;
     whole_despite(&site, async |site, i| {
-        site.engines[i].sidecar.signal("KILL")
+        site.engines[i].sidecar.signal("KILL");
     })
     .await;
 }
@@ -74,7 +74,7 @@
     let site = Site::start_with(1, 2, 0, ENGINE).await;
     let started = tokio::time::Instant::now();
     whole_despite(&site, async |site, i| {
-        site.engines[i].sidecar.signal("STOP")
+        site.engines[i].sidecar.signal("STOP");
     })
     .await;
     assert!(
--- a/crates/demo/src/site.rs
+++ b/crates/demo/src/site.rs
@@ -323,9 +323,10 @@
         let settings = json!({
             "instance": name, "failure_domain": domain, "kind": kind, "upstream": upstream,
             "listen": "127.0.0.1:0", "admin": "127.0.0.1:0",
-            "platform": self.platform.addr(), "checks_fencing": kind == InstanceKind::Engine,
+            "platform": format!("http://{}", self.platform.addr()), "checks_fencing": kind == InstanceKind::Engine,
         });
-        let settings = nutmegbay_sidecar::Settings::parse(&settings.to_string()).map_err(start)?;
+        let settings =
+            nutmegbay_sidecar::Settings::parse("demo", &settings.to_string()).map_err(start)?;
         let runtime = runtime().map_err(start)?;
         let bound = runtime.spawn(async { Sidecar::bind(settings) });
         let sidecar = bound.await.map_err(start)?.map_err(start)?;
