Test non-idempotent calls and crashing requests end to end

The tests run the product's sidecar beside a counting service or the fake engine. A call that could not be recorded is now refused as log-unavailable, also when only appends fail. During an outage its verdict is may_have_run, as the coordinator demands: another gateway may have recorded the call just before.

--- a/crates/gateway/examples/path_cost.rs
+++ b/crates/gateway/examples/path_cost.rs
@@ -61,7 +61,7 @@
               "listen": "127.0.0.1:0", "admin": "127.0.0.1:0", "upstream": "{}" }}"#,
         engine.addr()
     );
-    let sidecar = Sidecar::bind(Settings::parse(&text)?)?;
+    let sidecar = Sidecar::bind(Settings::parse("settings", &text)?)?;
     let data = sidecar.data_addr()?;
     tokio::spawn(sidecar.run(CancellationToken::new()));
     let platform = FakePlatform::start(PlatformConfig {
--- a/crates/gateway/src/data/once.rs
+++ b/crates/gateway/src/data/once.rs
@@ -147,21 +147,22 @@
 }
 
 fn failure(gateway: &Gateway, verdict: Verdict) -> Problem {
-    if verdict != Verdict::NotRun {
-        let detail = "the call may have run; a repeat with the same idempotency key is safe and \
-                      tells its end if that is known";
-        return Problem::new(ProblemKind::UpstreamTimeout, verdict, detail).retry_after(1);
-    }
-    let problem = if gateway.is_log_readable() {
-        not_run(
+    let (kind, detail) = match verdict {
+        // Another gateway may have recorded the call shortly before the log went away.
+        _ if !gateway.has_log() => (
+            ProblemKind::LogUnavailable,
+            "the call could not be recorded in the platform's log; repeat it with the same \
+             idempotency key",
+        ),
+        Verdict::NotRun => (
             ProblemKind::NoUpstream,
             "no upstream took the call in time; repeat it with the same idempotency key",
-        )
-    } else {
-        not_run(
-            ProblemKind::LogUnavailable,
-            "the call could not be recorded; repeat it with the same idempotency key",
-        )
+        ),
+        _ => (
+            ProblemKind::UpstreamTimeout,
+            "the call may have run; a repeat with the same idempotency key is safe and tells its \
+             end if that is known",
+        ),
     };
-    problem.retry_after(1)
+    Problem::new(kind, verdict, detail).retry_after(1)
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -104,9 +104,9 @@
         self.gate.check(self.clock.now())
     }
 
-    /// Whether the log was read lately.
-    pub fn is_log_readable(&self) -> bool {
-        self.gate.is_log_readable()
+    /// Whether the log was read lately and took the last append.
+    pub fn has_log(&self) -> bool {
+        self.gate.has_log()
     }
 
     /// Newest state that the state task has published.
--- a/crates/gateway/src/state/actor.rs
+++ b/crates/gateway/src/state/actor.rs
@@ -401,6 +401,8 @@
 
     fn on_appended(&mut self, appended: Appended) {
         let token = appended.token;
+        let is_failing = appended.verdict != Verdict::Ran;
+        self.parts.gate.set_append_failing(is_failing);
         match (appended.source, appended.verdict) {
             (Source::Node, Verdict::Ran) => self.feed(Event::AppendDone { token }),
             (Source::Node, verdict) => self.feed(Event::AppendFailed {
--- a/crates/gateway/src/state/view.rs
+++ b/crates/gateway/src/state/view.rs
@@ -65,6 +65,7 @@
 pub struct Gate {
     until_ms: AtomicU64,
     is_log_readable: AtomicBool,
+    is_append_failing: AtomicBool,
 }
 
 impl Gate {
@@ -79,9 +80,15 @@
         self.is_log_readable.store(is_readable, Ordering::Relaxed);
     }
 
-    /// Whether the log was read lately.
-    pub fn is_log_readable(&self) -> bool {
+    /// Records whether the last append failed.
+    pub fn set_append_failing(&self, is_failing: bool) {
+        self.is_append_failing.store(is_failing, Ordering::Relaxed);
+    }
+
+    /// Whether the log was read lately and took the last append.
+    pub fn has_log(&self) -> bool {
         self.is_log_readable.load(Ordering::Relaxed)
+            && !self.is_append_failing.load(Ordering::Relaxed)
     }
 
     /// Refuses if the keys may be out of date at `now`.
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for platform, sidecars and callers, driven step by step by the tests.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod beside;
 pub mod caller;
 pub mod platform;
 pub mod sidecar;
@@ -61,12 +62,17 @@
 impl Site {
     /// Starts a gateway in front of `sidecars` and waits until it is ready.
     pub async fn start(sidecars: &[&Sidecar]) -> Self {
+        Self::start_listing(sidecars.iter().map(|s| s.instance()).collect()).await
+    }
+
+    /// Starts a gateway in front of instances and waits until it is ready.
+    pub async fn start_listing(instances: Vec<Instance>) -> Self {
         let platform = Platform::start().await;
         platform.publish_base(&base());
         platform.grant("k1", "acme", "s3cret");
         platform.grant("k2", "other", "s3cret2");
-        for sidecar in sidecars {
-            platform.list(sidecar.instance());
+        for instance in instances {
+            platform.list(instance);
         }
         let site = Self::start_with(platform, "gw1").await;
         site.until_ready().await;
--- a/crates/gateway/tests/support/platform.rs
+++ b/crates/gateway/tests/support/platform.rs
@@ -34,6 +34,7 @@
 }
 
 #[derive(Default)]
+#[expect(clippy::struct_excessive_bools, reason = "the faults are independent")]
 struct Store {
     records: Vec<Box<RawValue>>,
     instances: Vec<Instance>,
@@ -41,6 +42,7 @@
     is_down: bool,
     is_list_down: bool,
     loses_answers: bool,
+    refuses_appends: bool,
 }
 
 impl Platform {
@@ -125,6 +127,11 @@
         self.state.appended.notify_waiters();
     }
 
+    /// Takes the log down for appends only.
+    pub fn set_refuses_appends(&self, refuses: bool) {
+        self.state.store.lock().expect("lock").refuses_appends = refuses;
+    }
+
     pub fn set_loses_answers(&self, loses: bool) {
         self.state.store.lock().expect("lock").loses_answers = loses;
     }
@@ -147,7 +154,7 @@
     Json(req): Json<AppendRequest>,
 ) -> Result<Json<AppendResponse>, StatusCode> {
     let mut store = state.store.lock().expect("lock");
-    if store.is_down {
+    if store.is_down || store.refuses_appends {
         return Err(StatusCode::SERVICE_UNAVAILABLE);
     }
     let first = Offset(store.records.len() as u64);
