Close kept connections only when they are quiet

Cause: gateway_stop failed again on a busy machine (load 24): answers that began before SIGTERM and ended after the linger had no `Connection: close`, and the gateway closed their connections while callers sent their next request over them. Ruled out: a longer linger, since streams may last for minutes.

--- a/crates/gateway/src/data/mod.rs
+++ b/crates/gateway/src/data/mod.rs
@@ -3,6 +3,7 @@
 pub mod api;
 pub mod body;
 pub mod client;
+mod connection;
 pub mod flight;
 pub mod headers;
 pub mod models;
--- a/crates/gateway/src/data/serve.rs
+++ b/crates/gateway/src/data/serve.rs
@@ -1,6 +1,5 @@
 //! Accepts callers' connections and dispatches their requests.
 
-use std::convert::Infallible;
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,52 +8,44 @@
 use http::{HeaderValue, Method, Request, Response, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body as _, Incoming};
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::server::graceful::GracefulShutdown;
 use nutmegbay_proto::problem::{Problem, ProblemKind};
 use tokio::net::TcpListener;
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 use super::body::Body;
 use super::refuse::{not_run, respond};
 use super::sse::Style;
-use super::{models, once, services};
+use super::{connection, models, once, services};
 use crate::auth::identify;
 use crate::gateway::Gateway;
 
-/// Time for a caller to send the head of a request.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// Longest pause while a caller sends a body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Buffer of one caller's connection in bytes: bounds the memory of an open stream.
-const CONNECTION_BUFFER: usize = 16 * 1024;
-
 /// Pause after a failed accept, which is usually a lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Serves callers until `linger` after `stop`, then finishes what is in flight.
 ///
-/// Between the two every answer closes its connection. Closing connections at once would cut the
-/// requests that callers send at that moment over connections that they keep open.
+/// Between the two every answer closes its connection; after that, connections whose answers had
+/// begun before are closed once they are quiet. Closing connections at once would cut the requests
+/// that callers send at that moment over connections that they keep open.
 pub async fn serve(
     gateway: Arc<Gateway>,
     listener: TcpListener,
     stop: CancellationToken,
     linger: Duration,
 ) {
-    let graceful = GracefulShutdown::new();
-    let mut over = pin!(async {
+    let (connections, over) = (TaskTracker::new(), CancellationToken::new());
+    let mut lingered = pin!(async {
         stop.cancelled().await;
         sleep(linger).await;
     });
     loop {
         let stream = tokio::select! {
-            () = &mut over => break,
+            () = &mut lingered => break,
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => stream,
                 Err(error) => {
@@ -66,28 +57,15 @@
         };
         // Without this a small event would wait for the caller's delayed acknowledgement.
         let _ = stream.set_nodelay(true);
-        let gateway = Arc::clone(&gateway);
-        let service = service_fn(move |req| {
-            let gateway = Arc::clone(&gateway);
-            async move { Ok::<_, Infallible>(handle(&gateway, req).await) }
-        });
-        let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(HEAD_TIMEOUT)
-            .max_buf_size(CONNECTION_BUFFER)
-            .serve_connection(TokioIo::new(stream), service);
-        let connection = graceful.watch(connection);
-        tokio::spawn(async move {
-            if let Err(error) = connection.await {
-                tracing::debug!(event = "connection_ended", %error);
-            }
-        });
+        connections.spawn(connection::run(Arc::clone(&gateway), stream, over.clone()));
     }
     drop(listener);
-    graceful.shutdown().await;
+    over.cancel();
+    connections.close();
+    connections.wait().await;
 }
 
-async fn handle(gateway: &Arc<Gateway>, req: Request<Incoming>) -> Response<Body> {
+pub(super) async fn handle(gateway: &Arc<Gateway>, req: Request<Incoming>) -> Response<Body> {
     gateway.metrics.count("requests");
     let mut res = answer(gateway, req).await;
     if gateway.is_draining() {
--- a/crates/gateway/tests/planned_stop.rs
+++ b/crates/gateway/tests/planned_stop.rs
@@ -44,3 +44,31 @@
     let done = timeout(STEP, site.done).await.expect("stop in time");
     assert!(done.expect("no panic").is_ok());
 }
+
+#[tokio::test]
+async fn kept_connection() {
+    let sidecar = Sidecar::engine("e1").await;
+    let site = Site::start(&[&sidecar]).await;
+    let caller = site.caller();
+    let (mut running, mut events) = tokio::join!(
+        async {
+            let mut running = sidecar.next().await;
+            running.accept();
+            running.token("a").await;
+            running
+        },
+        caller.stream(KEY, "verse")
+    );
+    site.stop.cancel();
+    until(async || TcpStream::connect(site.listen).await.is_err()).await;
+    running.end().await;
+    assert_eq!(events.rest().await.len(), 3);
+
+    // The answer had begun before the stop, so it could not ask the caller to close.
+    let next = caller.get("/v1/models", Some(KEY)).await;
+    assert_eq!(
+        next.status, 200,
+        "a request over the kept connection was cut"
+    );
+    assert_eq!(next.headers["connection"], "close");
+}
