Fuzz open streams and replica equality; pause stalled reads

The fuzzing opens keyed streams and requires that they end with their key, and compares the replicas with one that read the whole log. Orders in the audit trail are written in words.

--- a/crates/core/src/mutation.rs
+++ b/crates/core/src/mutation.rs
@@ -30,6 +30,8 @@
     ServeWhenIsolated,
     /// A withdrawn key is still taken.
     NoKeyCheck,
+    /// Streams go on after their key was withdrawn.
+    KeepStreams,
     /// A flush drops the counts of an append that failed.
     DropFailedCounts,
     /// Replay accepts an attempt while another one of the same call is open.
@@ -57,9 +59,16 @@
 }
 
 /// The fault of a component, if any.
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Default, Clone, Copy)]
 pub struct Mutations(Option<Mutation>);
 
+impl PartialEq for Mutations {
+    /// Components are compared by their state, not by their faults.
+    fn eq(&self, _: &Self) -> bool {
+        true
+    }
+}
+
 impl Mutations {
     /// Component with one fault.
     pub fn only(mutation: Mutation) -> Self {
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -304,7 +304,12 @@
             self.search = Some(Search::default());
             return;
         }
+        let before = self.replica.next();
         self.apply(world, &read.entries);
+        if self.replica.next() == before && before < read.head {
+            // The records do not follow on: asking again at once would not stop.
+            self.read_at = Some(world.now().plus(READ_RETRY));
+        }
         if self.replica.next() >= read.head {
             self.freshness.on_head(read.started);
             let started = read.started;
@@ -328,7 +333,8 @@
             self.feed(world, Input::Applied(*offset, &applied));
             world.perform(Effect::Applied(*offset, applied));
         }
-        if !withdrawn.is_empty() {
+        let is_kept = self.cfg.mutations.has(Mutation::KeepStreams);
+        if !withdrawn.is_empty() && !is_kept {
             world.perform(Effect::KeysWithdrawn(withdrawn));
         }
         if self.replica.config().last() != config {
--- a/crates/core/src/record.rs
+++ b/crates/core/src/record.rs
@@ -5,6 +5,7 @@
 //! record it follows and is rejected if another one came between.
 
 use std::collections::BTreeMap;
+use std::fmt;
 
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumIter, EnumString, IntoStaticStr};
@@ -335,6 +336,27 @@
     }
 }
 
+impl fmt::Display for OrderCommand {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::SetRole { upstream, role } => write!(f, "set role of {upstream} to {role}"),
+            Self::LoadModel {
+                upstream,
+                model,
+                version,
+            } => write!(f, "load {model} {version} on {upstream}"),
+            Self::LoadAdapter { upstream, adapter } => {
+                write!(f, "load adapter {adapter} on {upstream}")
+            }
+            Self::AddUpstream {
+                failure_domain,
+                serves,
+            } => write!(f, "add upstream for {serves} in {failure_domain}"),
+            Self::RemoveUpstream { upstream } => write!(f, "remove {upstream}"),
+        }
+    }
+}
+
 /// Content of [`Body::OrderDone`].
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct OrderDone {
--- a/crates/core/src/replica/audit.rs
+++ b/crates/core/src/replica/audit.rs
@@ -66,7 +66,7 @@
         },
         Body::KeyGrant(grant) => format!("grant key {} to {}", grant.key, grant.account),
         Body::KeyWithdraw(withdraw) => format!("withdraw key {}", withdraw.key),
-        Body::OrderIntent(intent) => format!("order {} {:?}", intent.order, intent.command),
+        Body::OrderIntent(intent) => format!("order {}: {}", intent.order, intent.command),
         Body::OrderDone(done) => {
             let end = if done.applied {
                 "applied"
--- a/crates/core/tests/cluster/mod.rs
+++ b/crates/core/tests/cluster/mod.rs
@@ -11,7 +11,7 @@
 
 use nutmegbay_core::ids::{Epoch, Offset};
 use nutmegbay_core::mutation::Mutations;
-use nutmegbay_core::node::{Effect, Entry, Event};
+use nutmegbay_core::node::{Effect, Entry, Event, GatewayNode};
 use nutmegbay_core::orders::SendOrder;
 use nutmegbay_core::record::LeaseRole;
 use nutmegbay_core::usage::SendUsageReport;
@@ -168,6 +168,13 @@
                 format!("node {index} does not follow the log after all faults ended")
             });
         }
+        let last = self.nodes.iter().filter_map(|slot| slot.node.as_ref());
+        let differs = last
+            .map(GatewayNode::replica)
+            .any(|replica| replica.next() == head && *replica != self.oracle.truth);
+        self.oracle.require(!differs, "replica state", || {
+            "two replicas differ after the same records".to_owned()
+        });
         for role in LeaseRole::iter() {
             let is_held = self.holders(role).len() == 1;
             self.oracle
@@ -398,6 +405,11 @@
                     format!("node {node} differs from the snapshot as of {as_of}")
                 });
             }
+            Effect::KeysWithdrawn(keys) => {
+                let streams = &mut self.nodes[node].streams;
+                streams.retain(|key| !keys.contains(key));
+            }
+            Effect::EndKeyed => self.nodes[node].streams.clear(),
             Effect::MayExit => self.nodes[node].may_exit = true,
             _ => {}
         }
@@ -412,6 +424,8 @@
         if is_due && slot.is_serving && !slot.is_stopping {
             slot.serve_at = self.t + SERVE_EVERY_MS;
             slot.served.push(self.t);
+            let number = self.t / SERVE_EVERY_MS % u64::from(self.keys.max(1)) + 1;
+            slot.open_stream(self.t, &format!("k{number}"));
             let (life, event) = (slot.life, slot.served_event());
             self.give(node, life, event);
         }
@@ -439,7 +453,9 @@
         };
         self.oracle.on_sample(self.t, &sample);
         let now = slot.now(self.t);
-        let is_taken = |key: &&str| running.check_key(now, &token(key, SECRET)).is_ok();
+        let is_taken = |key: &&str| {
+            slot.streams.contains(*key) || running.check_key(now, &token(key, SECRET)).is_ok()
+        };
         let taken = self.oracle.dead_keys(self.t).find(is_taken);
         if let Some(key) = taken.map(str::to_owned) {
             self.oracle.on_key_accepted(node, self.t, &key);
--- a/crates/core/tests/cluster/node.rs
+++ b/crates/core/tests/cluster/node.rs
@@ -1,5 +1,6 @@
 //! One node with its clock and the faults that are set for it.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use nutmegbay_core::freshness::LogView;
@@ -10,7 +11,9 @@
 use nutmegbay_core::usage::WindowTerms;
 use nutmegbay_core::world::{Moment, World};
 
+use super::SECRET;
 use super::oracle::End;
+use crate::common::token;
 
 /// Rates of the nodes' clocks in parts per thousand: 4 % apart, within the margin of 5 %.
 const RATES: [u64; 3] = [1000, 980, 1020];
@@ -37,6 +40,8 @@
     pub may_exit: bool,
     pub serve_at: u64,
     pub served: Vec<u64>,
+    /// Keys with an open stream.
+    pub streams: BTreeSet<Box<str>>,
     /// Last time at which something kept the node from the log.
     fault_at: u64,
     index: usize,
@@ -96,6 +101,7 @@
             may_exit: false,
             serve_at: 0,
             served: Vec::new(),
+            streams: BTreeSet::new(),
             fault_at: 0,
             index,
             rate: RATES[index % RATES.len()],
@@ -114,6 +120,7 @@
         self.paused_until = 0;
         self.held.clear();
         self.served.clear();
+        self.streams.clear();
         self.last_read = None;
         let life = Incarnation((self.index as u128) << 32 | u128::from(self.life));
         let mut cfg = NodeConfig::new(&self.name, life);
@@ -198,6 +205,15 @@
         )
     }
 
+    /// Opens a stream for the key, if the node takes it.
+    pub fn open_stream(&mut self, t: u64, key: &str) {
+        let now = self.now(t);
+        let node = self.node.as_ref();
+        if node.is_some_and(|node| node.check_key(now, &token(key, SECRET)).is_ok()) {
+            self.streams.insert(key.into());
+        }
+    }
+
     pub fn served_event(&self) -> Event {
         Event::Served {
             account: self.account_name(),
--- a/crates/core/tests/cluster/oracle.rs
+++ b/crates/core/tests/cluster/oracle.rs
@@ -184,7 +184,7 @@
         let at = self.withdrawn.iter().find(|(_, k)| **k == *key);
         let at = at.map(|entry| entry.0);
         self.require(false, "withdrawn key", || {
-            format!("node {node} took {key} at {t}, withdrawn at {at:?}")
+            format!("node {node} serves {key} at {t}, withdrawn at {at:?}")
         });
     }
 
--- a/crates/core/tests/mutation_catch.rs
+++ b/crates/core/tests/mutation_catch.rs
@@ -46,6 +46,7 @@
 fn key_faults() {
     caught(Mutation::ServeWhenIsolated, "withdrawn key");
     caught(Mutation::NoKeyCheck, "withdrawn key");
+    caught(Mutation::KeepStreams, "withdrawn key");
 }
 
 #[test]
@@ -57,6 +58,7 @@
 #[test]
 fn usage_faults() {
     caught(Mutation::RecountOnRepeat, "window figure");
+    caught(Mutation::RecountOnRepeat, "replica state");
     caught(Mutation::ReportAfterSeal, "window figure");
     caught(Mutation::DropFailedCounts, "lost counts");
 }
