Prefill on mixed engines for decode engines, value short waits

Cause: decode engines idled while no engine did prefill alone; repeats from other gateways and after 15 s counted as new demand and got new deadlines. Change: split plans prefill on mixed engines too; gossip carries the age of runs; the planner counts less of mixed engines and more of headroom.

--- a/crates/load/src/policy/gateway.rs
+++ b/crates/load/src/policy/gateway.rs
@@ -109,6 +109,7 @@
         let now = self.moment();
         let account = self.gateways[gateway].accounts[self.requests[req].account];
         let work = Fingerprint(req as u128);
+        self.gateways[gateway].join.first_seen(account, work, now);
         let mut at = gateway;
         let mut join = self.gateways[at].join.enter(account, work, now);
         if let Join::AtPeer(peer) = join {
--- a/crates/load/src/policy/mod.rs
+++ b/crates/load/src/policy/mod.rs
@@ -336,12 +336,15 @@
 fn plan_settings(deployment: Deployment) -> PlanSettings {
     PlanSettings {
         change: Duration::from_secs(8),
+        changes_at_once: 4,
         min_upstreams: deployment.engines() * 2 / 3,
         max_upstreams: deployment.engines(),
         shape: Shape {
-            // From the costs of the fake: chunks of 512 instead of 2,048, batches of 24 instead of 64.
-            mixed_prefill: 0.95,
-            mixed_decode: 0.56,
+            // Chunks of 512 in place of 2,048 and batches of 24 in place of 64 leave 0.95 and 0.56.
+            // With prefill in each step there are 71 ms between tokens, where 46 ms are wanted, so
+            // less of it counts.
+            mixed_prefill: 0.8,
+            mixed_decode: 0.45,
             usable: 0.9,
         },
         ..PlanSettings::default()
--- a/crates/policy/src/join.rs
+++ b/crates/policy/src/join.rs
@@ -16,9 +16,10 @@
 /// Age at which a run is announced to peers. Shorter runs end before their caller loses patience.
 const ANNOUNCE_AFTER: Duration = Duration::from_millis(250);
 
-/// Time for which a request is remembered after it was seen last. Refused callers repeat at once,
-/// so a pause this long means that the caller has given up.
-const SEEN_FOR: Duration = Duration::from_secs(5);
+/// Time for which a request is remembered after it was seen last. It covers the patience of callers
+/// with long prompts, who repeat after 15 s: with 5 s their repeats counted as new demand, four
+/// times the true one.
+const SEEN_FOR: Duration = Duration::from_mins(1);
 
 /// Time for which a peer's announcement holds without being repeated.
 const ANNOUNCED_FOR: Duration = Duration::from_secs(2);
@@ -161,28 +162,40 @@
         keys
     }
 
-    /// Runs to name in gossip: those long enough in flight that a repeat may reach a peer.
+    /// Runs to name in gossip: those long enough in flight that a repeat may reach a peer, with the
+    /// time since they were first seen.
     pub fn announcements(
         &self,
         now: Moment,
-    ) -> impl Iterator<Item = (AccountKey, Fingerprint)> + '_ {
+    ) -> impl Iterator<Item = (AccountKey, Fingerprint, Duration)> + '_ {
         self.flights
             .values()
             .filter(move |flight| now.since(flight.since) >= ANNOUNCE_AFTER)
-            .map(|flight| flight.id)
+            .map(move |flight| {
+                let first = self
+                    .seen
+                    .get(&flight.id)
+                    .map_or(flight.since, |seen| seen.first);
+                (flight.id.0, flight.id.1, now.since(first))
+            })
     }
 
     /// Takes the announcements of a peer, which replace its earlier ones.
     pub fn announced(
         &mut self,
         peer: P,
-        runs: impl IntoIterator<Item = (AccountKey, Fingerprint)>,
+        runs: impl IntoIterator<Item = (AccountKey, Fingerprint, Duration)>,
         now: Moment,
     ) {
         self.remote
             .retain(|_, &mut (p, seen)| p != peer && now.since(seen) <= ANNOUNCED_FOR);
-        for id in runs {
+        for (account, work, age) in runs {
+            let id = (account, work);
             self.remote.insert(id, (peer, now));
+            let first = Moment(now.0.saturating_sub(age));
+            let entry = self.seen.entry(id).or_insert(Seen { first, last: now });
+            entry.first = entry.first.min(first);
+            entry.last = now;
         }
     }
 }
--- a/crates/policy/src/plan/baseline.rs
+++ b/crates/policy/src/plan/baseline.rs
@@ -42,7 +42,7 @@
 
     fn plan(&mut self, engines: &Engines, now: Moment) -> Vec<Order> {
         let from = now.plus(self.settings.change);
-        let demand = (self.ahead)(from, self.settings.horizon);
+        let demand = (self.ahead)(from, self.settings.interval * 4);
         let at_lead = (self.ahead)(now.plus(self.settings.order_lead), self.settings.horizon);
         self.planner.plan_for(engines, demand, at_lead, now)
     }
--- a/crates/policy/src/plan/capacity.rs
+++ b/crates/policy/src/plan/capacity.rs
@@ -5,6 +5,9 @@
 use super::{Demand, Engines};
 use crate::UpstreamKey;
 
+/// Worth of capacity beyond the demand, relative to capacity that serves it.
+const HEADROOM: f64 = 0.3;
+
 /// Work that a mixed engine does per second, relative to an engine of the fitting role.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Shape {
@@ -88,11 +91,11 @@
         low.max(high).max(inner)
     }
 
-    /// Work per second that is served of `demand`, with a small bonus for headroom so that of two
-    /// sets that carry all of it the one with more room is preferred.
+    /// Work per second that is served of `demand` within its deadlines, with a bonus for headroom
+    /// so that of two sets that carry all of it the one with shorter waits is preferred.
     pub fn value(self, demand: Demand, shape: &Shape) -> f64 {
         let scale = self.scale(demand, shape) * shape.usable;
-        demand.total() * (scale.min(1.0) + 0.1 * (scale.clamp(1.0, 2.0) - 1.0))
+        demand.total() * (scale.min(1.0) + HEADROOM * (scale.clamp(1.0, 1.5) - 1.0))
     }
 }
 
--- a/crates/policy/src/route/load.rs
+++ b/crates/policy/src/route/load.rs
@@ -10,7 +10,7 @@
 use super::{Ask, CacheFrom, Choice, Router, eligible};
 use crate::UpstreamKey;
 use crate::cost::CostModel;
-use crate::fleet::Fleet;
+use crate::fleet::{Fleet, Upstream};
 
 /// Waiting prefill from which on a mixed engine has some in every step.
 const BUSY_S: f64 = 0.2;
@@ -124,6 +124,17 @@
             .reduce(|best, next| better(best, next, domain, self.settings.tie_s))
     }
 
+    /// Seconds between two tokens of one more sequence on `up`. Prefill of others takes part of
+    /// each step of a mixed engine while any waits.
+    fn step(&self, view: View<'_>, up: &Upstream) -> f64 {
+        let step = view.cost.step(up.batch() + 1);
+        if up.role != EngineRole::Mixed {
+            return step;
+        }
+        let busy = (up.backlog(view.cost, view.now) / BUSY_S).min(1.0);
+        step + busy * view.cost.prefill(self.settings.chunk_tokens)
+    }
+
     fn transfer(&self, tokens: u32) -> f64 {
         self.settings.transfer_base_s + f64::from(tokens) * self.settings.transfer_s_per_token
     }
@@ -154,9 +165,7 @@
                 _ => {}
             }
             let wait = up.backlog(cost, view.now) + up.slot_wait(cost);
-            // Prefill of others takes part of each step of a mixed engine while any waits.
-            let busy = (wait / BUSY_S).min(1.0);
-            let step = cost.step(up.batch() + 1) + busy * cost.prefill(self.settings.chunk_tokens);
+            let step = self.step(view, up);
             let first = wait + prefill + step;
             Some(Plan {
                 choice: Choice {
@@ -175,7 +184,9 @@
     /// Prefill on one upstream and generation on another.
     fn plan_split(&mut self, view: View<'_>) -> Option<Plan> {
         let (ask, cost) = (view.ask, view.cost);
-        self.draw(view, |role| role == EngineRole::Prefill);
+        // Mixed engines prefill for decode engines too; else those idle while no engine does
+        // prefill alone.
+        self.draw(view, |role| role != EngineRole::Decode);
         let first = self.best(ask.domain, |key| {
             let up = view.fleet.get(key)?;
             let uncached = ask.uncached(up);
@@ -203,7 +214,7 @@
         let moved = first.score + self.transfer(ask.prompt_tokens);
         self.best(first.domain, |key| {
             let up = view.fleet.get(key)?;
-            let step = cost.step(up.batch() + 1);
+            let step = self.step(view, up);
             let slot_wait = up.slot_wait(cost);
             let start = moved + slot_wait + step;
             Some(Plan {
@@ -263,7 +274,7 @@
         self.draw(view, |role| role != EngineRole::Prefill);
         self.best(ask.domain, |key| {
             let up = fleet.get(key)?;
-            let step = cost.step(up.batch() + 1);
+            let step = self.step(view, up);
             Some(Plan {
                 choice: Choice {
                     upstream: key,
