Count the demand of a request once across gateways

Cause: refused callers repeat at other gateways at once, so the planner saw up to six times the true prefill demand; the trend inside the level pulled it to zero after each swing.

--- a/crates/load/src/policy/gateway.rs
+++ b/crates/load/src/policy/gateway.rs
@@ -9,7 +9,7 @@
 use nutmegbay_policy::fleet::Fleet;
 use nutmegbay_policy::join::{FlightKey, Join, JoinTable};
 use nutmegbay_policy::limit::SharedLimit;
-use nutmegbay_policy::plan::Planner;
+use nutmegbay_policy::plan::{Demand, Planner};
 use nutmegbay_policy::queue::{Queue, Ticket};
 use nutmegbay_policy::retry::RetryBudget;
 use nutmegbay_policy::route::{Ask, CacheFrom, Choice, Router};
@@ -167,10 +167,8 @@
         }
         self.gateways[gateway].budget.first_attempt();
         let (prefill, decode) = self.estimate(index);
-        if first == now {
-            self.offered.prefill += prefill;
-            self.offered.decode += decode;
-        }
+        let demand = Demand { prefill, decode };
+        self.offered.count(Fingerprint(req as u128), demand, now);
         self.admit(index, prefill + decode);
     }
 
--- a/crates/load/src/policy/site.rs
+++ b/crates/load/src/policy/site.rs
@@ -8,7 +8,7 @@
 use nutmegbay_core::world::Moment;
 use nutmegbay_policy::UpstreamKey;
 use nutmegbay_policy::fleet::{LoadReport, PieceEvent};
-use nutmegbay_policy::plan::{Demand, EngineView, Engines, Order, Planner};
+use nutmegbay_policy::plan::{DemandLedger, EngineView, Engines, Order, Planner};
 use nutmegbay_policy::queue::Queue;
 use nutmegbay_policy::route::Router;
 use rand::{RngExt, SeedableRng};
@@ -44,7 +44,7 @@
 const PUMP_S: f64 = 0.02;
 
 /// Time until a caller that was refused or hung up is back.
-const RETURN_S: f64 = 0.01;
+const RETURN_S: f64 = 0.05;
 
 /// Time from gateway to engine.
 const HOP_S: f64 = 0.001;
@@ -162,7 +162,7 @@
     pub(super) tally: Tally,
     pub(super) rng: ChaCha8Rng,
     pub(super) now: f64,
-    pub(super) offered: Demand,
+    pub(super) offered: DemandLedger,
     pub(super) crashes: Vec<u32>,
     scenario: Scenario,
     planner: P,
@@ -197,7 +197,7 @@
             tally,
             rng: ChaCha8Rng::seed_from_u64(seed ^ 0x5173),
             now: 0.0,
-            offered: Demand::default(),
+            offered: DemandLedger::new(1),
             crashes,
             scenario,
             planner,
@@ -489,7 +489,7 @@
 
     fn plan(&mut self) {
         let now = self.moment();
-        let offered = std::mem::take(&mut self.offered);
+        let offered = self.offered.take(now);
         self.planner.observe(offered, now);
         let log_down =
             self.scenario == Scenario::LogOutage && (EVENT_S.0..EVENT_S.1).contains(&self.now);
--- a/crates/policy/src/plan/forecast.rs
+++ b/crates/policy/src/plan/forecast.rs
@@ -3,16 +3,18 @@
 use nutmegbay_core::world::Moment;
 
 /// Time constant of the level in seconds.
-const LEVEL_S: f64 = 12.0;
+const LEVEL_S: f64 = 10.0;
 
 /// Time constant of the trend in seconds. A shorter one turns noise of single long prompts into
 /// trends.
 const TREND_S: f64 = 40.0;
 
-/// Share of the trend that is believed. Swings end before a full extrapolation does.
-const DAMPING: f64 = 0.5;
+/// Share of the trend that is believed. A swing takes about 10 s, less than the trend needs to be
+/// seen: with one half the planner gave all engines to prefill, then none.
+const DAMPING: f64 = 0.1;
 
-/// Double exponential smoothing over samples at irregular moments.
+/// Exponential smoothing of level and trend over samples at irregular moments. The trend does not
+/// enter the level: with it, the level fell to zero after each swing.
 #[derive(Debug, Default, Clone, Copy)]
 pub struct Forecast {
     level: f64,
@@ -33,8 +35,7 @@
             return;
         }
         let before = self.level;
-        let expected = self.level + self.trend * gap;
-        self.level = expected + (1.0 - (-gap / LEVEL_S).exp()) * (value - expected);
+        self.level += (1.0 - (-gap / LEVEL_S).exp()) * (value - self.level);
         let slope = (self.level - before) / gap;
         self.trend += (1.0 - (-gap / TREND_S).exp()) * (slope - self.trend);
         self.at = Some(now);
--- a/crates/policy/src/plan/mod.rs
+++ b/crates/policy/src/plan/mod.rs
@@ -3,6 +3,7 @@
 mod baseline;
 mod capacity;
 mod forecast;
+mod ledger;
 mod role;
 
 use std::time::Duration;
@@ -16,6 +17,7 @@
 pub use baseline::{Clairvoyant, StaticRoles};
 pub use capacity::{MixTracker, RoleCounts, Shape};
 pub use forecast::Forecast;
+pub use ledger::DemandLedger;
 pub use role::RolePlanner;
 
 /// Work offered to the site, in engine seconds per second on engines of the fitting role.
@@ -115,7 +117,7 @@
             load: Duration::from_secs(40),
             parallel_loads: 1,
             hysteresis: 1.5,
-            mix_step: 0.1,
+            mix_step: 0.15,
             changes_at_once: 2,
             order_lead: Duration::from_mins(3),
             min_upstreams: 2,
--- a/crates/policy/src/plan/role.rs
+++ b/crates/policy/src/plan/role.rs
@@ -18,6 +18,9 @@
 /// Multiple of the expected time after which a change counts as failed.
 const CHANGE_TIMEOUT: u32 = 5;
 
+/// Largest sample of the demand in engine seconds per second of each engine.
+const MAX_DEMAND: f64 = 3.0;
+
 /// Utilization at the forecast above which an upstream is ordered.
 const ORDER_ABOVE: f64 = 0.9;
 
@@ -34,6 +37,7 @@
     pending: SecondaryMap<UpstreamKey, Pending>,
     changed: SecondaryMap<UpstreamKey, Changed>,
     mix: MixTracker,
+    engines: usize,
     fleet: FleetSize,
 }
 
@@ -70,6 +74,7 @@
             pending: SecondaryMap::new(),
             changed: SecondaryMap::new(),
             mix: MixTracker::default(),
+            engines: 0,
             fleet: FleetSize::default(),
         }
     }
@@ -303,6 +308,7 @@
             return Vec::new();
         }
         self.evaluated = Some(now);
+        self.engines = engines.len();
         self.settle(engines, now);
         // Too few fresh reports say nothing about the roles: a planner that has just started, or
         // is cut off, orders nothing.
@@ -325,12 +331,14 @@
 
 impl Planner for RolePlanner {
     fn observe(&mut self, demand: Demand, now: Moment) {
-        self.prefill.sample(demand.prefill, now);
-        self.decode.sample(demand.decode, now);
+        // More than the fleet can carry several times over is a burst of estimates, not a level.
+        let most = MAX_DEMAND * self.engines.max(1) as f64;
+        self.prefill.sample(demand.prefill.min(most), now);
+        self.decode.sample(demand.decode.min(most), now);
     }
 
     fn plan(&mut self, engines: &Engines, now: Moment) -> Vec<Order> {
-        let demand = self.forecast(self.settings.change + self.settings.horizon / 4);
+        let demand = self.forecast(self.settings.change);
         let at_lead = self.forecast(self.settings.order_lead);
         self.plan_for(engines, demand, at_lead, now)
     }
