--- a/crates/core/src/mutation.rs
+++ b/crates/core/src/mutation.rs
@@ -54,6 +54,8 @@
     IgnoreCrashes,
     /// A gateway keeps a suspect request suspect after it ran alone without a crash.
     NeverClear,
+    /// Replay lets a gateway take the lock for exclusive runs whoever holds it.
+    LockWithoutPrev,
 }
 
 /// The fault of a component, if any.
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -5,16 +5,23 @@
 //! quarantined. A request that was running during two crashes is quarantined in any case, which
 //! bounds the loss to two upstreams even where the first report came too late for the second run.
 //!
-//! The error of a crash is held back until every gateway can know of it, since callers send a
-//! failed request again at once, under a new identity and to any gateway.
+//! The error of a crash is held back until every gateway that takes requests knows of it, since
+//! callers send a failed request again at once, under a new identity and to any gateway: until all
+//! known peers have acknowledged the report, or until a peer that has not heard of it must have
+//! stopped taking keyed requests because its replica is stale.
+//!
+//! A gateway that starts must have asked all sidecars for the crashes that they remember before it
+//! takes requests.
+
+mod settle;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use crate::ids::{Fingerprint, Incarnation, Offset, RecordId};
+use crate::ids::{Fingerprint, Incarnation, Offset};
 use crate::mutation::{Mutation, Mutations};
-use crate::record::{Body, CrashReport, ExclusiveRun, QuarantineClear, Record, SCHEMA};
-use crate::replica::{ExclusiveLock, Quarantine};
+use crate::record::CrashReport;
+use crate::replica::Quarantine;
 use crate::world::{Append, Moment, World};
 
 pub use crate::attempt::{AppendResult, TicketId};
@@ -71,15 +78,20 @@
     pub ttl: Duration,
     /// Time that another gateway waits on top.
     pub margin: Duration,
+    /// Longest time for which the error of a crash is held back. It must be longer than the time
+    /// after which a gateway with a stale replica refuses keyed requests.
+    pub hold: Duration,
 }
 
 impl Default for Timing {
-    /// 100 ms between tries, 60 s for a run, 3.2 s of margin: 5 % for clock drift and 200 ms.
+    /// 100 ms between tries, 60 s for a run, 3.2 s of margin (5 % for clock drift and 200 ms), 3.2 s
+    /// of hold (3 s until a stale replica counts as isolated and 200 ms).
     fn default() -> Self {
         Self {
             retry: Duration::from_millis(100),
             ttl: Duration::from_mins(1),
             margin: Duration::from_millis(3_200),
+            hold: Duration::from_millis(3_200),
         }
     }
 }
@@ -91,6 +103,8 @@
     timing: Timing,
     /// Reports that the log does not show yet.
     unlogged: BTreeMap<Incarnation, Unlogged>,
+    /// Crashes whose errors are held back, and until when at most.
+    held: BTreeMap<Incarnation, Moment>,
     waiting: BTreeMap<TicketId, Fingerprint>,
     lock: Lock,
     /// Other holder of the lock and the moment at which this gateway read of it.
@@ -101,8 +115,6 @@
 
 struct Unlogged {
     report: CrashReport,
-    /// Whether callers of this gateway wait for the report to be known.
-    holds: bool,
     append: Try,
 }
 
@@ -141,6 +153,7 @@
             me,
             timing,
             unlogged: BTreeMap::new(),
+            held: BTreeMap::new(),
             waiting: BTreeMap::new(),
             lock: Lock::None,
             seen: None,
@@ -192,11 +205,19 @@
         W::Effect: From<Effect>,
     {
         let crash = report.crash;
-        if replica.knows_crash(crash) {
-            world.perform(Effect::Release(crash).into());
-        } else {
-            world.perform(Effect::Announce(report.clone()).into());
-            self.learn(report, true);
+        if let Lock::Running { fingerprint } = self.lock
+            && report.running.contains(&fingerprint)
+        {
+            self.lock = Lock::Returning {
+                fingerprint,
+                append: Try::default(),
+            };
+        }
+        let until = world.now().plus(self.timing.hold);
+        self.held.entry(crash).or_insert(until);
+        world.perform(Effect::Announce(report.clone()).into());
+        if !replica.knows_crash(crash) {
+            self.learn(report);
         }
         self.advance(replica, world);
     }
@@ -208,7 +229,7 @@
         W::Effect: From<Effect>,
     {
         if !replica.knows_crash(report.crash) {
-            self.learn(report, false);
+            self.learn(report);
         }
         self.advance(replica, world);
     }
@@ -219,9 +240,7 @@
         W: World,
         W::Effect: From<Effect>,
     {
-        if let Some(unlogged) = self.unlogged.get_mut(&crash)
-            && std::mem::take(&mut unlogged.holds)
-        {
+        if self.held.remove(&crash).is_some() {
             world.perform(Effect::Release(crash).into());
         }
     }
@@ -280,6 +299,7 @@
         W: World,
         W::Effect: From<Effect>,
     {
+        self.release_late(world);
         self.settle_reports(replica, world);
         self.settle_clears(replica, world);
         self.settle_lock(replica, world);
@@ -290,6 +310,7 @@
     /// Whether [`Self::advance`] is to be called from time to time.
     pub fn is_busy(&self) -> bool {
         let is_idle = self.unlogged.is_empty()
+            && self.held.is_empty()
             && self.waiting.is_empty()
             && self.clears.is_empty()
             && matches!(self.lock, Lock::None | Lock::Running { .. });
@@ -325,251 +346,10 @@
         all.len()
     }
 
-    fn learn(&mut self, report: CrashReport, holds: bool) {
-        let unlogged = self.unlogged.entry(report.crash).or_insert(Unlogged {
+    fn learn(&mut self, report: CrashReport) {
+        self.unlogged.entry(report.crash).or_insert(Unlogged {
             report,
-            holds: false,
             append: Try::default(),
         });
-        unlogged.holds |= holds;
-    }
-
-    fn settle_reports<W>(&mut self, replica: &Quarantine, world: &mut W)
-    where
-        W: World,
-        W::Effect: From<Effect>,
-    {
-        let known: Vec<Incarnation> = self.unlogged.keys().copied().collect();
-        for crash in known {
-            if replica.knows_crash(crash) {
-                if self.unlogged.remove(&crash).is_some_and(|u| u.holds) {
-                    world.perform(Effect::Release(crash).into());
-                }
-                continue;
-            }
-            let report = &self.unlogged[&crash].report;
-            let body = Body::CrashReport(report.clone());
-            let append = self.unlogged[&crash].append;
-            let append = self.attempt(append, body, world);
-            if let Some(unlogged) = self.unlogged.get_mut(&crash) {
-                unlogged.append = append;
-            }
-        }
-    }
-
-    fn settle_clears<W>(&mut self, replica: &Quarantine, world: &mut W)
-    where
-        W: World,
-        W::Effect: From<Effect>,
-    {
-        let clears: Vec<(Fingerprint, Try)> = self.clears.iter().map(|(f, t)| (*f, *t)).collect();
-        for (fingerprint, append) in clears {
-            let suspect = replica.get(fingerprint);
-            if suspect.is_none_or(crate::replica::Suspect::is_quarantined) {
-                self.clears.remove(&fingerprint);
-                continue;
-            }
-            let body = Body::QuarantineClear(QuarantineClear { fingerprint });
-            let append = self.attempt(append, body, world);
-            self.clears.insert(fingerprint, append);
-        }
-    }
-
-    fn settle_lock<W>(&mut self, replica: &Quarantine, world: &mut W)
-    where
-        W: World,
-        W::Effect: From<Effect>,
-    {
-        let now = world.now();
-        let mine = replica.lock().filter(|lock| lock.gateway == self.me);
-        match replica.lock() {
-            Some(lock) if mine.is_none() => {
-                if self.seen.is_none_or(|(taken, _)| taken != lock.taken) {
-                    self.seen = Some((lock.taken, now));
-                }
-            }
-            _ => self.seen = None,
-        }
-        match self.lock {
-            // A claim that took effect after it was given up, or that lost its request.
-            Lock::None => {
-                if let Some(lock) = mine {
-                    self.lock = Lock::Returning {
-                        fingerprint: lock.fingerprint,
-                        append: Try::default(),
-                    };
-                }
-            }
-            Lock::Claiming {
-                fingerprint, since, ..
-            } => {
-                let is_held = mine.is_some_and(|lock| lock.fingerprint == fingerprint);
-                if is_held {
-                    self.start(fingerprint, since, now, world);
-                }
-            }
-            Lock::Running { .. } | Lock::Returning { .. } => {}
-        }
-        if let Lock::Returning {
-            fingerprint,
-            append,
-        } = self.lock
-        {
-            let is_clearing = self.clears.contains_key(&fingerprint);
-            if mine.is_none_or(|lock| lock.fingerprint != fingerprint) && !is_clearing {
-                self.lock = Lock::None;
-            } else if !is_clearing {
-                // Clearing the request ends the lock as well.
-                let body = self.exclusive_run(fingerprint, None, false);
-                let append = self.attempt(append, body, world);
-                self.lock = Lock::Returning {
-                    fingerprint,
-                    append,
-                };
-            }
-        }
-    }
-
-    /// Runs one waiting ticket under the lock, which was claimed at `since`.
-    fn start<W>(&mut self, fingerprint: Fingerprint, since: Moment, now: Moment, world: &mut W)
-    where
-        W: World,
-        W::Effect: From<Effect>,
-    {
-        let ticket = self
-            .waiting
-            .iter()
-            .find(|(_, waiting)| **waiting == fingerprint);
-        let ticket = ticket.map(|(ticket, _)| *ticket);
-        // Another gateway may take the lock when its time has passed. Half of the time is the least
-        // that a run is given.
-        let is_late = now.since(since) > self.timing.ttl / 2;
-        match ticket {
-            Some(ticket) if !is_late => {
-                self.waiting.remove(&ticket);
-                self.lock = Lock::Running { fingerprint };
-                let exclusive = true;
-                world.perform(Effect::Run { ticket, exclusive }.into());
-            }
-            _ => {
-                self.lock = Lock::Returning {
-                    fingerprint,
-                    append: Try::default(),
-                };
-            }
-        }
-    }
-
-    fn settle_tickets<W>(&mut self, replica: &Quarantine, world: &mut W)
-    where
-        W: World,
-        W::Effect: From<Effect>,
-    {
-        let waiting: Vec<(TicketId, Fingerprint)> =
-            self.waiting.iter().map(|(t, f)| (*t, *f)).collect();
-        for (ticket, fingerprint) in waiting {
-            let effect = match self.crashes(fingerprint, replica) {
-                0 => Effect::Run {
-                    ticket,
-                    exclusive: false,
-                },
-                MAX_CRASHES.. => Effect::Refuse(ticket),
-                _ => continue,
-            };
-            self.waiting.remove(&ticket);
-            world.perform(effect.into());
-        }
-    }
-
-    /// Claims the lock for the request that has waited longest, if it is free or has expired.
-    fn claim<W>(&mut self, replica: &Quarantine, world: &mut W)
-    where
-        W: World,
-        W::Effect: From<Effect>,
-    {
-        let now = world.now();
-        let is_free = match replica.lock() {
-            None => true,
-            Some(lock) => self.is_expired(lock, now),
-        };
-        let (fingerprint, since, append) = match self.lock {
-            Lock::None => {
-                let logged = |f: &&Fingerprint| replica.get(**f).is_some();
-                let Some(fingerprint) = self.waiting.values().find(logged) else {
-                    return;
-                };
-                (*fingerprint, now, Try::default())
-            }
-            Lock::Claiming {
-                fingerprint,
-                since,
-                append,
-            } => {
-                if !self.waiting.values().any(|f| *f == fingerprint) {
-                    // An append that is under way may still take the lock, which is then returned.
-                    self.lock = Lock::None;
-                    return;
-                }
-                let since = if append.token.is_none() { now } else { since };
-                (fingerprint, since, append)
-            }
-            Lock::Running { .. } | Lock::Returning { .. } => return,
-        };
-        if !is_free || replica.get(fingerprint).is_none() {
-            self.lock = Lock::None;
-            return;
-        }
-        let body = self.exclusive_run(fingerprint, replica.last_lock(), true);
-        let append = self.attempt(append, body, world);
-        self.lock = Lock::Claiming {
-            fingerprint,
-            since,
-            append,
-        };
-    }
-
-    fn is_expired(&self, lock: &ExclusiveLock, now: Moment) -> bool {
-        let wait = Duration::from_millis(lock.ttl_ms) + self.timing.margin;
-        lock.gateway != self.me
-            && self
-                .seen
-                .is_some_and(|(taken, at)| taken == lock.taken && now.since(at) > wait)
-    }
-
-    fn exclusive_run(&self, fingerprint: Fingerprint, prev: Option<Offset>, taken: bool) -> Body {
-        Body::ExclusiveRun(ExclusiveRun {
-            fingerprint,
-            gateway: self.me,
-            prev,
-            ttl_ms: u64::try_from(self.timing.ttl.as_millis()).unwrap_or(u64::MAX),
-            taken,
-        })
-    }
-
-    /// Appends `body` unless the last try is too recent.
-    fn attempt<W>(&mut self, last: Try, body: Body, world: &mut W) -> Try
-    where
-        W: World,
-        W::Effect: From<Effect>,
-    {
-        let now = world.now();
-        if now < last.retry_at {
-            return last;
-        }
-        #[expect(clippy::cast_possible_truncation, reason = "64 of 128 random bits")]
-        let token = world.random() as u64;
-        let record = Record {
-            id: RecordId(world.random()),
-            author: self.instance.clone(),
-            at_ms: world.wall_ms(),
-            schema: SCHEMA,
-            body,
-        };
-        let records = vec![record];
-        world.perform(Effect::Append(Append { token, records }).into());
-        Try {
-            token: Some(token),
-            retry_at: now.plus(self.timing.retry),
-        }
     }
 }
--- a/crates/core/src/replica/mod.rs
+++ b/crates/core/src/replica/mod.rs
@@ -180,7 +180,10 @@
             Body::AttemptOutcome(outcome) => self.attempts.outcome(outcome),
             Body::CrashReport(report) => self.quarantine.crash(offset, report),
             Body::QuarantineClear(clear) => self.quarantine.clear(clear),
-            Body::ExclusiveRun(run) => self.quarantine.exclusive(offset, run),
+            Body::ExclusiveRun(run) => {
+                let any_prev = self.mutations.has(Mutation::LockWithoutPrev);
+                self.quarantine.exclusive(offset, run, any_prev)
+            }
         }
     }
 
--- a/crates/core/src/replica/quarantine.rs
+++ b/crates/core/src/replica/quarantine.rs
@@ -118,7 +118,12 @@
 
     /// Takes the lock or gives it back. It may be taken from a holder that names it in `prev`: the
     /// taker has waited for the holder's time to pass.
-    pub(super) fn exclusive(&mut self, offset: Offset, run: &ExclusiveRun) -> Result<(), Reason> {
+    pub(super) fn exclusive(
+        &mut self,
+        offset: Offset,
+        run: &ExclusiveRun,
+        any_prev: bool,
+    ) -> Result<(), Reason> {
         if !run.taken {
             let is_held = self.lock.is_some_and(|lock| {
                 lock.gateway == run.gateway && lock.fingerprint == run.fingerprint
@@ -129,7 +134,7 @@
             self.lock = None;
             return Ok(());
         }
-        if run.prev != self.last_lock {
+        if run.prev != self.last_lock && !any_prev {
             return Err(Reason::Overtaken);
         }
         match self.suspects.get(&run.fingerprint) {
--- /dev/null
+++ b/crates/core/tests/quarantine_sim/gateway.rs
@@ -0,0 +1,297 @@
+//! Gateways: view of the suspects, replica and their messages.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::Duration;
+
+use nutmegbay_core::ids::{Fingerprint, Incarnation};
+use nutmegbay_core::quarantine::{Admit, AppendResult, Effect, RunEnd, TicketId, Timing, View};
+use nutmegbay_core::replica::{Quarantine, Replica};
+use nutmegbay_core::world::{Moment, World};
+
+use super::{End, Event, GATEWAYS, POLL_MS, READ_MS, Sim};
+
+/// Age of its state after which a gateway takes no requests.
+const STALE_MS: u64 = 3_000;
+
+pub struct Gateway {
+    pub life: Incarnation,
+    pub paused_until: u64,
+    view: View,
+    replica: Replica,
+    /// Callers whose error is held back, by crash.
+    held: BTreeMap<Incarnation, Vec<TicketId>>,
+    /// Peers that have not acknowledged a crash yet.
+    waiting_for: BTreeMap<Incarnation, BTreeSet<usize>>,
+    exclusive: BTreeMap<TicketId, Fingerprint>,
+    /// When it last read the log or asked the sidecars.
+    current_at: u64,
+}
+
+struct Outside {
+    now: Moment,
+    random: u64,
+    effects: Vec<Effect>,
+}
+
+impl World for Outside {
+    type Effect = Effect;
+
+    fn now(&self) -> Moment {
+        self.now
+    }
+
+    fn wall_ms(&self) -> u64 {
+        0
+    }
+
+    fn random(&mut self) -> u128 {
+        self.random = self
+            .random
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
+        self.random.into()
+    }
+
+    fn perform(&mut self, effect: Effect) {
+        self.effects.push(effect);
+    }
+}
+
+impl Sim {
+    pub(super) fn new_gateway(&mut self) -> Gateway {
+        let life = self.new_life();
+        let timing = Timing {
+            ttl: Duration::from_secs(2),
+            margin: Duration::from_millis(300),
+            ..Timing::default()
+        };
+        Gateway {
+            life,
+            paused_until: 0,
+            view: View::new("g", life, timing).with_mutations(self.mutations),
+            replica: Replica::new().with_mutations(self.mutations),
+            held: BTreeMap::new(),
+            waiting_for: BTreeMap::new(),
+            exclusive: BTreeMap::new(),
+            current_at: 0,
+        }
+    }
+
+    /// A gateway takes requests only after it has asked all sidecars for crashes.
+    pub(super) fn start_gateway(&mut self, gateway: usize) {
+        let life = self.gateways[gateway].life;
+        self.push(0, Event::Read { gateway, life });
+        self.push(0, Event::Poll { gateway, life });
+        self.push(0, Event::Advance { gateway, life });
+    }
+
+    pub(super) fn kill_gateway(&mut self, gateway: usize) {
+        let old = &self.gateways[gateway];
+        let life = old.life;
+        self.lost_holders += usize::from(!old.held.is_empty());
+        self.gateways[gateway] = self.new_gateway();
+        self.start_gateway(gateway);
+        self.cancel_runs(life);
+        let open = self.tickets.iter();
+        let open: Vec<TicketId> = open
+            .filter(|(_, t)| t.gateway == gateway && t.end.is_none())
+            .map(|(ticket, _)| *ticket)
+            .collect();
+        for ticket in open {
+            self.end(ticket, End::Killed);
+        }
+    }
+
+    pub(super) fn on_gateway(&mut self, gateway: usize, event: Event) {
+        match event {
+            Event::Begin { ticket, .. } => self.on_begin(gateway, ticket),
+            Event::Advance { life, .. } => {
+                self.with(gateway, View::advance);
+                self.push(50, Event::Advance { gateway, life });
+            }
+            Event::Read { life, .. } => {
+                self.on_read(gateway);
+                // Gateways must not read in step, or no one ever sees a record before the others.
+                let after = 1 + self.below(2 * READ_MS);
+                self.push(after, Event::Read { gateway, life });
+            }
+            Event::Poll { life, .. } => {
+                self.gateways[gateway].current_at = self.now;
+                let reports = self
+                    .upstreams
+                    .iter()
+                    .flat_map(|u| u.reports.iter().cloned());
+                let reports: Vec<_> = reports.collect();
+                for report in reports {
+                    self.with(gateway, |view, replica, world| {
+                        view.heard(report, replica, world);
+                    });
+                }
+                self.push(POLL_MS, Event::Poll { gateway, life });
+            }
+            Event::Appended { token, result, .. } => {
+                self.gateways[gateway].view.appended(token, result);
+            }
+            Event::Announced {
+                from,
+                from_life,
+                report,
+                ..
+            } => {
+                let crash = report.crash;
+                self.with(gateway, |view, replica, world| {
+                    view.heard(report, replica, world);
+                });
+                let event = Event::Acknowledged {
+                    gateway: from,
+                    life: from_life,
+                    peer: gateway,
+                    crash,
+                };
+                self.push(2, event);
+            }
+            Event::Acknowledged { peer, crash, .. } => {
+                let Some(missing) = self.gateways[gateway].waiting_for.get_mut(&crash) else {
+                    return;
+                };
+                missing.remove(&peer);
+                if missing.is_empty() {
+                    self.with(gateway, |view, _, world| view.acknowledged(crash, world));
+                }
+            }
+            Event::Crashed {
+                report, tickets, ..
+            } => {
+                let target = &mut self.gateways[gateway];
+                for ticket in &tickets {
+                    target.exclusive.remove(ticket);
+                }
+                target.held.entry(report.crash).or_default().extend(tickets);
+                self.with(gateway, |view, replica, world| {
+                    view.crashed(report, replica, world);
+                });
+            }
+            Event::Ended { ticket, .. } => {
+                if let Some(fingerprint) = self.gateways[gateway].exclusive.remove(&ticket) {
+                    self.with(gateway, |view, replica, world| {
+                        view.finished(fingerprint, RunEnd::Survived, replica, world);
+                    });
+                }
+                self.end(ticket, End::Done);
+            }
+            Event::Append { .. } | Event::RunEnds { .. } => {}
+        }
+    }
+
+    fn on_begin(&mut self, gateway: usize, ticket: TicketId) {
+        let target = &self.gateways[gateway];
+        if self.now > target.current_at + STALE_MS {
+            let life = target.life;
+            let event = Event::Begin {
+                gateway,
+                life,
+                ticket,
+            };
+            self.push(1, event);
+            return;
+        }
+        let fingerprint = self.tickets[&ticket].fingerprint;
+        let mut admit = Admit::Wait;
+        self.with(gateway, |view, replica, world| {
+            admit = view.admit(ticket, fingerprint, replica, world);
+        });
+        match admit {
+            Admit::Run => self.dispatch(gateway, ticket, false),
+            Admit::Refuse => self.end(ticket, End::Refused),
+            Admit::Wait => {}
+        }
+    }
+
+    fn on_read(&mut self, gateway: usize) {
+        if self.now < self.outage_until {
+            return;
+        }
+        let target = &mut self.gateways[gateway];
+        target.current_at = self.now;
+        let from = usize::try_from(target.replica.next().0).unwrap();
+        for text in self.log.get(from..).unwrap_or_default() {
+            target.replica.apply(target.replica.next(), text);
+        }
+        self.with(gateway, View::advance);
+    }
+
+    /// Lets a view act and performs what it asks for.
+    fn with(&mut self, gateway: usize, act: impl FnOnce(&mut View, &Quarantine, &mut Outside)) {
+        let mut world = Outside {
+            now: Moment(Duration::from_millis(self.now)),
+            random: self.below(u64::MAX),
+            effects: Vec::new(),
+        };
+        let target = &mut self.gateways[gateway];
+        act(&mut target.view, target.replica.quarantine(), &mut world);
+        for effect in world.effects {
+            self.perform(gateway, effect);
+        }
+    }
+
+    fn perform(&mut self, gateway: usize, effect: Effect) {
+        let life = self.gateways[gateway].life;
+        match effect {
+            Effect::Append(append) => {
+                let text: Rc<str> = serde_json::to_string(&append.records[0]).unwrap().into();
+                let token = append.token;
+                let event = Event::Append {
+                    gateway,
+                    life,
+                    token,
+                    text,
+                };
+                let time = 1 + self.below(10);
+                self.push(time, event);
+                let lost = Event::Appended {
+                    gateway,
+                    life,
+                    token,
+                    result: AppendResult::Lost,
+                };
+                self.push(300, lost);
+            }
+            Effect::Announce(report) => {
+                let peers: BTreeSet<usize> =
+                    (0..GATEWAYS).filter(|peer| *peer != gateway).collect();
+                for peer in &peers {
+                    if self.lose_announcements > 0 {
+                        self.lose_announcements -= 1;
+                        continue;
+                    }
+                    let event = Event::Announced {
+                        gateway: *peer,
+                        life: self.gateways[*peer].life,
+                        from: gateway,
+                        from_life: life,
+                        report: report.clone(),
+                    };
+                    let time = 1 + self.below(10);
+                    self.push(time, event);
+                }
+                let crash = report.crash;
+                self.gateways[gateway].waiting_for.insert(crash, peers);
+            }
+            Effect::Release(crash) => {
+                let held = self.gateways[gateway].held.remove(&crash);
+                for ticket in held.into_iter().flatten() {
+                    self.end(ticket, End::Failed);
+                }
+            }
+            Effect::Run { ticket, exclusive } => {
+                if exclusive {
+                    let fingerprint = self.tickets[&ticket].fingerprint;
+                    self.gateways[gateway].exclusive.insert(ticket, fingerprint);
+                }
+                self.dispatch(gateway, ticket, exclusive);
+            }
+            Effect::Refuse(ticket) => self.end(ticket, End::Refused),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/quarantine_sim/upstream.rs
@@ -0,0 +1,155 @@
+//! Upstreams with their sidecars: exclusive runs, crashes and the reports of them.
+
+use std::collections::BTreeMap;
+
+use nutmegbay_core::guard::Slots;
+use nutmegbay_core::ids::{Fingerprint, Incarnation};
+use nutmegbay_core::quarantine::TicketId;
+use nutmegbay_core::record::CrashReport;
+
+use super::{Event, MAX_LOST, Sim};
+
+#[derive(Default)]
+pub struct Upstream {
+    slots: Slots,
+    runs: BTreeMap<u64, Run>,
+    /// Crash reports, which gateways poll.
+    pub reports: Vec<CrashReport>,
+}
+
+#[derive(Debug, Clone)]
+struct Run {
+    gateway: usize,
+    life: Incarnation,
+    ticket: TicketId,
+    fingerprint: Fingerprint,
+    exclusive: bool,
+    has_started: bool,
+}
+
+impl Sim {
+    pub(super) fn dispatch(&mut self, gateway: usize, ticket: TicketId, exclusive: bool) {
+        let upstream = self.tickets[&ticket].upstream;
+        let fingerprint = self.tickets[&ticket].fingerprint;
+        self.next_run += 1;
+        let run = self.next_run;
+        let life = self.gateways[gateway].life;
+        let state = Run {
+            gateway,
+            life,
+            ticket,
+            fingerprint,
+            exclusive,
+            has_started: false,
+        };
+        self.upstreams[upstream].runs.insert(run, state);
+        if self.upstreams[upstream].slots.enter(run, exclusive) {
+            self.start(upstream, run);
+        }
+    }
+
+    fn start(&mut self, upstream: usize, run: u64) {
+        if let Some(state) = self.upstreams[upstream].runs.get_mut(&run) {
+            state.has_started = true;
+        }
+        let all = self.upstreams.iter().flat_map(|u| u.runs.values());
+        let exclusive = all.filter(|run| run.exclusive && run.has_started).count();
+        assert!(exclusive <= 1, "lock: {exclusive} exclusive runs at once");
+        let time = 5 + self.below(150);
+        self.push(time, Event::RunEnds { upstream, run });
+    }
+
+    pub(super) fn on_run_end(&mut self, upstream: usize, run: u64) {
+        let Some(state) = self.upstreams[upstream].runs.get(&run).cloned() else {
+            return;
+        };
+        if state.fingerprint.0 == 0 {
+            self.crash(upstream);
+            return;
+        }
+        self.remove(upstream, run);
+        let Run {
+            gateway,
+            life,
+            ticket,
+            ..
+        } = state;
+        self.push(
+            2,
+            Event::Ended {
+                gateway,
+                life,
+                ticket,
+            },
+        );
+    }
+
+    /// The poison takes the upstream down with everything that runs on it.
+    fn crash(&mut self, upstream: usize) {
+        self.lost += 1;
+        let most = MAX_LOST + self.lost_holders;
+        let lost = self.lost;
+        assert!(
+            lost <= most,
+            "two: the poison has crashed {lost} upstreams, {most} may be lost"
+        );
+        let crash = self.new_life();
+        let (started, waiting): (BTreeMap<u64, Run>, _) =
+            std::mem::take(&mut self.upstreams[upstream].runs)
+                .into_iter()
+                .partition(|(_, run)| run.has_started);
+        self.upstreams[upstream].runs = waiting;
+        let mut running: Vec<Fingerprint> = started.values().map(|run| run.fingerprint).collect();
+        running.sort_unstable();
+        running.dedup();
+        for fingerprint in &running {
+            self.crashes_of
+                .entry(*fingerprint)
+                .or_default()
+                .insert(crash);
+        }
+        let report = CrashReport {
+            upstream: upstream.to_string().into(),
+            crash,
+            running,
+        };
+        self.upstreams[upstream].reports.push(report.clone());
+        let mut by_gateway: BTreeMap<(usize, Incarnation), Vec<TicketId>> = BTreeMap::new();
+        for (run, state) in started {
+            let gateway = (state.gateway, state.life);
+            by_gateway.entry(gateway).or_default().push(state.ticket);
+            self.remove(upstream, run);
+        }
+        for ((gateway, life), tickets) in by_gateway {
+            let report = report.clone();
+            let event = Event::Crashed {
+                gateway,
+                life,
+                report,
+                tickets,
+            };
+            self.push(2, event);
+        }
+    }
+
+    fn remove(&mut self, upstream: usize, run: u64) {
+        self.upstreams[upstream].runs.remove(&run);
+        for started in self.upstreams[upstream].slots.leave(run) {
+            self.start(upstream, started);
+        }
+    }
+
+    /// The connections of a gateway that was killed close, which cancels its runs.
+    pub(super) fn cancel_runs(&mut self, life: Incarnation) {
+        for upstream in 0..self.upstreams.len() {
+            let runs = self.upstreams[upstream].runs.iter();
+            let gone: Vec<u64> = runs
+                .filter(|(_, r)| r.life == life)
+                .map(|(run, _)| *run)
+                .collect();
+            for run in gone {
+                self.remove(upstream, run);
+            }
+        }
+    }
+}
