--- /dev/null
+++ b/crates/gateway/examples/path_cost.rs
@@ -0,0 +1,231 @@
+//! Measures what gateway and sidecar add to a direct call of the fake engine, all on loopback.
+//!
+//! `cargo run --release -p nutmegbay-gateway --example path_cost [calls] [streams]`
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use nutmegbay_core::ids::{Offset, RecordId, RequestId};
+use nutmegbay_core::record::{Body, ConfigPublish, ConfigScope, KeyGrant, Record, SCHEMA};
+use nutmegbay_fakes::engine::{EngineConfig, FakeEngine};
+use nutmegbay_fakes::platform::{FakePlatform, PlatformConfig};
+use nutmegbay_gateway::bind;
+use nutmegbay_gateway::settings::GatewaySettings;
+use nutmegbay_proto::engine::Generate;
+use nutmegbay_proto::platform::{Instance, InstanceKind, InstanceList, InstanceState};
+use nutmegbay_sidecar::{Settings, Sidecar};
+use serde_json::json;
+use serde_json::value::to_raw_value;
+use sha2::{Digest, Sha256};
+use tokio::time::{Instant, sleep};
+use tokio_util::sync::CancellationToken;
+
+type Http = Client<HttpConnector, Full<Bytes>>;
+type Failure = Box<dyn std::error::Error + Send + Sync>;
+
+/// Calls before the measurement, to open connections and warm caches.
+const WARM_UP: usize = 200;
+
+#[tokio::main(flavor = "multi_thread", worker_threads = 4)]
+async fn main() -> Result<(), Failure> {
+    let mut args = std::env::args().skip(1);
+    let calls = args.next().map_or(Ok(2_000), |n| n.parse())?;
+    let streams = args.next().map_or(Ok(0), |n| n.parse())?;
+    let engine = FakeEngine::start(EngineConfig::instant()).await?;
+    let gateway = start(&engine).await?;
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    let http: Http = Client::builder(TokioExecutor::new()).build(connector);
+
+    let direct = measure(calls, |n| direct(&http, engine.addr(), n)).await?;
+    let whole = measure(calls, |n| chat(&http, gateway, n, false)).await?;
+    let streamed = measure(calls, |n| chat(&http, gateway, n, true)).await?;
+    print("direct", &direct);
+    print("whole", &whole);
+    print("streamed", &streamed);
+    if streams > 0 {
+        rate(&http, gateway, streams).await?;
+    }
+    Ok(())
+}
+
+async fn start(engine: &FakeEngine) -> Result<SocketAddr, Failure> {
+    let text = format!(
+        r#"{{ "instance": "e1", "failure_domain": "a", "kind": "engine",
+              "listen": "127.0.0.1:0", "admin": "127.0.0.1:0", "upstream": "{}" }}"#,
+        engine.addr()
+    );
+    let sidecar = Sidecar::bind(Settings::parse("settings", &text)?)?;
+    let data = sidecar.data_addr()?;
+    tokio::spawn(sidecar.run(CancellationToken::new()));
+    let platform = FakePlatform::start(PlatformConfig {
+        instances: InstanceList {
+            instances: vec![Instance {
+                name: "e1".into(),
+                kind: InstanceKind::Engine,
+                serves: "verse".into(),
+                failure_domain: "a".into(),
+                data,
+                control: data,
+                state: InstanceState::Live,
+            }],
+        },
+        ..PlatformConfig::default()
+    })
+    .await?;
+    append(&platform, config())?;
+    append(&platform, key())?;
+    let text = format!(
+        r#"{{ "instance": "gw1", "failure_domain": "a", "site": "s", "listen": "127.0.0.1:0",
+              "control": "127.0.0.1:0", "admin": "127.0.0.1:0", "platform": "http://{}" }}"#,
+        platform.addr()
+    );
+    let bound = bind(GatewaySettings::parse("settings", &text)?).await?;
+    let listen = bound.listen()?;
+    tokio::spawn(bound.serve(CancellationToken::new()));
+    sleep(Duration::from_secs(1)).await;
+    Ok(listen)
+}
+
+fn append(platform: &FakePlatform, body: Body) -> Result<Offset, Failure> {
+    let record = Record {
+        id: RecordId(rand::random()),
+        author: "operator".into(),
+        at_ms: 0,
+        schema: SCHEMA,
+        body,
+    };
+    Ok(platform.append(vec![to_raw_value(&record)?]))
+}
+
+fn config() -> Body {
+    let text = json!({
+        "accounts": [{ "name": "acme", "share": 1 }],
+        "models": [{ "name": "verse", "version": "1", "max_tokens": 100_000 }],
+        "routes": [], "upstreams": [],
+        "limits": { "max_body_bytes": 65_536, "max_queued": 10_000,
+                    "queue_deadline_ms": 10_000, "progress_timeout_ms": 2_000 },
+        "usage": { "window_s": 60, "grace_s": 10 },
+        "planner": { "enabled": false, "interval_s": 5, "horizon_s": 60 }
+    });
+    Body::ConfigPublish(ConfigPublish {
+        scope: ConfigScope::Base,
+        prev: None,
+        text: text.to_string().into(),
+    })
+}
+
+fn key() -> Body {
+    let digest = Sha256::digest(b"secret");
+    let hex: Vec<String> = digest.iter().map(|b| format!("{b:02x}")).collect();
+    Body::KeyGrant(KeyGrant {
+        key: "k1".into(),
+        account: "acme".into(),
+        secret_sha256: hex.concat().into(),
+    })
+}
+
+async fn direct(http: &Http, engine: SocketAddr, n: usize) -> Result<(), Failure> {
+    let body = Generate {
+        id: RequestId(rand::random()),
+        attempt: 1,
+        model: "verse".into(),
+        prompt: format!("user: call {n}\n").into(),
+        max_tokens: 1,
+        priority: 0,
+        delivered: Vec::new(),
+    };
+    let req = Request::post(format!("http://{engine}/generate"))
+        .header("content-type", "application/json")
+        .body(Full::new(Bytes::from(serde_json::to_vec(&body)?)))?;
+    finish(http, req).await
+}
+
+async fn chat(http: &Http, gateway: SocketAddr, n: usize, is_stream: bool) -> Result<(), Failure> {
+    finish(
+        http,
+        chat_request(gateway, &format!("call {n} {is_stream}"), 1, is_stream)?,
+    )
+    .await
+}
+
+fn chat_request(
+    gateway: SocketAddr,
+    prompt: &str,
+    max_tokens: usize,
+    is_stream: bool,
+) -> Result<Request<Full<Bytes>>, Failure> {
+    let body = json!({ "model": "verse", "stream": is_stream, "max_tokens": max_tokens,
+                       "messages": [{ "role": "user", "content": prompt }] });
+    Ok(
+        Request::post(format!("http://{gateway}/v1/chat/completions"))
+            .header("authorization", "Bearer nb_k1_secret")
+            .body(Full::new(Bytes::from(body.to_string())))?,
+    )
+}
+
+async fn finish(http: &Http, req: Request<Full<Bytes>>) -> Result<(), Failure> {
+    let res = http.request(req).await?;
+    let status = res.status();
+    let body = res.into_body().collect().await?.to_bytes();
+    if status.is_success() {
+        return Ok(());
+    }
+    Err(format!("status {status}: {}", String::from_utf8_lossy(&body)).into())
+}
+
+async fn measure<F>(calls: usize, call: impl Fn(usize) -> F) -> Result<Vec<Duration>, Failure>
+where
+    F: Future<Output = Result<(), Failure>>,
+{
+    let mut times = Vec::with_capacity(calls);
+    for n in 0..calls + WARM_UP {
+        let started = Instant::now();
+        call(n).await?;
+        if n >= WARM_UP {
+            times.push(started.elapsed());
+        }
+    }
+    times.sort_unstable();
+    Ok(times)
+}
+
+fn print(name: &str, times: &[Duration]) {
+    let at = |share: usize| {
+        times
+            .get(times.len() * share / 100)
+            .copied()
+            .unwrap_or_default()
+    };
+    println!(
+        "{name}: p50 {:?}, p99 {:?}, n {}",
+        at(50),
+        at(99),
+        times.len()
+    );
+}
+
+/// Tokens per second of `streams` parallel streams.
+async fn rate(http: &Http, gateway: SocketAddr, streams: usize) -> Result<(), Failure> {
+    const TOKENS: usize = 2_000;
+    let started = Instant::now();
+    let mut tasks = Vec::new();
+    for n in 0..streams {
+        let req = chat_request(gateway, &format!("stream {n}"), TOKENS, true)?;
+        let http = http.clone();
+        tasks.push(tokio::spawn(async move { finish(&http, req).await }));
+    }
+    for task in tasks {
+        task.await??;
+    }
+    let tokens = streams * TOKENS;
+    let took = started.elapsed();
+    println!("{streams} streams: {tokens} tokens in {took:?}");
+    Ok(())
+}
--- a/crates/gateway/src/data/models.rs
+++ b/crates/gateway/src/data/models.rs
@@ -15,7 +15,7 @@
 use super::reader::Reader;
 use super::sse::{Style, Writer};
 use crate::auth::{self, Identity};
-use crate::gateway::{Gateway, wall_ms};
+use crate::gateway::Gateway;
 
 /// Runs a model request.
 pub async fn complete(
@@ -27,25 +27,28 @@
     let view = gateway.view();
     let site = view.site()?;
     let ask = Ask::parse(style, body, site)?;
-    let account = site.accounts.iter().find(|a| a.name == caller.account);
+    let account = site
+        .accounts
+        .iter()
+        .find(|a| *a.name == *caller.key.account);
     let id = gateway.request_id();
     let job = Job {
         id,
-        fingerprint: Fingerprint::of(&caller.account, &ask.model, &ask.prompt),
-        account: caller.account.clone(),
+        fingerprint: Fingerprint::of(&caller.key.account, &ask.model, &ask.prompt),
+        account: (*caller.key.account).into(),
         model: ask.model,
         prompt: ask.prompt,
         max_tokens: ask.max_tokens,
         priority: account.map_or(0, |a| a.priority),
     };
     drop(view);
-    let writer = Writer::new(style, id, wall_ms() / 1_000, &job.model);
+    let writer = Writer::new(style, id, gateway.clock.wall_ms() / 1_000, &job.model);
     let (flight, seat, is_first) = gateway.flights.join(job.fingerprint, job.max_tokens);
     let mut reader = Reader::new(
         Arc::clone(gateway),
         Arc::clone(&flight),
         seat,
-        caller.account,
+        caller.key.account,
         caller.ended,
     );
     if is_first {
--- a/crates/gateway/src/data/serve.rs
+++ b/crates/gateway/src/data/serve.rs
@@ -1,12 +1,12 @@
 //! Accepts callers' connections and dispatches their requests.
 
 use std::convert::Infallible;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::request::Parts;
-use http::{Method, Request, Response};
+use http::{HeaderValue, Method, Request, Response, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body as _, Incoming};
 use hyper::server::conn::http1;
@@ -21,7 +21,7 @@
 use super::body::Body;
 use super::refuse::{not_run, respond};
 use super::sse::Style;
-use super::{models, services};
+use super::{models, once, services};
 use crate::auth::identify;
 use crate::gateway::Gateway;
 
@@ -37,12 +37,24 @@
 /// Pause after a failed accept, which is usually a lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Serves callers until `stop`, then finishes what is in flight.
-pub async fn serve(gateway: Arc<Gateway>, listener: TcpListener, stop: CancellationToken) {
+/// Serves callers until `linger` after `stop`, then finishes what is in flight.
+///
+/// Between the two every answer closes its connection. Closing connections at once would cut the
+/// requests that callers send at that moment over connections that they keep open.
+pub async fn serve(
+    gateway: Arc<Gateway>,
+    listener: TcpListener,
+    stop: CancellationToken,
+    linger: Duration,
+) {
     let graceful = GracefulShutdown::new();
+    let mut over = pin!(async {
+        stop.cancelled().await;
+        sleep(linger).await;
+    });
     loop {
         let stream = tokio::select! {
-            () = stop.cancelled() => break,
+            () = &mut over => break,
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => stream,
                 Err(error) => {
@@ -77,6 +89,15 @@
 
 async fn handle(gateway: &Arc<Gateway>, req: Request<Incoming>) -> Response<Body> {
     gateway.metrics.count("requests");
+    let mut res = answer(gateway, req).await;
+    if gateway.is_draining() {
+        let close = HeaderValue::from_static("close");
+        res.headers_mut().insert(header::CONNECTION, close);
+    }
+    res
+}
+
+async fn answer(gateway: &Arc<Gateway>, req: Request<Incoming>) -> Response<Body> {
     match dispatch(gateway, req).await {
         Ok(res) => res,
         Err(problem) => {
@@ -105,43 +126,42 @@
     let max_body = site.limits.max_body_bytes;
     let Some(style) = style else {
         let route = services::find_route(site, &parts)?;
-        let caller = if route.open {
-            None
-        } else {
-            Some(identify(gateway, &parts.headers)?)
-        };
-        if !route.idempotent {
-            let detail = "this build does not run non-idempotent calls";
-            return Err(not_run(ProblemKind::Internal, detail));
+        if route.open {
+            let body = read_body(body, max_body).await?;
+            return services::call(gateway, route, None, &parts, body).await;
+        }
+        let caller = identify(gateway, &parts.headers)?;
+        let body = read_body(body, max_body).await?;
+        if route.idempotent {
+            return services::call(gateway, route, Some(caller), &parts, body).await;
         }
-        let body = read_body(body, &parts, max_body).await?;
-        return services::call(gateway, route, caller, &parts, body).await;
+        return once::call(gateway, route, caller, parts, body).await;
     };
     drop(view);
     let caller = identify(gateway, &parts.headers)?;
-    let body = read_body(body, &parts, max_body).await?;
+    let body = read_body(body, max_body).await?;
     let res = models::complete(gateway, style, caller, &body).await;
     drop(in_flight);
     res
 }
 
-async fn read_body(body: Incoming, parts: &Parts, max: usize) -> Result<Bytes, Problem> {
+/// Reads a whole body of at most `max` bytes.
+pub async fn read_body<B>(body: B, max: usize) -> Result<Bytes, Problem>
+where
+    B: hyper::body::Body<Data = Bytes, Error: std::error::Error + Send + Sync + 'static>,
+{
     let too_large = || {
         let detail = format!("the body may have at most {max} bytes");
         not_run(ProblemKind::BodyTooLarge, detail)
     };
-    let is_over = body.size_hint().lower() > max as u64;
-    if is_over {
+    if body.size_hint().lower() > max as u64 {
         return Err(too_large());
     }
-    let mut body = Limited::new(body, max);
+    let mut body = pin!(Limited::new(body, max));
     let mut whole = Vec::with_capacity(usize::try_from(body.size_hint().lower()).unwrap_or(0));
     loop {
         let frame = timeout(BODY_TIMEOUT, body.frame()).await.map_err(|_| {
-            let detail = format!(
-                "the body of {} stopped for {BODY_TIMEOUT:?}",
-                parts.uri.path()
-            );
+            let detail = format!("no part of the body came for {BODY_TIMEOUT:?}");
             not_run(ProblemKind::IncompleteBody, detail)
         })?;
         match frame {
--- a/crates/sidecar/src/cli.rs
+++ b/crates/sidecar/src/cli.rs
@@ -6,6 +6,7 @@
 use nutmegbay_telemetry::exit::Exit;
 use nutmegbay_telemetry::{log, signals};
 
+use crate::server::Sidecar;
 use crate::settings::Settings;
 
 /// Command line of the sidecar.
@@ -56,7 +57,16 @@
             return Exit::Failure;
         }
     };
-    match crate::run(settings, stop).await {
+    let result = async {
+        let sidecar = Sidecar::bind(settings)?;
+        println!(
+            "event=listening name=nutmegbay-sidecar addr={} admin={}",
+            sidecar.data_addr()?,
+            sidecar.admin_addr()?
+        );
+        sidecar.run(stop).await
+    };
+    match result.await {
         Ok(()) => Exit::Ok,
         Err(e) => {
             eprintln!("nutmegbay-sidecar: {e:?}");
--- a/crates/sidecar/src/work.rs
+++ b/crates/sidecar/src/work.rs
@@ -39,6 +39,11 @@
 /// Time without any frame after which a sign of life is sent.
 const KEEP_ALIVE: Duration = Duration::from_millis(500);
 
+/// Keep-alive intervals without anything from the engine after which its connection counts as
+/// silent. Engines send a frame at least every 500 ms. Intervals are counted instead of time, so
+/// that the pauses of a slow gateway do not count.
+const SILENT_INTERVALS: u32 = 4;
+
 /// Longest line accepted from the engine.
 const MAX_LINE_BYTES: usize = 1 << 20;
 
@@ -91,6 +96,7 @@
         buf: BytesMut::new(),
         keep_alive_at: now + KEEP_ALIVE,
         deadline: now + Duration::from_millis(work.deadline_ms),
+        silent_intervals: 0,
         ended: false,
         fingerprint: work.fingerprint,
         source: Source::Waiting(Box::new(generate(work))),
@@ -132,6 +138,8 @@
     buf: BytesMut,
     keep_alive_at: Instant,
     deadline: Instant,
+    /// Keep-alive intervals since the engine sent something.
+    silent_intervals: u32,
     ended: bool,
     fingerprint: Fingerprint,
     running: Running,
@@ -207,8 +215,11 @@
                 let problem = engine_refusal(res).await;
                 Some(self.fail(problem))
             }
-            Event::Data(data) => self.on_data(data),
-            Event::KeepAliveDue => Some(line(&self.check.frame(FrameBody::KeepAlive))),
+            Event::Data(data) => {
+                self.silent_intervals = 0;
+                self.on_data(data)
+            }
+            Event::KeepAliveDue => Some(self.on_keep_alive_due()),
             Event::DeadlinePassed => Some(self.fail(Problem::new(
                 ProblemKind::UpstreamTimeout,
                 Verdict::MayHaveRun,
@@ -235,6 +246,23 @@
         }
     }
 
+    /// Sends a sign of life, unless the engine's connection has gone silent. Other work on the
+    /// engine may go on over its own connections, so this is not a crash.
+    fn on_keep_alive_due(&mut self) -> Bytes {
+        if !matches!(self.source, Source::Waiting(_)) {
+            self.silent_intervals += 1;
+        }
+        if self.silent_intervals >= SILENT_INTERVALS {
+            tracing::warn!(event = "engine_silent", request = %self.running.id);
+            return self.fail(Problem::new(
+                ProblemKind::UpstreamLost,
+                Verdict::MayHaveRun,
+                "the engine's connection went silent",
+            ));
+        }
+        line(&self.check.frame(FrameBody::KeepAlive))
+    }
+
     /// Sends the work to the engine.
     fn send(&mut self) -> Option<Bytes> {
         let shared = self.running.shared()?;
