--- a/crates/bins/src/bin/nutmegbay-gateway.rs
+++ b/crates/bins/src/bin/nutmegbay-gateway.rs
@@ -40,9 +40,9 @@
             return Exit::Failure.into();
         }
     };
-    if let Ok(addr) = bound.listen() {
+    if let (Ok(addr), Ok(control)) = (bound.listen(), bound.control()) {
         println!(
-            "event=listening name=nutmegbay-gateway addr={addr} admin={}",
+            "event=listening name=nutmegbay-gateway addr={addr} control={control} admin={}",
             bound.admin()
         );
     }
--- a/crates/bins/tests/common/site.rs
+++ b/crates/bins/tests/common/site.rs
@@ -314,10 +314,9 @@
     /// Starts a gateway that is not in the instance list yet.
     pub fn start_gateway(&self, i: usize) -> (Instance, Process) {
         let name = format!("gateway-{i}");
-        let control = free_addr();
         let settings = format!(
             r#"{{ "instance": "{name}", "failure_domain": "fd-{domain}", "site": "{SITE}",
-                "listen": "127.0.0.1:0", "control": "{control}", "admin": "127.0.0.1:0",
+                "listen": "127.0.0.1:0", "control": "127.0.0.1:0", "admin": "127.0.0.1:0",
                 "platform": "http://{platform}", "linger_ms": 500 }}"#,
             domain = i % 3,
             platform = self.platform(),
@@ -326,7 +325,7 @@
         let log = self.dir.path().join(format!("{name}.log"));
         let binary = env!("CARGO_BIN_EXE_nutmegbay-gateway");
         let process = Process::start(binary, &["--settings", path.to_str().unwrap()], &log);
-        let data = process.addr("addr");
+        let (data, control) = (process.addr("addr"), process.addr("control"));
         (
             instance(&name, InstanceKind::Gateway, "", i, data, control),
             process,
@@ -427,11 +426,3 @@
         state: InstanceState::Live,
     }
 }
-
-/// Free loopback address for a process that cannot announce the one it bound.
-fn free_addr() -> SocketAddr {
-    std::net::TcpListener::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap()
-}
--- a/crates/demo/src/site.rs
+++ b/crates/demo/src/site.rs
@@ -244,10 +244,9 @@
     async fn start_gateway(&mut self, index: usize) -> Result<Instance, Report<DemoError>> {
         let name = format!("gateway-{}", index + 1);
         let domain = DOMAINS[index % DOMAINS.len()];
-        let control = free_addr().map_err(start)?;
         let settings = json!({
             "instance": name, "failure_domain": domain, "site": self.texts.site,
-            "listen": "127.0.0.1:0", "control": control, "admin": "127.0.0.1:0",
+            "listen": "127.0.0.1:0", "control": "127.0.0.1:0", "admin": "127.0.0.1:0",
             "platform": format!("http://{}", self.platform.addr()),
         });
         let settings = GatewaySettings::parse("demo", &settings.to_string()).map_err(start)?;
@@ -255,6 +254,7 @@
         let bound = runtime.spawn(nutmegbay_gateway::bind(settings));
         let bound = bound.await.map_err(start)?.map_err(start)?;
         let addr = bound.listen().map_err(start)?;
+        let control = bound.control().map_err(start)?;
         let running = Some(Running::spawn(runtime, |stop| bound.serve(stop)));
         let name: Box<str> = name.into();
         self.gateways.push(GatewayNode {
@@ -399,11 +399,6 @@
         .build()
 }
 
-/// Free loopback address for an interface that cannot announce the one it bound.
-fn free_addr() -> std::io::Result<SocketAddr> {
-    std::net::TcpListener::bind("127.0.0.1:0")?.local_addr()
-}
-
 fn start(error: impl std::fmt::Debug) -> Report<DemoError> {
     Report::new(DemoError::Start(format!("{error:?}").into()))
 }
