--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -218,8 +218,34 @@
     }
 }
 
-fn quarantined(_operator: &Operator<PlatformClient>) -> Output {
-    Output::new(&["FINGERPRINT", "STATE", "CRASHES"], Vec::new(), &json!([]))
+fn quarantined(operator: &Operator<PlatformClient>) -> Output {
+    let suspects: Vec<_> = operator.replica().quarantine().iter().collect();
+    let state = |is_quarantined: bool| {
+        if is_quarantined {
+            "quarantined"
+        } else {
+            "suspect"
+        }
+    };
+    let rows = suspects.iter().map(|(fingerprint, suspect)| {
+        vec![
+            fingerprint.to_string(),
+            state(suspect.is_quarantined()).to_owned(),
+            suspect.upstreams.join(", "),
+        ]
+    });
+    let json: Vec<_> = suspects
+        .iter()
+        .map(|(fingerprint, suspect)| {
+            json!({ "fingerprint": fingerprint, "state": state(suspect.is_quarantined()),
+                "upstreams": suspect.upstreams, "since": suspect.since })
+        })
+        .collect();
+    Output::new(
+        &["FINGERPRINT", "STATE", "CRASHED UPSTREAMS"],
+        rows.collect(),
+        &json,
+    )
 }
 
 async fn drain(args: &ArgMatches) -> Outcome {
--- a/crates/ctl/src/operator.rs
+++ b/crates/ctl/src/operator.rs
@@ -9,6 +9,7 @@
     SCHEMA,
 };
 use nutmegbay_core::replica::{Applied, Reason, Replica};
+use nutmegbay_core::snapshot::Collector;
 use nutmegbay_core::verdict::Verdict;
 use nutmegbay_platform::{Log, PlatformError};
 use nutmegbay_proto::platform::Entry;
@@ -82,7 +83,8 @@
                 .await
                 .map_err(platform)?;
             if read.oldest > from {
-                return Err(expired(read.oldest));
+                self.start_from_snapshot(read.oldest).await?;
+                continue;
             }
             for entry in read.records {
                 self.replica.apply(entry.offset, entry.record.get());
@@ -94,6 +96,30 @@
         }
     }
 
+    /// Loads the latest snapshot, since the log no longer keeps the records from the view's position.
+    async fn start_from_snapshot(&mut self, oldest: Offset) -> Result<(), Report<CtlError>> {
+        let (mut collector, mut next) = (Collector::default(), oldest);
+        loop {
+            let read = self
+                .log
+                .read(next, READ_MAX, Duration::ZERO)
+                .await
+                .map_err(platform)?;
+            for entry in &read.records {
+                collector.feed(entry.record.get());
+                next = entry.offset.next();
+            }
+            if next >= read.head || read.records.is_empty() {
+                break;
+            }
+        }
+        let image = collector.latest().filter(|image| image.as_of >= oldest);
+        let image = image.ok_or_else(|| no_snapshot(oldest))?;
+        self.replica = image.load().map_err(|e| invalid(&e.to_string()))?;
+        self.recent.clear();
+        Ok(())
+    }
+
     /// Publishes base or overlay after checking it together with everything else in force. With
     /// `after`, it is refused if another publish came after that offset.
     pub async fn publish(
@@ -305,8 +331,8 @@
     Report::new(CtlError::Invalid(text.into()))
 }
 
-fn expired(oldest: Offset) -> Report<CtlError> {
-    let text = format!("the log begins at offset {oldest}; a snapshot is needed");
+fn no_snapshot(oldest: Offset) -> Report<CtlError> {
+    let text = format!("the log begins at offset {oldest} and holds no complete snapshot");
     Report::new(CtlError::Instance(text.into()))
 }
 
--- a/crates/ctl/tests/common/mod.rs
+++ b/crates/ctl/tests/common/mod.rs
@@ -23,6 +23,7 @@
 pub struct MemoryLog {
     records: Arc<Mutex<Vec<Box<RawValue>>>>,
     fate: Arc<Mutex<Fate>>,
+    oldest: Arc<Mutex<u64>>,
 }
 
 impl MemoryLog {
@@ -30,6 +31,7 @@
         Self {
             records: Arc::default(),
             fate: Arc::new(Mutex::new(Fate::Works)),
+            oldest: Arc::default(),
         }
     }
 
@@ -37,6 +39,11 @@
         *self.fate.lock().unwrap() = fate;
     }
 
+    /// Drops the records below `oldest`, as the platform does after a time.
+    pub fn expire(&self, oldest: u64) {
+        *self.oldest.lock().unwrap() = oldest;
+    }
+
     pub fn len(&self) -> usize {
         self.records.lock().unwrap().len()
     }
@@ -69,7 +76,8 @@
         _wait: Duration,
     ) -> Result<ReadResponse, Report<PlatformError>> {
         let kept = self.records.lock().unwrap();
-        let records = (from.0..kept.len() as u64)
+        let oldest = *self.oldest.lock().unwrap();
+        let records = (from.0.max(oldest)..kept.len() as u64)
             .map(|i| Entry {
                 offset: Offset(i),
                 record: kept[usize::try_from(i).unwrap()].clone(),
@@ -78,7 +86,7 @@
         Ok(ReadResponse {
             records,
             head: Offset(kept.len() as u64),
-            oldest: Offset(0),
+            oldest: Offset(oldest),
         })
     }
 }
--- a/crates/ctl/tests/operator_changes.rs
+++ b/crates/ctl/tests/operator_changes.rs
@@ -4,9 +4,12 @@
 
 use assert_matches::assert_matches;
 use common::{Fate, MemoryLog};
-use nutmegbay_core::record::ConfigScope;
+use nutmegbay_core::ids::{Epoch, RecordId};
+use nutmegbay_core::record::{Body, ConfigScope, Record, SCHEMA};
+use nutmegbay_core::snapshot::Image;
 use nutmegbay_core::verdict::Verdict;
 use nutmegbay_ctl::{CtlError, CtlExit, Operator};
+use nutmegbay_platform::Log;
 use nutmegbay_settings::Source;
 
 const BASE: &str = include_str!("../../../examples/base.jsonc");
@@ -175,8 +178,42 @@
     );
 }
 
+#[tokio::test(start_paused = true)]
+async fn expired_records() {
+    let log = MemoryLog::new();
+    let mut before = Operator::new(log.clone(), "ann");
+    let key = before.grant_key("captains").await.unwrap();
+    let image = Image::of(before.replica());
+    for part in image.split(Epoch(0), 64) {
+        let record = Record {
+            id: RecordId(u128::from(part.part)),
+            author: "g1".into(),
+            at_ms: 0,
+            schema: SCHEMA,
+            body: Body::SnapshotPart(part),
+        };
+        let raw = serde_json::value::to_raw_value(&record).unwrap();
+        log.append(vec![raw]).await.unwrap();
+    }
+    log.expire(1);
+    let mut after = Operator::new(log.clone(), "ben");
+    after.refresh().await.unwrap();
+    assert!(
+        after.replica().keys().check(&key.token).is_ok(),
+        "the key was lost with its record"
+    );
+
+    log.expire(log.len() as u64);
+    let error = Operator::new(log, "eve").refresh().await.unwrap_err();
+    assert!(
+        error
+            .current_context()
+            .to_string()
+            .contains("no complete snapshot")
+    );
+}
+
 fn log_text(log: &MemoryLog) -> String {
-    use nutmegbay_platform::Log;
     let read = log.read(
         nutmegbay_core::ids::Offset(0),
         100,
