--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -288,10 +288,17 @@
                     if !self.load(world, &image) {
                         self.search = Some(Search::default());
                         self.read_at = Some(world.now().plus(IMAGE_AFTER));
+                        world.perform(Effect::AskImage);
                     }
                     return;
                 }
-                Found::ReplayAll => self.search = None,
+                Found::ReplayAll => {
+                    self.search = None;
+                    let first = read.entries.first().map(|entry| entry.0);
+                    if first > Some(self.replica.next()) {
+                        return;
+                    }
+                }
                 Found::Nothing => {
                     self.read_at = Some(world.now().plus(IMAGE_AFTER));
                     world.perform(Effect::AskImage);
--- a/crates/core/tests/snapshot_start.rs
+++ b/crates/core/tests/snapshot_start.rs
@@ -50,6 +50,19 @@
     );
 }
 
+#[test]
+fn no_snapshot() {
+    let log = busy_log(10_000, 3, 5);
+    let mut host = Host::named("g1");
+    host.pass(0);
+    host.read(&log.texts, 0);
+    assert_eq!(
+        host.node.replica(),
+        &log.replica,
+        "a log without a snapshot was not replayed without a pause"
+    );
+}
+
 #[test]
 fn lost_records() {
     let log = busy_log(500, 3, 5);
