--- a/crates/policy/src/plan/forecast.rs
+++ b/crates/policy/src/plan/forecast.rs
@@ -3,7 +3,7 @@
 use nutmegbay_core::world::Moment;
 
 /// Time constant of the level in seconds.
-const LEVEL_S: f64 = 10.0;
+const LEVEL_S: f64 = 6.0;
 
 /// Time constant of the trend in seconds. A shorter one turns noise of single long prompts into
 /// trends.
