--- a/crates/core/src/record.rs
+++ b/crates/core/src/record.rs
@@ -5,6 +5,7 @@
 //! record it follows and is rejected if another one came between.
 
 use std::collections::BTreeMap;
+use std::fmt;
 
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumIter, EnumString, IntoStaticStr};
@@ -66,8 +67,12 @@
     CrashReport(CrashReport),
     /// Records that a suspect request finished without a crash, or that an operator cleared it.
     QuarantineClear(QuarantineClear),
+    /// Takes or gives back the right to run one suspect request alone.
+    ExclusiveRun(ExclusiveRun),
     /// Asks an instance to drain.
     DrainRequest(DrainRequest),
+    /// Fixes the offset as of which the next snapshot is written.
+    SnapshotMark(SnapshotMark),
     /// One part of a snapshot.
     SnapshotPart(SnapshotPart),
 }
@@ -219,6 +224,13 @@
     pub body: Option<Box<str>>,
 }
 
+impl Answer {
+    /// Bytes of the body.
+    pub fn size(&self) -> usize {
+        self.body.as_ref().map_or(0, |body| body.len())
+    }
+}
+
 /// Content of [`Body::OrderIntent`].
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct OrderIntent {
@@ -301,11 +313,58 @@
     Decode,
 }
 
+impl OrderCommand {
+    /// Engine or service that the order is for, none if it adds one.
+    pub fn upstream(&self) -> Option<&str> {
+        match self {
+            Self::SetRole { upstream, .. }
+            | Self::LoadModel { upstream, .. }
+            | Self::LoadAdapter { upstream, .. }
+            | Self::RemoveUpstream { upstream } => Some(upstream),
+            Self::AddUpstream { .. } => None,
+        }
+    }
+
+    /// Whether both may not be outstanding at once: they are for the same upstream, or both add one
+    /// for the same service in the same failure domain.
+    pub fn conflicts_with(&self, other: &Self) -> bool {
+        match (self.upstream(), other.upstream()) {
+            (Some(a), Some(b)) => a == b,
+            (None, None) => self == other,
+            _ => false,
+        }
+    }
+}
+
+impl fmt::Display for OrderCommand {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::SetRole { upstream, role } => write!(f, "set role of {upstream} to {role}"),
+            Self::LoadModel {
+                upstream,
+                model,
+                version,
+            } => write!(f, "load {model} {version} on {upstream}"),
+            Self::LoadAdapter { upstream, adapter } => {
+                write!(f, "load adapter {adapter} on {upstream}")
+            }
+            Self::AddUpstream {
+                failure_domain,
+                serves,
+            } => write!(f, "add upstream for {serves} in {failure_domain}"),
+            Self::RemoveUpstream { upstream } => write!(f, "remove {upstream}"),
+        }
+    }
+}
+
 /// Content of [`Body::OrderDone`].
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct OrderDone {
     /// Order that ended.
     pub order: RecordId,
+    /// Authority under which it was last sent: a former holder cannot end an order that its
+    /// successor has sent again.
+    pub epoch: Epoch,
     /// Whether it took effect.
     pub applied: bool,
     /// Detail for the audit trail.
@@ -320,7 +379,8 @@
     pub gateway: Incarnation,
     /// Sequence number within that life.
     pub seq: u64,
-    /// Totals by window, then by client account.
+    /// Totals by window, then by client account. A window that is left out although a later one is
+    /// not has its final total in an earlier accepted record.
     pub windows: BTreeMap<WindowId, BTreeMap<Box<str>, Usage>>,
 }
 
@@ -335,6 +395,31 @@
     pub completion_tokens: u64,
 }
 
+impl Usage {
+    /// Sum, at most the largest number.
+    #[must_use]
+    pub fn saturating_add(self, other: Self) -> Self {
+        Self {
+            calls: self.calls.saturating_add(other.calls),
+            prompt_tokens: self.prompt_tokens.saturating_add(other.prompt_tokens),
+            completion_tokens: self
+                .completion_tokens
+                .saturating_add(other.completion_tokens),
+        }
+    }
+
+    /// Difference, none if a field of `other` is larger.
+    pub fn checked_sub(self, other: Self) -> Option<Self> {
+        Some(Self {
+            calls: self.calls.checked_sub(other.calls)?,
+            prompt_tokens: self.prompt_tokens.checked_sub(other.prompt_tokens)?,
+            completion_tokens: self
+                .completion_tokens
+                .checked_sub(other.completion_tokens)?,
+        })
+    }
+}
+
 /// Content of [`Body::WindowSeal`].
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct WindowSeal {
@@ -369,6 +454,22 @@
     pub fingerprint: Fingerprint,
 }
 
+/// Content of [`Body::ExclusiveRun`]. The lock also ends when the request is cleared or crashes an
+/// upstream again.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ExclusiveRun {
+    /// Suspect request.
+    pub fingerprint: Fingerprint,
+    /// Life of the gateway that runs it.
+    pub gateway: Incarnation,
+    /// Last accepted record that took the lock, if any; not checked when it is given back.
+    pub prev: Option<Offset>,
+    /// Time after which another gateway may take the lock, in milliseconds.
+    pub ttl_ms: u64,
+    /// Whether the lock is taken or given back.
+    pub taken: bool,
+}
+
 /// Content of [`Body::DrainRequest`].
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct DrainRequest {
@@ -376,6 +477,14 @@
     pub instance: Box<str>,
 }
 
+/// Content of [`Body::SnapshotMark`]. Every replica hashes its state right after applying this
+/// record and later compares the digest of the parts with it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct SnapshotMark {
+    /// Authority under which the snapshot is written.
+    pub epoch: Epoch,
+}
+
 /// Content of [`Body::SnapshotPart`].
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct SnapshotPart {
--- /dev/null
+++ b/crates/gateway/src/auth.rs
@@ -0,0 +1,42 @@
+//! Finds out for which client account a request comes.
+
+use http::HeaderMap;
+use nutmegbay_core::replica::KeyRef;
+use nutmegbay_proto::problem::{Problem, ProblemKind};
+
+use crate::data::headers::key_token;
+use crate::data::refuse::not_run;
+use crate::gateway::Gateway;
+use crate::state::revoke::Ended;
+
+/// A caller whose key is good.
+pub struct Identity {
+    /// Key and client account.
+    pub key: KeyRef,
+    /// Resolves when the key stops being good.
+    pub ended: Ended,
+}
+
+/// Checks the key of a request and registers the request under it.
+pub fn identify(gateway: &Gateway, headers: &HeaderMap) -> Result<Identity, Problem> {
+    let token = key_token(headers).ok_or_else(|| {
+        let detail = "send the key as `Authorization: Bearer` or `X-Api-Key`";
+        not_run(ProblemKind::MissingKey, detail)
+    })?;
+    let view = gateway.view();
+    gateway.check_current()?;
+    let key = view.keys.check(token).map_err(|_| invalid())?;
+    let ended = gateway.open_keys.register(&key.key);
+    // A withdrawal between check and registration would not have ended this request.
+    let view = gateway.view();
+    gateway.check_current()?;
+    if !view.keys.is_live(&key.key) {
+        return Err(invalid());
+    }
+    Ok(Identity { key, ended })
+}
+
+fn invalid() -> Problem {
+    let detail = "the key is unknown, wrong or withdrawn; ask the operators for a new one";
+    not_run(ProblemKind::InvalidKey, detail)
+}
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -13,7 +13,7 @@
 /// Rates of served work per account, own and of peers.
 ///
 /// Each gateway gossips only the work it served itself since its last message. A lost message
-/// loses that part of the count for [`MEMORY`] at most.
+/// loses that part of the count for `MEMORY` at most.
 #[derive(Debug, Default)]
 pub struct SharedLimit {
     accounts: SecondaryMap<AccountKey, Served>,
--- /dev/null
+++ b/crates/sidecar/src/settings.rs
@@ -0,0 +1,145 @@
+//! Settings of the sidecar process: a JSON file with comments, checked before use.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use error_stack::Report;
+use nutmegbay_settings::model::UpstreamKind;
+use nutmegbay_settings::{Fault, Node, Origin, SettingsError, Source};
+use serde::Deserialize;
+
+/// Settings of one sidecar.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of the instance and of its upstream, as in the platform's instance list.
+    pub instance: Box<str>,
+    /// Failure domain.
+    pub failure_domain: Box<str>,
+    /// Address for gateways: work, calls and control.
+    pub listen: SocketAddr,
+    /// Address for `/ready` and `/health`.
+    pub admin: SocketAddr,
+    /// Address of the upstream.
+    pub upstream: SocketAddr,
+    /// Kind of the upstream.
+    pub kind: UpstreamKind,
+    /// Base URL of the platform, such as `http://10.0.0.1:7000`, from which the log is read until it
+    /// is known who holds the planner lease.
+    #[serde(default)]
+    pub platform: Option<Box<str>>,
+    /// Whether the engine refuses orders with an old fencing number.
+    #[serde(default)]
+    pub checks_fencing: bool,
+    /// Time between two reads of the engine's load and health in milliseconds.
+    #[serde(default = "default_poll_ms")]
+    pub poll_ms: u64,
+    /// Time for one read of the engine's load, health or orders in milliseconds.
+    #[serde(default = "default_probe_timeout_ms")]
+    pub probe_timeout_ms: u64,
+    /// Time during which a drained sidecar still answers before it exits, in milliseconds.
+    #[serde(default = "default_linger_ms")]
+    pub linger_ms: u64,
+    /// Largest request body in bytes.
+    #[serde(default = "default_max_body_bytes")]
+    pub max_body_bytes: usize,
+}
+
+impl Settings {
+    /// Reads and checks the settings in the file at `path`.
+    pub fn read(path: &Path) -> Result<Self, Report<SettingsError>> {
+        let name = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|e| {
+            Report::new(SettingsError {
+                faults: vec![Fault {
+                    origin: Origin {
+                        file: name.as_str().into(),
+                        line: 0,
+                        column: 0,
+                    },
+                    key: String::new(),
+                    message: e.to_string(),
+                }],
+            })
+        })?;
+        Self::parse(&name, &text)
+    }
+
+    /// Parses and checks settings; `name` is the file's name in error messages.
+    pub fn parse(name: &str, text: &str) -> Result<Self, Report<SettingsError>> {
+        let tree = Node::parse(Source { name, text })?;
+        let settings: Self = tree.read()?;
+        settings.check(&tree)?;
+        Ok(settings)
+    }
+
+    /// Address of the platform, none if it is not set or not of the form `http://<IP>:<port>`.
+    pub fn platform_addr(&self) -> Option<SocketAddr> {
+        let addr = self.platform.as_deref()?.strip_prefix("http://")?;
+        addr.trim_end_matches('/').parse().ok()
+    }
+
+    fn check(&self, tree: &Node) -> Result<(), Report<SettingsError>> {
+        let checks = [
+            ("instance", self.instance.is_empty(), "must not be empty"),
+            (
+                "failure_domain",
+                self.failure_domain.is_empty(),
+                "must not be empty",
+            ),
+            ("upstream", self.upstream.port() == 0, "needs a port"),
+            (
+                "upstream",
+                self.upstream == self.listen,
+                "must differ from `listen`",
+            ),
+            (
+                "admin",
+                self.admin == self.listen && self.listen.port() != 0,
+                "must differ from `listen`",
+            ),
+            (
+                "platform",
+                self.platform.is_some() && self.platform_addr().is_none(),
+                "expected a URL such as http://10.0.0.1:7000",
+            ),
+            ("poll_ms", self.poll_ms == 0, "must not be 0"),
+            (
+                "probe_timeout_ms",
+                self.probe_timeout_ms == 0,
+                "must not be 0",
+            ),
+            ("max_body_bytes", self.max_body_bytes == 0, "must not be 0"),
+        ];
+        let faults: Vec<Fault> = checks
+            .into_iter()
+            .filter(|(_, is_fault, _)| *is_fault)
+            .map(|(key, _, message)| Fault {
+                origin: tree.origin_of(key),
+                key: key.to_owned(),
+                message: message.to_owned(),
+            })
+            .collect();
+        if faults.is_empty() {
+            Ok(())
+        } else {
+            Err(Report::new(SettingsError { faults }))
+        }
+    }
+}
+
+fn default_poll_ms() -> u64 {
+    100
+}
+
+fn default_probe_timeout_ms() -> u64 {
+    1_000
+}
+
+fn default_linger_ms() -> u64 {
+    500
+}
+
+fn default_max_body_bytes() -> usize {
+    16 << 20
+}
