--- a/crates/sidecar/src/call.rs
+++ b/crates/sidecar/src/call.rs
@@ -51,6 +51,11 @@
         }
         Err(refusal) => (None, Err(refusal)),
     };
+    shared.count_metric(if res.is_ok() {
+        "calls"
+    } else {
+        "calls_refused"
+    });
     let mut res = res.unwrap_or_else(IntoResponse::into_response);
     let id = head.and_then(|head| HeaderValue::try_from(head.id.to_string()).ok());
     if let Some(id) = id {
--- a/crates/sidecar/src/control.rs
+++ b/crates/sidecar/src/control.rs
@@ -61,7 +61,13 @@
         let in_flight = shared.count();
         let order = tokio::spawn(async move {
             let _in_flight = in_flight;
-            orders::order(&shared, order).await
+            let reply = orders::order(&shared, order).await;
+            shared.count_metric(if reply.accepted {
+                "orders"
+            } else {
+                "orders_refused"
+            });
+            reply
         });
         Ok(order.await.unwrap_or_else(|e| OrderReply {
             accepted: false,
--- a/crates/sidecar/src/monitor.rs
+++ b/crates/sidecar/src/monitor.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use nutmegbay_proto::engine::{CacheEvent, CacheEvents, Load};
 use nutmegbay_settings::model::UpstreamKind;
@@ -18,8 +19,12 @@
 const EVENTS_KEPT: usize = 8_192;
 
 /// Latest news of the upstream.
-#[derive(Default)]
-pub(crate) struct Monitor(Mutex<Inner>);
+pub(crate) struct Monitor {
+    started: Instant,
+    /// When work last brought data, in milliseconds since `started`.
+    data_at_ms: AtomicU64,
+    inner: Mutex<Inner>,
+}
 
 #[derive(Default)]
 struct Inner {
@@ -31,9 +36,33 @@
 }
 
 impl Monitor {
+    pub(crate) fn new() -> Self {
+        Self {
+            started: Instant::now(),
+            data_at_ms: AtomicU64::new(0),
+            inner: Mutex::default(),
+        }
+    }
+
+    /// Notes that the upstream has sent something for its work.
+    pub(crate) fn on_data(&self) {
+        self.data_at_ms.store(self.now_ms(), Ordering::Relaxed);
+    }
+
+    /// Whether the upstream has sent something for its work within `time`.
+    fn has_data(&self, time: Duration) -> bool {
+        let data_at_ms = self.data_at_ms.load(Ordering::Relaxed);
+        let silent_ms = self.now_ms().saturating_sub(data_at_ms);
+        Duration::from_millis(silent_ms) < time
+    }
+
+    fn now_ms(&self) -> u64 {
+        u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
     /// Load as it was `age_ms` ago. A plain service reports none, so its calls are counted here.
     pub(crate) fn load(&self, in_flight: u32) -> Load {
-        match &lock(&self.0).load {
+        match &lock(&self.inner).load {
             Some((load, at)) => {
                 let since = u64::try_from(at.elapsed().as_millis()).unwrap_or(u64::MAX);
                 Load {
@@ -50,12 +79,12 @@
 
     /// Whether the upstream answers.
     pub(crate) fn is_healthy(&self) -> bool {
-        lock(&self.0).failures < FAILURES
+        lock(&self.inner).failures < FAILURES
     }
 
     /// Cache events from `from` on.
     pub(crate) fn events(&self, from: u64) -> CacheEvents {
-        let inner = lock(&self.0);
+        let inner = lock(&self.inner);
         CacheEvents {
             next: inner.next_event,
             events: inner
@@ -68,15 +97,15 @@
     }
 
     fn next_event(&self) -> u64 {
-        lock(&self.0).next_event
+        lock(&self.inner).next_event
     }
 
     fn on_load(&self, load: Load, at: Instant) {
-        lock(&self.0).load = Some((load, at));
+        lock(&self.inner).load = Some((load, at));
     }
 
     fn on_events(&self, events: CacheEvents) {
-        let mut inner = lock(&self.0);
+        let mut inner = lock(&self.inner);
         if events.next < inner.next_event {
             // The engine has restarted and counts from the beginning; its cache is empty.
             inner.events.clear();
@@ -89,7 +118,7 @@
 
     /// Records a check and returns whether the upstream is newly found to be gone.
     fn on_check(&self, succeeded: bool) -> bool {
-        let mut inner = lock(&self.0);
+        let mut inner = lock(&self.inner);
         if succeeded {
             inner.failures = 0;
             return false;
@@ -105,12 +134,14 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
+        shared.gauge_in_flight();
         let succeeded = match shared.settings.kind {
             UpstreamKind::Engine => check_engine(shared).await,
             UpstreamKind::Service => check_service(shared).await,
         };
         if shared.monitor.on_check(succeeded) {
             tracing::warn!(event = "upstream_unhealthy", upstream = %shared.settings.instance);
+            shared.count_metric("upstream_unhealthy");
             shared.crashes.unhealthy();
         }
     }
@@ -122,8 +153,16 @@
         Ok(load) => shared.monitor.on_load(load, at),
         Err(error) => {
             tracing::debug!(event = "health_check_failed", %error);
-            // An engine that answers, even with a refusal, has not crashed.
-            return matches!(error, AskError::Refused(..) | AskError::Malformed(_));
+            return match error {
+                AskError::Unreachable => false,
+                // A busy engine may be late with its load while its work goes on.
+                AskError::NoAnswer => {
+                    let time = Duration::from_millis(shared.settings.probe_timeout_ms);
+                    shared.monitor.has_data(time)
+                }
+                // An engine that answers, even with a refusal, has not crashed.
+                AskError::Refused(..) | AskError::Malformed(_) => true,
+            };
         }
     }
     let from = shared.monitor.next_event();
--- a/crates/sidecar/src/server.rs
+++ b/crates/sidecar/src/server.rs
@@ -62,7 +62,7 @@
         let data = listen(settings.listen)?;
         let admin = listen(settings.admin)?;
         Ok(Self {
-            shared: Arc::new(Shared::new(settings)),
+            shared: Arc::new(Shared::new(settings).change_context(RunError::Bind)?),
             data,
             admin,
         })
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -28,6 +28,9 @@
     /// is known who holds the planner lease.
     #[serde(default)]
     pub platform: Option<Box<str>>,
+    /// Address of a statsd server that takes metrics over UDP.
+    #[serde(default)]
+    pub statsd: Option<SocketAddr>,
     /// Whether the engine refuses orders with an old fencing number.
     #[serde(default)]
     pub checks_fencing: bool,
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -4,10 +4,12 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use axum::http::HeaderValue;
+use cadence::{CountedExt, Gauged, StatsdClient};
 use nutmegbay_core::guard::{Guard, Limits};
 use nutmegbay_core::ids::Incarnation;
 use nutmegbay_proto::problem::ProblemKind;
 use nutmegbay_telemetry::admin::Readiness;
+use nutmegbay_telemetry::metrics;
 use rand::random;
 use tokio::sync::{Notify, watch};
 
@@ -27,6 +29,7 @@
     pub(crate) incarnation: Incarnation,
     pub(crate) upstream: Upstream,
     pub(crate) readiness: Readiness,
+    metrics: StatsdClient,
     pub(crate) requests: Requests,
     pub(crate) gate: Arc<Gate>,
     pub(crate) crashes: Crashes,
@@ -41,24 +44,35 @@
 }
 
 impl Shared {
-    pub(crate) fn new(settings: Settings) -> Self {
+    pub(crate) fn new(settings: Settings) -> std::io::Result<Self> {
         let incarnation = Incarnation(random());
-        Self {
+        Ok(Self {
             incarnation,
             upstream: Upstream::new(&settings),
             readiness: Readiness::new(),
             requests: Requests::default(),
             gate: Arc::default(),
             crashes: Crashes::new(settings.instance.clone()),
-            monitor: Monitor::default(),
+            monitor: Monitor::new(),
             orders: OrderDesk::default(),
             log: Mutex::new(LogView::new()),
             attempt_ended: Notify::new(),
             guard: Mutex::new(Guard::new(incarnation, Limits::default())),
             draining: AtomicBool::new(false),
             in_flight: watch::Sender::new(0),
+            metrics: metrics::client("nutmegbay.sidecar", settings.statsd)?,
             settings,
-        }
+        })
+    }
+
+    /// Counts one event. Metrics that cannot be sent are dropped.
+    pub(crate) fn count_metric(&self, name: &str) {
+        let _ = self.metrics.incr(name);
+    }
+
+    /// Reports how many requests are in flight.
+    pub(crate) fn gauge_in_flight(&self) {
+        let _ = self.metrics.gauge("in_flight", u64::from(self.in_flight()));
     }
 
     /// Tables of attempts. The lock is held for table operations only, never across I/O.
--- a/crates/sidecar/src/work.rs
+++ b/crates/sidecar/src/work.rs
@@ -75,6 +75,7 @@
         ));
     }
     let in_flight = shared.enter()?;
+    shared.count_metric("work");
     let Some(attempt) = shared.requests.enter(work.id, work.attempt) else {
         return Err(Refusal::not_run(
             ProblemKind::Fenced,
@@ -286,6 +287,9 @@
     }
 
     fn on_data(&mut self, data: Bytes) -> Option<Bytes> {
+        if let Some(shared) = self.running.shared() {
+            shared.monitor.on_data();
+        }
         let data = if self.buf.is_empty() && data.last() == Some(&b'\n') {
             data
         } else {
@@ -347,6 +351,9 @@
     }
 
     fn fail(&mut self, problem: Problem) -> Bytes {
+        if let Some(shared) = self.running.shared() {
+            shared.count_metric("work_failed");
+        }
         self.ended = true;
         line(&self.check.frame(FrameBody::Failed(Box::new(problem))))
     }
