Admit and route model requests by the policy library

Requests enter the fair queue of their model's pool and leave it when an upstream has room; the load router picks it by waiting work and cached prefix. A request that has run before is not queued again.

--- a/crates/gateway/src/data/pump.rs
+++ b/crates/gateway/src/data/pump.rs
@@ -4,14 +4,16 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Method, Request, header};
+use http::{Method, Request, Response, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use nutmegbay_core::ids::{Fingerprint, RequestId};
 use nutmegbay_core::verdict::Verdict;
+use nutmegbay_proto::engine::Load;
 use nutmegbay_proto::frame::End;
+use nutmegbay_proto::prefix::count_tokens;
 use nutmegbay_proto::problem::{Problem, ProblemKind};
-use nutmegbay_proto::work::{WORK_PATH, Work};
+use nutmegbay_proto::work::{LOAD_HEADER, WORK_PATH, Work};
 use tokio::time::{Instant, sleep, timeout_at};
 
 use super::client::Via;
@@ -19,8 +21,9 @@
 use super::refuse::not_run;
 use super::suspects;
 use super::wire::{FrameRef, Lines};
+use crate::admit::{self, Grant, Need};
 use crate::gateway::Gateway;
-use crate::state::upstreams::{Dispatch, Upstream};
+use crate::state::upstreams::Upstream;
 
 /// Upstreams tried for one piece of work before it fails.
 const MAX_ATTEMPTS: u32 = 6;
@@ -91,27 +94,25 @@
 }
 
 async fn drive(gateway: &Gateway, flight: &Flight, job: &Job) -> Result<End, Problem> {
-    let mut avoid: Vec<Arc<Upstream>> = Vec::new();
+    let mut need = Need::new(&job.model, &job.prompt, job.max_tokens);
     let mut via = Via::Pool;
     let mut has_lost = false;
     for attempt in 1..=MAX_ATTEMPTS {
-        let (upstream, is_repeat) = pick(gateway, job, &avoid)
-            .ok_or_else(|| no_upstream(&job.model, flight.is_dispatched()))?;
-        if is_repeat {
+        let grant = grant(gateway, job, &need, attempt, has_lost).await?;
+        let upstream = &grant.upstream;
+        if is_avoided(&need, upstream) {
             sleep(RETRY_PAUSE * attempt).await;
         }
         let alone = suspects::admit(gateway, job.fingerprint, verdict_of(has_lost)).await?;
-        let dispatch = Dispatch::new(upstream);
-        let upstream = &dispatch.upstream;
         let run = Run {
             attempt,
             via,
             is_alone: alone.is_some(),
         };
-        let outcome = attempt_on(gateway, flight, job, upstream, run).await;
-        match outcome {
+        match attempt_on(gateway, flight, job, upstream, run).await {
             Attempt::Whole(end) => {
                 upstream.set_failing(false);
+                grant.answered(&need, end.cached_tokens);
                 if let Some(alone) = alone {
                     alone.survived();
                 }
@@ -146,29 +147,45 @@
                     upstream = %upstream.name, delivered = flight.len());
             }
         }
-        avoid.push(Arc::clone(upstream));
+        need.avoid.push(Arc::clone(upstream));
+        need.prompt_tokens = count_tokens(&job.prompt).saturating_add(flight.len());
     }
     let verdict = verdict_of(flight.is_dispatched());
     let detail = format!("the request failed on {MAX_ATTEMPTS} upstreams; send it again later");
     Err(Problem::new(ProblemKind::UpstreamLost, verdict, detail).retry_after(1))
 }
 
-fn pick(gateway: &Gateway, job: &Job, avoid: &[Arc<Upstream>]) -> Option<(Arc<Upstream>, bool)> {
+/// Waits for a place in the queue; a request that has run before does not wait again.
+async fn grant(
+    gateway: &Gateway,
+    job: &Job,
+    need: &Need,
+    attempt: u32,
+    has_lost: bool,
+) -> Result<Grant, Problem> {
     let view = gateway.view();
-    let is_avoided = |u: &Arc<Upstream>| avoid.iter().any(|a| Arc::ptr_eq(a, u));
-    let upstream = view
-        .upstreams
-        .iter()
-        .filter(|u| *u.serves == *job.model && u.takes_work())
-        .min_by_key(|u| (is_avoided(u), u.is_failing(), u.open_count()))?;
-    Some((Arc::clone(upstream), is_avoided(upstream)))
+    let req = admit::Request {
+        account: &job.account,
+        model: &job.model,
+        priority: job.priority,
+        need,
+    };
+    if attempt == 1 {
+        return gateway.admission.admit(&view, req).await;
+    }
+    let grant = gateway.admission.replace(&view, req);
+    grant.ok_or_else(|| no_upstream(&job.model, has_lost))
+}
+
+fn is_avoided(need: &Need, upstream: &Arc<Upstream>) -> bool {
+    need.avoid.iter().any(|u| Arc::ptr_eq(u, upstream))
 }
 
 async fn attempt_on(
     gateway: &Gateway,
     flight: &Flight,
     job: &Job,
-    upstream: &Upstream,
+    upstream: &Arc<Upstream>,
     run: Run,
 ) -> Attempt {
     let progress = gateway.view().progress_timeout();
@@ -186,6 +203,9 @@
     if !res.status().is_success() {
         return refusal(res.into_body(), deadline).await;
     }
+    if let Some(load) = load_of(&res) {
+        gateway.admission.reported_load(upstream, &load);
+    }
     let mut body = res.into_body();
     let mut lines = Lines::default();
     loop {
@@ -214,6 +234,11 @@
     }
 }
 
+/// Load that the sidecar sends with its answer.
+fn load_of(res: &Response<Incoming>) -> Option<Load> {
+    serde_json::from_slice(res.headers().get(LOAD_HEADER)?.as_bytes()).ok()
+}
+
 fn request(
     flight: &Flight,
     job: &Job,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,6 +10,7 @@
 use tokio::sync::mpsc::error::TrySendError;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 
+use crate::admit::Admission;
 use crate::data::client::Upstreams;
 use crate::data::flight::{Flight, SeatId};
 use crate::metrics::Metrics;
@@ -35,6 +36,8 @@
     pub clients: Arc<Clients>,
     /// Open streams by key.
     pub open_keys: Arc<OpenKeys>,
+    /// Who runs when and where.
+    pub admission: Arc<Admission>,
     /// Model work in flight.
     pub flights: Flights,
     /// Counters and timers.
@@ -63,6 +66,7 @@
             client: parts.sidecars.clone(),
             clients: Arc::clone(&parts.clients),
             open_keys: Arc::clone(&parts.open_keys),
+            admission: Admission::new(parts.clock, &parts.settings.failure_domain),
             flights: Flights::default(),
             metrics: parts.metrics.clone(),
             tally: Arc::clone(&parts.tally),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`run`] is the whole process. The data path reads snapshots of the state that one task
 //! maintains from the platform's log; it takes no lock that another request holds across I/O.
 
+pub mod admit;
 pub mod auth;
 pub mod cli;
 pub mod control;
--- a/crates/gateway/src/state/actor.rs
+++ b/crates/gateway/src/state/actor.rs
@@ -431,6 +431,7 @@
         self.parts.clients.retain(|addr| addrs.contains(&addr));
         self.next.upstreams = upstreams::merge(&self.next.upstreams, list);
         self.stale.view = true;
+        self.next.peers = self.peers().cloned().collect();
         let peers = self.peers().map(|p| p.name.clone()).collect();
         self.feed(Event::Peers(peers));
     }
--- a/crates/gateway/src/state/relay.rs
+++ b/crates/gateway/src/state/relay.rs
@@ -7,11 +7,12 @@
 
 use futures::future::join_all;
 use nutmegbay_core::ids::Offset;
-use nutmegbay_proto::control::{LogStatus, SidecarControlClient, SidecarQuery, Tail};
+use nutmegbay_proto::control::{Gossip, LogStatus, SidecarControlClient, SidecarQuery, Tail};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{MissedTickBehavior, interval, timeout};
 
-use super::{Input, Parts};
+use super::parties::Party;
+use super::{Input, Parts, Status};
 use crate::gateway::Gateway;
 use crate::state::upstreams::Upstream;
 
@@ -22,6 +23,9 @@
 /// a node does not grow with the fleet.
 const PER_ROUND: usize = 8;
 
+/// Rounds between two messages to the peers.
+const GOSSIP_ROUNDS: u64 = 2;
+
 /// Time for one call of a sidecar.
 const VISIT_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -30,6 +34,7 @@
     let mut rounds = interval(ROUND);
     rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut turn = 0;
+    let mut round = 0_u64;
     let mut known: HashMap<SocketAddr, Offset> = HashMap::new();
     loop {
         rounds.tick().await;
@@ -41,26 +46,52 @@
             return;
         };
         let view = gateway.view();
+        gateway.admission.tick(&view);
         let count = view.upstreams.len();
         known.retain(|addr, _| view.upstreams.iter().any(|u| u.control == *addr));
         let chosen = (0..count.min(PER_ROUND)).map(|i| &view.upstreams[(turn + i) % count]);
         let calls = chosen.map(|upstream| {
             let next = known.get(&upstream.control).copied();
-            visit(&parts, &inputs, upstream, status.log, next)
+            visit(&gateway, &parts, &inputs, upstream, status.log, next)
         });
         for (addr, next) in join_all(calls).await.into_iter().flatten() {
             known.insert(addr, next);
         }
         turn = (turn + PER_ROUND) % count.max(1);
+        if round.is_multiple_of(GOSSIP_ROUNDS) {
+            gossip(&gateway, &parts, &view.peers, status).await;
+        }
+        round += 1;
     }
 }
 
+/// Tells the peers what this gateway has served and sent since the last time. A peer that is not
+/// reached misses that part of the count.
+async fn gossip<P>(gateway: &Gateway, parts: &Parts<P>, peers: &[Party], status: Status) {
+    let (served, dispatched) = gateway.admission.take_news();
+    let news = Gossip {
+        instance: gateway.settings.instance.clone(),
+        log: status.log,
+        served,
+        dispatched,
+        crashes: status.crashes,
+        exclusive: status.exclusive.into_iter().collect(),
+    };
+    join_all(
+        peers
+            .iter()
+            .map(|peer| parts.clients.gossip(peer, news.clone())),
+    )
+    .await;
+}
+
 /// Asks one sidecar for its status and gives it the records that it lacks. Returns the offset after
 /// the last record that it has.
 async fn visit<P>(
+    gateway: &Gateway,
     parts: &Parts<P>,
     inputs: &mpsc::Sender<Input>,
-    upstream: &Upstream,
+    upstream: &Arc<Upstream>,
     log: LogStatus,
     next: Option<Offset>,
 ) -> Option<(SocketAddr, Offset)> {
@@ -76,6 +107,11 @@
         return None;
     };
     upstream.report(&status, asked);
+    if let Some(reported) = upstream.reported() {
+        gateway
+            .admission
+            .reported(upstream, &status, reported.taken);
+    }
     if !status.crashes.is_empty() {
         // The state task ends last; without it nobody needs the reports.
         let _ = inputs.send(Input::Heard(status.crashes)).await;
--- a/crates/gateway/src/state/view.rs
+++ b/crates/gateway/src/state/view.rs
@@ -11,6 +11,7 @@
 use nutmegbay_proto::problem::{Problem, ProblemKind};
 use nutmegbay_settings::model::SiteSettings;
 
+use super::parties::Party;
 use super::upstreams::Upstream;
 use crate::data::refuse::not_run;
 
@@ -30,6 +31,8 @@
     pub keys: Arc<Keys>,
     /// Upstreams.
     pub upstreams: Arc<[Arc<Upstream>]>,
+    /// Other gateways.
+    pub peers: Arc<[Party]>,
     /// Requests that have crashed an upstream, as far as this gateway knows.
     pub suspects: Arc<HashSet<Fingerprint>>,
     /// Whether the replica follows the log.
