Plan engine roles at the holder of the planner lease

Every gateway feeds the planner with its offered work; only the holder of the lease turns orders into intents. Upstreams are neither added nor given back, because the settings name no limits on the size of a site.

--- a/crates/gateway/src/admit/mod.rs
+++ b/crates/gateway/src/admit/mod.rs
@@ -4,6 +4,7 @@
 //! upstream has room. The decisions are those of the policy library; this module feeds it with
 //! reports, and its places count what is in flight.
 
+mod plan;
 mod pool;
 
 use std::collections::{BTreeMap, HashMap};
@@ -28,6 +29,7 @@
 use crate::state::view::View;
 use crate::state::world::Clock;
 
+pub use plan::plan;
 pub use pool::{Need, Place, Pool, Waiter};
 
 type ModelPool = Pool<LoadRouter, FairQueue<Waiter>>;
--- a/crates/gateway/src/admit/pool.rs
+++ b/crates/gateway/src/admit/pool.rs
@@ -7,6 +7,7 @@
 use nutmegbay_core::world::Moment;
 use nutmegbay_policy::cost::CostModel;
 use nutmegbay_policy::fleet::{Fleet, LoadReport, PieceEvent};
+use nutmegbay_policy::plan::Demand;
 use nutmegbay_policy::queue::{Queue, Ticket};
 use nutmegbay_policy::route::{Ask, Choice, Router};
 use nutmegbay_policy::{AccountKey, UpstreamKey};
@@ -83,6 +84,8 @@
     pub queue: Q,
     upstreams: SecondaryMap<UpstreamKey, Arc<Upstream>>,
     domain: u16,
+    /// Engine seconds of the requests since the planner last looked.
+    pub offered: Demand,
 }
 
 impl<R: Router, Q: Queue<Waiter>> Pool<R, Q> {
@@ -95,6 +98,7 @@
             queue,
             upstreams: SecondaryMap::new(),
             domain,
+            offered: Demand::default(),
         }
     }
 
@@ -198,8 +202,8 @@
         count > 0
     }
 
-    /// Engine seconds that a request is expected to use.
-    pub fn cost_of(&self, need: &Need) -> f64 {
+    /// Engine seconds of prefill and decode that a request is expected to use.
+    pub fn cost_of(&self, need: &Need) -> Demand {
         let held = self
             .fleet
             .iter()
@@ -207,7 +211,10 @@
             .max();
         let held = u32::try_from(held.unwrap_or(0) * PIECE_TOKENS).unwrap_or(u32::MAX);
         let uncached = need.prompt_tokens.saturating_sub(held);
-        self.cost.prefill(uncached) + self.cost.decode(output_of(need), 64)
+        Demand {
+            prefill: self.cost.prefill(uncached),
+            decode: self.cost.decode(output_of(need), 64),
+        }
     }
 
     /// Adds a request or returns the time after which a repeat has a chance.
@@ -219,9 +226,12 @@
         waiter: Waiter,
         now: Moment,
     ) -> Result<(), Duration> {
+        let cost = self.cost_of(&waiter.need);
+        self.offered.prefill += cost.prefill;
+        self.offered.decode += cost.decode;
         let ticket = Ticket {
             account,
-            cost: self.cost_of(&waiter.need),
+            cost: cost.total(),
             priority,
             deadline,
             item: waiter,
@@ -258,7 +268,7 @@
     /// Place for a request that does not wait in the queue, because it has run before.
     pub fn place(&mut self, need: &Need, now: Moment) -> Option<Place> {
         let choice = self.route(need, now)?;
-        self.take(choice, need, self.cost_of(need), now)
+        self.take(choice, need, self.cost_of(need).total(), now)
     }
 
     /// A request has ended.
--- a/crates/gateway/src/data/serve.rs
+++ b/crates/gateway/src/data/serve.rs
@@ -15,7 +15,7 @@
 use hyper_util::server::graceful::GracefulShutdown;
 use nutmegbay_proto::problem::{Problem, ProblemKind};
 use tokio::net::TcpListener;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
 use super::body::Body;
@@ -88,8 +88,10 @@
 }
 
 async fn handle(gateway: &Arc<Gateway>, req: Request<Incoming>) -> Response<Body> {
+    let started = Instant::now();
     gateway.metrics.count("requests");
     let mut res = answer(gateway, req).await;
+    gateway.metrics.time("head", started.elapsed());
     if gateway.is_draining() {
         let close = HeaderValue::from_static("close");
         res.headers_mut().insert(header::CONNECTION, close);
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -17,6 +17,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::admit;
 use crate::control::Control;
 use crate::data::client::Upstreams;
 use crate::data::serve::serve;
@@ -161,6 +162,7 @@
             changes,
             self.readiness.clone(),
         ));
+        background.spawn(admit::plan(Arc::clone(&gateway), inputs.clone()));
         let control = Control::new(Arc::clone(&gateway), parts.recent, inputs.clone());
         let control = self.control.start(control.into_rpc());
         tracing::info!(event = "started", %instance, incarnation = %gateway.incarnation);
--- a/crates/gateway/tests/usage_counts.rs
+++ b/crates/gateway/tests/usage_counts.rs
@@ -3,8 +3,9 @@
 mod support;
 
 use nutmegbay_core::record::{Body, Usage};
+use nutmegbay_proto::platform::UsageReport;
 use support::sidecar::Sidecar;
-use support::{KEY, Site};
+use support::{KEY, Site, base, until};
 
 /// Usage of `account` by the last counts of each gateway life in the log.
 fn logged(site: &Site, account: &str) -> Usage {
@@ -102,3 +103,31 @@
     let site = Site::start_with(platform, "gw2").await;
     assert_eq!(logged(&site, "acme").completion_tokens, 3);
 }
+
+#[tokio::test]
+async fn reported_windows() {
+    let sidecar = Sidecar::engine("e1").await;
+    let site = Site::start(&[&sidecar]).await;
+    let mut short = base();
+    short["usage"] = serde_json::json!({ "window_s": 1, "grace_s": 1 });
+    site.platform.publish_base(&short);
+    let other = Site::start_with(site.platform.clone(), "gw2").await;
+    other.until_ready().await;
+    for caller in [site.caller(), other.caller(), site.caller()] {
+        let ((), answer) = tokio::join!(serve(&sidecar, 3), caller.chat(KEY, "one"));
+        assert_eq!(answer.status, 200);
+    }
+    let reported = || -> u64 {
+        let reports = site.platform.reports();
+        let usage = |u: Option<&Usage>| u.map_or(0, |u| u.calls);
+        let calls = |r: &UsageReport| usage(r.accounts.get("acme")) + usage(r.late.get("acme"));
+        reports.iter().map(calls).sum()
+    };
+    until(async || reported() >= 3).await;
+    assert_eq!(reported(), 3);
+    let mut windows: Vec<_> = site.platform.reports().iter().map(|r| r.window).collect();
+    let count = windows.len();
+    windows.sort_unstable();
+    windows.dedup();
+    assert_eq!(windows.len(), count, "a window was reported twice");
+}
