--- a/crates/fakes/src/engine/http.rs
+++ b/crates/fakes/src/engine/http.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
+use std::time::Duration;
 
 use axum::body::Body;
 use axum::extract::{Extension, Query, Request, State};
@@ -10,7 +11,6 @@
 use axum::routing::{get, post};
 use axum::{Json, Router};
 use bytes::Bytes;
-use futures::Stream;
 use futures::stream::unfold;
 use http::{HeaderMap, StatusCode, header};
 use nutmegbay_core::verdict::Verdict;
@@ -21,10 +21,10 @@
 use nutmegbay_proto::prefix::piece_hashes;
 use nutmegbay_proto::problem::{PROBLEM_JSON, Problem, ProblemKind};
 use serde::Deserialize;
-use tokio::time::{Duration, Instant, timeout};
+use tokio::time::{Instant, timeout};
 
 use super::Shared;
-use super::batch::{EngineSeen, Lines, Lost};
+use super::batch::{self, EngineSeen, Lines, Lost};
 use super::config::EngineFaults;
 use super::orders::Refusal;
 use crate::server::ConnId;
@@ -32,9 +32,6 @@
 /// Largest body taken, for prompts of several hundred thousand tokens.
 const MAX_BODY_BYTES: usize = 16 << 20;
 
-/// Time without any frame after which a sign of life is sent, as the engines' protocol requires.
-const KEEP_ALIVE: Duration = Duration::from_millis(500);
-
 type Cx = State<Arc<Shared>>;
 
 pub(super) fn router(shared: Arc<Shared>) -> Router {
@@ -83,44 +80,56 @@
         return Err(refused(ProblemKind::UnknownModel, detail));
     }
     let lines = engine.submit(&generate);
+    let keep_alive = Duration::from_millis(engine.cfg.keep_alive_ms);
     drop(engine);
     shared.changed.notify_one();
-    let body = Body::from_stream(with_keep_alive(shared, &generate, lines));
+    let next = u32::try_from(generate.delivered.len()).unwrap_or(u32::MAX);
+    let head = Frame {
+        id: generate.id,
+        attempt: generate.attempt,
+        seq: next,
+        body: FrameBody::KeepAlive,
+    };
+    let answer = Answer {
+        shared,
+        lines,
+        keep_alive,
+        head,
+    };
+    let body = Body::from_stream(unfold(answer, |mut answer| async move {
+        Some((answer.next().await?, answer))
+    }));
     Ok(([(header::CONTENT_TYPE, "application/x-ndjson")], body).into_response())
 }
 
-/// Adds a sign of life wherever no frame comes for [`KEEP_ALIVE`].
-fn with_keep_alive(
+/// One answer on its way out.
+struct Answer {
     shared: Arc<Shared>,
-    generate: &Generate,
     lines: Lines,
-) -> impl Stream<Item = Result<Bytes, Lost>> + use<> {
-    let first = u32::try_from(generate.delivered.len()).unwrap_or(u32::MAX);
-    let frame = Frame {
-        id: generate.id,
-        attempt: generate.attempt,
-        seq: first,
-        body: FrameBody::KeepAlive,
-    };
-    unfold(
-        (shared, lines, frame),
-        async |(shared, mut lines, mut frame)| {
-            loop {
-                match timeout(KEEP_ALIVE, lines.recv()).await {
-                    Ok(line) => {
-                        frame.seq += 1;
-                        return line.map(|line| (line, (shared, lines, frame)));
-                    }
-                    Err(_) if shared.engine().faults.stop_answering => {}
-                    Err(_) => {
-                        let mut line = serde_json::to_vec(&frame).unwrap_or_default();
-                        line.push(b'\n');
-                        return Some((Ok(line.into()), (shared, lines, frame)));
-                    }
+    keep_alive: Duration,
+    /// Sign of life at the current position.
+    head: Frame,
+}
+
+impl Answer {
+    /// Next line: a frame of the answer, or a sign of life where none is due.
+    async fn next(&mut self) -> Option<Result<Bytes, Lost>> {
+        loop {
+            let line = if self.keep_alive.is_zero() {
+                self.lines.recv().await
+            } else {
+                match timeout(self.keep_alive, self.lines.recv()).await {
+                    Ok(line) => line,
+                    Err(_) if self.shared.engine().faults.stop_answering => continue,
+                    Err(_) => return Some(Ok(batch::line(&self.head))),
                 }
-            }
-        },
-    )
+            };
+            return Some(line?.map(|line| {
+                self.head.seq = line.next;
+                line.bytes
+            }));
+        }
+    }
 }
 
 async fn cancel(State(shared): Cx, Json(cancel): Json<Cancel>) -> StatusCode {
