--- a/crates/gateway/src/data/serve.rs
+++ b/crates/gateway/src/data/serve.rs
@@ -10,7 +10,7 @@
 use hyper::body::{Body as _, Incoming};
 use nutmegbay_proto::problem::{Problem, ProblemKind};
 use tokio::net::TcpListener;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -66,8 +66,10 @@
 }
 
 pub(super) async fn handle(gateway: &Arc<Gateway>, req: Request<Incoming>) -> Response<Body> {
+    let started = Instant::now();
     gateway.metrics.count("requests");
     let mut res = answer(gateway, req).await;
+    gateway.metrics.time("head", started.elapsed());
     if gateway.is_draining() {
         let close = HeaderValue::from_static("close");
         res.headers_mut().insert(header::CONNECTION, close);
