Prove "not run" in a plain outage of the log

Cause: the new process test log_outage got the verdict may_have_run for a new order although its append had been refused: the replica counted as complete only as of a successful read. Change: in an outage the replica is complete as of the earliest question that every known gateway answered without being ahead, since none of them can have dispatched what it has not applied. Ruled out: "not run" without that evidence, which another gateway's attempt could make false.

--- a/crates/core/src/freshness.rs
+++ b/crates/core/src/freshness.rs
@@ -164,6 +164,18 @@
         self.fresh_age(now).is_some_and(|age| age < LAG_AFTER)
     }
 
+    /// In an outage, the moment as of which no other gateway had applied a record that this replica
+    /// lacks: the earliest of the questions that all of them answered. As long as none of them
+    /// can read on, none can have dispatched anything that this replica does not show.
+    pub fn outage_as_of(&self, now: Moment) -> Option<Moment> {
+        if self.state() != "outage" || !self.all_reached(now) {
+            return None;
+        }
+        let peers = self.peers.iter().flatten();
+        let asked = peers.filter_map(|peer| self.views.get(peer).map(|view| view.asked));
+        Some(asked.min().unwrap_or(now))
+    }
+
     /// Time since the start of the last fresh read.
     pub fn fresh_age(&self, now: Moment) -> Option<Duration> {
         self.fresh_at.map(|at| now.since(at))
--- a/crates/core/tests/freshness_states.rs
+++ b/crates/core/tests/freshness_states.rs
@@ -125,3 +125,22 @@
         "a process without any state served keys"
     );
 }
+
+#[test]
+fn outage_moment() {
+    let mut freshness = fresh();
+    freshness.on_view("g2", at(3_800), view(10, 2_800));
+    assert_eq!(
+        freshness.outage_as_of(at(3_900)),
+        None,
+        "one peer was not asked"
+    );
+    freshness.on_view("g3", at(3_900), view(10, 2_900));
+    assert_eq!(state_at(&mut freshness, 3_950), "outage");
+    assert_eq!(freshness.outage_as_of(at(3_950)), Some(at(3_800)));
+
+    // A peer that is ahead may have dispatched what this replica does not show.
+    freshness.on_view("g3", at(4_000), view(11, 3_000));
+    freshness.on_tick(at(4_010), NEXT);
+    assert_eq!(freshness.outage_as_of(at(4_010)), None);
+}
--- a/crates/gateway/src/state/actor.rs
+++ b/crates/gateway/src/state/actor.rs
@@ -15,7 +15,7 @@
 use nutmegbay_core::snapshot::Image;
 use nutmegbay_core::usage::WindowTerms;
 use nutmegbay_core::verdict::Verdict;
-use nutmegbay_core::world::Moment;
+use nutmegbay_core::world::{Moment, World as _};
 use nutmegbay_platform::{Log, UpstreamOrders, UsageReports};
 use nutmegbay_proto::control::LogStatus;
 use nutmegbay_proto::platform::{Entry, InstanceKind, InstanceList, ReadResponse};
@@ -279,7 +279,12 @@
             self.feed(Event::Served { account, usage });
         }
         self.feed(Event::Tick);
-        self.once.tick(self.node.replica().attempts());
+        let replica = self.node.replica();
+        let outage = self.node.freshness().outage_as_of(self.world.now());
+        if let Some(moment) = outage {
+            self.once.complete_as_of(moment, replica.attempts());
+        }
+        self.once.tick(replica.attempts());
         self.suspects.advance(self.node.replica().quarantine());
     }
 
