Learn the prefill cost from the cheapest prefills, add policy tests

Cause: the prefill cost stayed at its guess, a fifth too high, so too many engines went to prefill; tests showed that the planner acted on its first sample (13 changes in the first minute of a noisy mix, an engine twice). Change: the cheapest of 64 prefills counts; no change before two level times; no cap on demand before the fleet is known.

--- a/crates/load/src/policy/gateway.rs
+++ b/crates/load/src/policy/gateway.rs
@@ -339,6 +339,7 @@
             handed_over: false,
             expected_cached: choice.cached_tokens,
             last_token: f64::NAN,
+            submitted: self.now,
         });
         self.flights[flight].run = Some(run);
         self.submit_later(run, after);
@@ -357,6 +358,11 @@
         } = self.flights[flight];
         let request = &self.requests[req];
         let gateway = &mut self.gateways[at];
+        let state = &self.runs[run];
+        if self.engines[state.engine].role == EngineRole::Prefill {
+            let seconds = self.now - state.submitted;
+            gateway.cost.saw_prefill(state.prefilled, seconds);
+        }
         let ask = Ask {
             prompt_tokens: request.prompt,
             output_tokens: (f64::from(request.max_tokens) * OUTPUT_SHARE) as u32,
--- a/crates/load/src/policy/site.rs
+++ b/crates/load/src/policy/site.rs
@@ -146,6 +146,7 @@
     pub handed_over: bool,
     pub expected_cached: u32,
     pub last_token: f64,
+    pub submitted: f64,
 }
 
 /// A site under one policy.
@@ -419,6 +420,7 @@
         let cached = self.engines[engine].submit(seq, PIECE);
         if !handed_over {
             self.runs[run].prefilled = prompt - cached;
+            self.runs[run].submitted = self.now;
             let key = self.keys[engine];
             let pieces = &self.requests[req].pieces;
             let missed = cached < self.runs[run].expected_cached && imported == 0;
--- a/crates/policy/src/cost.rs
+++ b/crates/policy/src/cost.rs
@@ -2,8 +2,17 @@
 
 use nutmegbay_core::record::EngineRole;
 
-/// Weight of one new prefill observation.
-const PREFILL_GAIN: f64 = 0.05;
+/// Prefill observations of which the cheapest one counts.
+///
+/// The time to the end of prefill contains waits inside the engine that nothing shows. A mean over
+/// them raised the estimate, which raised the waits; the cheapest of many did not wait.
+const PREFILL_WINDOW: u32 = 64;
+
+/// Weight of the cheapest prefill of a window.
+const PREFILL_GAIN: f64 = 0.5;
+
+/// Fewest tokens of a prefill that is learned from: the fixed cost of a step blurs shorter ones.
+const PREFILL_TOKENS: u32 = 2_048;
 
 /// Factor by which older decode observations lose weight with each new one.
 const DECODE_FORGET: f64 = 0.98;
@@ -14,6 +23,8 @@
     prefill_s: f64,
     decode_base_s: f64,
     decode_slope_s: f64,
+    cheapest: f64,
+    seen: u32,
     sums: Sums,
 }
 
@@ -35,16 +46,25 @@
             prefill_s,
             decode_base_s,
             decode_slope_s,
+            cheapest: f64::INFINITY,
+            seen: 0,
             sums: Sums::default(),
         }
     }
 
-    /// Learns from a prefill of `tokens` uncached prompt tokens that took `seconds` without waiting.
+    /// Learns from a prefill of `tokens` uncached prompt tokens on an engine that does no decode,
+    /// which ended `seconds` after it was sent.
     pub fn saw_prefill(&mut self, tokens: u32, seconds: f64) {
-        if tokens == 0 || !seconds.is_finite() || seconds <= 0.0 {
+        if tokens < PREFILL_TOKENS || !seconds.is_finite() || seconds <= 0.0 {
             return;
         }
-        self.prefill_s += PREFILL_GAIN * (seconds / f64::from(tokens) - self.prefill_s);
+        self.cheapest = self.cheapest.min(seconds / f64::from(tokens));
+        self.seen += 1;
+        if self.seen >= PREFILL_WINDOW {
+            self.prefill_s += PREFILL_GAIN * (self.cheapest - self.prefill_s);
+            self.cheapest = f64::INFINITY;
+            self.seen = 0;
+        }
     }
 
     /// Learns from a decode step of `batch` sequences that took `seconds`.
--- a/crates/policy/src/plan/forecast.rs
+++ b/crates/policy/src/plan/forecast.rs
@@ -19,6 +19,7 @@
 pub struct Forecast {
     level: f64,
     trend: f64,
+    first: Option<Moment>,
     at: Option<Moment>,
 }
 
@@ -27,6 +28,7 @@
     pub fn sample(&mut self, value: f64, now: Moment) {
         let Some(at) = self.at else {
             self.level = value;
+            self.first = Some(now);
             self.at = Some(now);
             return;
         };
@@ -41,6 +43,12 @@
         self.at = Some(now);
     }
 
+    /// Whether enough was sampled that the first sample no longer decides.
+    pub fn is_ready(&self, now: Moment) -> bool {
+        self.first
+            .is_some_and(|first| now.since(first).as_secs_f64() >= 2.0 * LEVEL_S)
+    }
+
     /// Current level.
     pub fn level(&self) -> f64 {
         self.level.max(0.0)
--- a/crates/policy/src/plan/role.rs
+++ b/crates/policy/src/plan/role.rs
@@ -332,12 +332,18 @@
 impl Planner for RolePlanner {
     fn observe(&mut self, demand: Demand, now: Moment) {
         // More than the fleet can carry several times over is a burst of estimates, not a level.
-        let most = MAX_DEMAND * self.engines.max(1) as f64;
+        let most = match self.engines {
+            0 => f64::INFINITY,
+            engines => MAX_DEMAND * engines as f64,
+        };
         self.prefill.sample(demand.prefill.min(most), now);
         self.decode.sample(demand.decode.min(most), now);
     }
 
     fn plan(&mut self, engines: &Engines, now: Moment) -> Vec<Order> {
+        if !self.prefill.is_ready(now) {
+            return Vec::new();
+        }
         let demand = self.forecast(self.settings.change);
         let at_lead = self.forecast(self.settings.order_lead);
         self.plan_for(engines, demand, at_lead, now)
--- /dev/null
+++ b/crates/policy/tests/joined_retries.rs
@@ -0,0 +1,99 @@
+//! Guards against work done twice for one caller, and against retries without a bound.
+
+use std::time::Duration;
+
+use nutmegbay_core::ids::Fingerprint;
+use nutmegbay_core::world::Moment;
+use nutmegbay_policy::AccountKey;
+use nutmegbay_policy::join::{Join, JoinTable};
+use nutmegbay_policy::plan::{Demand, DemandLedger};
+use nutmegbay_policy::retry::RetryBudget;
+use slotmap::SlotMap;
+
+fn at(ms: u64) -> Moment {
+    Moment(Duration::from_millis(ms))
+}
+
+fn accounts() -> (AccountKey, AccountKey) {
+    let mut arena = SlotMap::<AccountKey, ()>::with_key();
+    (arena.insert(()), arena.insert(()))
+}
+
+#[test]
+fn same_request() {
+    let (one, two) = accounts();
+    let mut table = JoinTable::<u8>::default();
+    let work = Fingerprint(5);
+    let Join::First(key) = table.enter(one, work, at(0)) else {
+        panic!("nothing is in flight");
+    };
+    assert_eq!(table.enter(one, work, at(10)), Join::Joined(key));
+    // Another account never gets an answer to a request of the first.
+    assert!(matches!(table.enter(two, work, at(10)), Join::First(_)));
+    table.finish(key);
+    assert!(matches!(table.enter(one, work, at(20)), Join::First(_)));
+}
+
+#[test]
+fn caller_returns() {
+    let (account, _) = accounts();
+    let mut table = JoinTable::<u8>::default();
+    let work = Fingerprint(5);
+    let Join::First(key) = table.enter(account, work, at(0)) else {
+        panic!("nothing is in flight");
+    };
+    table.leave(key, at(1_000));
+    assert!(table.abandoned(at(1_500)).is_empty());
+    assert_eq!(table.enter(account, work, at(1_600)), Join::Joined(key));
+    table.leave(key, at(2_000));
+    assert_eq!(table.abandoned(at(9_000)), [key]);
+}
+
+#[test]
+fn other_gateway() {
+    let (account, _) = accounts();
+    let work = Fingerprint(5);
+    let mut here = JoinTable::<u8>::default();
+    let mut there = JoinTable::<u8>::default();
+    here.enter(account, work, at(0));
+    here.first_seen(account, work, at(0));
+    let runs: Vec<_> = here.announcements(at(400)).collect();
+    there.announced(1, runs, at(400));
+    assert_eq!(there.enter(account, work, at(500)), Join::AtPeer(1));
+    // The repeat keeps the age of the first sending, so that it gets no new deadline.
+    assert_eq!(there.first_seen(account, work, at(500)), at(0));
+    // An announcement that is not repeated ends, so that a lost peer does not hold requests.
+    assert!(matches!(
+        there.enter(account, work, at(9_000)),
+        Join::First(_)
+    ));
+}
+
+#[test]
+fn demand_once() {
+    let mut ledger = DemandLedger::new(1);
+    let demand = Demand {
+        prefill: 1.0,
+        decode: 0.5,
+    };
+    for gateway in 0..3 {
+        ledger.count(Fingerprint(9), demand, at(gateway));
+    }
+    assert_eq!(ledger.take(at(10)), demand);
+    assert_eq!(ledger.take(at(20)), Demand::default());
+}
+
+#[test]
+fn retry_bound() {
+    let mut budget = RetryBudget::new(at(0));
+    let allowed = (0..1_000)
+        .filter(|_| {
+            budget.first_attempt();
+            budget.try_retry(at(0))
+        })
+        .count();
+    assert!(
+        (100..=125).contains(&allowed),
+        "{allowed} retries for 1,000 requests"
+    );
+}
