Add the http mode of the load tool

Cause: latency through the gateway has to be compared with the engine itself in one run, with impatient callers and a mix that changes. Figures: none yet; it has not been run against a gateway.

--- a/crates/load/src/cli.rs
+++ b/crates/load/src/cli.rs
@@ -1,5 +1,6 @@
 //! Command line.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -7,6 +8,7 @@
 use indicatif::{ProgressBar, ProgressDrawTarget, ProgressStyle};
 use strum::IntoEnumIterator;
 
+use crate::http;
 use crate::policy::{Deployment, Experiment, Outcome, Policy, Scenario, write_report};
 
 /// Exit code for a command that failed.
@@ -19,6 +21,27 @@
         .version(clap::crate_version!())
         .subcommand_required(true)
         .subcommand(policy_command())
+        .subcommand(http_command())
+}
+
+fn http_command() -> Command {
+    Command::new("http")
+        .about("Drives a running system on loopback addresses and prints latency histograms")
+        .arg(
+            Arg::new("workload")
+                .required(true)
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .help("Workload file, JSON with comments"),
+        )
+        .arg(
+            Arg::new("direct")
+                .long("direct")
+                .value_name("ADDRESS")
+                .value_parser(value_parser!(SocketAddr))
+                .help("Send every second request straight to this engine, to compare"),
+        )
+        .arg(number("seed", "Seed").default_value("1"))
 }
 
 fn policy_command() -> Command {
@@ -67,10 +90,32 @@
 pub fn main() -> ExitCode {
     match command().get_matches().subcommand() {
         Some(("policy", args)) => policy(args),
+        Some(("http", args)) => match drive(args) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(text) => {
+                eprintln!("{text}");
+                ExitCode::from(FAILED)
+            }
+        },
         _ => ExitCode::from(FAILED),
     }
 }
 
+fn drive(args: &ArgMatches) -> Result<(), String> {
+    let path = args
+        .get_one::<PathBuf>("workload")
+        .ok_or("no workload file is given")?;
+    let text = std::fs::read_to_string(path)
+        .map_err(|e| format!("cannot read {}: {e}", path.display()))?;
+    let workload = http::Workload::parse(&text)?;
+    let runtime = tokio::runtime::Runtime::new().map_err(|e| format!("cannot start: {e}"))?;
+    let seed = args.get_one("seed").copied().unwrap_or(1);
+    let direct = args.get_one("direct").copied();
+    let rows = runtime.block_on(http::run(workload, direct, seed))?;
+    http::print(&rows);
+    Ok(())
+}
+
 fn policy(args: &ArgMatches) -> ExitCode {
     let experiment = Experiment {
         deployments: chosen(args, "deployment"),
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -7,4 +7,5 @@
 )]
 
 pub mod cli;
+pub mod http;
 pub mod policy;
