Fence or dispatch an own attempt whose record came late

Replay showed an open attempt that nobody dispatched, and after a restart of its sidecar every retry was told "may have run".

Change: a call that is choosing dispatches its own late attempt; an own attempt that was never sent and that no caller waits for is fenced by its gateway, in every state. In the quarantine histories, a gateway that has just started is no longer taken for current before its first read.

--- a/crates/core/src/attempt/calls.rs
+++ b/crates/core/src/attempt/calls.rs
@@ -15,14 +15,16 @@
         W::Effect: From<Effect>,
     {
         let state = attempts.get(call);
-        let me = self.me;
+        let is_mine = state.is_some_and(|state| state.gateway == self.me);
         while let Some(machine) = self.calls.get_mut(&call) {
             if state.is_some_and(|state| state.content != machine.content) {
                 self.finish(call, &End::Reused, world);
                 self.calls.remove(&call);
                 return;
             }
-            let event = machine.observe(state, me);
+            let dispatched = self.dispatched.get(&call).copied();
+            let has_dispatched = dispatched.is_some() && dispatched == state.map(|s| s.number);
+            let event = machine.observe(state, is_mine, has_dispatched);
             if event == "open_other" && machine.chart.state() == "joining" {
                 let number = state.map_or(0, |state| state.number);
                 if machine.number != number {
@@ -31,9 +33,14 @@
                 }
                 return;
             }
-            if !machine.chart.handle(event) {
+            let is_other_fence = event == "open_unsent" && machine.chart.state() == "fencing";
+            if !machine.chart.handle(event) && !is_other_fence {
                 return;
             }
+            if let ("open_unsent", Some(state)) = (event, state) {
+                machine.number = state.number;
+                machine.promised_by = Some(self.me);
+            }
             self.enter(call, attempts, world);
         }
     }
@@ -187,10 +194,7 @@
             if is_orphan {
                 // An append that was given up has taken effect late. Nobody dispatches it; the fence
                 // keeps the call from being taken for one that may have run.
-                let mut machine = Machine::new(self.chart.clone(), state.content);
-                machine.number = state.number;
-                machine.chart.handle("chosen");
-                machine.chart.handle("withdraw");
+                let machine = Machine::new(self.chart.clone(), state.content);
                 self.calls.insert(call, machine);
             }
         }
--- a/crates/core/src/attempt/machine.rs
+++ b/crates/core/src/attempt/machine.rs
@@ -70,20 +70,31 @@
             .min()
     }
 
-    /// Event of the chart that the state of the log amounts to.
-    pub(super) fn observe(&self, state: Option<&CallState>, me: Incarnation) -> &'static str {
+    /// Event of the chart that the state of the log amounts to. `is_mine` tells whether the gateway
+    /// may dispatch the open attempt, `has_dispatched` whether it has.
+    pub(super) fn observe(
+        &self,
+        state: Option<&CallState>,
+        is_mine: bool,
+        has_dispatched: bool,
+    ) -> &'static str {
         let Some(state) = state else {
             return self.free();
         };
+        let is_same = state.number == self.number;
         match state.phase {
             Phase::Answered(_) => "answered",
             Phase::Unknown => "unknown",
             Phase::Fenced(_) => self.free(),
-            Phase::Open if state.number != self.number => "open_other",
-            Phase::Open if state.gateway == me => "open_mine",
-            // Seen from `opening`, the number that this gateway wanted was taken by another one.
-            Phase::Open if self.chart.state() == "opening" => "open_other",
-            Phase::Open if self.chart.state() == "revoking" => "open_other",
+            Phase::Open if is_mine && !has_dispatched => match self.chart.state() {
+                "opening" | "choosing" if is_same => "open_mine",
+                "fencing" if is_same => "open_same",
+                // An append that was given up has taken effect late; nobody dispatches it.
+                _ => "open_unsent",
+            },
+            Phase::Open if !is_same => "open_other",
+            // The number that this gateway wanted was taken by another one.
+            Phase::Open if matches!(self.chart.state(), "opening" | "revoking") => "open_other",
             Phase::Open => "open_same",
         }
     }
--- a/crates/core/tests/attempt_calls.rs
+++ b/crates/core/tests/attempt_calls.rs
@@ -198,3 +198,19 @@
     assert_eq!(rig.effects(), []);
     assert!(rig.coordinator.is_empty());
 }
+
+#[test]
+fn late_open() {
+    // An append that was taken for lost takes effect while the call chooses again. Left alone, the
+    // open attempt would make the call look as if it may have run.
+    let mut rig = Rig::new();
+    rig.begin(1, 7);
+    rig.chosen();
+    let (token, open) = rig.appended();
+    rig.on(Event::Appended(token, AppendResult::Lost));
+    rig.on(Event::CompleteAsOf(Moment(Duration::from_millis(1))));
+    rig.wait(200);
+    assert_eq!(rig.effects(), [Effect::Choose(CALL)]);
+    rig.replay(&open);
+    assert_matches!(&rig.effects()[..], [Effect::Dispatch { .. }]);
+}
--- a/crates/core/tests/quarantine_sim/gateway.rs
+++ b/crates/core/tests/quarantine_sim/gateway.rs
@@ -24,8 +24,8 @@
     /// Peers that have not acknowledged a crash yet.
     waiting_for: BTreeMap<Incarnation, BTreeSet<usize>>,
     exclusive: BTreeMap<TicketId, Fingerprint>,
-    /// When it last read the log or asked the sidecars.
-    current_at: u64,
+    /// When it last read the log or asked the sidecars, none since its start.
+    current_at: Option<u64>,
 }
 
 struct Outside {
@@ -74,7 +74,7 @@
             held: BTreeMap::new(),
             waiting_for: BTreeMap::new(),
             exclusive: BTreeMap::new(),
-            current_at: 0,
+            current_at: None,
         }
     }
 
@@ -117,7 +117,7 @@
                 self.push(after, Event::Read { gateway, life });
             }
             Event::Poll { life, .. } => {
-                self.gateways[gateway].current_at = self.now;
+                self.gateways[gateway].current_at = Some(self.now);
                 let reports = self
                     .upstreams
                     .iter()
@@ -186,7 +186,10 @@
 
     fn on_begin(&mut self, gateway: usize, ticket: TicketId) {
         let target = &self.gateways[gateway];
-        if self.now > target.current_at + STALE_MS {
+        let is_current = target
+            .current_at
+            .is_some_and(|at| self.now <= at + STALE_MS);
+        if !is_current {
             let life = target.life;
             let event = Event::Begin {
                 gateway,
@@ -213,7 +216,7 @@
             return;
         }
         let target = &mut self.gateways[gateway];
-        target.current_at = self.now;
+        target.current_at = Some(self.now);
         let from = usize::try_from(target.replica.next().0).unwrap();
         for text in self.log.get(from..).unwrap_or_default() {
             target.replica.apply(target.replica.next(), text);
