--- a/crates/demo/src/site.rs
+++ b/crates/demo/src/site.rs
@@ -244,10 +244,9 @@
     async fn start_gateway(&mut self, index: usize) -> Result<Instance, Report<DemoError>> {
         let name = format!("gateway-{}", index + 1);
         let domain = DOMAINS[index % DOMAINS.len()];
-        let control = free_addr().map_err(start)?;
         let settings = json!({
             "instance": name, "failure_domain": domain, "site": self.texts.site,
-            "listen": "127.0.0.1:0", "control": control, "admin": "127.0.0.1:0",
+            "listen": "127.0.0.1:0", "control": "127.0.0.1:0", "admin": "127.0.0.1:0",
             "platform": format!("http://{}", self.platform.addr()),
         });
         let settings = GatewaySettings::parse("demo", &settings.to_string()).map_err(start)?;
@@ -255,6 +254,7 @@
         let bound = runtime.spawn(nutmegbay_gateway::bind(settings));
         let bound = bound.await.map_err(start)?.map_err(start)?;
         let addr = bound.listen().map_err(start)?;
+        let control = bound.control().map_err(start)?;
         let running = Some(Running::spawn(runtime, |stop| bound.serve(stop)));
         let name: Box<str> = name.into();
         self.gateways.push(GatewayNode {
@@ -392,6 +392,18 @@
     Ok(started.elapsed())
 }
 
+/// Waits until `condition` holds, at most for `wait`. Returns whether it did.
+pub(crate) async fn until_some(wait: Duration, mut condition: impl FnMut() -> bool) -> bool {
+    let deadline = Instant::now() + wait;
+    while !condition() {
+        if Instant::now() >= deadline {
+            return false;
+        }
+        sleep(POLL).await;
+    }
+    true
+}
+
 fn runtime() -> std::io::Result<Runtime> {
     Builder::new_multi_thread()
         .worker_threads(1)
@@ -399,11 +411,6 @@
         .build()
 }
 
-/// Free loopback address for an interface that cannot announce the one it bound.
-fn free_addr() -> std::io::Result<SocketAddr> {
-    std::net::TcpListener::bind("127.0.0.1:0")?.local_addr()
-}
-
 fn start(error: impl std::fmt::Debug) -> Report<DemoError> {
     Report::new(DemoError::Start(format!("{error:?}").into()))
 }
