--- a/crates/gateway/examples/path_cost.rs
+++ b/crates/gateway/examples/path_cost.rs
@@ -1,6 +1,9 @@
 //! Measures what gateway and sidecar add to a direct call of the fake engine, all on loopback.
 //!
 //! `cargo run --release -p nutmegbay-gateway --example path_cost [calls] [streams]`
+//!
+//! `path_cost hold` starts a platform and 16 slow engines with their sidecars, prints the address of
+//! the platform and waits, for measurements of a gateway process.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -13,7 +16,7 @@
 use hyper_util::rt::TokioExecutor;
 use nutmegbay_core::ids::{Offset, RecordId, RequestId};
 use nutmegbay_core::record::{Body, ConfigPublish, ConfigScope, KeyGrant, Record, SCHEMA};
-use nutmegbay_fakes::engine::{EngineConfig, FakeEngine};
+use nutmegbay_fakes::engine::{CostModel, EngineConfig, FakeEngine};
 use nutmegbay_fakes::platform::{FakePlatform, PlatformConfig};
 use nutmegbay_gateway::bind;
 use nutmegbay_gateway::settings::GatewaySettings;
@@ -34,11 +37,14 @@
 
 #[tokio::main(flavor = "multi_thread", worker_threads = 4)]
 async fn main() -> Result<(), Failure> {
-    let mut args = std::env::args().skip(1);
+    let mut args = std::env::args().skip(1).peekable();
+    if args.peek().is_some_and(|arg| arg == "hold") {
+        return hold().await;
+    }
     let calls = args.next().map_or(Ok(2_000), |n| n.parse())?;
     let streams = args.next().map_or(Ok(0), |n| n.parse())?;
-    let engine = FakeEngine::start(EngineConfig::instant()).await?;
-    let gateway = start(&engine).await?;
+    let (engine, instance) = engine("e1", EngineConfig::instant()).await?;
+    let gateway = start(vec![instance]).await?;
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
     let http: Http = Client::builder(TokioExecutor::new()).build(connector);
@@ -55,32 +61,63 @@
     Ok(())
 }
 
-async fn start(engine: &FakeEngine) -> Result<SocketAddr, Failure> {
+/// Runs surroundings until it is killed.
+async fn hold() -> Result<(), Failure> {
+    let mut instances = Vec::new();
+    let mut engines = Vec::new();
+    for n in 0..16 {
+        let cost = CostModel {
+            step_us: 250_000.0,
+            ..CostModel::ZERO
+        };
+        let cfg = EngineConfig {
+            cost,
+            ..EngineConfig::instant()
+        };
+        let (engine, instance) = engine(&format!("e{n}"), cfg).await?;
+        engines.push(engine);
+        instances.push(instance);
+    }
+    println!("{}", platform(instances).await?.addr());
+    std::future::pending().await
+}
+
+/// Fake engine with a sidecar beside it.
+async fn engine(name: &str, cfg: EngineConfig) -> Result<(FakeEngine, Instance), Failure> {
+    let engine = FakeEngine::start(cfg).await?;
     let text = format!(
-        r#"{{ "instance": "e1", "failure_domain": "a", "kind": "engine",
+        r#"{{ "instance": "{name}", "failure_domain": "a", "kind": "engine",
               "listen": "127.0.0.1:0", "admin": "127.0.0.1:0", "upstream": "{}" }}"#,
         engine.addr()
     );
     let sidecar = Sidecar::bind(Settings::parse("settings", &text)?)?;
     let data = sidecar.data_addr()?;
     tokio::spawn(sidecar.run(CancellationToken::new()));
+    let instance = Instance {
+        name: name.into(),
+        kind: InstanceKind::Engine,
+        serves: "verse".into(),
+        failure_domain: "a".into(),
+        data,
+        control: data,
+        state: InstanceState::Live,
+    };
+    Ok((engine, instance))
+}
+
+async fn platform(instances: Vec<Instance>) -> Result<FakePlatform, Failure> {
     let platform = FakePlatform::start(PlatformConfig {
-        instances: InstanceList {
-            instances: vec![Instance {
-                name: "e1".into(),
-                kind: InstanceKind::Engine,
-                serves: "verse".into(),
-                failure_domain: "a".into(),
-                data,
-                control: data,
-                state: InstanceState::Live,
-            }],
-        },
+        instances: InstanceList { instances },
         ..PlatformConfig::default()
     })
     .await?;
     append(&platform, config())?;
     append(&platform, key())?;
+    Ok(platform)
+}
+
+async fn start(instances: Vec<Instance>) -> Result<SocketAddr, Failure> {
+    let platform = platform(instances).await?;
     let text = format!(
         r#"{{ "instance": "gw1", "failure_domain": "a", "site": "s", "listen": "127.0.0.1:0",
               "control": "127.0.0.1:0", "admin": "127.0.0.1:0", "platform": "http://{}" }}"#,
--- a/crates/gateway/tests/planned_stop.rs
+++ b/crates/gateway/tests/planned_stop.rs
@@ -50,7 +50,7 @@
     let sidecar = Sidecar::engine("e1").await;
     let site = Site::start(&[&sidecar]).await;
     let caller = site.caller();
-    let (mut running, mut events) = tokio::join!(
+    let (running, mut events) = tokio::join!(
         async {
             let mut running = sidecar.next().await;
             running.accept();
