Measure slopes of replay, routing, queue, planner and messages

Cause: the capacity page derives each role's cost at the size of two years from slopes. Change: nutmegbay-load slopes, five sizes or more for each.

--- a/crates/load/src/cli.rs
+++ b/crates/load/src/cli.rs
@@ -8,8 +8,8 @@
 use indicatif::{ProgressBar, ProgressDrawTarget, ProgressStyle};
 use strum::IntoEnumIterator;
 
-use crate::http;
 use crate::policy::{Deployment, Experiment, Outcome, Policy, Scenario, write_report};
+use crate::{http, slopes};
 
 /// Exit code for a command that failed.
 const FAILED: u8 = 1;
@@ -22,6 +22,19 @@
         .subcommand_required(true)
         .subcommand(policy_command())
         .subcommand(http_command())
+        .subcommand(slopes_command())
+}
+
+fn slopes_command() -> Command {
+    Command::new("slopes")
+        .about("Measures what each role costs as its state grows")
+        .arg(number("seed", "Seed").default_value("1"))
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .action(ArgAction::SetTrue)
+                .help("Print JSON in place of a table"),
+        )
 }
 
 fn http_command() -> Command {
@@ -90,6 +103,15 @@
 pub fn main() -> ExitCode {
     match command().get_matches().subcommand() {
         Some(("policy", args)) => policy(args),
+        Some(("slopes", args)) => {
+            let measured = slopes::run(args.get_one("seed").copied().unwrap_or(1));
+            if args.get_flag("json") {
+                print_json(&measured)
+            } else {
+                slopes::print(&measured);
+                ExitCode::SUCCESS
+            }
+        }
         Some(("http", args)) => match drive(args) {
             Ok(()) => ExitCode::SUCCESS,
             Err(text) => {
@@ -131,12 +153,9 @@
     }
     let outcomes = experiment.run(&bar);
     if args.get_flag("json") {
-        match serde_json::to_string_pretty(&outcomes) {
-            Ok(text) => println!("{text}"),
-            Err(e) => {
-                eprintln!("cannot write JSON: {e}");
-                return ExitCode::from(FAILED);
-            }
+        let code = print_json(&outcomes);
+        if code != ExitCode::SUCCESS {
+            return code;
         }
     } else {
         print_table(&outcomes);
@@ -156,6 +175,19 @@
     }
 }
 
+fn print_json(value: &impl serde::Serialize) -> ExitCode {
+    match serde_json::to_string_pretty(value) {
+        Ok(text) => {
+            println!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(e) => {
+            eprintln!("cannot write JSON: {e}");
+            ExitCode::from(FAILED)
+        }
+    }
+}
+
 fn chosen<T>(args: &ArgMatches, name: &str) -> Vec<T>
 where
     T: IntoEnumIterator + std::str::FromStr + PartialEq,
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod cli;
 pub mod http;
 pub mod policy;
+pub mod slopes;
--- /dev/null
+++ b/crates/load/src/slopes/policy.rs
@@ -0,0 +1,205 @@
+//! Decisions and messages of a gateway, and the planner.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use nutmegbay_core::record::EngineRole;
+use nutmegbay_core::world::Moment;
+use nutmegbay_policy::cost::CostModel;
+use nutmegbay_policy::fleet::{Fleet, LoadReport};
+use nutmegbay_policy::plan::{Demand, EngineView, Engines, PlanSettings, Planner, RolePlanner};
+use nutmegbay_policy::queue::{FairQueue, Queue, Ticket};
+use nutmegbay_policy::route::{Ask, LoadRouter, LoadRouterSettings, Router};
+use nutmegbay_policy::{AccountKey, UpstreamKey};
+use nutmegbay_proto::control::Gossip;
+use nutmegbay_proto::engine::{CacheEvent, CacheEvents, Load};
+use serde::Serialize;
+use slotmap::SlotMap;
+
+use super::{Slope, micros_of};
+
+/// Upstreams: from one site of today to the fleet in two years.
+const UPSTREAMS: [u16; 6] = [10, 50, 100, 200, 400, 600];
+
+/// Client accounts.
+const ACCOUNTS: [u32; 6] = [8, 50, 200, 500, 1_000, 2_000];
+
+pub fn slopes(seed: u64) -> Vec<Slope> {
+    let mut slopes = vec![route(seed), queue(), planner()];
+    slopes.extend(messages());
+    slopes
+}
+
+fn fleet(size: u16) -> Fleet {
+    let mut fleet = Fleet::default();
+    for index in 0..size {
+        let role = [EngineRole::Mixed, EngineRole::Prefill, EngineRole::Decode];
+        let role = role[usize::from(index) % 3];
+        let key = fleet.add(index % 7, role, Moment::default());
+        if let Some(up) = fleet.get_mut(key) {
+            let report = LoadReport {
+                running: 20,
+                prefill_tokens: 4_000,
+                decode_tokens: 2_000,
+                role,
+                ..LoadReport::default()
+            };
+            up.reported(report, Moment::default());
+            up.pieces_mut().expect(&[u64::from(index), 7, 8]);
+        }
+    }
+    fleet
+}
+
+fn route(seed: u64) -> Slope {
+    let cost = CostModel::new(1e-4, 0.012, 2.5e-4);
+    let points = UPSTREAMS.iter().map(|&size| {
+        let fleet = fleet(size);
+        let mut router = LoadRouter::new(seed, LoadRouterSettings::default());
+        let ask = Ask {
+            prompt_tokens: 9_000,
+            output_tokens: 100,
+            pieces: &[3, 7, 8, 9],
+            piece_tokens: 2_048,
+            domain: 1,
+            exclude: &[],
+        };
+        let now = Moment(Duration::from_millis(500));
+        let time = micros_of(|| {
+            std::hint::black_box(router.route(&ask, &fleet, &cost, now));
+        });
+        (f64::from(size), time)
+    });
+    Slope::fit("router choice", "upstream", "us", points.collect())
+}
+
+fn queue() -> Slope {
+    let points = ACCOUNTS.iter().map(|&size| {
+        let mut arena = SlotMap::<AccountKey, ()>::with_key();
+        let accounts: Vec<_> = (0..size).map(|_| arena.insert(())).collect();
+        let mut queue = FairQueue::default();
+        queue.set_rate(1e9);
+        let now = Moment::default();
+        let ticket = |account| Ticket {
+            account,
+            cost: 0.5,
+            priority: 0,
+            deadline: Moment(Duration::from_hours(1)),
+            item: 0_u32,
+        };
+        for &account in &accounts {
+            queue.set_share(account, 1.0);
+            let _ = queue.push(ticket(account), now);
+        }
+        let mut next = 0;
+        let time = micros_of(|| {
+            next = (next + 1) % accounts.len();
+            let _ = queue.push(ticket(accounts[next]), now);
+            std::hint::black_box(queue.pop(now));
+        });
+        (f64::from(size), time)
+    });
+    Slope::fit(
+        "fair queue, one in and one out",
+        "account",
+        "us",
+        points.collect(),
+    )
+}
+
+fn planner() -> Slope {
+    let settings = PlanSettings {
+        interval: Duration::ZERO,
+        max_upstreams: 0,
+        min_upstreams: usize::MAX,
+        ..PlanSettings::default()
+    };
+    let points = UPSTREAMS.iter().map(|&size| {
+        let mut arena = SlotMap::<UpstreamKey, ()>::with_key();
+        let engines: Engines = (0..size)
+            .map(|index| {
+                let view = EngineView {
+                    domain: index % 7,
+                    role: EngineRole::Mixed,
+                    version: 0,
+                    available: true,
+                    report_age: Duration::ZERO,
+                    backlog: 1.0,
+                };
+                (arena.insert(()), view)
+            })
+            .collect();
+        let demand = Demand {
+            prefill: f64::from(size) * 0.38,
+            decode: f64::from(size) * 0.4,
+        };
+        let time = micros_of(|| {
+            let mut planner = RolePlanner::new(settings);
+            planner.observe(demand, Moment::default());
+            std::hint::black_box(planner.plan(&engines, Moment(Duration::from_mins(1))));
+        });
+        (f64::from(size), time)
+    });
+    Slope::fit("planner evaluation", "engine", "us", points.collect())
+}
+
+fn messages() -> Vec<Slope> {
+    let gossip = |accounts: u32, upstreams: u16| Gossip {
+        instance: "gateway-001".into(),
+        served: (0..accounts)
+            .map(|account| (format!("account-{account:04}").into(), 1_234))
+            .collect::<BTreeMap<Box<str>, u64>>(),
+        dispatched: (0..upstreams)
+            .map(|upstream| (format!("engine-{upstream:03}").into(), 1_234))
+            .collect(),
+        ..Gossip::default()
+    };
+    let by_account = ACCOUNTS
+        .iter()
+        .map(|&n| (f64::from(n), bytes(&gossip(n, 0))));
+    let by_upstream = UPSTREAMS
+        .iter()
+        .map(|&n| (f64::from(n), bytes(&gossip(0, n))));
+    let load = Load {
+        age_ms: 300,
+        running: 40,
+        waiting: 3,
+        prefill_tokens: 123_456,
+        decode_tokens: 4_567,
+        cache_used: 0.93,
+        role: EngineRole::Mixed,
+        models: vec!["verse@2026-11".into()],
+    };
+    let reports = UPSTREAMS
+        .iter()
+        .map(|&n| (f64::from(n), f64::from(n) * bytes(&load)));
+    let events = [0_u16, 10, 50, 100, 200, 400].map(|n| {
+        let events = CacheEvents {
+            next: 1_000_000,
+            events: (0..u64::from(n))
+                .map(|seq| CacheEvent {
+                    seq: 1_000_000 + seq,
+                    piece: 0x1234_5678_9abc_def0,
+                    stored: true,
+                })
+                .collect(),
+        };
+        (f64::from(n), bytes(&events))
+    });
+    vec![
+        Slope::fit("gossip message", "account", "bytes", by_account.collect()),
+        Slope::fit("gossip message", "upstream", "bytes", by_upstream.collect()),
+        Slope::fit(
+            "one load report of each upstream",
+            "upstream",
+            "bytes",
+            reports.collect(),
+        ),
+        Slope::fit("cache events", "event", "bytes", events.to_vec()),
+    ]
+}
+
+/// Bytes of a message as JSON.
+fn bytes(value: &impl Serialize) -> f64 {
+    serde_json::to_string(value).map_or(0.0, |text| text.len() as f64)
+}
