Resume a request although its old stream cannot move

Cause: engines cancel by request alone, so a new attempt waits until the old one has ended there. A gateway that stops reading the old stream without closing it would have held the new attempt up to its deadline.

Change: after 1 s the new attempt cancels the old one itself, and the old stream does not cancel again when it ends.

Conclusion: a resumed request starts at most 1 s plus one cancellation late, below the 2 s after which a gateway takes a stream for silent.

--- a/crates/sidecar/src/work.rs
+++ b/crates/sidecar/src/work.rs
@@ -155,6 +155,7 @@
 
 /// What the engine sent next.
 enum Event {
+    PreviousStuck,
     MayStart,
     Superseded,
     UpstreamDied,
@@ -200,6 +201,15 @@
     /// Handles one event; the result is what to send to the gateway, if anything.
     async fn on_event(&mut self, event: Event) -> Option<Bytes> {
         match event {
+            Event::PreviousStuck => {
+                let running = &mut self.running;
+                if let (Some(in_flight), Some(attempt)) = (&running.in_flight, &mut running.attempt)
+                {
+                    attempt.take_over();
+                    cancel(&in_flight.0, running.id).await;
+                }
+                None
+            }
             Event::MayStart => self.send(),
             Event::Superseded => Some(self.fail(Problem::new(
                 ProblemKind::Fenced,
@@ -363,8 +373,10 @@
     async fn next(&mut self, attempt: Option<&Attempt>, place: Option<&mut Place>) -> Event {
         match self {
             Self::Waiting(_) => {
-                if let Some(attempt) = attempt {
-                    attempt.previous_gone().await;
+                if let Some(attempt) = attempt
+                    && !attempt.previous_gone().await
+                {
+                    return Event::PreviousStuck;
                 }
                 if let Some(place) = place {
                     place.started().await;
@@ -439,6 +451,7 @@
         };
         let place = self.place.take();
         let (attempt, run) = (self.attempt.take(), self.run.take());
+        let is_taken_over = attempt.as_ref().is_some_and(Attempt::is_taken_over);
         let leave = move |shared: &Shared| {
             if let Some(run) = &run {
                 shared.crashes.end(run);
@@ -447,7 +460,7 @@
                 shared.requests.leave(attempt);
             }
         };
-        if !self.at_engine {
+        if !self.at_engine || is_taken_over {
             leave(&in_flight.0);
             return;
         }
