Join an attempt whose number another gateway took first

Change: an open attempt is taken for the one that a call deals with only in the states that deal with one.

--- a/crates/core/src/attempt/machine.rs
+++ b/crates/core/src/attempt/machine.rs
@@ -93,9 +93,12 @@
                 _ => "open_unsent",
             },
             Phase::Open if !is_same => "open_other",
-            // The number that this gateway wanted was taken by another one.
-            Phase::Open if matches!(self.chart.state(), "opening" | "revoking") => "open_other",
-            Phase::Open => "open_same",
+            // Only in these states does the machine deal with the open attempt itself; in all others
+            // it wanted the number for itself, and another gateway has taken it.
+            Phase::Open => match self.chart.state() {
+                "dispatching" | "joining" | "fencing" | "recording" => "open_same",
+                _ => "open_other",
+            },
         }
     }
 
--- a/crates/core/tests/attempt_calls.rs
+++ b/crates/core/tests/attempt_calls.rs
@@ -11,7 +11,7 @@
     Timing,
 };
 use nutmegbay_core::ids::{CallKey, Fingerprint, Incarnation};
-use nutmegbay_core::record::{Answer, Record};
+use nutmegbay_core::record::{Answer, Body, Record};
 use nutmegbay_core::verdict::Verdict;
 use nutmegbay_core::world::{Moment, World};
 
@@ -214,3 +214,26 @@
     rig.replay(&open);
     assert_matches!(&rig.effects()[..], [Effect::Dispatch { .. }]);
 }
+
+#[test]
+fn taken_number() {
+    // The gateway's own open was refused in an outage; then it learns that another gateway had opened
+    // the same number before. Its caller must not be told that the call did not run.
+    let mut rig = Rig::new();
+    rig.begin(1, 7);
+    rig.chosen();
+    let (token, open) = rig.appended();
+    rig.on(Event::Appended(token, AppendResult::Refused));
+    rig.wait(200);
+    assert_eq!(rig.effects(), [Effect::Choose(CALL)]);
+    let mut other = open;
+    assert_matches!(&mut other.body, Body::AttemptOpen(open) => {
+        open.gateway_incarnation = Incarnation(99);
+    });
+    rig.replay(&other);
+    assert_matches!(&rig.effects()[..], [Effect::Query { .. }]);
+    rig.on(Event::CompleteAsOf(rig.world.now));
+    rig.wait(10_000);
+    let (ticket, end) = (TicketId(1), End::Failed(Verdict::MayHaveRun));
+    assert!(rig.effects().contains(&Effect::Finish { ticket, end }));
+}
