Say "may have run" where a repeat was refused unseen

Cause: a repeated order that was refused before it was looked up (withdrawn key, keys that may be out of date, broken body) said not_run although its first try may have run. Change: such refusals say may_have_run if an idempotency key came with the call. The old test log_outage expected may_have_run with no other gateway in existence; it is split into that case, now provably not_run, and unreached_gateway, where another listed gateway does not answer. Ruled out: looking up the call first, since its account is not known without a good key. Measured: withdrawn_meanwhile and the second half of unreached_gateway fail without the change; all gateway tests pass.

--- a/crates/gateway/src/data/once.rs
+++ b/crates/gateway/src/data/once.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http::request::Parts;
-use http::{HeaderValue, Response, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
 use nutmegbay_core::attempt::{End, TicketId};
 use nutmegbay_core::ids::{CallKey, Fingerprint, RequestId};
 use nutmegbay_core::record::Answer;
@@ -64,6 +64,16 @@
     respond(gateway, id, end)
 }
 
+/// Refusal of a call that was not looked up in the log. Its caller may have sent it before, at this or
+/// another gateway, so only a call without any key of the caller is known not to have run.
+pub fn unproven(route: &Route, headers: &HeaderMap, mut problem: Problem) -> Problem {
+    let is_repeat = headers.contains_key(&*route.idempotency_header);
+    if is_repeat && problem.kind != ProblemKind::MissingKey {
+        problem.verdict = problem.verdict.or(Verdict::MayHaveRun);
+    }
+    problem
+}
+
 /// A caller that waits; tells the state task when it leaves early.
 struct Waiting<'a> {
     gateway: &'a Gateway,
--- a/crates/gateway/src/data/serve.rs
+++ b/crates/gateway/src/data/serve.rs
@@ -110,11 +110,14 @@
             let body = read_body(body, max_body).await?;
             return services::call(gateway, route, None, &parts, body).await;
         }
-        let caller = identify(gateway, &parts.headers)?;
-        let body = read_body(body, max_body).await?;
         if route.idempotent {
+            let caller = identify(gateway, &parts.headers)?;
+            let body = read_body(body, max_body).await?;
             return services::call(gateway, route, Some(caller), &parts, body).await;
         }
+        let unproven = |problem| once::unproven(route, &parts.headers, problem);
+        let caller = identify(gateway, &parts.headers).map_err(unproven)?;
+        let body = read_body(body, max_body).await.map_err(unproven)?;
         return once::call(gateway, route, caller, parts, body).await;
     };
     drop(view);
--- a/crates/gateway/tests/at_most_once.rs
+++ b/crates/gateway/tests/at_most_once.rs
@@ -4,6 +4,7 @@
 mod support;
 
 use nutmegbay_core::verdict::Verdict;
+use nutmegbay_proto::platform::{Instance, InstanceKind};
 use nutmegbay_proto::problem::ProblemKind;
 use support::beside::Service;
 use support::caller::{Answer, Caller};
@@ -107,8 +108,8 @@
     site.platform.set_down(true);
     let problem = place(&site.caller(), "key-2", "cards").await.problem();
     assert_eq!(problem.kind, ProblemKind::LogUnavailable);
-    // Another gateway may have recorded and run it just before the log went away.
-    assert_eq!(problem.verdict, Verdict::MayHaveRun);
+    // No other gateway is listed, so none can have recorded and run it.
+    assert_eq!(problem.verdict, Verdict::NotRun);
     assert_eq!(
         place(&site.caller(), "key-1", "cards").await.body,
         known.body
@@ -119,6 +120,51 @@
     assert_eq!(service.runs(), 2);
 }
 
+#[tokio::test]
+async fn unreached_gateway() {
+    let service = Service::start().await;
+    let beside = service.beside("s1");
+    let silent = Instance {
+        name: "gw2".into(),
+        kind: InstanceKind::Gateway,
+        serves: "".into(),
+        // Nothing listens on port 1.
+        control: ([127, 0, 0, 1], 1).into(),
+        data: ([127, 0, 0, 1], 1).into(),
+        ..beside.instance.clone()
+    };
+    let site = Site::start_listing(vec![beside.instance.clone(), silent]).await;
+    site.platform.set_down(true);
+    // The other gateway may have recorded and run it just before the log went away.
+    let problem = place(&site.caller(), "key-1", "cards").await.problem();
+    assert_eq!(problem.verdict, Verdict::MayHaveRun);
+
+    // Nor is that known once the keys are no longer current and the call is refused at once.
+    until(async || {
+        let problem = place(&site.caller(), "key-2", "cards").await.problem();
+        assert_eq!(problem.verdict, Verdict::MayHaveRun, "{problem}");
+        problem.kind == ProblemKind::StaleState
+    })
+    .await;
+    assert_eq!(service.runs(), 0);
+}
+
+#[tokio::test]
+async fn withdrawn_meanwhile() {
+    let service = Service::start().await;
+    let (site, _beside) = start(&service).await;
+    place(&site.caller(), "key-1", "cards").await;
+    site.platform.withdraw("k1");
+    until(async || site.caller().get("/v1/models", Some(KEY)).await.status == 401).await;
+    let problem = place(&site.caller(), "key-1", "cards").await.problem();
+    assert_eq!(problem.kind, ProblemKind::InvalidKey);
+    assert_eq!(
+        problem.verdict,
+        Verdict::MayHaveRun,
+        "the call ran before the key was withdrawn"
+    );
+}
+
 #[tokio::test]
 async fn refused_appends() {
     let service = Service::start().await;
