Flush usage every second although reads are slow

A flush waited until replay had shown the last one.

Tests: usage_flow::slow_reads. Failing appends and slow reads are now frequent in the histories, because the deliberate fault LeaseFromAnswer was no longer found in 400 of them; the limit is 1,500.

--- a/crates/core/src/append.rs
+++ b/crates/core/src/append.rs
@@ -71,6 +71,13 @@
         self.in_flight.is_none() && now >= self.retry_at
     }
 
+    /// Whether the append in flight was answered or its answer was lost, so that only replay is
+    /// still to decide on it. A record that does no harm beside it may follow.
+    pub(crate) fn has_ended(&self) -> bool {
+        let in_flight = self.in_flight.as_ref();
+        in_flight.is_some_and(|in_flight| in_flight.ended.is_some())
+    }
+
     /// Appends the records in one group and returns the identity of the last one.
     pub(crate) fn send<W>(&mut self, world: &mut W, bodies: Vec<Body>) -> RecordId
     where
--- a/crates/core/src/usage.rs
+++ b/crates/core/src/usage.rs
@@ -57,6 +57,8 @@
     totals: Totals,
     /// Totals that replay accepted.
     confirmed: Totals,
+    /// Whether something was counted since the last flush was sent.
+    has_grown: bool,
     appender: Appender,
     not_before: Moment,
     mutations: Mutations,
@@ -74,6 +76,7 @@
             newest: WindowId::default(),
             totals: Totals::new(),
             confirmed: Totals::new(),
+            has_grown: false,
             appender: Appender::new(instance),
             not_before: Moment::default(),
             mutations: Mutations::default(),
@@ -100,6 +103,7 @@
         let accounts = self.totals.entry(self.newest).or_default();
         let total = accounts.entry(account.into()).or_default();
         *total = total.saturating_add(usage);
+        self.has_grown = true;
     }
 
     /// Whether replay has accepted everything that was counted.
@@ -131,7 +135,10 @@
             Input::Stop => self.not_before = now,
             _ => {}
         }
-        if self.appender.is_free(now) && now >= self.not_before && !self.is_flushed() {
+        // Totals are cumulative and numbered, so a flush need not wait until replay has shown the
+        // last one: with slow reads a kill would lose the counts of several seconds.
+        let may_send = self.appender.is_free(now) || (self.has_grown && self.appender.has_ended());
+        if may_send && now >= self.not_before && !self.is_flushed() {
             self.flush(world);
         }
     }
@@ -146,6 +153,7 @@
             .map(|(window, accounts)| (*window, accounts.clone()))
             .collect();
         self.seq += 1;
+        self.has_grown = false;
         self.not_before = world.now().plus(FLUSH_EVERY);
         let counts = UsageCounts {
             gateway: self.gateway,
--- a/crates/core/tests/cluster/mod.rs
+++ b/crates/core/tests/cluster/mod.rs
@@ -35,6 +35,8 @@
 const SERVE_EVERY_MS: u64 = 200;
 /// Time without faults at the end of a history. A restarted process needs 3.4 s for its first claim.
 const SETTLE_MS: u64 = 9_000;
+/// Time within which a record is read by all nodes when nothing is wrong.
+const FOLLOW_MS: u64 = 50;
 const SECRET: &str = "secret";
 
 enum Message {
@@ -154,18 +156,23 @@
         for slot in &mut self.nodes {
             slot.is_serving = false;
         }
-        self.run(2_500);
+        self.run(2_400);
+        let read_by_all = self.head();
+        self.run(FOLLOW_MS);
         if self.oracle.is_broken() {
             return;
         }
         let head = self.head();
         for (index, slot) in self.nodes.iter().enumerate() {
             let state = slot.node.as_ref().map(|node| {
-                let is_fresh = node.freshness().state() == "fresh";
-                is_fresh && node.replica().next().0 + 3 >= head.0
+                let state = node.freshness().state().to_owned();
+                (state, node.replica().next(), node.is_started())
             });
-            self.oracle.require(state == Some(true), "recovery", || {
-                format!("node {index} does not follow the log after all faults ended")
+            let follows = state
+                .as_ref()
+                .is_some_and(|(state, next, _)| state == "fresh" && *next >= read_by_all);
+            self.oracle.require(follows, "recovery", || {
+                format!("node {index} is in {state:?} long after all faults, head {head}")
             });
         }
         let last = self.nodes.iter().filter_map(|slot| slot.node.as_ref());
--- a/crates/core/tests/cluster/steps.rs
+++ b/crates/core/tests/cluster/steps.rs
@@ -98,21 +98,23 @@
     }
 }
 
+/// Appends that fail while reads are slow are the only way to a lease that ends late, so that these
+/// two faults are frequent.
 fn fault() -> impl Strategy<Value = Fault> {
     prop_oneof![
-        LONG.prop_map(|ms| Fault::CutLog { ms }),
-        LONG.prop_map(|ms| Fault::CutReads { ms }),
-        LONG.prop_map(|ms| Fault::CutAppends { ms }),
-        LONG.prop_map(|ms| Fault::CutPeers { ms }),
-        LONG.prop_map(|ms| Fault::Isolate { ms }),
-        (SHORT, LONG).prop_map(|(delay, ms)| Fault::SlowReads { delay, ms }),
-        (1..4_u32).prop_map(|count| Fault::LoseAnswers { count }),
-        (1..4_u32).prop_map(|count| Fault::FailAppends { count }),
-        LONG.prop_map(|ms| Fault::DelayAppend { ms }),
-        SHORT.prop_map(|ms| Fault::RepeatAppend { ms }),
-        LONG.prop_map(|ms| Fault::Pause { ms }),
-        SHORT.prop_map(|ms| Fault::Kill { ms }),
-        SHORT.prop_map(|ms| Fault::Stop { ms }),
+        1 => LONG.prop_map(|ms| Fault::CutLog { ms }),
+        1 => LONG.prop_map(|ms| Fault::CutReads { ms }),
+        3 => LONG.prop_map(|ms| Fault::CutAppends { ms }),
+        1 => LONG.prop_map(|ms| Fault::CutPeers { ms }),
+        1 => LONG.prop_map(|ms| Fault::Isolate { ms }),
+        3 => (SHORT, LONG).prop_map(|(delay, ms)| Fault::SlowReads { delay, ms }),
+        1 => (1..4_u32).prop_map(|count| Fault::LoseAnswers { count }),
+        1 => (1..4_u32).prop_map(|count| Fault::FailAppends { count }),
+        1 => LONG.prop_map(|ms| Fault::DelayAppend { ms }),
+        1 => SHORT.prop_map(|ms| Fault::RepeatAppend { ms }),
+        1 => LONG.prop_map(|ms| Fault::Pause { ms }),
+        1 => SHORT.prop_map(|ms| Fault::Kill { ms }),
+        1 => SHORT.prop_map(|ms| Fault::Stop { ms }),
     ]
 }
 
--- a/crates/core/tests/mutation_catch.rs
+++ b/crates/core/tests/mutation_catch.rs
@@ -6,8 +6,9 @@
 use cluster::steps::{cases, fuzz};
 use nutmegbay_core::mutation::Mutation;
 
-/// Histories within which a deliberate fault has to be found.
-const CASES: u32 = 400;
+/// Histories within which a deliberate fault has to be found. The rarest one, a lease that counts
+/// from the answer, breaks its predicate in about one of several hundred.
+const CASES: u32 = 1500;
 
 const SEED: u8 = 5;
 
--- a/crates/core/tests/usage_flow.rs
+++ b/crates/core/tests/usage_flow.rs
@@ -153,3 +153,30 @@
     );
     assert_eq!(log.replica.leases().current(LeaseRole::Reporter), None);
 }
+
+#[test]
+fn slow_reads() {
+    let mut log = Log::default();
+    let mut gateway = host("g1", 1);
+    gateway.run(&mut log, 100);
+    for _ in 0..30 {
+        gateway.give(served(1));
+        gateway.pass(100);
+        // Appends are answered, reads are not.
+        let effects: Vec<Effect> = gateway.outside.effects.drain(..).collect();
+        for effect in effects {
+            if let Effect::Append(append) = effect {
+                append.records.iter().for_each(|record| {
+                    log.write(record);
+                });
+                let token = append.token;
+                gateway.give(Event::AppendDone { token });
+            }
+        }
+    }
+    assert_eq!(
+        flushes(&log),
+        4,
+        "counts waited for a read that shows the last flush"
+    );
+}
