Keep the planner linear in engines, record latencies beyond 2 us

Cause: each candidate change looked at all engines again, so an evaluation grew with the square; the http histograms resize and clamped every latency to their first bound of 2 us. Change: engines are counted by failure domain once; histograms have fixed bounds; the event types of the experiments have their own file.

--- a/crates/load/src/http/mod.rs
+++ b/crates/load/src/http/mod.rs
@@ -22,6 +22,9 @@
 /// Bytes that count as one token, as in the fake engine.
 const BYTES_PER_TOKEN: usize = nutmegbay_proto::prefix::BYTES_PER_TOKEN;
 
+/// Longest time that is told apart, in microseconds.
+const MAX_US: u64 = 600_000_000;
+
 /// Row of the report for calls straight to the engine.
 const DIRECT: &str = "(direct)";
 
@@ -42,7 +45,11 @@
 
 impl Default for Row {
     fn default() -> Self {
-        let histogram = || Histogram::new(3).unwrap_or_else(|_| unreachable!("3 digits are valid"));
+        // A histogram that resizes clamps what is recorded beyond its first bound.
+        let histogram = || {
+            Histogram::new_with_bounds(1, MAX_US, 3)
+                .unwrap_or_else(|_| unreachable!("valid bounds"))
+        };
         Self {
             first: histogram(),
             gap: histogram(),
--- a/crates/load/src/policy/gateway.rs
+++ b/crates/load/src/policy/gateway.rs
@@ -16,7 +16,8 @@
 use nutmegbay_policy::{AccountKey, UpstreamKey};
 use slotmap::{SecondaryMap, SlotMap};
 
-use super::site::{DOMAINS, GATEWAYS, Run, Site};
+use super::events::Run;
+use super::site::{DOMAINS, GATEWAYS, Site};
 use super::workload::{PIECE, SHARES};
 
 /// Part of its limit that an answer has on average, as gateways learn it from finished answers.
--- a/crates/load/src/policy/mod.rs
+++ b/crates/load/src/policy/mod.rs
@@ -1,6 +1,7 @@
 //! `nutmegbay-load policy`: the decision code before small fakes of the engines, on a virtual clock.
 
 mod engine;
+mod events;
 mod gateway;
 mod html;
 mod site;
--- a/crates/load/src/policy/site.rs
+++ b/crates/load/src/policy/site.rs
@@ -7,7 +7,6 @@
 use nutmegbay_core::record::EngineRole;
 use nutmegbay_core::world::Moment;
 use nutmegbay_policy::UpstreamKey;
-use nutmegbay_policy::fleet::{LoadReport, PieceEvent};
 use nutmegbay_policy::plan::{DemandLedger, EngineView, Engines, Order, Planner};
 use nutmegbay_policy::queue::Queue;
 use nutmegbay_policy::route::Router;
@@ -15,6 +14,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::engine::{Costs, Engine, Progress, Sequence, limits};
+use super::events::{Call, Delivery, Due, Event, Run};
 use super::gateway::{Flight, Gateway};
 use super::tally::Tally;
 use super::workload::{EVENT_S, PIECE, RUN_S, Request, Scenario};
@@ -64,91 +64,6 @@
     pub window_s: Option<f64>,
 }
 
-/// What happens at a moment.
-#[derive(Debug)]
-pub(super) enum Event {
-    Send(usize),
-    Patience(usize),
-    Submit(usize),
-    StepEnd(usize, u32),
-    Report(usize),
-    Deliver(Box<Delivery>),
-    Gossip,
-    Plan,
-    Pump(usize),
-    Changed(usize, u32),
-    Crash(usize),
-    Restart(usize),
-    Added(u16),
-}
-
-/// A load report on its way.
-#[derive(Debug)]
-pub(super) struct Delivery {
-    engine: usize,
-    life: u32,
-    taken: f64,
-    report: LoadReport,
-    accepts: bool,
-    events: Vec<PieceEvent>,
-    next: u64,
-}
-
-#[derive(Debug)]
-struct Due {
-    at: f64,
-    seq: u64,
-    event: Event,
-}
-
-impl PartialEq for Due {
-    fn eq(&self, other: &Self) -> bool {
-        self.seq == other.seq
-    }
-}
-
-impl Eq for Due {}
-
-impl PartialOrd for Due {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Due {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        self.at
-            .total_cmp(&other.at)
-            .then_with(|| self.seq.cmp(&other.seq))
-    }
-}
-
-/// One sending of a request.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct Call {
-    pub req: usize,
-    pub alive: bool,
-    pub answered: bool,
-    pub flight: usize,
-}
-
-/// One run of a flight on engines.
-#[derive(Debug, Clone)]
-pub(super) struct Run {
-    pub flight: usize,
-    pub engine: usize,
-    pub decode: Option<usize>,
-    pub holder: Option<usize>,
-    pub live: bool,
-    pub sent_work: f64,
-    pub prefilled: u32,
-    pub generated: u32,
-    pub handed_over: bool,
-    pub expected_cached: u32,
-    pub last_token: f64,
-    pub submitted: f64,
-}
-
 /// A site under one policy.
 pub struct Site<R, Q, P> {
     pub(super) requests: Vec<Request>,
--- a/crates/policy/src/plan/role.rs
+++ b/crates/policy/src/plan/role.rs
@@ -1,6 +1,6 @@
 //! The planner in use.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use nutmegbay_core::record::EngineRole;
@@ -137,6 +137,7 @@
         let epoch = self.mix.epoch();
         let mut counts = RoleCounts::of(engines, |key| self.role(key, &engines[key]));
         let shape = self.settings.shape;
+        let mut spread = self.spread(engines);
         let in_change = self
             .pending
             .values()
@@ -151,7 +152,7 @@
                 }
                 for to in [EngineRole::Prefill, EngineRole::Decode, EngineRole::Mixed] {
                     let after = counts.changed(engine.role, to);
-                    if to == engine.role || !self.spans_domains(engines, key, to) {
+                    if to == engine.role || !spans_domains(&spread, engine, to) {
                         continue;
                     }
                     let gain = (after.value(demand, &shape) - current)
@@ -165,6 +166,9 @@
             }
             let Some((_, key, role)) = best else { return };
             counts = counts.changed(engines[key].role, role);
+            let domain = spread.entry(engines[key].domain).or_default();
+            domain.add(engines[key].role, -1);
+            domain.add(role, 1);
             let order = Order::SetRole(key, role);
             self.pending.insert(key, Pending { order, since: now });
             self.changed.insert(key, Changed { at: now, epoch });
@@ -180,26 +184,15 @@
         self.settings.change.as_secs_f64() * load + 0.5 * engine.backlog.min(4.0)
     }
 
-    /// Whether prefill and decode stay possible in two failure domains, so that the loss of one
-    /// leaves both.
-    fn spans_domains(&self, engines: &Engines, changed: UpstreamKey, to: EngineRole) -> bool {
-        let mut all = BTreeSet::new();
-        let (mut prefill, mut decode) = (BTreeSet::new(), BTreeSet::new());
+    /// Engines by failure domain and what they can do.
+    fn spread(&self, engines: &Engines) -> Spread {
+        let mut spread = Spread::new();
         for (key, engine) in engines {
-            let Some(role) = self.role(key, engine) else {
-                continue;
-            };
-            let role = if key == changed { to } else { role };
-            all.insert(engine.domain);
-            if role != EngineRole::Decode {
-                prefill.insert(engine.domain);
-            }
-            if role != EngineRole::Prefill {
-                decode.insert(engine.domain);
+            if let Some(role) = self.role(key, engine) {
+                spread.entry(engine.domain).or_default().add(role, 1);
             }
         }
-        let need = all.len().min(2);
-        prefill.len() >= need && decode.len() >= need
+        spread
     }
 
     /// Orders model loads, at most as many at a time as the weight store's rate carries and one
@@ -350,12 +343,50 @@
     }
 }
 
+/// Engines of one failure domain by what they can do.
+#[derive(Debug, Default, Clone, Copy)]
+struct Able {
+    prefill: i32,
+    decode: i32,
+}
+
+/// Engines by failure domain.
+type Spread = BTreeMap<u16, Able>;
+
+impl Able {
+    fn add(&mut self, role: EngineRole, count: i32) {
+        if role != EngineRole::Decode {
+            self.prefill += count;
+        }
+        if role != EngineRole::Prefill {
+            self.decode += count;
+        }
+    }
+}
+
+/// Whether prefill and decode stay possible in two failure domains after `engine` takes the role
+/// `to`, so that the loss of one domain leaves both.
+fn spans_domains(spread: &Spread, engine: &EngineView, to: EngineRole) -> bool {
+    let (mut prefill, mut decode) = (0, 0);
+    for (&domain, &able) in spread {
+        let mut able = able;
+        if domain == engine.domain {
+            able.add(engine.role, -1);
+            able.add(to, 1);
+        }
+        prefill += usize::from(able.prefill > 0);
+        decode += usize::from(able.decode > 0);
+    }
+    let need = spread.len().min(2);
+    prefill >= need && decode >= need
+}
+
 fn is_usable(engine: &EngineView) -> bool {
     engine.available && engine.report_age <= LOST_AFTER
 }
 
 fn emptiest_domain(engines: &Engines) -> u16 {
-    let mut domains = std::collections::BTreeMap::<u16, usize>::new();
+    let mut domains = BTreeMap::<u16, usize>::new();
     for engine in engines.values() {
         *domains.entry(engine.domain).or_default() += usize::from(is_usable(engine));
     }
