--- a/crates/gateway/tests/at_most_once.rs
+++ b/crates/gateway/tests/at_most_once.rs
@@ -3,11 +3,15 @@
 
 mod support;
 
+use std::time::Duration;
+
 use nutmegbay_core::verdict::Verdict;
+use nutmegbay_proto::platform::InstanceKind;
 use nutmegbay_proto::problem::ProblemKind;
 use support::beside::Service;
 use support::caller::{Answer, Caller};
-use support::{KEY, Site, until};
+use support::{KEY, Site, instance, until};
+use tokio::net::TcpListener;
 
 async fn place(caller: &Caller, key: &str, body: &str) -> Answer {
     let mut req = caller.request("POST", "/place", Some(KEY), body.to_owned());
@@ -107,8 +111,7 @@
     site.platform.set_down(true);
     let problem = place(&site.caller(), "key-2", "cards").await.problem();
     assert_eq!(problem.kind, ProblemKind::LogUnavailable);
-    // Another gateway may have recorded and run it just before the log went away.
-    assert_eq!(problem.verdict, Verdict::MayHaveRun);
+    assert_eq!(problem.verdict, Verdict::NotRun);
     assert_eq!(
         place(&site.caller(), "key-1", "cards").await.body,
         known.body
@@ -119,6 +122,22 @@
     assert_eq!(service.runs(), 2);
 }
 
+#[tokio::test]
+async fn outage_with_silent_peer() {
+    let service = Service::start().await;
+    let (site, _beside) = start(&service).await;
+    let silent = TcpListener::bind("127.0.0.1:0").await.expect("port");
+    let silent = silent.local_addr().expect("address");
+    site.platform
+        .list(instance("gw2", InstanceKind::Gateway, "", silent));
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    site.platform.set_down(true);
+    let problem = place(&site.caller(), "key-1", "cards").await.problem();
+    // The peer may have recorded and run it just before the log went away.
+    assert_eq!(problem.verdict, Verdict::MayHaveRun);
+    assert_eq!(service.runs(), 0);
+}
+
 #[tokio::test]
 async fn refused_appends() {
     let service = Service::start().await;
