--- a/crates/gateway/src/admit/plan.rs
+++ b/crates/gateway/src/admit/plan.rs
@@ -29,13 +29,16 @@
 pub async fn plan(gateway: Arc<Gateway>, inputs: mpsc::Sender<Input>) {
     let mut planners: HashMap<Box<str>, RolePlanner> = HashMap::new();
     loop {
-        let view = gateway.view();
-        let site = view.site.clone();
-        let interval = site.as_ref().map_or(DEFAULT_INTERVAL, |site| {
-            Duration::from_secs(site.planner.interval_s)
-        });
+        let interval = gateway
+            .view()
+            .site
+            .as_ref()
+            .map_or(DEFAULT_INTERVAL, |site| {
+                Duration::from_secs(site.planner.interval_s)
+            });
         sleep(interval).await;
-        let Some(site) = site.filter(|site| site.planner.enabled) else {
+        let view = gateway.view();
+        let Some(site) = view.site.clone().filter(|site| site.planner.enabled) else {
             continue;
         };
         let (reply, status) = oneshot::channel();
