--- a/crates/load/tests/http_latency.rs
+++ b/crates/load/tests/http_latency.rs
@@ -13,7 +13,7 @@
 
 /// Answers any request with two tokens as server-sent events.
 async fn serve(mut stream: TcpStream) -> std::io::Result<()> {
-    let mut buf = [0; 65_536];
+    let mut buf = vec![0; 65_536];
     let _ = stream.read(&mut buf).await?;
     stream
         .write_all(
