Refuse requests where the log or the configuration is not understood

Cause: a gateway that met a record of a newer schema skipped it and went on, so that its replica could differ from those of newer builds; one that could not apply an accepted configuration was not ready but went on serving callers under the old one. Ruled out: ending the process, which would cut the answers in flight.

--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -184,6 +184,10 @@
             Event::Tick => {}
             Event::StopRequested => self.begin_stop(world),
         }
+        if self.replica.newer().is_some() {
+            // Newer builds may disagree with this replay, so others take over the leases.
+            self.begin_stop(world);
+        }
         self.judge(world);
         self.feed(world, Input::Tick);
         self.read(world);
--- a/crates/core/src/replica/mod.rs
+++ b/crates/core/src/replica/mod.rs
@@ -65,6 +65,8 @@
 pub struct Replica {
     next: Offset,
     unreadable: u64,
+    #[serde(default)]
+    newer: Option<Offset>,
     seen: Seen,
     leases: Leases,
     config: Config,
@@ -105,10 +107,11 @@
         self.next = offset.next();
         let record: Record = match serde_json::from_str(raw_json) {
             Ok(record) => record,
-            Err(e) => return self.skip(e.to_string().into()),
+            Err(e) => return self.skip(offset, raw_json, e.to_string().into()),
         };
         if record.schema != SCHEMA {
-            return self.skip(format!("schema version {} is not known", record.schema).into());
+            let why = format!("schema version {} is not known", record.schema);
+            return self.skip(offset, raw_json, why.into());
         }
         if !self.seen.insert(record.id) {
             return Applied::Duplicate(record.id);
@@ -121,8 +124,12 @@
         }
     }
 
-    fn skip(&mut self, why: Box<str>) -> Applied {
+    fn skip(&mut self, offset: Offset, raw_json: &str, why: Box<str>) -> Applied {
         self.unreadable += 1;
+        let head = serde_json::from_str::<Head>(raw_json);
+        if self.newer.is_none() && head.is_ok_and(|head| head.schema > SCHEMA) {
+            self.newer = Some(offset);
+        }
         Applied::Unreadable(why)
     }
 
@@ -199,6 +206,12 @@
         self.next
     }
 
+    /// First record of a newer schema. A newer build may have accepted it, so this state may differ
+    /// from that of newer builds from here on.
+    pub fn newer(&self) -> Option<Offset> {
+        self.newer
+    }
+
     /// Number of records that were skipped because they did not parse.
     pub fn unreadable(&self) -> u64 {
         self.unreadable
@@ -340,3 +353,9 @@
     /// The idempotency key was used before with other content.
     OtherContent,
 }
+
+/// The part of a record that every schema has.
+#[derive(Deserialize)]
+struct Head {
+    schema: u16,
+}
--- a/crates/core/tests/replica_rules.rs
+++ b/crates/core/tests/replica_rules.rs
@@ -78,11 +78,17 @@
         assert_matches!(applied, Applied::Unreadable(_));
     }
     assert_eq!(replica.unreadable(), 5);
+    assert_eq!(
+        replica.newer(),
+        None,
+        "a broken record passes for a newer one"
+    );
     let mut log = Log::default();
     let text = log.text("ann", publish(None, None, "1"));
     let newer = text.replace("\"schema\":1", "\"schema\":2");
     let unknown = text.replace("config_publish", "config_unpublish");
     assert_matches!(replica.apply(Offset(5), &newer), Applied::Unreadable(_));
+    assert_eq!(replica.newer(), Some(Offset(5)));
     assert_matches!(replica.apply(Offset(6), &unknown), Applied::Unreadable(_));
     assert_matches!(replica.apply(Offset(9), &text), Applied::Gap);
     assert_matches!(replica.apply(Offset(3), &text), Applied::Stale);
--- a/crates/gateway/src/state/actor.rs
+++ b/crates/gateway/src/state/actor.rs
@@ -349,6 +349,7 @@
             Applied::Unreadable(reason) => {
                 self.parts.metrics.count("record_skipped");
                 tracing::warn!(event = "record_skipped", %offset, reason);
+                self.stale.view = true;
                 return;
             }
             Applied::Duplicate(_) | Applied::Stale | Applied::Gap => return,
@@ -470,6 +471,7 @@
         let replica = self.node.replica();
         let view = &mut self.next;
         view.is_started = self.node.is_started();
+        view.newer = replica.newer();
         if stale.keys {
             view.keys = Arc::new(replica.keys().clone());
         }
--- a/crates/gateway/src/state/view.rs
+++ b/crates/gateway/src/state/view.rs
@@ -27,6 +27,8 @@
     pub config: Option<Offset>,
     /// Offset of an accepted configuration that this build cannot apply.
     pub config_rejected: Option<Offset>,
+    /// First log record that only a newer build understands.
+    pub newer: Option<Offset>,
     /// Keys.
     pub keys: Arc<Keys>,
     /// Upstreams.
@@ -42,9 +44,14 @@
 }
 
 impl View {
-    /// Settings in force.
+    /// Settings in force, none while this build cannot follow the log or the configuration: an old
+    /// configuration must not stay in force on one instance.
     pub fn site(&self) -> Result<&SiteSettings, Problem> {
-        self.site.as_deref().ok_or_else(stale)
+        let is_behind = self.config_rejected.is_some() || self.newer.is_some();
+        self.site
+            .as_deref()
+            .filter(|_| !is_behind)
+            .ok_or_else(stale)
     }
 
     /// Time without a frame after which a connection counts as silent.
@@ -56,8 +63,7 @@
 
     /// Whether requests can be served.
     pub fn is_ready(&self) -> bool {
-        let can_apply = self.config_rejected.is_none() && self.site.is_some();
-        self.is_started && can_apply && !self.is_drained
+        self.is_started && self.site().is_ok() && !self.is_drained
     }
 }
 
--- a/crates/gateway/tests/config_changes.rs
+++ b/crates/gateway/tests/config_changes.rs
@@ -3,6 +3,9 @@
 
 mod support;
 
+use nutmegbay_core::ids::RecordId;
+use nutmegbay_core::record::{Body, DrainRequest, Record, SCHEMA};
+use nutmegbay_proto::problem::ProblemKind;
 use support::caller::Caller;
 use support::{KEY, Site, base, until};
 
@@ -33,10 +36,35 @@
     let status = site.status().await;
     assert_eq!(status.config, before);
     assert_eq!(status.config_rejected, Some(offset));
+    let models = site.caller().get("/v1/models", Some(KEY)).await;
+    assert_eq!(
+        models.problem().kind,
+        ProblemKind::StaleState,
+        "an old configuration is served"
+    );
     site.platform.publish_base(&base());
     site.until_ready().await;
 }
 
+#[tokio::test]
+async fn newer_record() {
+    let site = Site::start(&[]).await;
+    site.platform.write_record(&Record {
+        id: RecordId(99),
+        author: "newer build".into(),
+        at_ms: 0,
+        schema: SCHEMA + 1,
+        body: Body::DrainRequest(DrainRequest {
+            instance: "other".into(),
+        }),
+    });
+    let admin = Caller::new(site.admin);
+    until(async || admin.get("/ready", None).await.status == 503).await;
+    let models = site.caller().get("/v1/models", Some(KEY)).await;
+    assert_eq!(models.problem().kind, ProblemKind::StaleState);
+    until(async || site.status().await.leases.is_empty()).await;
+}
+
 #[tokio::test]
 async fn requested_drain() {
     let site = Site::start(&[]).await;
