--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -130,11 +130,19 @@
         }
     }
 
-    /// Notes the end, of whatever kind, of a dispatch of `work`.
+    /// Notes the end, of whatever kind, of a dispatch of `work`, which then no longer waits at the
+    /// upstream whatever the last report was.
     pub fn finished(&mut self, key: UpstreamKey, work: f64) {
-        if let Some(up) = self.upstreams.get_mut(key) {
-            up.in_flight = up.in_flight.saturating_sub(1);
-            up.in_flight_work = (up.in_flight_work - work).max(0.0);
+        let Some(up) = self.upstreams.get_mut(key) else {
+            return;
+        };
+        up.in_flight = up.in_flight.saturating_sub(1);
+        up.in_flight_work = (up.in_flight_work - work).max(0.0);
+        let is_own = |&(_, sent, tokens): &(Moment, f64, u32)| {
+            tokens > 0 && sent.to_bits() == work.to_bits()
+        };
+        if let Some(at) = up.sent.iter().position(is_own) {
+            up.sent.remove(at);
         }
     }
 
--- a/crates/policy/tests/route_choice.rs
+++ b/crates/policy/tests/route_choice.rs
@@ -142,3 +142,21 @@
     let choice = router.route(&ask(&[]), &fleet, &cost(), now);
     assert_eq!(choice.map(|choice| choice.upstream), Some(decode));
 }
+
+#[test]
+fn finished_work() {
+    let (mut fleet, keys) = fleet();
+    let cost = cost();
+    let now = Moment(Duration::from_millis(50));
+    for _ in 0..500 {
+        fleet.dispatched(keys[0], 0.015, 8, now);
+        fleet.finished(keys[0], 0.015);
+    }
+    // Without this, an engine that is faster than its reports are frequent looks full.
+    let up = fleet.get(keys[0]).unwrap();
+    assert!(
+        up.backlog(&cost, now) < 0.001,
+        "ended work still counts as waiting"
+    );
+    assert_eq!(up.batch(), 0);
+}
