Say which authority a usage report carries

Cause: the comment named the sender's authority, but repeats carry that of the seal. Change: one doc comment.

--- a/crates/proto/src/platform.rs
+++ b/crates/proto/src/platform.rs
@@ -145,7 +145,7 @@
 pub struct UsageReport {
     /// Window.
     pub window: WindowId,
-    /// Authority under which it is sent.
+    /// Authority under which the window was sealed, so that every repeat is the same.
     pub epoch: Epoch,
     /// Usage by client account, in this window.
     pub accounts: BTreeMap<Box<str>, Usage>,
