Share what the tests and the operators' tool wrote several times

Cause: the read of the whole change found the fuzzing runner in two files, the opening of a stream with its first token in six gateway tests, and one read of the log three times in the tool. Change: tests/fuzzing in the core, Sidecar::streaming in the gateway's test support, Operator::read in the tool. Bounds, seeds, shrink steps and assertions are as they were. Ruled out: one World for the core's small tests, since their random numbers differ on purpose.

--- a/crates/core/tests/once_fuzz.rs
+++ b/crates/core/tests/once_fuzz.rs
@@ -2,14 +2,15 @@
 //! pauses, lost, late and repeated messages and log outages. Guards against calls that run twice,
 //! untrue "not run" verdicts, answers that differ and calls that get lost.
 
+mod fuzzing;
 mod once_sim;
 
 use std::cell::Cell;
 
+use fuzzing::{number, run};
 use nutmegbay_core::mutation::{Mutation, Mutations};
 use once_sim::{Command, GATEWAYS, SIDECARS, Sim, Start, only};
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngAlgorithm, TestCaseError, TestError, TestRng, TestRunner};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
 
 /// Histories of one run unless `NUTMEGBAY_FUZZ_CASES` says otherwise.
@@ -21,28 +22,16 @@
 /// Seed of the histories; `NUTMEGBAY_FUZZ_SEED` replaces it, but not for the mutations.
 const SEED: u64 = 1;
 
+/// Steps for shrinking a failing history.
+const SHRINK_STEPS: u32 = 2_000;
+
 /// Commands of one history.
 const COMMANDS: std::ops::Range<usize> = 4..40;
 
 /// Callers of this many calls share a history.
 const CALLS: u8 = 4;
 
-/// Keeps the panics of failing histories, which shrinking repeats hundreds of times, out of the
-/// output; the shrunk history is printed at the end.
-fn silence_histories() {
-    static ONCE: std::sync::Once = std::sync::Once::new();
-    ONCE.call_once(|| {
-        let default = std::panic::take_hook();
-        std::panic::set_hook(Box::new(move |info| {
-            if !IN_HISTORY.get() {
-                default(info);
-            }
-        }));
-    });
-}
-
 thread_local! {
-    static IN_HISTORY: Cell<bool> = const { Cell::new(false) };
     static FAULT: Cell<Mutations> = Cell::new(Mutations::default());
 }
 
@@ -111,43 +100,10 @@
     }
 }
 
-fn number<T: std::str::FromStr>(variable: &str, default: T) -> T {
-    let text = std::env::var(variable).ok();
-    text.and_then(|text| text.parse().ok()).unwrap_or(default)
-}
-
 /// Runs histories and returns the number of them and the first failure, shrunk and as text.
 fn fuzz(cases: u32, seed: u64, mutation: Option<Mutation>) -> (u32, Option<String>) {
-    silence_histories();
     FAULT.set(only(mutation));
-    let config = Config {
-        cases,
-        failure_persistence: None,
-        max_shrink_iters: 2_000,
-        ..Config::default()
-    };
-    let mut bytes = [0; 32];
-    bytes[..8].copy_from_slice(&seed.to_le_bytes());
-    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &bytes);
-    let mut runner = TestRunner::new_with_rng(config.clone(), rng);
-    let histories = Cell::new(0);
-    IN_HISTORY.set(true);
-    let result = runner.run(
-        &Model::sequential_strategy(COMMANDS),
-        |(start, commands, seen)| {
-            histories.set(histories.get() + 1);
-            Calls::test_sequential(config.clone(), start, commands, seen);
-            Ok::<_, TestCaseError>(())
-        },
-    );
-    IN_HISTORY.set(false);
-    let failure = result.err().map(|e| match e {
-        TestError::Fail(why, (start, commands, _)) => {
-            format!("{why}\nstart: {start:?}\ncommands: {commands:#?}")
-        }
-        TestError::Abort(why) => format!("aborted: {why}"),
-    });
-    (histories.get(), failure)
+    run::<Calls>(cases, seed, SHRINK_STEPS, COMMANDS)
 }
 
 #[test]
--- a/crates/core/tests/quarantine_fuzz.rs
+++ b/crates/core/tests/quarantine_fuzz.rs
@@ -1,13 +1,14 @@
 //! Stateful fuzzing of requests that crash upstreams. Guards against a poison request that takes
 //! down more than two upstreams, innocent requests that stay suspect and suspects that wait for ever.
 
+mod fuzzing;
 mod quarantine_sim;
 
 use std::cell::Cell;
 
+use fuzzing::{number, run};
 use nutmegbay_core::mutation::{Mutation, Mutations};
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngAlgorithm, TestCaseError, TestError, TestRng, TestRunner};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
 use quarantine_sim::{Command, GATEWAYS, Sim, UPSTREAMS};
 
@@ -17,25 +18,13 @@
 /// Seed of the histories; `NUTMEGBAY_FUZZ_SEED` replaces it, but not for the mutations.
 const SEED: u64 = 1;
 
+/// Steps for shrinking a failing history.
+const SHRINK_STEPS: u32 = 500;
+
 /// Commands of one history.
 const COMMANDS: std::ops::Range<usize> = 2..30;
 
-/// Keeps the panics of failing histories, which shrinking repeats hundreds of times, out of the
-/// output; the shrunk history is printed at the end.
-fn silence_histories() {
-    static ONCE: std::sync::Once = std::sync::Once::new();
-    ONCE.call_once(|| {
-        let default = std::panic::take_hook();
-        std::panic::set_hook(Box::new(move |info| {
-            if !IN_HISTORY.get() {
-                default(info);
-            }
-        }));
-    });
-}
-
 thread_local! {
-    static IN_HISTORY: Cell<bool> = const { Cell::new(false) };
     static FAULT: Cell<Mutations> = Cell::new(Mutations::default());
 }
 
@@ -91,43 +80,10 @@
     }
 }
 
-fn number<T: std::str::FromStr>(variable: &str, default: T) -> T {
-    let text = std::env::var(variable).ok();
-    text.and_then(|text| text.parse().ok()).unwrap_or(default)
-}
-
 /// Runs histories and returns the number of them and the first failure, shrunk and as text.
 fn fuzz(cases: u32, seed: u64, mutations: Mutations) -> (u32, Option<String>) {
-    silence_histories();
     FAULT.set(mutations);
-    let config = Config {
-        cases,
-        failure_persistence: None,
-        max_shrink_iters: 500,
-        ..Config::default()
-    };
-    let mut bytes = [0; 32];
-    bytes[..8].copy_from_slice(&seed.to_le_bytes());
-    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &bytes);
-    let mut runner = TestRunner::new_with_rng(config.clone(), rng);
-    let histories = Cell::new(0);
-    IN_HISTORY.set(true);
-    let result = runner.run(
-        &Model::sequential_strategy(COMMANDS),
-        |(start, commands, seen)| {
-            histories.set(histories.get() + 1);
-            Suspects::test_sequential(config.clone(), start, commands, seen);
-            Ok::<_, TestCaseError>(())
-        },
-    );
-    IN_HISTORY.set(false);
-    let failure = result.err().map(|e| match e {
-        TestError::Fail(why, (start, commands, _)) => {
-            format!("{why}\nstart: {start:?}\ncommands: {commands:#?}")
-        }
-        TestError::Abort(why) => format!("aborted: {why}"),
-    });
-    (histories.get(), failure)
+    run::<Suspects>(cases, seed, SHRINK_STEPS, COMMANDS)
 }
 
 #[test]
--- a/crates/ctl/src/operator.rs
+++ b/crates/ctl/src/operator.rs
@@ -12,7 +12,7 @@
 use nutmegbay_core::snapshot::Collector;
 use nutmegbay_core::verdict::Verdict;
 use nutmegbay_platform::{Log, PlatformError};
-use nutmegbay_proto::platform::Entry;
+use nutmegbay_proto::platform::{Entry, ReadResponse};
 use nutmegbay_settings::{Site, Source};
 use nutmegbay_telemetry::clock::WallClock;
 use serde_json::value::to_raw_value;
@@ -77,11 +77,7 @@
     pub async fn refresh(&mut self) -> Result<(), Report<CtlError>> {
         loop {
             let from = self.replica.next();
-            let read = self
-                .log
-                .read(from, READ_MAX, Duration::ZERO)
-                .await
-                .map_err(platform)?;
+            let read = self.read(from).await?;
             if read.oldest > from {
                 self.start_from_snapshot(read.oldest).await?;
                 continue;
@@ -96,15 +92,17 @@
         }
     }
 
+    /// One read that does not wait for new records.
+    async fn read(&self, from: Offset) -> Result<ReadResponse, Report<CtlError>> {
+        let read = self.log.read(from, READ_MAX, Duration::ZERO).await;
+        read.map_err(platform)
+    }
+
     /// Loads the latest snapshot, since the log no longer keeps the records from the view's position.
     async fn start_from_snapshot(&mut self, oldest: Offset) -> Result<(), Report<CtlError>> {
         let (mut collector, mut next) = (Collector::default(), oldest);
         loop {
-            let read = self
-                .log
-                .read(next, READ_MAX, Duration::ZERO)
-                .await
-                .map_err(platform)?;
+            let read = self.read(next).await?;
             for entry in &read.records {
                 collector.feed(entry.record.get());
                 next = entry.offset.next();
@@ -293,11 +291,7 @@
         id: RecordId,
     ) -> Result<Option<Result<Offset, Reason>>, Report<CtlError>> {
         let from = self.replica.next();
-        let read = self
-            .log
-            .read(from, READ_MAX, Duration::ZERO)
-            .await
-            .map_err(platform)?;
+        let read = self.read(from).await?;
         let mut found = None;
         for entry in read.records {
             let offset = entry.offset;
--- a/crates/gateway/tests/caller_gone.rs
+++ b/crates/gateway/tests/caller_gone.rs
@@ -10,15 +10,7 @@
     let sidecar = Sidecar::engine("e1").await;
     let site = Site::start(&[&sidecar]).await;
     let caller = site.caller();
-    let (running, events) = tokio::join!(
-        async {
-            let mut running = sidecar.next().await;
-            running.accept();
-            running.token("a").await;
-            running
-        },
-        caller.stream(KEY, "verse")
-    );
+    let (running, events) = sidecar.streaming(&caller).await;
     drop(events);
     running.closed().await;
 }
--- a/crates/gateway/tests/key_withdrawal.rs
+++ b/crates/gateway/tests/key_withdrawal.rs
@@ -12,15 +12,7 @@
     let sidecar = Sidecar::engine("e1").await;
     let site = Site::start(&[&sidecar]).await;
     let caller = site.caller();
-    let (running, mut events) = tokio::join!(
-        async {
-            let mut running = sidecar.next().await;
-            running.accept();
-            running.token("a").await;
-            running
-        },
-        caller.stream(KEY, "verse")
-    );
+    let (running, mut events) = sidecar.streaming(&caller).await;
     assert_eq!(events.token().await, "a");
     site.platform.withdraw("k1");
     let rest = events.rest().await;
--- a/crates/gateway/tests/log_outage.rs
+++ b/crates/gateway/tests/log_outage.rs
@@ -41,15 +41,7 @@
     site.platform
         .list(instance("gw2", InstanceKind::Gateway, "", silent));
     let caller = site.caller();
-    let (mut running, mut events) = tokio::join!(
-        async {
-            let mut running = sidecar.next().await;
-            running.accept();
-            running.token("a").await;
-            running
-        },
-        caller.stream(KEY, "verse")
-    );
+    let (mut running, mut events) = sidecar.streaming(&caller).await;
     assert_eq!(events.token().await, "a");
     // The list of instances is read every 250 ms, before the platform goes away.
     tokio::time::sleep(Duration::from_millis(600)).await;
--- a/crates/gateway/tests/planned_stop.rs
+++ b/crates/gateway/tests/planned_stop.rs
@@ -13,15 +13,7 @@
     let sidecar = Sidecar::engine("e1").await;
     let site = Site::start(&[&sidecar]).await;
     let caller = site.caller();
-    let (mut running, mut events) = tokio::join!(
-        async {
-            let mut running = sidecar.next().await;
-            running.accept();
-            running.token("a").await;
-            running
-        },
-        caller.stream(KEY, "verse")
-    );
+    let (mut running, mut events) = sidecar.streaming(&caller).await;
     site.stop.cancel();
     let admin = Caller::new(site.admin);
     until(async || admin.get("/ready", None).await.status == 503).await;
@@ -50,15 +42,7 @@
     let sidecar = Sidecar::engine("e1").await;
     let site = Site::start(&[&sidecar]).await;
     let caller = site.caller();
-    let (running, mut events) = tokio::join!(
-        async {
-            let mut running = sidecar.next().await;
-            running.accept();
-            running.token("a").await;
-            running
-        },
-        caller.stream(KEY, "verse")
-    );
+    let (running, mut events) = sidecar.streaming(&caller).await;
     site.stop.cancel();
     until(async || TcpStream::connect(site.listen).await.is_err()).await;
     running.end().await;
--- a/crates/gateway/tests/shared_runs.rs
+++ b/crates/gateway/tests/shared_runs.rs
@@ -11,15 +11,7 @@
     let sidecar = Sidecar::engine("e1").await;
     let site = Site::start(&[&sidecar]).await;
     let caller = site.caller();
-    let (mut running, mut first) = tokio::join!(
-        async {
-            let mut running = sidecar.next().await;
-            running.accept();
-            running.token("a").await;
-            running
-        },
-        caller.stream(KEY, "verse")
-    );
+    let (mut running, mut first) = sidecar.streaming(&caller).await;
     let mut second = caller.stream(KEY, "verse").await;
     assert_eq!(first.token().await, "a");
     assert_eq!(second.token().await, "a");
--- a/crates/gateway/tests/support/sidecar.rs
+++ b/crates/gateway/tests/support/sidecar.rs
@@ -18,7 +18,8 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 
-use super::STEP;
+use super::caller::{Caller, Events};
+use super::{KEY, STEP};
 
 /// Sidecar under the control of a test.
 pub struct Sidecar {
@@ -94,6 +95,17 @@
         super::instance(&self.name, self.kind, &self.serves, self.addr)
     }
 
+    /// Stream that `caller` opens, with its first token `a` sent.
+    pub async fn streaming(&self, caller: &Caller) -> (Running, Events) {
+        let serve = async {
+            let mut running = self.next().await;
+            running.accept();
+            running.token("a").await;
+            running
+        };
+        tokio::join!(serve, caller.stream(KEY, "verse"))
+    }
+
     /// Next work that the gateway sends.
     pub async fn next(&self) -> Running {
         let mut works = self.works.lock().await;
