--- a/crates/platform/tests/call_verdicts.rs
+++ b/crates/backplane/tests/call_verdicts.rs
@@ -6,7 +6,7 @@
 
 use nutmegbay_core::ids::Offset;
 use nutmegbay_core::verdict::Verdict;
-use nutmegbay_platform::{Cause, ClientSettings, InstanceDirectory, Log, PlatformClient};
+use nutmegbay_backplane::{Cause, ClientSettings, InstanceDirectory, Log, PlatformClient};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
--- /dev/null
+++ b/crates/bins/src/bin/nutmegbay-edge.rs
@@ -0,0 +1,71 @@
+//! Entry for callers on the users' platform.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use nutmegbay_edge::{Adapter, cli, run};
+use nutmegbay_platform::settings::{self, Loaded};
+use nutmegbay_platform::{PlatformDialect, PlatformReports, PlatformStore};
+use nutmegbay_telemetry::exit::Exit;
+use nutmegbay_telemetry::{log, signals};
+
+// One thread: an instance has a fifth of a core, and the state of a process is not shared.
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    let matches = cli::command().get_matches();
+    let path = matches
+        .get_one::<PathBuf>(cli::SETTINGS)
+        .cloned()
+        .unwrap_or_else(settings::path);
+    let loaded = match std::fs::read_to_string(&path) {
+        Ok(text) => settings::decode(&text).map_err(|e| e.to_string()),
+        Err(e) => Err(e.to_string()),
+    };
+    let Loaded {
+        settings,
+        defaulted,
+    } = match loaded {
+        Ok(loaded) => loaded,
+        Err(e) => {
+            eprintln!("settings {}: {e}", path.display());
+            return Exit::Usage.into();
+        }
+    };
+    if matches.get_flag(cli::CHECK) {
+        println!("settings of {}:\n{settings:#?}", path.display());
+        for fault in &defaulted {
+            println!("{fault}");
+        }
+        return Exit::Ok.into();
+    }
+    let level = matches.get_one::<String>(cli::LOG);
+    let _lines = match log::init_buffered(level.map(String::as_str)) {
+        Ok(lines) => lines,
+        Err(e) => {
+            eprintln!("{e}");
+            return Exit::Usage.into();
+        }
+    };
+    for fault in &defaulted {
+        tracing::warn!(event = "setting_defaulted", key = %fault.key, fault = %fault.fault);
+    }
+    let stop = match signals::stop_token() {
+        Ok(stop) => stop,
+        Err(e) => {
+            tracing::error!(event = "start_failed", error = %e);
+            return Exit::Failure.into();
+        }
+    };
+    let adapter = Adapter {
+        dialect: PlatformDialect,
+        store: PlatformStore::new(settings.store),
+        reports: settings.reports.map(PlatformReports::new),
+    };
+    match run(settings, adapter, stop).await {
+        Ok(()) => Exit::Ok.into(),
+        Err(e) => {
+            tracing::error!(event = "start_failed", error = ?e);
+            Exit::Failure.into()
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/duty/mod.rs
@@ -0,0 +1,11 @@
+//! Duties of one process at a time over a register: one record that is replaced only if nobody
+//! else replaced it first.
+//!
+//! A store that offers such a record makes the replayed log of [`crate::replica`] needless for
+//! duties: the record holds the holder, its fencing number and what it has fixed so far.
+
+mod keeper;
+mod windows;
+
+pub use keeper::{DutyKeeper, DutyRecord, Step};
+pub use windows::{MemberCounts, SealedWindow, WindowCounts, merge};
--- /dev/null
+++ b/crates/core/src/duty/windows.rs
@@ -0,0 +1,86 @@
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+/// Windows for which a process keeps its counts: a report is due two windows after the end.
+const WINDOWS_KEPT: usize = 4;
+
+/// Requests by client account.
+type Counts = BTreeMap<Box<str>, u64>;
+
+/// Requests that one process counted, by window.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct WindowCounts {
+    windows: BTreeMap<u64, Counts>,
+}
+
+impl WindowCounts {
+    /// Counts a request.
+    pub fn count(&mut self, window: u64, account: &str) {
+        let counts = self.windows.entry(window).or_default();
+        match counts.get_mut(account) {
+            Some(n) => *n += 1,
+            None => {
+                counts.insert(account.into(), 1);
+            }
+        }
+        while self.windows.len() > WINDOWS_KEPT {
+            self.windows.pop_first();
+        }
+    }
+
+    /// Counts of a window.
+    pub fn window(&self, window: u64) -> Option<&Counts> {
+        self.windows.get(&window)
+    }
+}
+
+/// Counts of one process as it publishes them.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberCounts {
+    /// Counts of the process that runs now.
+    pub counts: WindowCounts,
+    /// Counts that earlier lives of the process left, which it read at its start.
+    #[serde(default)]
+    pub earlier: WindowCounts,
+}
+
+/// Figures of a window that never change.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SealedWindow {
+    /// Number of the window.
+    pub window: u64,
+    /// Requests by client account.
+    pub counts: Counts,
+}
+
+/// Adds the counts of all processes in a window.
+pub fn merge<'a>(window: u64, members: impl Iterator<Item = &'a MemberCounts>) -> SealedWindow {
+    let mut counts = Counts::new();
+    for member in members {
+        for part in [&member.counts, &member.earlier] {
+            for (account, n) in part.window(window).into_iter().flatten() {
+                *counts.entry(account.clone()).or_default() += n;
+            }
+        }
+    }
+    SealedWindow { window, counts }
+}
+
+impl MemberCounts {
+    /// Counts of all lives of the process.
+    pub fn total(&self) -> WindowCounts {
+        let mut total = self.counts.clone();
+        for (window, counts) in &self.earlier.windows {
+            let sum = total.windows.entry(*window).or_default();
+            for (account, n) in counts {
+                *sum.entry(account.clone()).or_default() += n;
+            }
+        }
+        while total.windows.len() > WINDOWS_KEPT {
+            total.windows.pop_first();
+        }
+        total
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod append;
 pub mod attempt;
+pub mod duty;
 pub mod freshness;
 pub mod guard;
 pub mod ids;
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -10,7 +10,7 @@
 use error_stack::Report;
 use nutmegbay_core::ids::{Fingerprint, Offset};
 use nutmegbay_core::record::{ConfigScope, QuarantineClear};
-use nutmegbay_platform::{ClientSettings, PlatformClient};
+use nutmegbay_backplane::{ClientSettings, PlatformClient};
 use nutmegbay_settings::{Site, Source, diff};
 use serde::Serialize;
 use serde_json::json;
--- a/crates/ctl/src/operator.rs
+++ b/crates/ctl/src/operator.rs
@@ -11,7 +11,7 @@
 use nutmegbay_core::replica::{Applied, Reason, Replica};
 use nutmegbay_core::snapshot::Collector;
 use nutmegbay_core::verdict::Verdict;
-use nutmegbay_platform::{Log, PlatformError};
+use nutmegbay_backplane::{Log, PlatformError};
 use nutmegbay_proto::platform::{Entry, ReadResponse};
 use nutmegbay_settings::{Site, Source};
 use nutmegbay_telemetry::clock::WallClock;
--- a/crates/ctl/tests/operator_changes.rs
+++ b/crates/ctl/tests/operator_changes.rs
@@ -9,7 +9,7 @@
 use nutmegbay_core::snapshot::Image;
 use nutmegbay_core::verdict::Verdict;
 use nutmegbay_ctl::{CtlError, CtlExit, Operator};
-use nutmegbay_platform::Log;
+use nutmegbay_backplane::Log;
 use nutmegbay_settings::Source;
 
 const BASE: &str = include_str!("../../../examples/base.jsonc");
--- a/crates/demo/src/site.rs
+++ b/crates/demo/src/site.rs
@@ -11,7 +11,7 @@
 use nutmegbay_fakes::platform::{FakePlatform, PlatformConfig};
 use nutmegbay_fakes::service::{FakeService, ServiceConfig};
 use nutmegbay_gateway::settings::GatewaySettings;
-use nutmegbay_platform::{ClientSettings, PlatformClient};
+use nutmegbay_backplane::{ClientSettings, PlatformClient};
 use nutmegbay_proto::platform::{Instance, InstanceKind, InstanceList, InstanceState};
 use nutmegbay_settings::Source;
 use nutmegbay_sidecar::Sidecar;
--- /dev/null
+++ b/crates/edge/src/clock.rs
@@ -0,0 +1,94 @@
+//! True time for usage windows, estimated from the time of day and steady clocks.
+
+use std::time::Duration;
+
+use nutmegbay_core::world::Moment;
+use tokio::time::Instant;
+
+/// Difference between two readings up to which the time of day is followed.
+const FOLLOWED: i64 = 200;
+
+/// Time after which a jump of the time of day is taken for a correction. Jumps that are faults go
+/// back within some seconds.
+const BELIEVED_AFTER: Duration = Duration::from_secs(60);
+
+/// Milliseconds since 1970 that do not jump with the time of day.
+#[derive(Debug)]
+pub struct TrueTime {
+    /// Time of day less steady time, in milliseconds, as believed.
+    offset_ms: i64,
+    jumped_at: Option<Moment>,
+    /// Steady clock that goes on while the machine is suspended.
+    steady_ms: fn() -> i64,
+    day_ms: fn() -> i64,
+}
+
+impl TrueTime {
+    /// Reads the clocks of the system.
+    pub fn system() -> Self {
+        Self::new(
+            || clock_ms(rustix::time::ClockId::Boottime),
+            || clock_ms(rustix::time::ClockId::Realtime),
+        )
+    }
+
+    /// Reads the given clocks.
+    pub fn new(steady_ms: fn() -> i64, day_ms: fn() -> i64) -> Self {
+        Self {
+            offset_ms: day_ms() - steady_ms(),
+            jumped_at: None,
+            steady_ms,
+            day_ms,
+        }
+    }
+
+    /// Follows small corrections of the time of day and ignores jumps until they last.
+    pub fn check(&mut self, now: Moment) {
+        let read = (self.day_ms)() - (self.steady_ms)();
+        let jump = read - self.offset_ms;
+        if jump.abs() <= FOLLOWED {
+            self.jumped_at = None;
+            self.offset_ms += jump / 8;
+            return;
+        }
+        let since = *self.jumped_at.get_or_insert_with(|| {
+            tracing::warn!(event = "time_of_day_jumped", by_ms = jump);
+            now
+        });
+        if now.since(since) >= BELIEVED_AFTER {
+            tracing::warn!(event = "time_of_day_believed", by_ms = jump);
+            self.offset_ms = read;
+            self.jumped_at = None;
+        }
+    }
+
+    /// Estimate of true time, in milliseconds since 1970.
+    pub fn now_ms(&self) -> u64 {
+        u64::try_from((self.steady_ms)() + self.offset_ms).unwrap_or(0)
+    }
+}
+
+fn clock_ms(id: rustix::time::ClockId) -> i64 {
+    let time = rustix::time::clock_gettime(id);
+    time.tv_sec * 1_000 + time.tv_nsec / 1_000_000
+}
+
+/// Moments of this process on the runtime's clock.
+#[derive(Debug, Clone, Copy)]
+pub struct Moments {
+    start: Instant,
+}
+
+impl Moments {
+    /// Counts from now on.
+    pub fn new() -> Self {
+        Self {
+            start: Instant::now(),
+        }
+    }
+
+    /// Current moment.
+    pub fn now(&self) -> Moment {
+        Moment(self.start.elapsed())
+    }
+}
--- /dev/null
+++ b/crates/edge/src/duty.rs
@@ -0,0 +1,277 @@
+//! Usage reports: one process at a time fixes the figures of each window and sends them.
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use nutmegbay_core::duty::{DutyKeeper, DutyRecord, SealedWindow, Step, merge};
+use nutmegbay_core::ids::Incarnation;
+use nutmegbay_core::lease::LeaseTerms;
+use tokio::time::{sleep, timeout};
+
+use crate::follow::Link;
+use crate::members;
+use crate::metrics::count;
+use crate::port::{Dialect, DutyError, Reports, Store, StoreError, Topic};
+use crate::site::Site;
+
+/// Key of the only record of the topic.
+const KEY: &str = "usage";
+
+/// Factor on the operator's least time between turns that makes the length of a term.
+const TERM_FACTOR: u32 = 2;
+
+/// Renewals in one term.
+const RENEWALS_PER_TERM: u32 = 3;
+
+/// Time that a call of the duty may take; a call starts only if the term covers it.
+const CALL_BUDGET: Duration = Duration::from_millis(1_500);
+
+/// Time after the end of a window at which it is sealed: all processes have written their counts.
+const SEAL_AFTER: Duration = Duration::from_millis(2_000);
+
+/// Time between two tries to send a report.
+const REPORT_PAUSE: Duration = Duration::from_millis(700);
+
+/// Longest time between two looks at what is due.
+const LONGEST_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Longest wait of a read of the register.
+const READ_WAIT: Duration = Duration::from_secs(4);
+
+/// Oldest window that is sealed, counted back from the current one: older reports are overdue.
+const OLDEST_WINDOW: u64 = 2;
+
+/// Time for giving back the duties on a planned stop.
+const RELEASE_TIME: Duration = Duration::from_millis(500);
+
+/// Keeps the duty for one process.
+pub struct Duty<D, S, R> {
+    site: Rc<Site<D>>,
+    store: S,
+    reports: R,
+    keeper: RefCell<DutyKeeper>,
+    reported: RefCell<BTreeSet<u64>>,
+}
+
+impl<D: Dialect, S: Store, R: Reports> Duty<D, S, R> {
+    /// Duty of a process that has read nothing yet.
+    pub fn new(site: Rc<Site<D>>, store: S, reports: R) -> Self {
+        let ttl = site.settings.bounds.lease * TERM_FACTOR;
+        let terms = LeaseTerms {
+            ttl,
+            renew_every: ttl / RENEWALS_PER_TERM,
+            ..LeaseTerms::default()
+        };
+        let incarnation = Incarnation(rand::random());
+        let keeper = DutyKeeper::new(&site.settings.node, incarnation, terms);
+        Self {
+            site,
+            store,
+            reports,
+            keeper: keeper.into(),
+            reported: RefCell::default(),
+        }
+    }
+
+    /// Follows the register for as long as the process runs.
+    pub async fn follow(&self) {
+        let mut link = Link::new("store_duty");
+        let mut next = None;
+        loop {
+            count(&self.site.metrics.store_calls);
+            let read = match next {
+                None => self
+                    .store
+                    .newest(Topic::Duty)
+                    .await
+                    .map(|newest| (newest.records, newest.end)),
+                Some(from) => self
+                    .store
+                    .read(Topic::Duty, from, READ_WAIT)
+                    .await
+                    .map(|batch| (batch.records, batch.next)),
+            };
+            match read {
+                Ok((records, end)) => {
+                    link.works(self.site.now());
+                    if next != Some(end) {
+                        self.read(records.last().and_then(|record| record.value.as_deref()), end);
+                    }
+                    next = Some(end);
+                }
+                Err(StoreError::Expired) => next = None,
+                Err(error) => {
+                    count(&self.site.metrics.store_failures);
+                    sleep(link.fails(self.site.now(), &error)).await;
+                }
+            }
+        }
+    }
+
+    fn read(&self, value: Option<&[u8]>, end: u64) {
+        let record: Option<DutyRecord> = match value.map(serde_json::from_slice).transpose() {
+            Ok(record) => record,
+            Err(error) => {
+                tracing::error!(event = "duty_record_unreadable", end, %error);
+                return;
+            }
+        };
+        let mut keeper = self.keeper.borrow_mut();
+        let before = keeper.record().map(|record| record.fencing);
+        if let Some(record) = &record
+            && before != Some(record.fencing)
+        {
+            tracing::info!(
+                event = "duty_holder",
+                holder = %record.holder,
+                fencing = record.fencing.0,
+                offset = end,
+            );
+        }
+        keeper.read(self.site.now(), record, end);
+    }
+
+    /// Claims, renews, seals and reports for as long as the process runs.
+    pub async fn run(&self) {
+        loop {
+            self.site.time.borrow_mut().check(self.site.now());
+            let wait = self.look().await;
+            sleep(wait.min(LONGEST_WAIT).max(Duration::from_millis(20))).await;
+        }
+    }
+
+    async fn look(&self) -> Duration {
+        let step = self.keeper.borrow().step(self.site.now());
+        let wait = match step {
+            Step::Wait(wait) => wait,
+            Step::Write { at, record } => self.write(at, record).await,
+        };
+        if let Some(window) = self.window_to_seal() {
+            self.seal(window).await;
+        }
+        self.report().await.map_or(wait, |pause| pause.min(wait))
+    }
+
+    /// Writes the register and returns how long to wait.
+    async fn write(&self, at: u64, record: DutyRecord) -> Duration {
+        let Ok(value) = serde_json::to_vec(&record) else {
+            tracing::error!(event = "duty_record_not_encoded");
+            return LONGEST_WAIT;
+        };
+        self.keeper.borrow_mut().sent(self.site.now(), at);
+        count(&self.site.metrics.store_calls);
+        let condition = Some(at);
+        match self.store.append(Topic::Duty, KEY, &value, condition).await {
+            Ok(offset) => {
+                self.read(Some(&value), offset + 1);
+                Duration::ZERO
+            }
+            // Another process was first, or an earlier write took effect: the follower reads it.
+            Err(error) => {
+                tracing::debug!(event = "duty_write_failed", at, ?error);
+                LONGEST_WAIT
+            }
+        }
+    }
+
+    /// Window that is over, fully counted and not yet sealed.
+    fn window_to_seal(&self) -> Option<u64> {
+        let keeper = self.keeper.borrow();
+        keeper.may_act(self.site.now(), CALL_BUDGET)?;
+        let after_ms = u64::try_from(SEAL_AFTER.as_millis()).unwrap_or(0);
+        let now_ms = self.site.time.borrow().now_ms().saturating_sub(after_ms);
+        let newest = self.site.window_at(now_ms).checked_sub(1)?;
+        let oldest = newest.saturating_sub(OLDEST_WINDOW - 1);
+        let sealed = keeper.record()?.sealed.last().map(|last| last.window);
+        let next = sealed.map_or(newest, |sealed| (sealed + 1).max(oldest));
+        (next <= newest).then_some(next)
+    }
+
+    async fn seal(&self, window: u64) {
+        let records = match members::read(&self.site, &self.store).await {
+            Ok(records) => records,
+            Err(error) => {
+                tracing::debug!(event = "usage_not_read", window, ?error);
+                return;
+            }
+        };
+        let usage = records
+            .iter()
+            .filter(|(name, _)| ***name != *self.site.settings.node)
+            .map(|(_, record)| &record.usage);
+        let own = records.get(&self.site.settings.node);
+        let mut own = own.map(|own| own.usage.clone()).unwrap_or_default();
+        own.counts = self.site.usage.borrow().clone();
+        let sealed = merge(window, usage.chain([&own]));
+        let step = self
+            .keeper
+            .borrow()
+            .seal(self.site.now(), CALL_BUDGET, sealed);
+        if let Some(Step::Write { at, record }) = step {
+            let total: u64 = record
+                .sealed
+                .last()
+                .map_or(0, |sealed| sealed.counts.values().sum());
+            tracing::info!(event = "usage_sealed", window, total, members = records.len());
+            self.write(at, record).await;
+        }
+    }
+
+    /// Sends what is sealed and not reported. Returns a pause if something is left.
+    async fn report(&self) -> Option<Duration> {
+        let (fencing, windows) = {
+            let keeper = self.keeper.borrow();
+            let fencing = keeper.may_act(self.site.now(), CALL_BUDGET)?;
+            let reported = self.reported.borrow();
+            let windows: Vec<SealedWindow> = keeper
+                .record()?
+                .sealed
+                .iter()
+                .filter(|sealed| !reported.contains(&sealed.window))
+                .cloned()
+                .collect();
+            (fencing, windows)
+        };
+        for sealed in windows {
+            let sent = self.reports.report_usage(
+                &self.site.settings.node,
+                fencing.0,
+                sealed.window,
+                &sealed.counts,
+            );
+            match sent.await {
+                Ok(()) => {
+                    tracing::info!(event = "usage_reported", window = sealed.window);
+                    let mut reported = self.reported.borrow_mut();
+                    reported.insert(sealed.window);
+                    while reported.len() > 16 {
+                        reported.pop_first();
+                    }
+                }
+                Err(DutyError::Fenced) => {
+                    tracing::warn!(event = "duty_fenced", fencing = fencing.0);
+                    self.keeper.borrow_mut().fenced();
+                    return None;
+                }
+                Err(error) => {
+                    tracing::warn!(event = "usage_not_reported", window = sealed.window, ?error);
+                    return Some(REPORT_PAUSE);
+                }
+            }
+        }
+        None
+    }
+
+    /// Gives the duties back on a planned stop.
+    pub async fn stop(&self) {
+        self.keeper.borrow_mut().stop();
+        let step = self.keeper.borrow().step(self.site.now());
+        if let Step::Write { at, record } = step
+            && timeout(RELEASE_TIME, self.write(at, record)).await.is_err()
+        {
+            tracing::warn!(event = "duty_not_released", "the term ends by itself");
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/fleet.rs
@@ -0,0 +1,500 @@
+//! Upstreams with what is believed of each: load, health, kept connections.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use std::time::Duration;
+
+use nutmegbay_core::world::Moment;
+use nutmegbay_policy::UpstreamKey;
+use nutmegbay_policy::cost::CostModel;
+use nutmegbay_policy::edge::health::{Health, Outcome};
+use nutmegbay_policy::edge::load::UpstreamLoad;
+use nutmegbay_policy::edge::placement::{
+    Engine, Part, Placement, Plain, Prompt, Rates, place, place_plain,
+};
+use nutmegbay_policy::edge::prefixes::{Prefixes, ranking_weight};
+use slotmap::SlotMap;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::http1::Connection;
+use crate::model::{EngineRole, EngineSpec, InstanceReport, ModelWork, Service};
+
+/// Time after the store's return within which entries that lapsed meanwhile come back.
+const LAPSE_GRACE: Duration = Duration::from_secs(2);
+
+/// First guess of the time in which a prefill engine reads a token, in seconds. Answers correct it.
+const FIRST_READ_S: f64 = 3.0e-6;
+
+/// First guess of a decode step in seconds, and its growth with each request of the batch.
+const FIRST_STEP_S: (f64, f64) = (6.0e-4, 3.0e-6);
+
+/// First guess of the mean time of a request, in milliseconds.
+const FIRST_MEAN_MS: f64 = 15.0;
+
+/// Weight of one answer in the mean time of a plain service.
+const MEAN_GAIN: f64 = 0.02;
+
+/// Idle connections kept to one upstream. The upstream's own bound is shared by all instances.
+const KEPT_CONNECTIONS: usize = 32;
+
+/// Share of the ranking of an engine that reads prompts at full rate, against one at half rate.
+const PREFILL_SHARE: f64 = 2.0;
+
+/// One upstream.
+pub struct Upstream {
+    /// Identity in the list of instances.
+    pub id: Box<str>,
+    /// What it says of itself.
+    pub report: InstanceReport,
+    /// Work ahead.
+    pub load: UpstreamLoad,
+    /// Suspicion.
+    pub health: Health,
+    /// Connections that carry no request.
+    idle: Vec<Connection>,
+    /// Hash of the identity, for rankings that all instances share.
+    hash: u64,
+    domain: u32,
+    /// When its entry was removed just after the store's return.
+    lapsed: Option<Moment>,
+}
+
+/// All upstreams.
+pub struct Fleet {
+    upstreams: SlotMap<UpstreamKey, Upstream>,
+    by_id: BTreeMap<Box<str>, UpstreamKey>,
+    by_service: HashMap<Box<str>, Vec<UpstreamKey>>,
+    costs: HashMap<Box<str>, ServiceCosts>,
+    prefixes: Prefixes,
+    domains: Vec<Box<str>>,
+    own_domain: u32,
+}
+
+/// What requests of a service cost, learned from answers.
+struct ServiceCosts {
+    model: CostModel,
+    mean_ms: f64,
+}
+
+impl Default for ServiceCosts {
+    fn default() -> Self {
+        Self {
+            model: CostModel::new(FIRST_READ_S, FIRST_STEP_S.0, FIRST_STEP_S.1),
+            mean_ms: FIRST_MEAN_MS,
+        }
+    }
+}
+
+impl Fleet {
+    /// A fleet without upstreams, seen from `domain`.
+    pub fn new(domain: &str) -> Self {
+        Self {
+            upstreams: SlotMap::with_key(),
+            by_id: BTreeMap::new(),
+            by_service: HashMap::new(),
+            costs: HashMap::new(),
+            prefixes: Prefixes::default(),
+            domains: vec![domain.into()],
+            own_domain: 0,
+        }
+    }
+
+    /// Follows an entry of the list of instances.
+    pub fn apply(&mut self, id: &str, report: InstanceReport) {
+        if let Some(key) = self.by_id.get(id).copied()
+            && let Some(upstream) = self.upstreams.get_mut(key)
+        {
+            let is_same = upstream.report.started_ms == report.started_ms
+                && upstream.report.addr == report.addr
+                && upstream.report.service == report.service;
+            if is_same {
+                if upstream.report.is_ready != report.is_ready
+                    || upstream.report.role != report.role
+                    || upstream.lapsed.is_some()
+                {
+                    tracing::info!(
+                        event = "upstream_changed",
+                        upstream = id,
+                        ready = report.is_ready,
+                        role = report.role.map(<&str>::from),
+                        lapsed = upstream.lapsed.is_some(),
+                    );
+                }
+                upstream.lapsed = None;
+                upstream.report = report;
+                return;
+            }
+            self.remove(id, "restarted");
+        }
+        tracing::info!(
+            event = "upstream_added",
+            upstream = id,
+            service = %report.service,
+            addr = %report.addr,
+            ready = report.is_ready,
+            role = report.role.map(<&str>::from),
+        );
+        let domain = self.domain(&report.domain);
+        let service = report.service.clone();
+        let key = self.upstreams.insert(Upstream {
+            id: id.into(),
+            hash: xxh3_64(id.as_bytes()),
+            domain,
+            load: UpstreamLoad::new(FIRST_MEAN_MS),
+            health: Health::default(),
+            idle: Vec::new(),
+            lapsed: None,
+            report,
+        });
+        self.by_id.insert(id.into(), key);
+        self.by_service.entry(service).or_default().push(key);
+    }
+
+    /// Removes an upstream whose entry is gone.
+    pub fn remove(&mut self, id: &str, reason: &'static str) {
+        let Some(key) = self.by_id.remove(id) else {
+            return;
+        };
+        tracing::info!(event = "upstream_removed", upstream = id, reason);
+        if let Some(upstream) = self.upstreams.remove(key)
+            && let Some(keys) = self.by_service.get_mut(&upstream.report.service)
+        {
+            keys.retain(|other| *other != key);
+        }
+    }
+
+    /// Notes that the entry of an upstream lapsed while the store was away; it is used until the
+    /// time for it to come back is over.
+    pub fn lapse(&mut self, id: &str, now: Moment) {
+        let upstream = self.by_id.get(id).and_then(|key| self.upstreams.get_mut(*key));
+        if let Some(upstream) = upstream
+            && upstream.lapsed.is_none()
+        {
+            tracing::info!(event = "upstream_lapsed", upstream = id);
+            upstream.lapsed = Some(now);
+        }
+    }
+
+    /// Removes upstreams that lapsed and did not come back in time.
+    pub fn sweep(&mut self, now: Moment) {
+        let over: Vec<_> = self
+            .upstreams
+            .values()
+            .filter(|upstream| {
+                let lapsed = upstream.lapsed;
+                lapsed.is_some_and(|at| now.since(at) >= LAPSE_GRACE)
+            })
+            .map(|upstream| upstream.id.clone())
+            .collect();
+        for id in over {
+            self.remove(&id, "not back after the store's return");
+        }
+        for upstream in self.upstreams.values_mut() {
+            upstream.idle.retain(Connection::is_usable);
+        }
+    }
+
+    /// Identities of all upstreams.
+    pub fn ids(&self) -> Vec<Box<str>> {
+        self.by_id.keys().cloned().collect()
+    }
+
+    /// Upstream of a key; none once it was removed.
+    pub fn get(&self, key: UpstreamKey) -> Option<&Upstream> {
+        self.upstreams.get(key)
+    }
+
+    /// Chooses where a model request runs, without `tried` upstreams as long as there are others.
+    pub fn place_model(
+        &self,
+        service: &Service,
+        engine: &EngineSpec,
+        work: &ModelWork,
+        tried: &[UpstreamKey],
+        now: Moment,
+    ) -> Option<Placement> {
+        let (own, shared) = match work.parts.split_last() {
+            Some((_, shared)) => {
+                let tokens: u32 = shared.iter().map(|part| part.tokens).sum();
+                (work.prompt_tokens.saturating_sub(tokens), shared)
+            }
+            None => (work.prompt_tokens, [].as_slice()),
+        };
+        let prompt = Prompt {
+            shared_tokens: work.prompt_tokens - own,
+            own_tokens: own,
+            domain: self.own_domain,
+        };
+        let rates = Rates {
+            read_ms: self.read_ms(&service.name),
+            move_ms: move_ms(engine),
+        };
+        let candidates = self.candidates(&service.name, tried, now);
+        let ranked = self.ranks(&candidates, shared.last().map(|part| part.id));
+        let engines: Vec<_> = candidates
+            .iter()
+            .zip(ranked)
+            .map(|(key, rank)| {
+                let upstream = &self.upstreams[*key];
+                Engine {
+                    key: *key,
+                    part: match upstream.report.role {
+                        Some(EngineRole::Prefill) => Part::Prefill,
+                        _ => Part::Decode,
+                    },
+                    domain: upstream.domain,
+                    backlog_ms: upstream.load.backlog_ms(now),
+                    requests: upstream.load.requests(now),
+                    slots: upstream.report.slots,
+                    held: shared
+                        .last()
+                        .map_or(0.0, |part| self.prefixes.belief(part.id, *key, rank, now)),
+                    failure_rate: upstream.health.failure_rate(now),
+                }
+            })
+            .collect();
+        place(&engines, prompt, rates)
+    }
+
+    /// Chooses an upstream of a plain service and predicts the wait there in milliseconds.
+    pub fn place_plain(
+        &self,
+        service: &Service,
+        tried: &[UpstreamKey],
+        now: Moment,
+    ) -> Option<(UpstreamKey, f64)> {
+        let upstreams: Vec<_> = self
+            .candidates(&service.name, tried, now)
+            .into_iter()
+            .map(|key| {
+                let upstream = &self.upstreams[key];
+                Plain {
+                    key,
+                    domain: upstream.domain,
+                    requests: upstream.load.requests(now),
+                    slots: upstream.report.slots,
+                    failure_rate: upstream.health.failure_rate(now),
+                }
+            })
+            .collect();
+        place_plain(&upstreams, self.own_domain, self.mean_ms(&service.name))
+    }
+
+    /// Mean time of a request of a plain service, in milliseconds.
+    pub fn mean_ms(&self, service: &str) -> f64 {
+        self.costs
+            .get(service)
+            .map_or(FIRST_MEAN_MS, |costs| costs.mean_ms)
+    }
+
+    /// Notes the time of a plain request.
+    pub fn saw_plain(&mut self, service: &str, ms: f64) {
+        let costs = self.costs.entry(service.into()).or_default();
+        costs.mean_ms += MEAN_GAIN * (ms - costs.mean_ms);
+    }
+
+    /// Notes the time of a prefill whose uncached tokens are known.
+    pub fn saw_prefill(&mut self, service: &str, tokens: u32, seconds: f64) {
+        let costs = self.costs.entry(service.into()).or_default();
+        costs.model.saw_prefill(tokens, seconds);
+    }
+
+    /// Notes that an engine holds the shared parts of `work` from now on.
+    pub fn used_prefix(&mut self, work: &ModelWork, key: UpstreamKey, now: Moment) {
+        if let Some((_, shared)) = work.parts.split_last()
+            && let Some(part) = shared.last()
+        {
+            self.prefixes.used(part.id, key, now);
+        }
+    }
+
+    /// Notes how a request met an upstream.
+    pub fn note(&mut self, key: UpstreamKey, outcome: Outcome, now: Moment) {
+        let Some(upstream) = self.upstreams.get_mut(key) else {
+            return;
+        };
+        if upstream.health.note(now, outcome) {
+            tracing::info!(
+                event = "upstream_belief",
+                upstream = %upstream.id,
+                avoided = upstream.health.is_avoided(now),
+                failure_rate = upstream.health.failure_rate(now),
+            );
+        }
+        if outcome == Outcome::Unreachable {
+            upstream.idle.clear();
+        }
+    }
+
+    /// Takes a kept connection.
+    pub fn take_connection(&mut self, key: UpstreamKey) -> Option<Connection> {
+        let upstream = self.upstreams.get_mut(key)?;
+        while let Some(connection) = upstream.idle.pop() {
+            if connection.is_usable() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection for the next request.
+    pub fn keep_connection(&mut self, key: UpstreamKey, connection: Connection) {
+        if let Some(upstream) = self.upstreams.get_mut(key)
+            && upstream.idle.len() < KEPT_CONNECTIONS
+        {
+            upstream.idle.push(connection);
+        }
+    }
+
+    fn upstream_mut(&mut self, key: UpstreamKey) -> Option<&mut Upstream> {
+        self.upstreams.get_mut(key)
+    }
+
+    fn service_keys(&self, service: &str) -> impl Iterator<Item = UpstreamKey> {
+        self.by_service
+            .get(service)
+            .into_iter()
+            .flatten()
+            .copied()
+    }
+
+    /// Upstreams that take new work. Those that were tried or are avoided are left out as long as
+    /// others remain.
+    fn candidates(&self, service: &str, tried: &[UpstreamKey], now: Moment) -> Vec<UpstreamKey> {
+        let ready: Vec<_> = self
+            .service_keys(service)
+            .filter(|key| self.upstreams[*key].report.is_ready)
+            .collect();
+        let untried: Vec<_> = ready
+            .iter()
+            .copied()
+            .filter(|key| !tried.contains(key))
+            .collect();
+        let calm: Vec<_> = untried
+            .iter()
+            .copied()
+            .filter(|key| !self.upstreams[*key].health.is_avoided(now))
+            .collect();
+        let is_servable = |keys: &[UpstreamKey]| {
+            keys.iter()
+                .any(|key| self.upstreams[*key].report.role != Some(EngineRole::Prefill))
+        };
+        match (is_servable(&calm), is_servable(&untried)) {
+            (true, _) => calm,
+            (false, true) => untried,
+            (false, false) => ready,
+        }
+    }
+
+    /// Place of each candidate in the ranking of `part`, in the order of `candidates`.
+    fn ranks(&self, candidates: &[UpstreamKey], part: Option<u64>) -> Vec<usize> {
+        let Some(part) = part else {
+            return vec![usize::MAX; candidates.len()];
+        };
+        let weights: Vec<f64> = candidates
+            .iter()
+            .map(|key| {
+                let upstream = &self.upstreams[*key];
+                let share = match upstream.report.role {
+                    Some(EngineRole::Prefill) => PREFILL_SHARE,
+                    _ => 1.0,
+                };
+                ranking_weight(part, upstream.hash, share)
+            })
+            .collect();
+        weights
+            .iter()
+            .map(|weight| weights.iter().filter(|other| *other > weight).count())
+            .collect()
+    }
+
+    fn read_ms(&self, service: &str) -> f64 {
+        self.costs
+            .get(service)
+            .map_or(FIRST_READ_S, |costs| costs.model.prefill(1))
+            * 1e3
+    }
+
+    fn domain(&mut self, name: &str) -> u32 {
+        let at = self.domains.iter().position(|known| **known == *name);
+        let at = at.unwrap_or_else(|| {
+            self.domains.push(name.into());
+            self.domains.len() - 1
+        });
+        u32::try_from(at).unwrap_or(u32::MAX)
+    }
+}
+
+/// Milliseconds in which a token is moved between engines.
+fn move_ms(engine: &EngineSpec) -> f64 {
+    if engine.link_mbps <= 0.0 {
+        return 0.0;
+    }
+    engine.token_bytes as f64 * 8.0 / (engine.link_mbps * 1e3)
+}
+
+/// A request at an upstream. Dropping it takes the request off the upstream's load.
+pub struct Ticket {
+    fleet: Rc<RefCell<Fleet>>,
+    key: UpstreamKey,
+    cost_ms: f64,
+    has_begun: bool,
+    has_evidence: bool,
+}
+
+impl Ticket {
+    /// Notes a request of `cost_ms` that is being sent to `key`.
+    pub fn new(fleet: &Rc<RefCell<Fleet>>, key: UpstreamKey, cost_ms: f64) -> Self {
+        if let Some(upstream) = fleet.borrow_mut().upstream_mut(key) {
+            upstream.load.sent(cost_ms);
+            upstream.health.sent();
+        }
+        Self {
+            fleet: Rc::clone(fleet),
+            key,
+            cost_ms,
+            has_begun: false,
+            has_evidence: false,
+        }
+    }
+
+    /// Upstream of the request.
+    pub fn key(&self) -> UpstreamKey {
+        self.key
+    }
+
+    /// Notes the first result.
+    pub fn began(&mut self) {
+        if !std::mem::replace(&mut self.has_begun, true)
+            && let Some(upstream) = self.fleet.borrow_mut().upstream_mut(self.key)
+        {
+            upstream.load.began(self.cost_ms);
+        }
+    }
+
+    /// Notes how the request met the upstream.
+    pub fn note(&mut self, outcome: Outcome, now: Moment) {
+        self.has_evidence = true;
+        self.fleet.borrow_mut().note(self.key, outcome, now);
+    }
+
+    /// Notes the load that an answer reports.
+    pub fn reported(&self, requests: u32, now: Moment) {
+        if let Some(upstream) = self.fleet.borrow_mut().upstream_mut(self.key) {
+            upstream.load.reported(now, requests);
+        }
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        self.began();
+        if let Some(upstream) = self.fleet.borrow_mut().upstream_mut(self.key) {
+            upstream.load.ended();
+            if !self.has_evidence {
+                upstream.health.ended_unknown();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/follow.rs
@@ -0,0 +1,214 @@
+//! Follows the operator's configuration and the list of instances.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use nutmegbay_core::world::Moment;
+use tokio::time::sleep;
+
+use crate::metrics::count;
+use crate::model::KeyedRecord;
+use crate::port::{CONFIG_KEY, Dialect, Store, StoreError, Topic};
+use crate::site::Site;
+
+/// Longest wait of one read of the configuration. Short enough that a connection that has become
+/// silent costs less than the bound for a change.
+const CONFIG_WAIT: Duration = Duration::from_millis(1_500);
+
+/// Time between two reads of the list of instances. A leaving upstream must get no new work 2 s
+/// after the store knows, and each read is priced.
+const INSTANCES_EVERY: Duration = Duration::from_millis(700);
+
+/// First pause after a failed read; doubles up to [`LONGEST_PAUSE`].
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+
+/// Longest pause between tries while the store is away.
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+
+/// Time after a failed read during which entries that vanish are taken for lapsed.
+const RECENT_FAILURE: Duration = Duration::from_secs(3);
+
+/// Whether a dependency answers, logged when it changes.
+#[derive(Debug)]
+pub struct Link {
+    name: &'static str,
+    failing_since: Option<Moment>,
+    last_failure: Option<Moment>,
+    pause: Duration,
+}
+
+impl Link {
+    /// A dependency that has not failed yet.
+    pub fn new(name: &'static str) -> Self {
+        Self {
+            name,
+            failing_since: None,
+            last_failure: None,
+            pause: FIRST_PAUSE,
+        }
+    }
+
+    /// Notes an answer.
+    pub fn works(&mut self, now: Moment) {
+        self.pause = FIRST_PAUSE;
+        if let Some(since) = self.failing_since.take() {
+            let away_ms = u64::try_from(now.since(since).as_millis()).unwrap_or(u64::MAX);
+            tracing::info!(event = "dependency_regained", name = self.name, away_ms);
+        }
+    }
+
+    /// Notes a failure and returns how long to wait before the next try.
+    pub fn fails(&mut self, now: Moment, error: &StoreError) -> Duration {
+        self.last_failure = Some(now);
+        if self.failing_since.is_none() {
+            self.failing_since = Some(now);
+            tracing::warn!(event = "dependency_lost", name = self.name, ?error);
+        }
+        let pause = self.pause;
+        self.pause = (pause * 2).min(LONGEST_PAUSE);
+        pause
+    }
+
+    /// Whether it failed lately.
+    pub fn failed_lately(&self, now: Moment) -> bool {
+        self.last_failure
+            .is_some_and(|at| now.since(at) < RECENT_FAILURE)
+    }
+}
+
+/// Follows the configuration for as long as the process runs.
+pub async fn config<D: Dialect, S: Store>(site: Rc<Site<D>>, store: S) {
+    let mut link = Link::new("store_config");
+    let mut next = None;
+    loop {
+        count(&site.metrics.store_calls);
+        let read = match next {
+            None => store
+                .newest(Topic::Config)
+                .await
+                .map(|newest| (newest.records, newest.end)),
+            Some(from) => store
+                .read(Topic::Config, from, CONFIG_WAIT)
+                .await
+                .map(|batch| (batch.records, batch.next)),
+        };
+        match read {
+            Ok((records, end)) => {
+                link.works(site.now());
+                for record in &records {
+                    take_config(&site, record, "store");
+                }
+                next = Some(end);
+            }
+            Err(StoreError::Expired) => next = None,
+            Err(error) => {
+                count(&site.metrics.store_failures);
+                sleep(link.fails(site.now(), &error)).await;
+            }
+        }
+    }
+}
+
+/// Puts a record of the configuration in force, wherever it was read.
+pub fn take_config<D: Dialect>(site: &Site<D>, record: &KeyedRecord, source: &'static str) {
+    let (true, Some(value)) = (*record.key == *CONFIG_KEY, &record.value) else {
+        return;
+    };
+    match site.dialect.config(value) {
+        Ok(config) => {
+            site.apply_config(config, source);
+            site.keep_config(record.offset, value);
+        }
+        Err(error) => tracing::error!(
+            event = "config_unreadable",
+            offset = record.offset,
+            error = %error.0,
+            "the version before stays in force"
+        ),
+    }
+}
+
+/// Follows the list of instances for as long as the process runs.
+pub async fn instances<D: Dialect, S: Store>(site: Rc<Site<D>>, store: S) {
+    let mut link = Link::new("store_instances");
+    let mut next = None;
+    loop {
+        count(&site.metrics.store_calls);
+        let read = match next {
+            None => match store.newest(Topic::Instances).await {
+                Ok(newest) => {
+                    drop_unlisted(&site, &newest.records, &link);
+                    Ok((newest.records, newest.end))
+                }
+                Err(error) => Err(error),
+            },
+            Some(from) => store
+                .read(Topic::Instances, from, Duration::ZERO)
+                .await
+                .map(|batch| (batch.records, batch.next)),
+        };
+        let now = site.now();
+        match read {
+            Ok((records, end)) => {
+                let is_recent = link.failed_lately(now);
+                link.works(now);
+                for record in records {
+                    take_instance(&site, record, is_recent);
+                }
+                site.seen.borrow_mut().instances_at = Some(now);
+                next = Some(end);
+                site.fleet.borrow_mut().sweep(now);
+                sleep(INSTANCES_EVERY).await;
+            }
+            Err(StoreError::Expired) => next = None,
+            Err(error) => {
+                count(&site.metrics.store_failures);
+                sleep(link.fails(now, &error)).await;
+            }
+        }
+    }
+}
+
+/// Follows a record of the list. While `is_recovering`, an entry that is removed may have lapsed
+/// because the store was away.
+pub fn take_instance<D: Dialect>(site: &Site<D>, record: KeyedRecord, is_recovering: bool) {
+    let is_known = {
+        let seen = site.seen.borrow();
+        let kept = seen.instances.get(&record.key);
+        kept.is_some_and(|kept| kept.offset >= record.offset)
+    };
+    if is_known {
+        return;
+    }
+    let mut fleet = site.fleet.borrow_mut();
+    match &record.value {
+        Some(value) => match site.dialect.instance(value) {
+            Ok(report) => fleet.apply(&record.key, report),
+            Err(error) => {
+                tracing::debug!(event = "instance_unreadable", id = %record.key, error = %error.0);
+                fleet.remove(&record.key, "unreadable entry");
+            }
+        },
+        None if is_recovering => fleet.lapse(&record.key, site.now()),
+        None => fleet.remove(&record.key, "entry removed"),
+    }
+    drop(fleet);
+    let mut seen = site.seen.borrow_mut();
+    seen.instances.insert(record.key.clone(), record);
+}
+
+/// Drops upstreams that a whole list does not name.
+fn drop_unlisted<D: Dialect>(site: &Site<D>, listed: &[KeyedRecord], link: &Link) {
+    let now = site.now();
+    let mut fleet = site.fleet.borrow_mut();
+    for id in fleet.ids() {
+        if listed.iter().any(|record| record.key == id) {
+            continue;
+        }
+        if link.failed_lately(now) {
+            fleet.lapse(&id, now);
+        } else {
+            fleet.remove(&id, "not listed");
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/forward/attempt.rs
@@ -0,0 +1,547 @@
+//! One send of a request to one upstream.
+
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http::header::{CONTENT_LENGTH, HOST};
+use http::{HeaderMap, Request};
+use nutmegbay_core::verdict::Verdict;
+use nutmegbay_policy::UpstreamKey;
+use nutmegbay_policy::edge::health::Outcome;
+use tokio::time::timeout;
+
+use super::{CONNECTION_HEADERS, Forward, outcome_of, upstream_id};
+use crate::fleet::Ticket;
+use crate::http1::{CallError, Caller, Cause, Connection};
+use crate::metrics::count;
+use crate::model::{AnswerHead, Instructions, RequestKind, Stage};
+use crate::port::{Dialect, Outbound};
+use crate::site::Site;
+use crate::sse::Events;
+use crate::stream::{Cut, Source};
+
+/// Largest body that is read whole before it is passed on, in bytes: a broken answer up to this
+/// size can still be replaced.
+const WHOLE_BODY: usize = 64 * 1024;
+
+/// Longest wait for the answer to freeing a prefill result.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Prompt tokens from which the time of a prefill tells the rate of reading.
+const TELLING_TOKENS: u32 = 2_048;
+
+/// How a send ended.
+pub enum Send {
+    /// The upstream answered.
+    Reply(Reply),
+    /// Nothing was sent.
+    Unsent,
+    /// It was sent, and no usable answer came.
+    Lost(&'static str),
+}
+
+/// Answer of an upstream.
+pub struct Reply {
+    /// Decoded head.
+    pub head: AnswerHead,
+    /// Headers as they came.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: ReplyBody,
+}
+
+/// Body of an upstream's answer.
+pub enum ReplyBody {
+    /// All of it.
+    Whole(Bytes),
+    /// Its beginning, and where the rest comes from.
+    Rest {
+        /// How the rest is cut.
+        cut: Cut,
+        /// Rest.
+        source: Source,
+        /// Bytes of an unfinished event.
+        events: Events,
+        /// Beginning.
+        ready: Bytes,
+    },
+}
+
+/// Result of a prefill. It is freed at its engine unless another one took it.
+pub struct Handle<D: Dialect> {
+    /// Engine that holds it.
+    pub source: SocketAddr,
+    /// Name.
+    pub name: Box<str>,
+    site: Rc<Site<D>>,
+    is_taken: bool,
+}
+
+impl<D: Dialect> Handle<D> {
+    /// Notes that another engine took the result.
+    pub fn taken(mut self) {
+        self.is_taken = true;
+    }
+}
+
+impl<D: Dialect> Drop for Handle<D> {
+    fn drop(&mut self) {
+        if self.is_taken {
+            return;
+        }
+        let source = self.source;
+        let mut req = self.site.dialect.release_handle(&self.name);
+        let caller = Caller::new(source);
+        if let Ok(host) = caller.host().parse() {
+            req.headers_mut().insert(HOST, host);
+        }
+        tokio::task::spawn_local(async move {
+            let freed = caller
+                .call(req.map(|()| Bytes::new().into()), RELEASE_TIMEOUT)
+                .await;
+            if let Err(error) = freed {
+                // The engine frees it by itself after a few seconds.
+                tracing::debug!(event = "prefill_result_not_freed", %source, %error);
+            }
+        });
+    }
+}
+
+/// Answer whose body has not been read.
+struct Head {
+    head: AnswerHead,
+    headers: HeaderMap,
+    source: Source,
+}
+
+impl<D: Dialect> Forward<'_, D> {
+    /// Sends the request to `at` and waits up to `patience` for its first result.
+    pub async fn send(
+        &mut self,
+        at: UpstreamKey,
+        cost_ms: f64,
+        stage: Stage<'_>,
+        patience: Duration,
+    ) -> Send {
+        let exchange = self.exchange(at, cost_ms, stage, None);
+        match timeout(patience, exchange).await {
+            Ok(send) => send,
+            Err(_) => self.silent(at),
+        }
+    }
+
+    /// Sends a stream that goes on after an event. Returns where the rest of it comes from.
+    pub async fn send_resumed(
+        &mut self,
+        at: UpstreamKey,
+        cost_ms: f64,
+        after: &str,
+    ) -> Option<Source> {
+        let left = self.job.left(self.site.now());
+        let sent = self.open(at, cost_ms, Stage::Whole, Some(after));
+        match timeout(left, sent).await {
+            Ok(Ok(Head { head, source, .. })) if head.status.is_success() => Some(source),
+            _ => None,
+        }
+    }
+
+    /// Reads the prompt at `at`.
+    pub async fn prefill(
+        &mut self,
+        at: UpstreamKey,
+        cost_ms: f64,
+        patience: Duration,
+    ) -> Result<Handle<D>, Send> {
+        let counted = self.sends;
+        let began = self.site.now();
+        let read = async {
+            let Head {
+                head,
+                headers,
+                mut source,
+            } = self.open(at, cost_ms, Stage::Prefill, None).await?;
+            let Ok((body, true)) = read_up_to(&mut source, WHOLE_BODY).await else {
+                source.ticket.note(Outcome::Faulty, self.site.now());
+                return Err(Send::Lost("prefill_broken"));
+            };
+            source.ticket.began();
+            source.finish(self.site);
+            Ok((head, headers, body))
+        };
+        let (head, headers, body) = match timeout(patience, read).await {
+            Ok(read) => read?,
+            Err(_) => return Err(self.silent(at)),
+        };
+        let prefilled = self.site.dialect.prefilled(&body);
+        let address = {
+            let fleet = self.site.fleet.borrow();
+            fleet.get(at).map(|upstream| upstream.report.addr)
+        };
+        let (true, Some(prefilled), Some(source)) =
+            (head.status.is_success(), prefilled, address)
+        else {
+            return Err(Send::Reply(Reply {
+                head: AnswerHead {
+                    // A prefill does not run the request, whatever its answer is.
+                    is_not_run: true,
+                    ..head
+                },
+                headers,
+                body: ReplyBody::Whole(body),
+            }));
+        };
+        // The first prefill that an engine takes is no attempt of its own.
+        self.sends = counted;
+        self.learn(at, self.site.now().since(began));
+        Ok(Handle {
+            source,
+            name: prefilled.handle,
+            site: Rc::clone(self.site),
+            is_taken: false,
+        })
+    }
+
+    fn learn(&self, at: UpstreamKey, took: Duration) {
+        let Some(work) = &self.job.inbound.work else {
+            return;
+        };
+        let mut fleet = self.site.fleet.borrow_mut();
+        fleet.used_prefix(work, at, self.site.now());
+        if let Some(own) = work.parts.last().filter(|own| own.tokens >= TELLING_TOKENS) {
+            fleet.saw_prefill(&self.job.service.name, own.tokens, took.as_secs_f64());
+        }
+    }
+
+    /// Gives up on an upstream that stayed silent. Dropping its connection told it to stop.
+    fn silent(&mut self, at: UpstreamKey) -> Send {
+        let now = self.site.now();
+        let is_late = self.job.left(now).is_zero();
+        self.site
+            .fleet
+            .borrow_mut()
+            .note(at, Outcome::Unreachable, now);
+        Send::Lost(if is_late { "deadline" } else { "silent" })
+    }
+
+    async fn exchange(
+        &mut self,
+        at: UpstreamKey,
+        cost_ms: f64,
+        stage: Stage<'_>,
+        after: Option<&str>,
+    ) -> Send {
+        let Head {
+            head,
+            headers,
+            mut source,
+        } = match self.open(at, cost_ms, stage, after).await {
+            Ok(head) => head,
+            Err(send) => return send,
+        };
+        if head.is_not_run || !head.status.is_success() {
+            return self.short_answer(head, headers, source).await;
+        }
+        if !head.is_signed {
+            source.ticket.note(Outcome::Faulty, self.site.now());
+            return Send::Lost("unsigned_answer");
+        }
+        match self.job.route.kind {
+            RequestKind::Streaming => self.first_event(head, headers, source).await,
+            _ => self.whole_answer(head, headers, source).await,
+        }
+    }
+
+    /// Reads a failure whole.
+    async fn short_answer(
+        &mut self,
+        head: AnswerHead,
+        headers: HeaderMap,
+        mut source: Source,
+    ) -> Send {
+        let Ok((body, true)) = read_up_to(&mut source, WHOLE_BODY).await else {
+            return if head.is_not_run {
+                Send::Reply(Reply {
+                    head,
+                    headers,
+                    body: ReplyBody::Whole(Bytes::new()),
+                })
+            } else {
+                Send::Lost("upstream_broke")
+            };
+        };
+        source.ticket.began();
+        let outcome = outcome_of(&head, &self.job.service);
+        let mut ticket_note = outcome;
+        if !head.is_not_run {
+            self.count_run();
+        }
+        if let Some(outcome) = ticket_note.take_if(|outcome| *outcome != Outcome::Good) {
+            source.ticket.note(outcome, self.site.now());
+        }
+        if !source.is_closing {
+            source.connection.rest(source.keep_alive);
+            let mut fleet = self.site.fleet.borrow_mut();
+            fleet.keep_connection(source.ticket.key(), source.connection);
+        }
+        Send::Reply(Reply {
+            head,
+            headers,
+            body: ReplyBody::Whole(body),
+        })
+    }
+
+    /// Reads up to the first whole event, so that a stream that breaks before it can be replaced.
+    async fn first_event(
+        &mut self,
+        head: AnswerHead,
+        headers: HeaderMap,
+        mut source: Source,
+    ) -> Send {
+        let mut events = Events::default();
+        loop {
+            let read = source.next().await;
+            let Some(Ok(bytes)) = read else {
+                let is_empty = read.is_none() && events.is_between_events();
+                source.ticket.note(Outcome::Faulty, self.site.now());
+                return if is_empty {
+                    Send::Lost("empty_stream")
+                } else {
+                    Send::Lost("upstream_broke")
+                };
+            };
+            match events.push(&bytes) {
+                Ok(Some(ready)) => {
+                    source.ticket.began();
+                    self.count_run();
+                    self.note_prefix(source.ticket.key());
+                    return Send::Reply(Reply {
+                        head,
+                        headers,
+                        body: ReplyBody::Rest {
+                            cut: Cut::Events,
+                            source,
+                            events,
+                            ready,
+                        },
+                    });
+                }
+                Ok(None) => {}
+                Err(_) => return Send::Lost("event_too_long"),
+            }
+        }
+    }
+
+    async fn whole_answer(
+        &mut self,
+        head: AnswerHead,
+        headers: HeaderMap,
+        mut source: Source,
+    ) -> Send {
+        let began = self.site.now();
+        let Ok((body, is_whole)) = read_up_to(&mut source, WHOLE_BODY).await else {
+            source.ticket.note(Outcome::Faulty, self.site.now());
+            self.count_run();
+            return Send::Lost("upstream_broke");
+        };
+        self.count_run();
+        source.ticket.began();
+        let took = self.site.now().since(began.min(self.job.arrived));
+        self.site
+            .fleet
+            .borrow_mut()
+            .saw_plain(&self.job.service.name, took.as_secs_f64() * 1e3);
+        let body = if is_whole {
+            source.finish(self.site);
+            ReplyBody::Whole(body)
+        } else {
+            ReplyBody::Rest {
+                cut: Cut::Bytes,
+                source,
+                events: Events::default(),
+                ready: body,
+            }
+        };
+        Send::Reply(Reply {
+            head,
+            headers,
+            body,
+        })
+    }
+
+    /// Sends the request and reads the head of its answer.
+    async fn open(
+        &mut self,
+        at: UpstreamKey,
+        cost_ms: f64,
+        stage: Stage<'_>,
+        after: Option<&str>,
+    ) -> Result<Head, Send> {
+        self.tried.push(at);
+        let id = upstream_id(self.site, at);
+        note_upstream(self.job, &id, stage);
+        let mut ticket = Ticket::new(&self.site.fleet, at, cost_ms);
+        let req = self.request(&id, at, stage, after);
+        let (connection, answer) = match self.deliver(at, req).await {
+            Ok(sent) => sent,
+            Err(CallError { verdict, cause }) => {
+                ticket.note(Outcome::Unreachable, self.site.now());
+                return Err(match verdict {
+                    Verdict::NotRun => Send::Unsent,
+                    // A prefill does not run the request.
+                    _ if stage == Stage::Prefill => Send::Unsent,
+                    _ => Send::Lost(cause.into()),
+                });
+            }
+        };
+        let (parts, incoming) = answer.into_parts();
+        let head = self.site.dialect.answer(parts.status, &parts.headers);
+        if let Some(load) = head.load {
+            ticket.reported(load.running + load.waiting, self.site.now());
+        }
+        // An answer that was left over from an earlier request names that one.
+        if head.id.as_deref().is_some_and(|id| *id != *self.job.inbound.id) {
+            ticket.note(Outcome::Faulty, self.site.now());
+            return Err(Send::Lost("answer_of_another_request"));
+        }
+        if let Some(outcome) = outcome_of(&head, &self.job.service)
+            && outcome == Outcome::Unreachable
+        {
+            ticket.note(outcome, self.site.now());
+        }
+        Ok(Head {
+            headers: parts.headers,
+            source: Source {
+                connection,
+                keep_alive: head.keep_alive,
+                is_closing: head.is_closing,
+                incoming,
+                ticket,
+            },
+            head,
+        })
+    }
+
+    /// Sends on a kept connection or a new one. Only what was certainly not written is sent again.
+    async fn deliver(
+        &mut self,
+        at: UpstreamKey,
+        req: Outbound,
+    ) -> Result<(Connection, crate::port::Answer), CallError> {
+        let addr = {
+            let fleet = self.site.fleet.borrow();
+            fleet.get(at).map(|upstream| upstream.report.addr)
+        };
+        let Some(addr) = addr else {
+            return Err(CallError {
+                verdict: Verdict::NotRun,
+                cause: Cause::Connect,
+            });
+        };
+        loop {
+            let kept = self.site.fleet.borrow_mut().take_connection(at);
+            let mut connection = match kept {
+                Some(connection) => connection,
+                None => {
+                    count(&self.site.metrics.connections_opened);
+                    Connection::open(addr).await?
+                }
+            };
+            self.sends += 1;
+            self.job.facts.borrow_mut().sends += 1;
+            match connection.send(req.clone()).await {
+                Ok(answer) => return Ok((connection, answer)),
+                Err(error) if error.verdict == Verdict::NotRun && connection.is_reused() => {
+                    self.sends -= 1;
+                    self.job.facts.borrow_mut().sends -= 1;
+                }
+                Err(error) => return Err(error),
+            }
+        }
+    }
+
+    fn request(
+        &self,
+        instance: &str,
+        at: UpstreamKey,
+        stage: Stage<'_>,
+        after: Option<&str>,
+    ) -> Outbound {
+        let job = self.job;
+        let is_model = job.service.engine.is_some();
+        let mut req = Request::new(job.body.clone().into());
+        *req.method_mut() = job.method.clone();
+        *req.uri_mut() = job.target.parse().unwrap_or_default();
+        let headers = req.headers_mut();
+        *headers = job.inbound.forwarded.clone();
+        for name in &CONNECTION_HEADERS {
+            headers.remove(name);
+        }
+        headers.remove(CONTENT_LENGTH);
+        self.site.dialect.instruct(
+            &Instructions {
+                instance,
+                deadline: Some(job.left(self.site.now())),
+                account: job.account.as_ref().map(|account| &*account.name),
+                priority: is_model.then(|| job.priority()),
+                stage,
+                resume_after: after,
+            },
+            headers,
+        );
+        tracing::trace!(event = "sending", ?at);
+        req
+    }
+
+    /// Counts the request for its client account, once.
+    fn count_run(&self) {
+        let mut facts = self.job.facts.borrow_mut();
+        if !std::mem::replace(&mut facts.is_counted, true)
+            && let Some(account) = &self.job.account
+        {
+            self.site.count_usage(&account.name);
+        }
+    }
+
+    fn note_prefix(&self, at: UpstreamKey) {
+        if let Some(work) = &self.job.inbound.work {
+            let mut fleet = self.site.fleet.borrow_mut();
+            fleet.used_prefix(work, at, self.site.now());
+        }
+    }
+}
+
+/// Reads up to `limit` bytes; true if that is the whole body.
+async fn read_up_to(source: &mut Source, limit: usize) -> Result<(Bytes, bool), hyper::Error> {
+    let mut first = Bytes::new();
+    let mut buf = BytesMut::new();
+    while let Some(bytes) = source.next().await {
+        let bytes = bytes?;
+        if first.is_empty() && buf.is_empty() {
+            first = bytes;
+            continue;
+        }
+        if buf.is_empty() {
+            buf.extend_from_slice(&first);
+        }
+        buf.extend_from_slice(&bytes);
+        if buf.len() > limit {
+            return Ok((buf.freeze(), false));
+        }
+    }
+    Ok((if buf.is_empty() { first } else { buf.freeze() }, true))
+}
+
+fn note_upstream(job: &super::Job, id: &str, stage: Stage<'_>) {
+    let mut facts = job.facts.borrow_mut();
+    let mark = match stage {
+        Stage::Whole => "",
+        Stage::Prefill => "p:",
+        Stage::Decode { .. } => "d:",
+    };
+    let comma = if facts.upstreams.is_empty() { "" } else { "," };
+    // Writing to a string does not fail.
+    let _ = write!(facts.upstreams, "{comma}{mark}{id}");
+}
--- /dev/null
+++ b/crates/edge/src/forward/job.rs
@@ -0,0 +1,103 @@
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, StatusCode};
+use nutmegbay_core::verdict::Verdict;
+use nutmegbay_core::world::Moment;
+
+use crate::model::{Account, Inbound, Route, Service};
+
+/// One request with what was decided about it.
+pub struct Job {
+    /// Route.
+    pub route: Rc<Route>,
+    /// Service that the route's split chose.
+    pub service: Rc<Service>,
+    /// Client account; none on open routes.
+    pub account: Option<Rc<Account>>,
+    /// Decoded head.
+    pub inbound: Inbound,
+    /// Method.
+    pub method: Method,
+    /// Path and query as they came.
+    pub target: Box<str>,
+    /// Whole body.
+    pub body: Bytes,
+    /// Arrival of the head.
+    pub arrived: Moment,
+    /// End of the time that the caller and the route give it.
+    pub ends: Moment,
+    /// Time since the caller's first attempt when this one arrived.
+    pub elapsed: Duration,
+    /// Counts it as being served until its answer has ended.
+    pub _in_flight: InFlight,
+    /// What happened so far, for the log.
+    pub facts: RefCell<Facts>,
+}
+
+/// What happened to a request.
+#[derive(Debug, Default)]
+pub struct Facts {
+    /// Upstreams to which it was sent, in order.
+    pub upstreams: String,
+    /// Arrivals at upstreams that count as attempts.
+    pub sends: u32,
+    /// Predicted time to the first result, in milliseconds.
+    pub predicted_ms: f64,
+    /// When its first result came.
+    pub first_at: Option<Moment>,
+    /// Whether its answer is passed on while it comes.
+    pub is_streaming: bool,
+    /// Whether it was counted for its client account.
+    pub is_counted: bool,
+}
+
+impl Job {
+    /// Time that is left at `now`.
+    pub fn left(&self, now: Moment) -> Duration {
+        self.ends.since(now)
+    }
+
+    /// Rank for the upstream.
+    pub fn priority(&self) -> u8 {
+        let own = self.account.as_ref().and_then(|account| account.priority);
+        own.unwrap_or(self.route.priority).min(9)
+    }
+
+    /// Name of the client account, empty on open routes.
+    pub fn account_name(&self) -> &str {
+        self.account.as_ref().map_or("", |account| &account.name)
+    }
+}
+
+/// A request that ends without an upstream's answer.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Failure {
+    /// Status for the caller.
+    pub status: StatusCode,
+    /// Whether the request may have run.
+    pub verdict: Verdict,
+    /// Reason, for the log and the caller.
+    pub cause: &'static str,
+    /// When room is expected.
+    pub retry_after: Option<Duration>,
+}
+
+/// Counts a request as being served until it is dropped.
+pub struct InFlight(Rc<Cell<usize>>);
+
+impl InFlight {
+    /// Counts one request more.
+    pub fn new(count: &Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Self(Rc::clone(count))
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
--- /dev/null
+++ b/crates/edge/src/http1.rs
@@ -0,0 +1,254 @@
+//! Client connections: opened, kept and closed here, framed by `hyper`.
+
+use std::cell::RefCell;
+use std::fmt;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::StatusCode;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper_util::rt::TokioIo;
+use nutmegbay_core::verdict::Verdict;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpSocket;
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, timeout};
+
+use crate::port::{Answer, Outbound};
+
+/// Time for a connection to open. Paths take a few milliseconds; a lost packet is sent again after
+/// one second, so a second try elsewhere is sooner.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Idle time before a connection is probed.
+const PROBE_AFTER: Duration = Duration::from_secs(1);
+
+/// Time between probes; three without an answer end the connection.
+const PROBE_EVERY: Duration = Duration::from_secs(1);
+
+/// Probes without an answer that end a connection.
+const PROBES: u32 = 3;
+
+/// Time without an acknowledgement of sent bytes that ends a connection.
+const UNACKNOWLEDGED: Duration = Duration::from_secs(3);
+
+/// Idle time for which a connection is kept where the upstream names none.
+const DEFAULT_IDLE: Duration = Duration::from_secs(4);
+
+/// Connections are given up this long before the upstream may close them.
+const IDLE_MARGIN: Duration = Duration::from_millis(700);
+
+/// Largest body of an answer that is read whole, in bytes: a page of the store.
+const LARGEST_BODY: usize = 8 * 1024 * 1024;
+
+/// Idle connections kept to one address by a [`Caller`].
+const KEPT_CONNECTIONS: usize = 4;
+
+/// Why a call has no answer, and whether the request may have run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CallError {
+    /// Whether the request may have run.
+    pub verdict: Verdict,
+    /// What happened.
+    pub cause: Cause,
+}
+
+/// What happened to a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Cause {
+    /// The connection did not open in time or was refused.
+    Connect,
+    /// The connection had been closed before the request was written.
+    Closed,
+    /// The connection broke after the request was written.
+    Broken,
+    /// No answer in time.
+    Timeout,
+}
+
+impl fmt::Display for CallError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} ({})", self.cause, self.verdict)
+    }
+}
+
+impl std::error::Error for CallError {}
+
+/// An open connection. Dropping it closes it, which tells the other end to stop its work.
+#[derive(Debug)]
+pub struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    driver: Driver,
+    idle_until: Instant,
+    is_reused: bool,
+}
+
+/// Task that moves the bytes of a connection; ends with its owner.
+#[derive(Debug)]
+struct Driver(JoinHandle<()>);
+
+impl Drop for Driver {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+impl Connection {
+    /// Opens a connection.
+    pub async fn open(addr: SocketAddr) -> Result<Self, CallError> {
+        let failed = |_| CallError {
+            verdict: Verdict::NotRun,
+            cause: Cause::Connect,
+        };
+        let io = timeout(CONNECT_TIMEOUT, connect(addr))
+            .await
+            .map_err(|_| ())
+            .and_then(|opened| opened.map_err(|_| ()))
+            .map_err(failed)?;
+        let (sender, connection) = Builder::new()
+            .handshake(TokioIo::new(io))
+            .await
+            .map_err(|_| failed(()))?;
+        let driver = tokio::task::spawn_local(async move {
+            if let Err(error) = connection.await {
+                tracing::debug!(event = "connection_broken", %error);
+            }
+        });
+        Ok(Self {
+            sender,
+            driver: Driver(driver),
+            idle_until: Instant::now(),
+            is_reused: false,
+        })
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    pub async fn send(&mut self, req: Outbound) -> Result<Answer, CallError> {
+        let broken = |verdict, cause| CallError { verdict, cause };
+        if self.sender.ready().await.is_err() {
+            return Err(broken(Verdict::NotRun, Cause::Closed));
+        }
+        self.sender.try_send_request(req).await.map_err(|mut e| {
+            // A request that is given back has not been written.
+            match e.take_message() {
+                Some(_) => broken(Verdict::NotRun, Cause::Closed),
+                None => broken(Verdict::MayHaveRun, Cause::Broken),
+            }
+        })
+    }
+
+    /// Marks the connection as idle from now on. `keep_alive` is what the other end said.
+    pub fn rest(&mut self, keep_alive: Option<Duration>) {
+        let idle = keep_alive.unwrap_or(DEFAULT_IDLE).saturating_sub(IDLE_MARGIN);
+        self.idle_until = Instant::now() + idle;
+        self.is_reused = true;
+    }
+
+    /// Whether another request may be sent on it.
+    pub fn is_usable(&self) -> bool {
+        !self.sender.is_closed() && !self.driver.0.is_finished() && Instant::now() < self.idle_until
+    }
+
+    /// Whether it has carried a request before.
+    pub fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+}
+
+async fn connect(addr: SocketAddr) -> std::io::Result<tokio::net::TcpStream> {
+    let socket = if addr.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    socket.set_nodelay(true)?;
+    let io = socket.connect(addr).await?;
+    detect_silence(&io);
+    Ok(io)
+}
+
+/// Makes the system end a connection whose other end has become silent.
+pub fn detect_silence(io: &tokio::net::TcpStream) {
+    let socket = SockRef::from(io);
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_AFTER)
+        .with_interval(PROBE_EVERY)
+        .with_retries(PROBES);
+    let set = socket
+        .set_tcp_keepalive(&probes)
+        .and_then(|()| socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED)));
+    if let Err(error) = set {
+        tracing::debug!(event = "socket_option_refused", %error);
+    }
+}
+
+/// Client of one address whose answers are read whole.
+#[derive(Debug, Clone)]
+pub struct Caller {
+    addr: SocketAddr,
+    idle: Rc<RefCell<Vec<Connection>>>,
+}
+
+impl Caller {
+    /// Client of `addr`.
+    pub fn new(addr: SocketAddr) -> Self {
+        Self {
+            addr,
+            idle: Rc::default(),
+        }
+    }
+
+    /// Value of the `Host` header.
+    pub fn host(&self) -> String {
+        self.addr.to_string()
+    }
+
+    /// Sends a request and reads its answer within `limit`. A call without an answer gives up its
+    /// connection.
+    pub async fn call(
+        &self,
+        req: Outbound,
+        limit: Duration,
+    ) -> Result<(StatusCode, Bytes), CallError> {
+        timeout(limit, self.exchange(req))
+            .await
+            .unwrap_or(Err(CallError {
+                verdict: Verdict::MayHaveRun,
+                cause: Cause::Timeout,
+            }))
+    }
+
+    async fn exchange(&self, req: Outbound) -> Result<(StatusCode, Bytes), CallError> {
+        let kept = self.take_idle();
+        let mut connection = match kept {
+            Some(connection) => connection,
+            None => Connection::open(self.addr).await?,
+        };
+        let answer = connection.send(req).await?;
+        let status = answer.status();
+        let body = Limited::new(answer.into_body(), LARGEST_BODY)
+            .collect()
+            .await
+            .map_err(|_| CallError {
+                verdict: Verdict::MayHaveRun,
+                cause: Cause::Broken,
+            })?
+            .to_bytes();
+        connection.rest(None);
+        let mut idle = self.idle.borrow_mut();
+        if idle.len() < KEPT_CONNECTIONS {
+            idle.push(connection);
+        }
+        Ok((status, body))
+    }
+
+    fn take_idle(&self) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(Connection::is_usable);
+        idle.pop()
+    }
+}
--- /dev/null
+++ b/crates/edge/src/lib.rs
@@ -0,0 +1,28 @@
+//! Entry for callers on a deployment whose platform provides ingress, a store and duties.
+//!
+//! The edge forwards each request to an upstream itself: no process stands beside the upstreams.
+//! It meets the platform only through the traits of [`port`].
+
+pub mod cli;
+mod clock;
+mod duty;
+mod fleet;
+mod follow;
+mod forward;
+pub mod http1;
+mod ingress;
+mod members;
+mod metrics;
+pub mod model;
+mod peers;
+pub mod port;
+mod routes;
+mod run;
+pub mod settings;
+mod site;
+mod sse;
+mod stream;
+
+pub use routes::{NoRoute, RouteTable};
+pub use run::{Adapter, run};
+pub use sse::Events;
--- /dev/null
+++ b/crates/edge/src/metrics.rs
@@ -0,0 +1,118 @@
+//! Counters and latency histograms, served as text.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::time::Duration;
+
+/// Upper bounds of the latency buckets, in milliseconds.
+const BUCKETS_MS: [u32; 12] = [5, 10, 20, 50, 100, 150, 200, 500, 1_000, 2_000, 5_000, 15_000];
+
+/// Longest name of a route and outcome that is counted by itself; a site has a few dozen.
+const MOST_SERIES: usize = 1_024;
+
+/// Counters and histograms of one process.
+#[derive(Debug, Default)]
+pub struct Metrics {
+    requests: RefCell<BTreeMap<(Box<str>, u16, &'static str), u64>>,
+    first_result: RefCell<BTreeMap<Box<str>, Histogram>>,
+    /// Connections opened to upstreams.
+    pub connections_opened: Cell<u64>,
+    /// Requests sent once more.
+    pub retries: Cell<u64>,
+    /// Calls to the store.
+    pub store_calls: Cell<u64>,
+    /// Calls to the store that failed.
+    pub store_failures: Cell<u64>,
+    /// Callers that left before their answer was complete.
+    pub callers_left: Cell<u64>,
+    /// Streams that went on at another upstream.
+    pub streams_resumed: Cell<u64>,
+}
+
+#[derive(Debug, Default)]
+struct Histogram {
+    buckets: [u64; BUCKETS_MS.len()],
+    count: u64,
+    sum_ms: f64,
+}
+
+/// Adds one to a counter.
+pub fn count(counter: &Cell<u64>) {
+    counter.set(counter.get() + 1);
+}
+
+impl Metrics {
+    /// Counts a request that ended with `status` for `cause`.
+    pub fn request(&self, route: &str, status: u16, cause: &'static str) {
+        let mut requests = self.requests.borrow_mut();
+        if requests.len() < MOST_SERIES {
+            *requests.entry((route.into(), status, cause)).or_default() += 1;
+        }
+    }
+
+    /// Notes the time from a request's arrival to its first result.
+    pub fn first_result(&self, route: &str, after: Duration) {
+        let mut series = self.first_result.borrow_mut();
+        if !series.contains_key(route) {
+            if series.len() >= MOST_SERIES {
+                return;
+            }
+            series.insert(route.into(), Histogram::default());
+        }
+        if let Some(histogram) = series.get_mut(route) {
+            histogram.note(after.as_secs_f64() * 1e3);
+        }
+    }
+
+    /// All figures, a line each.
+    pub fn text(&self, dropped_lines: u64) -> String {
+        let mut text = String::new();
+        for ((route, status, cause), n) in &*self.requests.borrow() {
+            let _ = writeln!(
+                text,
+                "nutmegbay_requests_total{{route=\"{route}\",status=\"{status}\",cause=\"{cause}\"}} {n}"
+            );
+        }
+        for (route, histogram) in &*self.first_result.borrow() {
+            histogram.write(&mut text, route);
+        }
+        let counters = [
+            ("connections_opened", self.connections_opened.get()),
+            ("retries", self.retries.get()),
+            ("store_calls", self.store_calls.get()),
+            ("store_failures", self.store_failures.get()),
+            ("callers_left", self.callers_left.get()),
+            ("streams_resumed", self.streams_resumed.get()),
+            ("log_lines_dropped", dropped_lines),
+        ];
+        for (name, value) in counters {
+            let _ = writeln!(text, "nutmegbay_{name}_total {value}");
+        }
+        text
+    }
+}
+
+impl Histogram {
+    fn note(&mut self, ms: f64) {
+        for (bound, n) in BUCKETS_MS.iter().zip(&mut self.buckets) {
+            if ms <= f64::from(*bound) {
+                *n += 1;
+            }
+        }
+        self.count += 1;
+        self.sum_ms += ms;
+    }
+
+    fn write(&self, text: &mut String, route: &str) {
+        const NAME: &str = "nutmegbay_first_result_ms";
+        for (bound, n) in BUCKETS_MS.iter().zip(&self.buckets) {
+            let _ = writeln!(text, "{NAME}_bucket{{route=\"{route}\",le=\"{bound}\"}} {n}");
+        }
+        let _ = writeln!(
+            text,
+            "{NAME}_bucket{{route=\"{route}\",le=\"+Inf\"}} {0}\n{NAME}_count{{route=\"{route}\"}} {0}\n{NAME}_sum{{route=\"{route}\"}} {1:.1}",
+            self.count, self.sum_ms
+        );
+    }
+}
--- /dev/null
+++ b/crates/edge/src/routes.rs
@@ -0,0 +1,93 @@
+//! A configuration prepared for lookup.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use crate::model::{Account, Route, Service, SiteConfig};
+
+/// Routes and keys of one configuration.
+#[derive(Debug, Default)]
+pub struct RouteTable {
+    config: SiteConfig,
+    by_host: HashMap<Box<str>, HashMap<Box<str>, Rc<Route>>>,
+    by_key: HashMap<Box<str>, Rc<Account>>,
+}
+
+/// Why a request has no route.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoRoute {
+    /// No route of its host takes its path.
+    Unknown,
+    /// Its route asks for a key, and none came.
+    NoKey,
+    /// No client account holds its key.
+    BadKey,
+}
+
+impl RouteTable {
+    /// Prepares a configuration.
+    pub fn new(config: SiteConfig) -> Self {
+        let mut by_host: HashMap<Box<str>, HashMap<Box<str>, Rc<Route>>> = HashMap::new();
+        for route in &config.routes {
+            by_host
+                .entry(route.host.clone())
+                .or_default()
+                .insert(route.prefix.clone(), Rc::clone(route));
+        }
+        let by_key = config
+            .accounts
+            .iter()
+            .flat_map(|account| {
+                let keys = account.keys.iter().cloned();
+                keys.map(|key| (key, Rc::clone(account)))
+            })
+            .collect();
+        Self {
+            config,
+            by_host,
+            by_key,
+        }
+    }
+
+    /// The configuration.
+    pub fn config(&self) -> &SiteConfig {
+        &self.config
+    }
+
+    /// Route of the longest prefix that begins `path`. `host` may carry a port.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Rc<Route>> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let prefixes = self.by_host.get(name).or_else(|| {
+            let lower = name.to_ascii_lowercase();
+            self.by_host.get(lower.as_str())
+        })?;
+        path.rmatch_indices('/')
+            .find_map(|(at, _)| prefixes.get(&path[..=at]))
+    }
+
+    /// Client account of a request; none on open routes and where the deployment has no accounts.
+    pub fn account(
+        &self,
+        route: &Route,
+        key: Option<&str>,
+    ) -> Result<Option<Rc<Account>>, NoRoute> {
+        if route.is_open || self.config.accounts.is_empty() {
+            return Ok(None);
+        }
+        let key = key.ok_or(NoRoute::NoKey)?;
+        let account = self.by_key.get(key).ok_or(NoRoute::BadKey)?;
+        Ok(Some(Rc::clone(account)))
+    }
+
+    /// Service of a request on `route`; `unit` from 0 to 1 picks among the weights of a split.
+    pub fn service(&self, route: &Route, unit: f64) -> Option<&Rc<Service>> {
+        let total: u32 = route.targets.iter().map(|target| target.weight).sum();
+        let mut rest = unit * f64::from(total);
+        let target = route.targets.iter().find(|target| {
+            rest -= f64::from(target.weight);
+            rest < 0.0
+        });
+        let target = target.or_else(|| route.targets.last())?;
+        self.config.services.get(&target.service)
+    }
+}
--- /dev/null
+++ b/crates/edge/src/site.rs
@@ -0,0 +1,225 @@
+//! State that the parts of one edge process share.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use nutmegbay_core::duty::WindowCounts;
+use nutmegbay_core::world::Moment;
+use nutmegbay_policy::edge::budget::{BudgetTerms, RetryShare};
+use tokio_util::sync::CancellationToken;
+
+use crate::clock::{Moments, TrueTime};
+use crate::fleet::Fleet;
+use crate::metrics::Metrics;
+use crate::model::{KeyedRecord, SiteConfig};
+use crate::port::Dialect;
+use crate::routes::RouteTable;
+use crate::settings::EdgeSettings;
+
+/// State of one process.
+pub struct Site<D> {
+    /// Names on the wire.
+    pub dialect: D,
+    /// Settings.
+    pub settings: EdgeSettings,
+    /// Routes and keys in force; none until a configuration is known.
+    pub routes: RefCell<Option<Rc<RouteTable>>>,
+    /// Upstreams.
+    pub fleet: Rc<RefCell<Fleet>>,
+    /// Retries of each service.
+    budgets: RefCell<HashMap<Box<str>, RetryShare>>,
+    /// Usage counts of this process.
+    pub usage: RefCell<WindowCounts>,
+    /// Figures.
+    pub metrics: Metrics,
+    /// What was read from the store, to pass on to peers.
+    pub seen: RefCell<Seen>,
+    /// Other edge processes.
+    pub members: RefCell<BTreeMap<Box<str>, Member>>,
+    /// Runtime clock.
+    pub moments: Moments,
+    /// Estimate of true time.
+    pub time: RefCell<TrueTime>,
+    /// Cancelled when a planned stop begins.
+    pub stop: CancellationToken,
+    /// Cancelled when idle connections are to be closed.
+    pub close_idle: CancellationToken,
+    /// Requests that are being served.
+    pub in_flight: Rc<Cell<usize>>,
+    /// Longest deadline that callers of a route have sent: what a first attempt sends.
+    longest_deadline: RefCell<HashMap<Box<str>, Duration>>,
+}
+
+/// Newest records of the store that this process has read, by topic.
+#[derive(Debug, Default)]
+pub struct Seen {
+    /// The configuration.
+    pub config: Option<KeyedRecord>,
+    /// The list of instances.
+    pub instances: BTreeMap<Box<str>, KeyedRecord>,
+    /// When the list was last read from the store or from a peer that had read it.
+    pub instances_at: Option<Moment>,
+}
+
+/// Another edge process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Member {
+    /// Its control address.
+    pub control: Option<SocketAddr>,
+    /// When its record last changed.
+    pub changed: Moment,
+    /// Position of its record.
+    pub offset: u64,
+}
+
+/// Time without a new record after which another process is taken for gone. Records are written
+/// twice in a usage window.
+const MEMBER_TTL: Duration = Duration::from_secs(12);
+
+impl<D: Dialect> Site<D> {
+    /// State of a process that knows nothing yet.
+    pub fn new(dialect: D, settings: EdgeSettings, time: TrueTime, stop: CancellationToken) -> Self {
+        let fleet = Rc::new(RefCell::new(Fleet::new(&settings.domain)));
+        Self {
+            dialect,
+            settings,
+            routes: RefCell::default(),
+            fleet,
+            budgets: RefCell::default(),
+            usage: RefCell::default(),
+            metrics: Metrics::default(),
+            seen: RefCell::default(),
+            members: RefCell::default(),
+            moments: Moments::new(),
+            time: RefCell::new(time),
+            stop,
+            close_idle: CancellationToken::new(),
+            in_flight: Rc::default(),
+            longest_deadline: RefCell::default(),
+        }
+    }
+
+    /// Current moment.
+    pub fn now(&self) -> Moment {
+        self.moments.now()
+    }
+
+    /// Puts a configuration in force unless a newer one is. Returns whether it is in force now.
+    pub fn apply_config(&self, config: SiteConfig, source: &'static str) -> bool {
+        let before = self.version();
+        if before.is_some_and(|version| version >= config.version) {
+            return false;
+        }
+        tracing::info!(
+            event = "config_applied",
+            version = config.version,
+            before,
+            routes = config.routes.len(),
+            accounts = config.accounts.len(),
+            source,
+        );
+        *self.routes.borrow_mut() = Some(Rc::new(RouteTable::new(config)));
+        true
+    }
+
+    /// Version of the configuration in force.
+    pub fn version(&self) -> Option<u64> {
+        let routes = self.routes.borrow();
+        routes.as_ref().map(|table| table.config().version)
+    }
+
+    /// Whether the process takes new connections.
+    pub fn is_ready(&self) -> bool {
+        !self.stop.is_cancelled() && self.routes.borrow().is_some()
+    }
+
+    /// Edge processes that are believed to run, this one included.
+    pub fn instances(&self) -> usize {
+        let now = self.now();
+        let members = self.members.borrow();
+        let others = members
+            .iter()
+            .filter(|(name, _)| ***name != *self.settings.node)
+            .filter(|(_, member)| now.since(member.changed) < MEMBER_TTL)
+            .count();
+        others + 1
+    }
+
+    /// Counts a first request for `service`.
+    pub fn first_request(&self, service: &str) {
+        self.with_budget(service, |share, now| share.first(now));
+    }
+
+    /// Takes a retry for `service` out of the budget; false if there is none left.
+    pub fn try_retry(&self, service: &str) -> bool {
+        let instances = self.instances();
+        let allowed = self.with_budget(service, |share, now| share.try_retry(now, instances));
+        if allowed {
+            crate::metrics::count(&self.metrics.retries);
+        }
+        allowed
+    }
+
+    fn with_budget<T>(&self, service: &str, f: impl FnOnce(&mut RetryShare, Moment) -> T) -> T {
+        let now = self.now();
+        let mut budgets = self.budgets.borrow_mut();
+        if let Some(share) = budgets.get_mut(service) {
+            return f(share, now);
+        }
+        let bounds = &self.settings.bounds;
+        let terms = BudgetTerms {
+            ratio: bounds.retry_ratio,
+            slack: bounds.retry_slack,
+            window: bounds.retry_window,
+        };
+        let share = budgets
+            .entry(service.into())
+            .or_insert_with(|| RetryShare::new(terms));
+        f(share, now)
+    }
+
+    /// Time since the first attempt of a caller whose attempt on `route` came with `deadline`:
+    /// attempts after the first one come with what is left of it.
+    pub fn elapsed(&self, route: &str, deadline: Duration) -> Duration {
+        let mut longest = self.longest_deadline.borrow_mut();
+        match longest.get_mut(route) {
+            Some(longest) if *longest >= deadline => *longest - deadline,
+            Some(longest) => {
+                *longest = deadline;
+                Duration::ZERO
+            }
+            None => {
+                longest.insert(route.into(), deadline);
+                Duration::ZERO
+            }
+        }
+    }
+
+    /// Counts a request of `account` that began to run.
+    pub fn count_usage(&self, account: &str) {
+        let window = self.window_at(self.time.borrow().now_ms());
+        self.usage.borrow_mut().count(window, account);
+    }
+
+    /// Number of the usage window at `ms` since 1970.
+    pub fn window_at(&self, ms: u64) -> u64 {
+        let length = self.settings.bounds.usage_window.as_millis().max(1);
+        ms / u64::try_from(length).unwrap_or(u64::MAX)
+    }
+
+    /// Keeps a copy of a configuration record for peers.
+    pub fn keep_config(&self, offset: u64, value: &Bytes) {
+        let mut seen = self.seen.borrow_mut();
+        if seen.config.as_ref().is_none_or(|kept| kept.offset < offset) {
+            seen.config = Some(KeyedRecord {
+                offset,
+                key: crate::port::CONFIG_KEY.into(),
+                value: Some(value.clone()),
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/stream.rs
@@ -0,0 +1,264 @@
+//! Answers on their way to the caller: events as they come, other bodies as bytes.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::stream::unfold;
+use http_body::{Body, Frame};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Incoming;
+use nutmegbay_core::world::Moment;
+use nutmegbay_policy::edge::health::Outcome;
+use strum::IntoStaticStr;
+use tokio::time::timeout;
+
+use crate::fleet::Ticket;
+use crate::forward::{Job, resume};
+use crate::http1::Connection;
+use crate::metrics::count;
+use crate::port::Dialect;
+use crate::site::Site;
+use crate::sse::Events;
+
+/// Shortest silence after which a resumable stream goes on elsewhere.
+const LEAST_SILENCE: Duration = Duration::from_millis(600);
+
+/// Pauses at their longest that make a silence.
+const SILENCE_GAPS: u32 = 4;
+
+/// An answer cannot be completed. The connection is closed, so that it does not look complete.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Broken {
+    /// The upstream broke off.
+    Upstream,
+    /// The request's time is over.
+    Deadline,
+}
+
+impl std::fmt::Display for Broken {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(self.into())
+    }
+}
+
+impl std::error::Error for Broken {}
+
+/// Body of an upstream's answer with what it was read from.
+pub struct Source {
+    /// Connection that carries it; kept for the next request once the body is whole.
+    pub connection: Connection,
+    /// What the upstream says of idle connections.
+    pub keep_alive: Option<Duration>,
+    /// Whether the upstream closes the connection after it.
+    pub is_closing: bool,
+    /// Rest of the body.
+    pub incoming: Incoming,
+    /// The request at the upstream.
+    pub ticket: Ticket,
+}
+
+impl Source {
+    /// Next bytes; none at the end of the body.
+    pub async fn next(&mut self) -> Option<Result<Bytes, hyper::Error>> {
+        loop {
+            match self.incoming.frame().await? {
+                Ok(frame) => match frame.into_data() {
+                    Ok(bytes) if !bytes.is_empty() => return Some(Ok(bytes)),
+                    // Trailers and empty frames carry nothing of the body.
+                    _ => {}
+                },
+                Err(error) => return Some(Err(error)),
+            }
+        }
+    }
+
+    /// Ends an answer whose body was read whole.
+    pub fn finish<D: Dialect>(mut self, site: &Site<D>) {
+        self.ticket.note(Outcome::Good, site.now());
+        if !self.is_closing {
+            self.connection.rest(self.keep_alive);
+            let mut fleet = site.fleet.borrow_mut();
+            fleet.keep_connection(self.ticket.key(), self.connection);
+        }
+    }
+}
+
+/// How the bytes of an answer are cut.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cut {
+    /// At the ends of events.
+    Events,
+    /// As they come.
+    Bytes,
+}
+
+struct Relay<D: Dialect> {
+    site: Rc<Site<D>>,
+    job: Rc<Job>,
+    cut: Cut,
+    source: Option<Source>,
+    events: Events,
+    ready: Option<Bytes>,
+    sent_bytes: usize,
+    first_at: Moment,
+    status: u16,
+    end: Option<&'static str>,
+}
+
+/// Body that goes on with `ready` and then with the rest of `source`.
+pub fn relay<D: Dialect>(
+    site: Rc<Site<D>>,
+    job: Rc<Job>,
+    cut: Cut,
+    source: Source,
+    events: Events,
+    ready: Bytes,
+    status: u16,
+) -> impl Body<Data = Bytes, Error = Broken> {
+    let first_at = site.now();
+    let relay = Relay {
+        site,
+        job,
+        cut,
+        source: Some(source),
+        events,
+        ready: Some(ready),
+        sent_bytes: 0,
+        first_at,
+        status,
+        end: None,
+    };
+    StreamBody::new(unfold(relay, async |mut relay| {
+        let next = relay.next().await?;
+        Some((next.map(Frame::data), relay))
+    }))
+}
+
+impl<D: Dialect> Relay<D> {
+    async fn next(&mut self) -> Option<Result<Bytes, Broken>> {
+        if self.end.is_some() {
+            return None;
+        }
+        let next = match self.ready.take() {
+            Some(bytes) => Some(Ok(bytes)),
+            None => self.pull().await,
+        };
+        match &next {
+            Some(Ok(bytes)) => self.sent_bytes += bytes.len(),
+            Some(Err(broken)) => self.end = Some(broken.into()),
+            None => self.end = Some("complete"),
+        }
+        next
+    }
+
+    async fn pull(&mut self) -> Option<Result<Bytes, Broken>> {
+        loop {
+            let left = self.job.left(self.site.now());
+            let silence = self.silence().map_or(left, |silence| silence.min(left));
+            let source = self.source.as_mut()?;
+            let read = match timeout(silence, source.next()).await {
+                Err(_) if self.job.left(self.site.now()).is_zero() => {
+                    return Some(Err(Broken::Deadline));
+                }
+                Err(_) => Read::Lost,
+                Ok(None) => Read::End,
+                Ok(Some(Err(_))) => Read::Lost,
+                Ok(Some(Ok(bytes))) => Read::Bytes(bytes),
+            };
+            match read {
+                Read::Bytes(bytes) if self.cut == Cut::Bytes => return Some(Ok(bytes)),
+                Read::Bytes(bytes) => match self.events.push(&bytes) {
+                    Ok(Some(whole)) => return Some(Ok(whole)),
+                    Ok(None) => {}
+                    Err(_) => return Some(Err(Broken::Upstream)),
+                },
+                Read::End => {
+                    if let Some(source) = self.source.take() {
+                        source.finish(&self.site);
+                    }
+                    let rest = self.events.rest();
+                    return (!rest.is_empty()).then_some(Ok(rest));
+                }
+                Read::Lost => {
+                    if !self.go_on_elsewhere().await {
+                        return Some(Err(Broken::Upstream));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Lets another upstream continue after the last event that was forwarded.
+    async fn go_on_elsewhere(&mut self) -> bool {
+        let lost = self.source.take().map(|mut source| {
+            source.ticket.note(Outcome::Faulty, self.site.now());
+            source.ticket.key()
+        });
+        // Dropping the connection above has told the former upstream to stop.
+        self.events.rest();
+        let may_resume = self.cut == Cut::Events && self.job.route.is_resumable;
+        let (true, Some(lost), Some(id)) = (may_resume, lost, self.events.last_id()) else {
+            return false;
+        };
+        let id: Box<str> = id.into();
+        self.source = resume(&self.site, &self.job, lost, &id).await;
+        let resumed = self.source.is_some();
+        if resumed {
+            count(&self.site.metrics.streams_resumed);
+        }
+        tracing::info!(
+            event = "stream_resumed",
+            id = %self.job.inbound.id,
+            after = %id,
+            resumed,
+        );
+        resumed
+    }
+
+    /// Pause after which the upstream is taken for lost; none where nothing could go on elsewhere.
+    fn silence(&self) -> Option<Duration> {
+        let gap = self.job.route.event_gap?;
+        let resumable = self.cut == Cut::Events && self.job.route.is_resumable;
+        (resumable && self.events.last_id().is_some())
+            .then(|| (gap * SILENCE_GAPS).max(LEAST_SILENCE))
+    }
+}
+
+enum Read {
+    Bytes(Bytes),
+    End,
+    Lost,
+}
+
+impl<D: Dialect> Drop for Relay<D> {
+    fn drop(&mut self) {
+        let end = self.end.unwrap_or("caller_left");
+        if self.end.is_none() {
+            count(&self.site.metrics.callers_left);
+        }
+        let now = self.site.now();
+        let facts = self.job.facts.borrow();
+        tracing::info!(
+            event = "request",
+            id = %self.job.inbound.id,
+            route = %self.job.route.name,
+            account = self.job.account_name(),
+            status = self.status,
+            cause = end,
+            upstreams = %facts.upstreams,
+            sends = facts.sends,
+            predicted_ms = facts.predicted_ms.round(),
+            elapsed_ms = millis(self.job.elapsed),
+            config = self.site.version(),
+            first_ms = millis(self.first_at.since(self.job.arrived)),
+            total_ms = millis(now.since(self.job.arrived)),
+            bytes = self.sent_bytes,
+        );
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/fakes/tests/append_offsets.rs
+++ b/crates/fakes/tests/append_offsets.rs
@@ -8,7 +8,7 @@
 use common::{client, record};
 use nutmegbay_core::ids::Offset;
 use nutmegbay_fakes::platform::{FakePlatform, PlatformConfig};
-use nutmegbay_platform::Log;
+use nutmegbay_backplane::Log;
 
 #[tokio::test]
 async fn concurrent_groups() {
--- a/crates/fakes/tests/common/mod.rs
+++ b/crates/fakes/tests/common/mod.rs
@@ -12,7 +12,7 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use nutmegbay_core::ids::RequestId;
-use nutmegbay_platform::{ClientSettings, PlatformClient};
+use nutmegbay_backplane::{ClientSettings, PlatformClient};
 use nutmegbay_proto::engine::Generate;
 use nutmegbay_proto::frame::{Frame, FrameBody};
 use serde::Serialize;
--- a/crates/fakes/tests/long_poll.rs
+++ b/crates/fakes/tests/long_poll.rs
@@ -10,7 +10,7 @@
 use nutmegbay_fakes::platform::{
     FakePlatform, FaultRule, Interface, Outage, PlatformConfig, PlatformFaults,
 };
-use nutmegbay_platform::{Cause, Log};
+use nutmegbay_backplane::{Cause, Log};
 
 #[tokio::test]
 async fn append_wakes_reader() {
--- a/crates/fakes/tests/lost_answer.rs
+++ b/crates/fakes/tests/lost_answer.rs
@@ -11,7 +11,7 @@
 use nutmegbay_fakes::platform::{
     FakePlatform, FaultRule, Interface, Outage, PlatformConfig, PlatformFaults,
 };
-use nutmegbay_platform::{Cause, ClientSettings, Log, PlatformClient};
+use nutmegbay_backplane::{Cause, ClientSettings, Log, PlatformClient};
 
 fn losing(rule: FaultRule) -> PlatformFaults {
     PlatformFaults::one(FaultRule {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -8,7 +8,7 @@
 use jsonrpsee::server::{Server, ServerConfig};
 use nutmegbay_core::ids::Incarnation;
 use nutmegbay_core::node::Event;
-use nutmegbay_platform::{ClientSettings, PlatformClient};
+use nutmegbay_backplane::{ClientSettings, PlatformClient};
 use nutmegbay_proto::control::GatewayControlServer;
 use nutmegbay_telemetry::admin::{self, Readiness};
 use tokio::net::TcpListener;
--- a/crates/gateway/src/state/actor.rs
+++ b/crates/gateway/src/state/actor.rs
@@ -16,7 +16,7 @@
 use nutmegbay_core::usage::WindowTerms;
 use nutmegbay_core::verdict::Verdict;
 use nutmegbay_core::world::{Moment, World as _};
-use nutmegbay_platform::{Log, UpstreamOrders, UsageReports};
+use nutmegbay_backplane::{Log, UpstreamOrders, UsageReports};
 use nutmegbay_proto::control::LogStatus;
 use nutmegbay_proto::platform::{Entry, InstanceKind, InstanceList, ReadResponse};
 use nutmegbay_settings::parse_site;
--- a/crates/gateway/src/state/effects.rs
+++ b/crates/gateway/src/state/effects.rs
@@ -9,7 +9,7 @@
 use nutmegbay_core::record::{CrashReport, OrderCommand};
 use nutmegbay_core::snapshot::Image;
 use nutmegbay_core::usage::SendUsageReport;
-use nutmegbay_platform::{Cause, InstanceDirectory, Log, UpstreamOrders, UsageReports};
+use nutmegbay_backplane::{Cause, InstanceDirectory, Log, UpstreamOrders, UsageReports};
 use nutmegbay_proto::control::{GatewayControlClient, Gossip, SidecarControlClient};
 use nutmegbay_proto::engine::EngineOrder;
 use nutmegbay_proto::platform::{UpstreamOrder, UsageReport};
--- a/crates/gateway/src/state/once_effects.rs
+++ b/crates/gateway/src/state/once_effects.rs
@@ -12,7 +12,7 @@
 use nutmegbay_core::ids::CallKey;
 use nutmegbay_core::record::Answer;
 use nutmegbay_core::verdict::Verdict;
-use nutmegbay_platform::{Log, UpstreamOrders, UsageReports};
+use nutmegbay_backplane::{Log, UpstreamOrders, UsageReports};
 use nutmegbay_proto::control::SidecarControlClient;
 use nutmegbay_proto::platform::InstanceKind;
 use nutmegbay_proto::problem::{Problem, ProblemKind};
--- /dev/null
+++ b/crates/policy/src/edge/load.rs
@@ -0,0 +1,95 @@
+//! Work that an upstream has ahead, as far as this instance can tell.
+//!
+//! Load pattern: several instances choose among the same upstreams. Each knows its own requests
+//! exactly, and the others' from the load that answers carry; that knowledge ages fast.
+
+use std::time::Duration;
+
+use nutmegbay_core::world::Moment;
+
+/// Time in which a count of other instances' requests loses half of its weight.
+const FOREIGN_HALF_LIFE: Duration = Duration::from_millis(150);
+
+/// Weight of a new cost in the mean cost of a request.
+const COST_GAIN: f64 = 0.05;
+
+/// Work that one upstream has ahead.
+#[derive(Debug, Clone, Copy)]
+pub struct UpstreamLoad {
+    /// Milliseconds of work that this instance sent and that has not shown its first result.
+    pending_ms: f64,
+    /// Requests of this instance in flight.
+    in_flight: u32,
+    /// Requests of this instance that show no result yet.
+    pending: u32,
+    /// Requests of other instances as of `foreign_at`.
+    foreign: f64,
+    foreign_at: Moment,
+    mean_cost_ms: f64,
+}
+
+impl UpstreamLoad {
+    /// An idle upstream whose requests take about `mean_cost_ms` each.
+    pub fn new(mean_cost_ms: f64) -> Self {
+        Self {
+            pending_ms: 0.0,
+            in_flight: 0,
+            pending: 0,
+            foreign: 0.0,
+            foreign_at: Moment::default(),
+            mean_cost_ms,
+        }
+    }
+
+    /// Notes a request of `cost_ms` that is being sent.
+    pub fn sent(&mut self, cost_ms: f64) {
+        self.in_flight += 1;
+        self.pending += 1;
+        self.pending_ms += cost_ms;
+        self.mean_cost_ms += COST_GAIN * (cost_ms - self.mean_cost_ms);
+    }
+
+    /// Notes the first result of a request that was sent with `cost_ms`.
+    pub fn began(&mut self, cost_ms: f64) {
+        self.pending = self.pending.saturating_sub(1);
+        self.pending_ms = if self.pending == 0 {
+            0.0
+        } else {
+            (self.pending_ms - cost_ms).max(0.0)
+        };
+    }
+
+    /// Notes the end of a request; `began` comes first.
+    pub fn ended(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+    }
+
+    /// Notes what an answer says: requests at the upstream from all instances, the answered one
+    /// included or not.
+    pub fn reported(&mut self, now: Moment, requests: u32) {
+        self.foreign = f64::from(requests.saturating_sub(self.in_flight));
+        self.foreign_at = now;
+    }
+
+    /// Requests of other instances at `now`.
+    pub fn foreign(&self, now: Moment) -> f64 {
+        let age =
+            now.since(self.foreign_at).as_secs_f64() / FOREIGN_HALF_LIFE.as_secs_f64();
+        self.foreign * 0.5_f64.powf(age)
+    }
+
+    /// Requests at the upstream at `now`.
+    pub fn requests(&self, now: Moment) -> f64 {
+        f64::from(self.in_flight) + self.foreign(now)
+    }
+
+    /// Milliseconds of work ahead of a new request that is served in turn.
+    pub fn backlog_ms(&self, now: Moment) -> f64 {
+        self.pending_ms + self.foreign(now) * self.mean_cost_ms
+    }
+
+    /// Requests of this instance in flight.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+}
--- /dev/null
+++ b/crates/policy/src/edge/mod.rs
@@ -0,0 +1,9 @@
+//! Decisions of the edge: where a request runs, whether it is refused at once, which upstream is
+//! under suspicion, and how many retries this instance may add.
+
+pub mod admission;
+pub mod budget;
+pub mod health;
+pub mod load;
+pub mod placement;
+pub mod prefixes;
--- /dev/null
+++ b/crates/policy/src/edge/placement.rs
@@ -0,0 +1,248 @@
+//! Where a request runs.
+//!
+//! Load pattern: long prompts with a few tokens of answer, short prompts with many, in a mix that
+//! swings within seconds. Long prompts cost prefill, which prefill engines do at twice the rate of
+//! decode engines; a split adds a call and a transfer. Each request goes where its first token is
+//! predicted soonest.
+
+use crate::UpstreamKey;
+
+/// Rate at which a decode engine reads a prompt, against a prefill engine.
+const DECODE_READ_RATE: f64 = 0.5;
+
+/// Time of a run beside reading the prompt: head, batch step and way back.
+const FIXED_MS: f64 = 2.0;
+
+/// Time that a split adds beside the transfer: a second call through the same path.
+const SPLIT_MS: f64 = 3.0;
+
+/// Handicap of an upstream in another failure domain, which stands for the price of the bytes.
+const OTHER_DOMAIN_MS: f64 = 2.0;
+
+/// Factor on a transfer between failure domains.
+const OTHER_DOMAIN_TRANSFER: f64 = 2.0;
+
+/// Handicap of an upstream that fails all of its requests.
+const FAILURE_MS: f64 = 400.0;
+
+/// Part of its slots up to which a decode engine adds no wait for a new stream.
+const EASY_PART: f64 = 0.8;
+
+/// Wait for a slot of a full engine, per request beyond its slots.
+const SLOT_WAIT_MS: f64 = 15.0;
+
+/// Part of an engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Part {
+    /// Reads prompts for others.
+    Prefill,
+    /// Generates, and reads prompts at half speed.
+    Decode,
+}
+
+/// One engine as placement sees it.
+#[derive(Debug, Clone, Copy)]
+pub struct Engine {
+    /// Key.
+    pub key: UpstreamKey,
+    /// Its part.
+    pub part: Part,
+    /// Failure domain, as a number that only compares.
+    pub domain: u32,
+    /// Milliseconds of work ahead.
+    pub backlog_ms: f64,
+    /// Requests there.
+    pub requests: f64,
+    /// Requests that run at once.
+    pub slots: u32,
+    /// Share of the request's shared parts that it is believed to hold, 0 to 1.
+    pub held: f64,
+    /// Share of recent requests that failed there, 0 to 1.
+    pub failure_rate: f64,
+}
+
+/// Work of one request.
+#[derive(Debug, Clone, Copy)]
+pub struct Prompt {
+    /// Tokens of its shared parts.
+    pub shared_tokens: u32,
+    /// Tokens of its own part.
+    pub own_tokens: u32,
+    /// Failure domain of the instance that sends it.
+    pub domain: u32,
+}
+
+/// What a run costs in time.
+#[derive(Debug, Clone, Copy)]
+pub struct Rates {
+    /// Milliseconds in which a prefill engine reads a token.
+    pub read_ms: f64,
+    /// Milliseconds in which a token is moved between engines of one failure domain.
+    pub move_ms: f64,
+}
+
+/// Where a request runs, and when its first token is predicted.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Placement {
+    /// The whole request at one decode engine.
+    Whole {
+        /// Engine.
+        at: UpstreamKey,
+        /// Cost of reading the prompt, in milliseconds.
+        cost_ms: f64,
+        /// Time to the first token, in milliseconds.
+        first_ms: f64,
+    },
+    /// The prompt at a prefill engine, the rest at a decode engine.
+    Split {
+        /// Prefill engine.
+        prefill: UpstreamKey,
+        /// Decode engine.
+        decode: UpstreamKey,
+        /// Cost of reading the prompt, in milliseconds.
+        cost_ms: f64,
+        /// Cost of the transfer, in milliseconds.
+        move_ms: f64,
+        /// Time to the first token, in milliseconds.
+        first_ms: f64,
+    },
+}
+
+impl Placement {
+    /// Time to the first token, in milliseconds.
+    pub fn first_ms(&self) -> f64 {
+        match *self {
+            Self::Whole { first_ms, .. } | Self::Split { first_ms, .. } => first_ms,
+        }
+    }
+}
+
+/// Chooses among `engines`; none where no decode engine is left.
+pub fn place(engines: &[Engine], prompt: Prompt, rates: Rates) -> Option<Placement> {
+    let whole = engines
+        .iter()
+        .filter(|engine| engine.part == Part::Decode)
+        .map(|engine| {
+            let cost_ms = read_ms(engine, prompt, rates);
+            let first_ms = cost_ms + wait_ms(engine) + handicap_ms(engine, prompt.domain);
+            (engine, cost_ms, first_ms)
+        })
+        .min_by(|a, b| a.2.total_cmp(&b.2));
+    let (at, cost_ms, first_ms) = whole?;
+    let whole = Placement::Whole {
+        at: at.key,
+        cost_ms,
+        first_ms,
+    };
+    let split = engines
+        .iter()
+        .filter(|engine| engine.part == Part::Prefill)
+        .map(|engine| {
+            let cost_ms = read_ms(engine, prompt, rates);
+            let first_ms = cost_ms + wait_ms(engine) + handicap_ms(engine, prompt.domain);
+            (engine, cost_ms, first_ms)
+        })
+        .min_by(|a, b| a.2.total_cmp(&b.2))
+        .and_then(|chosen| split(engines, prompt, rates, chosen));
+    match split {
+        Some(split) if split.first_ms() < first_ms => Some(split),
+        _ => Some(whole),
+    }
+}
+
+/// Adds the decode engine at which the transfer and the wait are shortest.
+fn split(
+    engines: &[Engine],
+    prompt: Prompt,
+    rates: Rates,
+    (prefill, cost_ms, read_ms): (&Engine, f64, f64),
+) -> Option<Placement> {
+    let tokens = f64::from(prompt.shared_tokens + prompt.own_tokens);
+    engines
+        .iter()
+        .filter(|engine| engine.part == Part::Decode)
+        .map(|engine| {
+            let factor = if engine.domain == prefill.domain {
+                1.0
+            } else {
+                OTHER_DOMAIN_TRANSFER
+            };
+            let move_ms = tokens * rates.move_ms * factor;
+            let slots = slot_wait_ms(engine) + handicap_ms(engine, prompt.domain);
+            (engine, move_ms, move_ms + slots)
+        })
+        .min_by(|a, b| a.2.total_cmp(&b.2))
+        .map(|(decode, move_ms, start_ms)| Placement::Split {
+            prefill: prefill.key,
+            decode: decode.key,
+            cost_ms,
+            move_ms,
+            first_ms: read_ms + start_ms + SPLIT_MS,
+        })
+}
+
+/// Time in which `engine` reads what it does not hold of the prompt.
+fn read_ms(engine: &Engine, prompt: Prompt, rates: Rates) -> f64 {
+    let tokens =
+        f64::from(prompt.shared_tokens) * (1.0 - engine.held) + f64::from(prompt.own_tokens);
+    let rate = match engine.part {
+        Part::Prefill => 1.0,
+        Part::Decode => DECODE_READ_RATE,
+    };
+    FIXED_MS + tokens * rates.read_ms / rate
+}
+
+fn wait_ms(engine: &Engine) -> f64 {
+    engine.backlog_ms + slot_wait_ms(engine)
+}
+
+fn slot_wait_ms(engine: &Engine) -> f64 {
+    let easy = f64::from(engine.slots) * EASY_PART;
+    (engine.requests - easy).max(0.0) * SLOT_WAIT_MS
+}
+
+fn handicap_ms(engine: &Engine, domain: u32) -> f64 {
+    let domain_ms = if engine.domain == domain {
+        0.0
+    } else {
+        OTHER_DOMAIN_MS
+    };
+    domain_ms + engine.failure_rate * FAILURE_MS
+}
+
+/// One upstream of a plain service as placement sees it.
+#[derive(Debug, Clone, Copy)]
+pub struct Plain {
+    /// Key.
+    pub key: UpstreamKey,
+    /// Failure domain, as a number that only compares.
+    pub domain: u32,
+    /// Requests there.
+    pub requests: f64,
+    /// Requests that run at once.
+    pub slots: u32,
+    /// Share of recent requests that failed there, 0 to 1.
+    pub failure_rate: f64,
+}
+
+/// Chooses the upstream of a plain service with the shortest predicted answer and returns it with
+/// the predicted wait in milliseconds. `mean_ms` is the mean time of a request.
+pub fn place_plain(upstreams: &[Plain], domain: u32, mean_ms: f64) -> Option<(UpstreamKey, f64)> {
+    upstreams
+        .iter()
+        .map(|upstream| {
+            let slots = f64::from(upstream.slots.max(1));
+            let wait_ms = (upstream.requests + 1.0 - slots).max(0.0) * mean_ms / slots;
+            // Upstreams slow down before they are full, so that an even spread is the best one.
+            let spread_ms = upstream.requests / slots * mean_ms;
+            let domain_ms = if upstream.domain == domain {
+                0.0
+            } else {
+                OTHER_DOMAIN_MS
+            };
+            let score = wait_ms + spread_ms + domain_ms + upstream.failure_rate * FAILURE_MS;
+            (upstream.key, wait_ms, score)
+        })
+        .min_by(|a, b| a.2.total_cmp(&b.2))
+        .map(|(key, wait_ms, _)| (key, wait_ms))
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 )]
 
 pub mod cost;
+pub mod edge;
 pub mod fleet;
 pub mod join;
 pub mod limit;
--- a/crates/sidecar/src/log_view.rs
+++ b/crates/sidecar/src/log_view.rs
@@ -6,7 +6,7 @@
 use nutmegbay_core::guard::{Authority, OrderRefused};
 use nutmegbay_core::ids::{Epoch, Offset};
 use nutmegbay_core::record::Record;
-use nutmegbay_platform::{ClientSettings, Log, PlatformClient};
+use nutmegbay_backplane::{ClientSettings, Log, PlatformClient};
 use nutmegbay_proto::control::{LogStatus, Tail};
 use nutmegbay_proto::platform::Entry;
 use tokio::time::{Duration, Instant, sleep};
@@ -174,7 +174,7 @@
 async fn read(
     shared: &Shared,
     platform: &PlatformClient,
-) -> Result<(), error_stack::Report<nutmegbay_platform::PlatformError>> {
+) -> Result<(), error_stack::Report<nutmegbay_backplane::PlatformError>> {
     // A read from far ahead returns the head and the oldest offset at once.
     let first = platform.read(Offset(0), 1, StdDuration::ZERO).await?;
     let back = Offset(first.head.0.saturating_sub(READ_BACK)).max(first.oldest);
