Nest the usage counts in the members' records

Cause: serde's flatten keeps map keys as text, so every record of another process failed to decode; usage was off by three quarters (event member_record_unreadable). Ruled out: late writes.

--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -31,7 +31,7 @@
     #[serde(default)]
     pub control: Option<SocketAddr>,
     /// Usage counts.
-    #[serde(flatten)]
+    #[serde(default)]
     pub usage: MemberCounts,
 }
 
