Follow the settings file at SIGHUP and without a signal

After this change the file is read at each signal and every 5 s; bounds change in place and counted retries stay.

--- a/crates/bins/src/bin/nutmegbay-edge.rs
+++ b/crates/bins/src/bin/nutmegbay-edge.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use nutmegbay_edge::{Adapter, cli, run};
+use nutmegbay_edge::{Adapter, cli, reload, run};
 use nutmegbay_platform::settings::{self, Loaded};
 use nutmegbay_platform::{PlatformDialect, PlatformReports, PlatformStore};
 use nutmegbay_telemetry::exit::Exit;
@@ -49,8 +49,9 @@
     for fault in &defaulted {
         tracing::warn!(event = "setting_defaulted", key = %fault.key, fault = %fault.fault);
     }
-    let stop = match signals::stop_token() {
-        Ok(stop) => stop,
+    let signals = signals::stop_token().and_then(|stop| Ok((stop, signals::reload_requests()?)));
+    let (stop, reloads) = match signals {
+        Ok(signals) => signals,
         Err(e) => {
             tracing::error!(event = "start_failed", error = %e);
             return Exit::Failure.into();
@@ -61,7 +62,13 @@
         store: PlatformStore::new(settings.store),
         reports: settings.reports.map(PlatformReports::new),
     };
-    match run(settings, adapter, stop).await {
+    let (tx, changes) = tokio::sync::watch::channel(settings);
+    let decode = |text: &str| settings::decode(text).map(|loaded| loaded.settings);
+    let result = tokio::select! {
+        result = run(changes, adapter, stop) => result,
+        never = reload::watch_file(&path, decode, reloads, tx) => match never {},
+    };
+    match result {
         Ok(()) => Exit::Ok.into(),
         Err(e) => {
             tracing::error!(event = "start_failed", error = ?e);
--- a/crates/edge/src/duty.rs
+++ b/crates/edge/src/duty.rs
@@ -58,14 +58,14 @@
 impl<D: Dialect, S: Store, R: Reports> Duty<D, S, R> {
     /// Duty of a process that has read nothing yet.
     pub fn new(site: Rc<Site<D>>, store: S, reports: R) -> Self {
-        let ttl = site.settings.bounds.lease * TERM_FACTOR;
+        let ttl = site.settings().bounds.lease * TERM_FACTOR;
         let terms = LeaseTerms {
             ttl,
             renew_every: ttl / RENEWALS_PER_TERM,
             ..LeaseTerms::default()
         };
         let incarnation = Incarnation(rand::random());
-        let keeper = DutyKeeper::new(&site.settings.node, incarnation, terms);
+        let keeper = DutyKeeper::new(&site.settings().node, incarnation, terms);
         Self {
             site,
             store,
@@ -199,9 +199,9 @@
         };
         let usage = records
             .iter()
-            .filter(|(name, _)| ***name != *self.site.settings.node)
+            .filter(|(name, _)| ***name != *self.site.settings().node)
             .map(|(_, record)| &record.usage);
-        let own = records.get(&self.site.settings.node);
+        let own = records.get(&self.site.settings().node);
         let mut own = own.map(|own| own.usage.clone()).unwrap_or_default();
         own.counts = self.site.usage.borrow().clone();
         let sealed = merge(window, usage.chain([&own]));
@@ -234,9 +234,10 @@
                 .collect();
             (fencing, windows)
         };
+        let settings = self.site.settings();
         for sealed in windows {
             let sent = self.reports.report_usage(
-                &self.site.settings.node,
+                &settings.node,
                 fencing.0,
                 sealed.window,
                 &sealed.counts,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod model;
 mod peers;
 pub mod port;
+pub mod reload;
 mod routes;
 mod run;
 pub mod settings;
--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -42,7 +42,7 @@
     let mut last = None;
     loop {
         let record = MemberRecord {
-            control: site.settings.control,
+            control: site.settings().control,
             usage: MemberCounts {
                 counts: site.usage.borrow().clone(),
                 earlier: earlier.clone(),
@@ -58,7 +58,7 @@
         if last.as_ref() != Some(&value) {
             count(&site.metrics.store_calls);
             match store
-                .append(Topic::Members, &site.settings.node, &value, None)
+                .append(Topic::Members, &site.settings().node, &value, None)
                 .await
             {
                 Ok(_) => {
@@ -84,7 +84,7 @@
     loop {
         match read(site, store).await {
             Ok(records) => {
-                let own = records.get(&site.settings.node);
+                let own = records.get(&site.settings().node);
                 // A life before may have counted in the window of this one's start.
                 return own.map_or_else(Default::default, |own| own.usage.total());
             }
@@ -94,7 +94,7 @@
 }
 
 fn until_next_write<D: Dialect>(site: &Site<D>) -> Duration {
-    let step = site.settings.bounds.usage_window / WRITES_PER_WINDOW;
+    let step = site.settings().bounds.usage_window / WRITES_PER_WINDOW;
     let step_ms = u64::try_from(step.as_millis()).unwrap_or(u64::MAX).max(1);
     let after_ms = u64::try_from(AFTER_WINDOW.as_millis()).unwrap_or(0);
     let now_ms = site.time.borrow().now_ms().saturating_sub(after_ms);
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -196,8 +196,8 @@
     let mut addrs: Vec<_> = members
         .values()
         .filter_map(|member| member.control)
-        .chain(site.settings.seeds.iter().copied())
-        .filter(|addr| Some(*addr) != site.settings.control)
+        .chain(site.settings().seeds.iter().copied())
+        .filter(|addr| Some(*addr) != site.settings().control)
         .collect();
     addrs.sort_unstable();
     addrs.dedup();
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -5,6 +5,7 @@
 
 use error_stack::{Report, ResultExt};
 use tokio::net::{TcpListener, TcpSocket};
+use tokio::sync::watch;
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep, sleep_until};
 use tokio_util::sync::CancellationToken;
@@ -52,9 +53,10 @@
 
 impl std::error::Error for StartError {}
 
-/// Serves until `stop` is cancelled and the requests in flight have ended.
+/// Serves until `stop` is cancelled and the requests in flight have ended. `settings` yields the
+/// settings at the start and each change of them.
 pub async fn run<D: Dialect, S: Store, R: Reports>(
-    settings: EdgeSettings,
+    settings: watch::Receiver<EdgeSettings>,
     adapter: Adapter<D, S, R>,
     stop: CancellationToken,
 ) -> Result<(), Report<StartError>> {
@@ -63,10 +65,12 @@
 }
 
 async fn serve<D: Dialect, S: Store, R: Reports>(
-    settings: EdgeSettings,
+    settings: watch::Receiver<EdgeSettings>,
     adapter: Adapter<D, S, R>,
     stop: CancellationToken,
 ) -> Result<(), Report<StartError>> {
+    let mut changes = settings;
+    let settings = changes.borrow_and_update().clone();
     let ingress = bind(settings.ingress)?;
     let readiness = bind(settings.readiness)?;
     let control = settings.control.map(bind).transpose()?;
@@ -90,6 +94,12 @@
     spawn_local(members::watch(Rc::clone(&site), store.clone()));
     spawn_local(members::publish(Rc::clone(&site), store.clone()));
     spawn_local(peers::ask(Rc::clone(&site)));
+    let reloaded = Rc::clone(&site);
+    spawn_local(async move {
+        while changes.changed().await.is_ok() {
+            reloaded.reload(changes.borrow_and_update().clone());
+        }
+    });
     let face = Rc::new(ReadinessFace(Rc::clone(&site)));
     spawn_local(peers::listen(readiness, face));
     if let Some(control) = control {
--- a/crates/edge/src/site.rs
+++ b/crates/edge/src/site.rs
@@ -18,14 +18,14 @@
 use crate::model::{KeyedRecord, SiteConfig};
 use crate::port::Dialect;
 use crate::routes::RouteTable;
-use crate::settings::EdgeSettings;
+use crate::settings::{Bounds, EdgeSettings};
 
 /// State of one process.
 pub struct Site<D> {
     /// Names on the wire.
     pub dialect: D,
-    /// Settings.
-    pub settings: EdgeSettings,
+    /// Settings in force.
+    settings: RefCell<Rc<EdgeSettings>>,
     /// Routes and keys in force; none until a configuration is known.
     pub routes: RefCell<Option<Rc<RouteTable>>>,
     /// Upstreams.
@@ -86,7 +86,7 @@
         let fleet = Rc::new(RefCell::new(Fleet::new(&settings.domain)));
         Self {
             dialect,
-            settings,
+            settings: RefCell::new(Rc::new(settings)),
             routes: RefCell::default(),
             fleet,
             budgets: RefCell::default(),
@@ -103,6 +103,25 @@
         }
     }
 
+    /// Settings in force.
+    pub fn settings(&self) -> Rc<EdgeSettings> {
+        Rc::clone(&self.settings.borrow())
+    }
+
+    /// Puts changed settings in force. Addresses that the process listens on stay as they are
+    /// until its next start.
+    pub fn reload(&self, settings: EdgeSettings) {
+        if *self.settings() == settings {
+            return;
+        }
+        tracing::info!(event = "reload", bounds = ?settings.bounds, seeds = ?settings.seeds);
+        let terms = budget_terms(&settings.bounds);
+        for share in self.budgets.borrow_mut().values_mut() {
+            share.set_terms(terms);
+        }
+        *self.settings.borrow_mut() = Rc::new(settings);
+    }
+
     /// Current moment.
     pub fn now(&self) -> Moment {
         self.moments.now()
@@ -143,7 +162,7 @@
         let members = self.members.borrow();
         let others = members
             .iter()
-            .filter(|(name, _)| ***name != *self.settings.node)
+            .filter(|(name, _)| ***name != *self.settings().node)
             .filter(|(_, member)| now.since(member.changed) < MEMBER_TTL)
             .count();
         others + 1
@@ -170,12 +189,7 @@
         if let Some(share) = budgets.get_mut(service) {
             return f(share, now);
         }
-        let bounds = &self.settings.bounds;
-        let terms = BudgetTerms {
-            ratio: bounds.retry_ratio,
-            slack: bounds.retry_slack,
-            window: bounds.retry_window,
-        };
+        let terms = budget_terms(&self.settings().bounds);
         let share = budgets
             .entry(service.into())
             .or_insert_with(|| RetryShare::new(terms));
@@ -207,7 +221,7 @@
 
     /// Number of the usage window at `ms` since 1970.
     pub fn window_at(&self, ms: u64) -> u64 {
-        let length = self.settings.bounds.usage_window.as_millis().max(1);
+        let length = self.settings().bounds.usage_window.as_millis().max(1);
         ms / u64::try_from(length).unwrap_or(u64::MAX)
     }
 
@@ -223,3 +237,11 @@
         }
     }
 }
+
+fn budget_terms(bounds: &Bounds) -> BudgetTerms {
+    BudgetTerms {
+        ratio: bounds.retry_ratio,
+        slack: bounds.retry_slack,
+        window: bounds.retry_window,
+    }
+}
--- a/crates/policy/src/edge/budget.rs
+++ b/crates/policy/src/edge/budget.rs
@@ -53,6 +53,11 @@
         }
     }
 
+    /// Changes the bound; what was counted stays.
+    pub fn set_terms(&mut self, terms: BudgetTerms) {
+        self.terms = terms;
+    }
+
     /// Counts a first request.
     pub fn first(&mut self, now: Moment) {
         self.step(now).firsts += 1;
--- a/crates/telemetry/src/signals.rs
+++ b/crates/telemetry/src/signals.rs
@@ -21,3 +21,13 @@
     });
     Ok(token)
 }
+
+/// Yields at each SIGHUP. Must be called inside a runtime. From then on the signal no longer ends
+/// the process.
+pub fn reload_requests() -> std::io::Result<impl AsyncFnMut()> {
+    let mut hup = signal(SignalKind::hangup())?;
+    Ok(async move || {
+        // The stream ends only with the runtime.
+        hup.recv().await;
+    })
+}
