--- a/crates/edge/src/fleet.rs
+++ b/crates/edge/src/fleet.rs
@@ -435,21 +435,31 @@
     fleet: Rc<RefCell<Fleet>>,
     key: UpstreamKey,
     cost_ms: f64,
+    sent: Moment,
+    predicted_ms: f64,
     has_begun: bool,
     has_evidence: bool,
 }
 
 impl Ticket {
     /// Notes a request of `cost_ms` that is being sent to `key`.
-    pub fn new(fleet: &Rc<RefCell<Fleet>>, key: UpstreamKey, cost_ms: f64) -> Self {
+    pub fn new(
+        fleet: &Rc<RefCell<Fleet>>,
+        key: UpstreamKey,
+        cost_ms: f64,
+        now: Moment,
+    ) -> Self {
+        let mut predicted_ms = cost_ms;
         if let Some(upstream) = fleet.borrow_mut().upstream_mut(key) {
-            upstream.load.sent(cost_ms);
+            predicted_ms = upstream.load.sent(now, cost_ms);
             upstream.health.sent();
         }
         Self {
             fleet: Rc::clone(fleet),
             key,
             cost_ms,
+            sent: now,
+            predicted_ms,
             has_begun: false,
             has_evidence: false,
         }
@@ -461,7 +471,18 @@
     }
 
     /// Notes the first result.
-    pub fn began(&mut self) {
+    pub fn began(&mut self, now: Moment) {
+        if !self.has_begun
+            && let Some(upstream) = self.fleet.borrow_mut().upstream_mut(self.key)
+        {
+            let actual_ms = now.since(self.sent).as_secs_f64() * 1e3;
+            upstream.load.observed(now, self.predicted_ms, actual_ms);
+        }
+        self.leave_queue();
+    }
+
+    /// Takes the request off the work that shows no result yet.
+    fn leave_queue(&mut self) {
         if !std::mem::replace(&mut self.has_begun, true)
             && let Some(upstream) = self.fleet.borrow_mut().upstream_mut(self.key)
         {
@@ -485,7 +506,7 @@
 
 impl Drop for Ticket {
     fn drop(&mut self) {
-        self.began();
+        self.leave_queue();
         if let Some(upstream) = self.fleet.borrow_mut().upstream_mut(self.key) {
             upstream.load.ended();
             if !self.has_evidence {
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -167,7 +167,7 @@
                 source.ticket.note(Outcome::Faulty, self.site.now());
                 return Err(Send::Lost("prefill_broken"));
             };
-            source.ticket.began();
+            source.ticket.began(self.site.now());
             source.finish(self.site);
             Ok((head, headers, body))
         };
@@ -272,7 +272,7 @@
                 Send::Lost("upstream_broke")
             };
         };
-        source.ticket.began();
+        source.ticket.began(self.site.now());
         let outcome = outcome_of(&head, &self.job.service);
         let mut ticket_note = outcome;
         if !head.is_not_run {
@@ -314,7 +314,7 @@
             };
             match events.push(&bytes) {
                 Ok(Some(ready)) => {
-                    source.ticket.began();
+                    source.ticket.began(self.site.now());
                     self.count_run();
                     self.note_prefix(source.ticket.key());
                     return Send::Reply(Reply {
@@ -347,7 +347,7 @@
             return Send::Lost("upstream_broke");
         };
         self.count_run();
-        source.ticket.began();
+        source.ticket.began(self.site.now());
         let took = self.site.now().since(began.min(self.job.arrived));
         self.site
             .fleet
@@ -382,7 +382,7 @@
         self.tried.push(at);
         let id = upstream_id(self.site, at);
         note_upstream(self.job, &id, stage);
-        let mut ticket = Ticket::new(&self.site.fleet, at, cost_ms);
+        let mut ticket = Ticket::new(&self.site.fleet, at, cost_ms, self.site.now());
         let req = self.request(&id, at, stage, after);
         let (connection, answer) = match self.deliver(at, req).await {
             Ok(sent) => sent,
--- a/crates/policy/src/edge/load.rs
+++ b/crates/policy/src/edge/load.rs
@@ -1,14 +1,26 @@
 //! Work that an upstream has ahead, as far as this instance can tell.
 //!
 //! Load pattern: several instances choose among the same upstreams. Each knows its own requests
-//! exactly, and the others' from the load that answers carry; that knowledge ages fast.
+//! exactly, and the others' from the load that answers carry; that knowledge ages fast. What both
+//! miss, such as an upstream that has become slow, shows in first results that come later than
+//! predicted and corrects the next predictions.
 
 use std::time::Duration;
 
 use nutmegbay_core::world::Moment;
 
 /// Time in which a count of other instances' requests loses half of its weight.
-const FOREIGN_HALF_LIFE: Duration = Duration::from_millis(150);
+const FOREIGN_HALF_LIFE: Duration = Duration::from_millis(300);
+
+/// Weight of one observed error in the correction of predictions.
+const ERROR_GAIN: f64 = 0.2;
+
+/// Time in which the correction halves without new observations.
+const ERROR_HALF_LIFE: Duration = Duration::from_secs(1);
+
+/// Bounds of the correction, in milliseconds. One stuck request must not make an upstream look
+/// lost for longer than its health does.
+const ERROR_BOUNDS_MS: (f64, f64) = (-50.0, 400.0);
 
 /// Weight of a new cost in the mean cost of a request.
 const COST_GAIN: f64 = 0.05;
@@ -26,6 +38,9 @@
     foreign: f64,
     foreign_at: Moment,
     mean_cost_ms: f64,
+    /// Correction of predictions, from those that first results have shown to be wrong.
+    error_ms: f64,
+    error_at: Moment,
 }
 
 impl UpstreamLoad {
@@ -38,15 +53,32 @@
             foreign: 0.0,
             foreign_at: Moment::default(),
             mean_cost_ms,
+            error_ms: 0.0,
+            error_at: Moment::default(),
         }
     }
 
-    /// Notes a request of `cost_ms` that is being sent.
-    pub fn sent(&mut self, cost_ms: f64) {
+    /// Notes a request of `cost_ms` that is being sent and returns the time to its first result
+    /// that is predicted, in milliseconds.
+    pub fn sent(&mut self, now: Moment, cost_ms: f64) -> f64 {
+        let predicted_ms = self.backlog_ms(now) + cost_ms;
         self.in_flight += 1;
         self.pending += 1;
         self.pending_ms += cost_ms;
         self.mean_cost_ms += COST_GAIN * (cost_ms - self.mean_cost_ms);
+        predicted_ms
+    }
+
+    /// Notes that a first result came after `actual_ms` where `predicted_ms` were predicted.
+    pub fn observed(&mut self, now: Moment, predicted_ms: f64, actual_ms: f64) {
+        let error_ms = self.error_ms(now) + ERROR_GAIN * (actual_ms - predicted_ms);
+        self.error_ms = error_ms.clamp(ERROR_BOUNDS_MS.0, ERROR_BOUNDS_MS.1);
+        self.error_at = now;
+    }
+
+    fn error_ms(&self, now: Moment) -> f64 {
+        let age = now.since(self.error_at).as_secs_f64() / ERROR_HALF_LIFE.as_secs_f64();
+        self.error_ms * 0.5_f64.powf(age)
     }
 
     /// Notes the first result of a request that was sent with `cost_ms`.
@@ -85,7 +117,8 @@
 
     /// Milliseconds of work ahead of a new request that is served in turn.
     pub fn backlog_ms(&self, now: Moment) -> f64 {
-        self.pending_ms + self.foreign(now) * self.mean_cost_ms
+        let counted_ms = self.pending_ms + self.foreign(now) * self.mean_cost_ms;
+        (counted_ms + self.error_ms(now)).max(0.0)
     }
 
     /// Requests of this instance in flight.
--- a/crates/policy/src/edge/prefixes.rs
+++ b/crates/policy/src/edge/prefixes.rs
@@ -22,7 +22,7 @@
 
 /// Share of a part that the engine ranked first is believed to hold without own evidence, since
 /// every instance sends there first.
-const FIRST_RANK_BELIEF: f64 = 0.75;
+const FIRST_RANK_BELIEF: f64 = 0.9;
 
 /// The same for the engine ranked second, which takes what does not fit the first.
 const SECOND_RANK_BELIEF: f64 = 0.3;
