--- a/crates/edge/src/duty.rs
+++ b/crates/edge/src/duty.rs
@@ -155,7 +155,7 @@
         if let Some(window) = self.window_to_seal() {
             self.seal(window).await;
         }
-        // self.plan_roles().await;
+        self.plan_roles().await;
         self.report().await.map_or(wait, |pause| pause.min(wait))
     }
 
--- a/crates/policy/src/edge/roles.rs
+++ b/crates/policy/src/edge/roles.rs
@@ -32,6 +32,9 @@
 /// Engines by which the division must be wrong before a change is ordered while it holds still.
 const CLEARLY_WRONG: usize = 3;
 
+/// Requests by which two engines differ before one is taken for busier.
+const EQUAL_REQUESTS: f64 = 4.0;
+
 /// Least demand, in engines, from which a division is planned.
 const LEAST_DEMAND: f64 = 0.3;
 
@@ -134,7 +137,8 @@
         Some(((engines as f64 * share).round() as usize).clamp(1, most))
     }
 
-    /// Engine with the least to finish, from the failure domain with the most of its part.
+    /// Engine with the least to finish: one with long streams would change only after their end.
+    /// Among equals, one from the failure domain with the most of its part.
     fn choose(&self, part: Part, engines: &[Member]) -> Option<UpstreamKey> {
         let same_domain = |domain| {
             engines
@@ -146,8 +150,10 @@
             .iter()
             .filter(|engine| engine.part != part && !engine.is_changing)
             .min_by(|a, b| {
-                let crowded = same_domain(b.domain).cmp(&same_domain(a.domain));
-                crowded.then(a.requests.total_cmp(&b.requests))
+                let busy = |engine: &Member| (engine.requests / EQUAL_REQUESTS).floor();
+                busy(a)
+                    .total_cmp(&busy(b))
+                    .then(same_domain(b.domain).cmp(&same_domain(a.domain)))
             })
             .map(|engine| engine.key)
     }
