--- a/crates/edge/src/duty.rs
+++ b/crates/edge/src/duty.rs
@@ -12,8 +12,6 @@
 
 use crate::follow::Link;
 use crate::members;
-use crate::model::OrderReply;
-use crate::orders::{self, Roles};
 use crate::metrics::count;
 use crate::port::{Dialect, DutyError, Reports, Store, StoreError, Topic};
 use crate::site::Site;
@@ -55,7 +53,6 @@
     reports: R,
     keeper: RefCell<DutyKeeper>,
     reported: RefCell<BTreeSet<u64>>,
-    roles: RefCell<Roles>,
 }
 
 impl<D: Dialect, S: Store, R: Reports> Duty<D, S, R> {
@@ -75,7 +72,6 @@
             reports,
             keeper: keeper.into(),
             reported: RefCell::default(),
-            roles: RefCell::default(),
         }
     }
 
@@ -155,7 +151,6 @@
         if let Some(window) = self.window_to_seal() {
             self.seal(window).await;
         }
-        self.plan_roles().await;
         self.report().await.map_or(wait, |pause| pause.min(wait))
     }
 
@@ -230,31 +225,6 @@
         }
     }
 
-    /// Orders an engine to change its role if the division of roles is wrong.
-    async fn plan_roles(&self) {
-        let now = self.site.now();
-        let authority = self.keeper.borrow().may_act(now, CALL_BUDGET);
-        let Some(fencing) = authority.filter(|_| self.roles.borrow_mut().is_look_due(now)) else {
-            return;
-        };
-        let records = match members::read(&self.site, &self.store).await {
-            Ok(records) => records,
-            Err(error) => {
-                tracing::debug!(event = "demand_not_read", ?error);
-                return;
-            }
-        };
-        let order = self.roles.borrow_mut().next(&self.site, &records);
-        let Some(order) = order else { return };
-        // The time after everything else decides whether the term still covers the call.
-        if self.keeper.borrow().may_act(self.site.now(), CALL_BUDGET) != Some(fencing) {
-            return;
-        }
-        if orders::send(&self.site, &order, fencing.0).await == Some(OrderReply::Fenced) {
-            self.keeper.borrow_mut().fenced();
-        }
-    }
-
     fn seal_terms(&self) -> SealTerms {
         let bounds = self.site.settings().bounds;
         let ms = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
--- a/crates/edge/src/fleet.rs
+++ b/crates/edge/src/fleet.rs
@@ -14,7 +14,6 @@
     Engine, Part, Placement, Plain, Prompt, Rates, gathering_engines, place, place_plain,
 };
 use nutmegbay_policy::edge::prefixes::{Prefixes, ranking_weight};
-use nutmegbay_policy::edge::roles::Member;
 use slotmap::SlotMap;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -58,8 +57,6 @@
     pub health: Health,
     /// Long streams of this process there.
     streams: u32,
-    /// Until when an order to it may be carried out.
-    changing_until: Option<Moment>,
     /// Connections that carry no request.
     idle: Vec<Connection>,
     /// Hash of the identity, for rankings that all instances share.
@@ -87,8 +84,6 @@
     /// Long streams of this process, averaged, as of `streams_at`.
     streams: f64,
     streams_at: Moment,
-    /// Time of a prefill engine that this process's prompts have asked for, in milliseconds.
-    asked_ms: f64,
 }
 
 impl Default for ServiceCosts {
@@ -98,7 +93,6 @@
             mean_ms: FIRST_MEAN_MS,
             streams: 0.0,
             streams_at: Moment::default(),
-            asked_ms: 0.0,
         }
     }
 }
@@ -126,9 +120,6 @@
                 && upstream.report.addr == report.addr
                 && upstream.report.service == report.service;
             if is_same {
-                if upstream.report.role != report.role {
-                    upstream.changing_until = None;
-                }
                 if upstream.report.is_ready != report.is_ready
                     || upstream.report.role != report.role
                     || upstream.lapsed_until.is_some()
@@ -164,7 +155,6 @@
             load: UpstreamLoad::new(FIRST_MEAN_MS),
             health: Health::default(),
             streams: 0,
-            changing_until: None,
             idle: Vec::new(),
             lapsed_until: None,
             report,
@@ -313,46 +303,6 @@
         costs.streams_at = now;
     }
 
-    /// Notes the time of a prefill engine that a prompt asks for, whether or not it is admitted.
-    pub fn asked(&mut self, service: &str, work: &ModelWork) {
-        let own = work.parts.last().map_or(work.prompt_tokens, |own| own.tokens);
-        let read_ms = self.read_ms(service);
-        let costs = self.costs.entry(service.into()).or_default();
-        costs.asked_ms += f64::from(own) * read_ms;
-    }
-
-    /// Demand of this process for a service: what was asked for since its start, in milliseconds
-    /// of a prefill engine, and its long streams at once.
-    pub fn demand(&self, service: &str) -> (f64, f64) {
-        self.costs
-            .get(service)
-            .map_or((0.0, 0.0), |costs| (costs.asked_ms, costs.streams))
-    }
-
-    /// Engines of a service for the planning of roles.
-    pub fn role_members(&self, service: &str, now: Moment) -> Vec<Member> {
-        self.service_keys(service)
-            .filter(|key| self.upstreams[*key].report.is_ready)
-            .map(|key| {
-                let upstream = &self.upstreams[key];
-                Member {
-                    key,
-                    part: part(upstream),
-                    domain: upstream.domain,
-                    requests: upstream.load.requests(now),
-                    is_changing: upstream.changing_until.is_some_and(|until| now < until),
-                }
-            })
-            .collect()
-    }
-
-    /// Notes that an order to an upstream may be carried out until `until`.
-    pub fn changing(&mut self, key: UpstreamKey, until: Moment) {
-        if let Some(upstream) = self.upstreams.get_mut(key) {
-            upstream.changing_until = Some(until);
-        }
-    }
-
     /// Chooses an upstream of a plain service and predicts the wait there in milliseconds.
     pub fn place_plain(
         &self,
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -206,9 +206,6 @@
     if service.engine.is_some() {
         let mut fleet = site.fleet.borrow_mut();
         fleet.average_streams(&service.name, arrived);
-        if let Some(work) = &inbound.work {
-            fleet.asked(&service.name, work);
-        }
     }
     let deadline = inbound.deadline.unwrap_or(DEFAULT_DEADLINE);
     let patience = deadline.min(route.timeout);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -19,7 +19,6 @@
 mod ingress;
 mod members;
 mod metrics;
-mod orders;
 pub mod model;
 mod peers;
 pub mod port;
--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -36,20 +36,6 @@
     /// Usage counts.
     #[serde(default)]
     pub usage: MemberCounts,
-    /// Demand for each service with engines.
-    #[serde(default)]
-    pub demand: BTreeMap<Box<str>, MemberDemand>,
-}
-
-/// Demand of one process for a service.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
-pub struct MemberDemand {
-    /// Time of a prefill engine that prompts asked for since the process started, in milliseconds.
-    pub asked_ms: u64,
-    /// Long streams at once.
-    pub streams: u64,
-    /// Time since the process started, in milliseconds.
-    pub at_ms: u64,
 }
 
 /// Writes this process's record for as long as it runs. Counts of the life before are kept.
@@ -65,7 +51,6 @@
                 earlier: earlier.clone(),
                 through: through(&site),
             },
-            demand: demand(&site),
         };
         let value = match serde_json::to_vec(&record) {
             Ok(value) => value,
@@ -112,30 +97,6 @@
     }
 }
 
-fn demand<D: Dialect>(site: &Site<D>) -> BTreeMap<Box<str>, MemberDemand> {
-    let Some(table) = site.routes.borrow().clone() else {
-        return BTreeMap::new();
-    };
-    let fleet = site.fleet.borrow();
-    let at_ms = u64::try_from(site.now().0.as_millis()).unwrap_or(u64::MAX);
-    table
-        .config()
-        .services
-        .values()
-        .filter(|service| service.engine.is_some())
-        .map(|service| {
-            let (asked_ms, streams) = fleet.demand(&service.name);
-            let demand = MemberDemand {
-                asked_ms: asked_ms as u64,
-                streams: streams.round() as u64,
-                at_ms,
-            };
-            (service.name.clone(), demand)
-        })
-        .filter(|(_, demand)| demand.asked_ms > 0)
-        .collect()
-}
-
 /// Last window whose requests have all been counted.
 pub fn through<D: Dialect>(site: &Site<D>) -> u64 {
     let after_ms = u64::try_from(AFTER_WINDOW.as_millis()).unwrap_or(0);
--- a/crates/edge/src/model.rs
+++ b/crates/edge/src/model.rs
@@ -294,46 +294,6 @@
     pub slots: u32,
 }
 
-/// Order to an engine to change its role.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct RoleOrder<'a> {
-    /// Instance that the order is meant for.
-    pub instance: &'a str,
-    /// New role.
-    pub role: EngineRole,
-    /// Process that gives the order.
-    pub holder: &'a str,
-    /// Fencing number of its authority.
-    pub fencing: u64,
-    /// Orders that the engine must have accepted before; an order that arrives late is refused.
-    pub expected: u64,
-}
-
-/// What an engine says of itself when it is asked.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct EngineReport {
-    /// Its role.
-    pub role: EngineRole,
-    /// Whether an order is being carried out.
-    pub is_busy: bool,
-    /// Orders that it has accepted in this incarnation.
-    pub orders: u64,
-}
-
-/// What an engine says to an order.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, IntoStaticStr)]
-#[strum(serialize_all = "snake_case")]
-pub enum OrderReply {
-    /// It is being carried out, or holds already.
-    Accepted,
-    /// Another order is in progress or came first.
-    Conflict,
-    /// A higher fencing number was seen.
-    Fenced,
-    /// It was refused for another reason.
-    Refused,
-}
-
 /// Result of a prefill.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Prefilled {
--- a/crates/edge/src/port.rs
+++ b/crates/edge/src/port.rs
@@ -8,8 +8,7 @@
 use strum::{Display, IntoStaticStr};
 
 use crate::model::{
-    AnswerHead, EngineReport, Inbound, InstanceReport, Instructions, KeyedRecord, OrderReply, Prefilled,
-    RoleOrder, SiteConfig,
+    AnswerHead, Inbound, InstanceReport, Instructions, KeyedRecord, Prefilled, SiteConfig,
 };
 
 /// Names of a platform on the wire.
@@ -29,18 +28,6 @@
     /// Call that frees the result of a prefill at the upstream that holds it.
     fn release_handle(&self, handle: &str) -> Request<()>;
 
-    /// Call that asks an engine for its state.
-    fn report_call(&self, instance: &str) -> Outbound;
-
-    /// Decodes an engine's state.
-    fn report(&self, body: &[u8]) -> Option<EngineReport>;
-
-    /// Call that orders an engine to change its role.
-    fn role_order(&self, order: &RoleOrder<'_>) -> Outbound;
-
-    /// What the status of an engine's answer to an order says.
-    fn order_reply(&self, status: StatusCode) -> OrderReply;
-
     /// Whether `path` is the one at which the platform asks for readiness.
     fn is_readiness_path(&self, path: &str) -> bool;
 
--- a/crates/policy/src/edge/mod.rs
+++ b/crates/policy/src/edge/mod.rs
@@ -7,4 +7,3 @@
 pub mod load;
 pub mod placement;
 pub mod prefixes;
-pub mod roles;
