Rank prompt parts among the engines that read prompts

Cause: parts whose first engine gathers long streams had no home and were read wherever the wait was shortest.

--- a/crates/edge/src/fleet.rs
+++ b/crates/edge/src/fleet.rs
@@ -246,7 +246,7 @@
         };
         let candidates = self.candidates(&service.name, tried, now);
         let gathering = self.gathering(service, engine, &candidates, instances);
-        let ranked = self.ranks(&candidates, shared.last().map(|part| part.id));
+        let ranked = self.ranks(&candidates, &gathering, shared.last().map(|part| part.id));
         let engines: Vec<_> = candidates
             .iter()
             .zip(ranked)
@@ -433,8 +433,14 @@
         }
     }
 
-    /// Place of each candidate in the ranking of `part`, in the order of `candidates`.
-    fn ranks(&self, candidates: &[UpstreamKey], part: Option<u64>) -> Vec<usize> {
+    /// Place of each candidate in the ranking of `part`, in the order of `candidates`. Engines that
+    /// gather long streams read no prompts and have no place.
+    fn ranks(
+        &self,
+        candidates: &[UpstreamKey],
+        gathering: &[UpstreamKey],
+        part: Option<u64>,
+    ) -> Vec<usize> {
         let Some(part) = part else {
             return vec![usize::MAX; candidates.len()];
         };
@@ -443,6 +449,7 @@
             .map(|key| {
                 let upstream = &self.upstreams[*key];
                 let share = match upstream.report.role {
+                    _ if gathering.contains(key) => return 0.0,
                     Some(EngineRole::Prefill) => PREFILL_SHARE,
                     _ => 1.0,
                 };
