--- /dev/null
+++ b/crates/core/tests/window_counts.rs
@@ -0,0 +1,74 @@
+//! Guards against usage windows that are sealed before all processes have counted.
+
+use nutmegbay_core::duty::{MemberCounts, SealTerms, WindowCounts, merge};
+
+const TERMS: SealTerms = SealTerms {
+    window_ms: 5_000,
+    latest_ms: 8_000,
+};
+
+fn member(window: u64, n: u64, through: u64) -> MemberCounts {
+    let mut counts = WindowCounts::default();
+    for _ in 0..n {
+        counts.count(window, "acme");
+    }
+    MemberCounts {
+        counts,
+        earlier: WindowCounts::default(),
+        through,
+    }
+}
+
+#[test]
+fn all_counted() {
+    let members = [member(10, 3, 10), member(10, 4, 10)];
+    assert!(!TERMS.is_due(10, 54_999, members.iter()), "the window is not over");
+    assert!(TERMS.is_due(10, 55_000, members.iter()));
+    let sealed = merge(10, members.iter());
+    assert_eq!(sealed.counts.get("acme"), Some(&7));
+}
+
+/// A process that was cut off from the store for some seconds is waited for, until the report
+/// would be overdue.
+#[test]
+fn missing_counts() {
+    let members = [member(10, 3, 10), member(10, 4, 9)];
+    assert!(!TERMS.is_due(10, 60_000, members.iter()));
+    assert!(TERMS.is_due(10, 63_000, members.iter()));
+}
+
+/// A machine that was removed must not delay the reports for ever.
+#[test]
+fn gone_process() {
+    let members = [member(10, 3, 10), member(4, 9, 4)];
+    assert!(TERMS.is_due(10, 55_000, members.iter()));
+}
+
+/// What a former life counted in the same window is kept.
+#[test]
+fn former_life() {
+    let former = member(10, 5, 9);
+    let restarted = MemberCounts {
+        earlier: former.total(),
+        ..member(10, 2, 10)
+    };
+    assert_eq!(merge(10, [&restarted].into_iter()).counts.get("acme"), Some(&7));
+    assert_eq!(restarted.total().window(10).unwrap().get("acme"), Some(&7));
+}
+
+#[test]
+fn json_round_trip() {
+    let written = serde_json::to_vec(&member(357_221_572, 2, 357_221_571)).unwrap();
+    let read: MemberCounts = serde_json::from_slice(&written).unwrap();
+    assert_eq!(read, member(357_221_572, 2, 357_221_571));
+}
+
+#[test]
+fn bounded_windows() {
+    let mut counts = WindowCounts::default();
+    for window in 0..100 {
+        counts.count(window, "acme");
+    }
+    assert_eq!(counts.window(0), None);
+    assert!(counts.window(99).is_some());
+}
--- /dev/null
+++ b/crates/policy/tests/edge_load.rs
@@ -0,0 +1,57 @@
+//! Guards against predictions that stay wrong although first results show it.
+
+use std::time::Duration;
+
+use nutmegbay_core::world::Moment;
+use nutmegbay_policy::edge::load::UpstreamLoad;
+
+fn at(ms: u64) -> Moment {
+    Moment(Duration::from_millis(ms))
+}
+
+#[test]
+fn own_requests() {
+    let mut load = UpstreamLoad::new(10.0);
+    assert!((load.sent(at(0), 20.0) - 20.0).abs() < 1e-9);
+    assert!((load.sent(at(0), 20.0) - 40.0).abs() < 1e-9);
+    load.began(20.0);
+    assert!((load.backlog_ms(at(0)) - 20.0).abs() < 1e-9);
+    load.began(20.0);
+    load.ended();
+    load.ended();
+    assert!(load.backlog_ms(at(0)) < 1e-9);
+    assert_eq!(load.in_flight(), 0);
+}
+
+/// Other instances' requests count, and an old report of them counts less and less.
+#[test]
+fn foreign_requests() {
+    let mut load = UpstreamLoad::new(10.0);
+    load.reported(at(0), 12);
+    assert!(load.backlog_ms(at(0)) > 100.0);
+    assert!(load.backlog_ms(at(2_000)) < 2.0);
+}
+
+/// An upstream that has become eight times as slow is noticed after a few results, and its
+/// correction wears off without new ones.
+#[test]
+fn slow_upstream() {
+    let mut load = UpstreamLoad::new(10.0);
+    for n in 0..20 {
+        let predicted = load.sent(at(n * 100), 10.0);
+        load.began(10.0);
+        load.observed(at(n * 100 + 80), predicted, 80.0);
+        load.ended();
+    }
+    assert!(load.backlog_ms(at(2_000)) > 40.0);
+    assert!(load.backlog_ms(at(12_000)) < 1.0);
+}
+
+/// One request that hangs must not make its upstream look lost.
+#[test]
+fn bounded_correction() {
+    let mut load = UpstreamLoad::new(10.0);
+    let predicted = load.sent(at(0), 10.0);
+    load.observed(at(15_000), predicted, 15_000.0);
+    assert!(load.backlog_ms(at(15_000)) <= 410.0);
+}
--- /dev/null
+++ b/crates/policy/tests/edge_prefixes.rs
@@ -0,0 +1,62 @@
+//! Guards against shared parts of prompts that are read at every engine.
+
+use std::time::Duration;
+
+use nutmegbay_core::world::Moment;
+use nutmegbay_policy::UpstreamKey;
+use nutmegbay_policy::edge::prefixes::{Prefixes, ranking_weight};
+use slotmap::SlotMap;
+
+fn at(s: u64) -> Moment {
+    Moment(Duration::from_secs(s))
+}
+
+#[test]
+fn own_evidence() {
+    let mut arena = SlotMap::<UpstreamKey, ()>::with_key();
+    let (first, other) = (arena.insert(()), arena.insert(()));
+    let mut prefixes = Prefixes::default();
+    assert!(prefixes.belief(7, first, 0, at(0)) > 0.5);
+    assert!(prefixes.belief(7, other, 5, at(0)) < 0.01);
+    prefixes.used(7, other, at(1));
+    assert!(prefixes.belief(7, other, 5, at(2)) > 0.99);
+    assert!(prefixes.belief(7, other, 5, at(60)) < 0.01, "memory is reused");
+}
+
+/// More parts than are remembered must neither grow without bound nor panic.
+#[test]
+fn bounded_memory() {
+    let mut arena = SlotMap::<UpstreamKey, ()>::with_key();
+    let key = arena.insert(());
+    let mut prefixes = Prefixes::default();
+    for part in 0..20_000 {
+        prefixes.used(part, key, at(part / 1_000));
+    }
+    assert!(prefixes.belief(19_999, key, 9, at(20)) > 0.99);
+}
+
+/// All instances rank alike, an engine with twice the share is first about twice as often, and the
+/// loss of one engine moves only its own parts.
+#[test]
+fn shared_ranking() {
+    let engines = [(11, 2.0), (12, 1.0), (13, 1.0)];
+    let first = |part: u64, engines: &[(u64, f64)]| {
+        engines
+            .iter()
+            .copied()
+            .max_by(|a, b| {
+                ranking_weight(part, a.0, a.1).total_cmp(&ranking_weight(part, b.0, b.1))
+            })
+            .map(|(engine, _)| engine)
+            .unwrap()
+    };
+    let parts = 0..4_000_u64;
+    let at_first = parts.clone().filter(|part| first(*part, &engines) == 11).count();
+    assert!((1_800..2_200).contains(&at_first), "{at_first} of 4000");
+    for part in parts {
+        let before = first(part, &engines);
+        if before != 13 {
+            assert_eq!(first(part, &engines[..2]), before);
+        }
+    }
+}
