--- /dev/null
+++ b/crates/edge-bin/tests/common/mod.rs
@@ -0,0 +1,228 @@
+//! A small deployment around one edge process: store, workers and callers in the platform's
+//! formats, each with faults that are set while it runs.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+pub mod store;
+pub mod worker;
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use store::Store;
+use tempfile::NamedTempFile;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+use worker::Worker;
+
+/// Longest wait for anything that a test expects.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Ports of the parts, the same at every address.
+const INGRESS: u16 = 8_405;
+const READINESS: u16 = 8_406;
+const CONTROL: u16 = 8_407;
+const STORE: u16 = 8_408;
+const FIRST_WORKER: u16 = 8_500;
+
+/// One deployment at a loopback address of its own, so that tests run side by side.
+pub struct Site {
+    ip: IpAddr,
+    pub store: Store,
+    pub workers: Vec<Worker>,
+    settings: NamedTempFile,
+    child: Child,
+}
+
+impl Site {
+    /// Starts `workers` workers, a store and the edge. `test` is a number of the test's own.
+    pub async fn start(test: u8, workers: u16) -> Self {
+        let site = Self::start_without_config(test, workers).await;
+        site.store.put("keyed.op", "config", &config(1, &["k1"]));
+        site.until_ready().await;
+        site
+    }
+
+    /// Starts everything but the configuration.
+    pub async fn start_without_config(test: u8, workers: u16) -> Self {
+        let pid = std::process::id();
+        let low = |shift: u32| u8::try_from((pid >> shift) & 0x7f).unwrap() + 1;
+        let ip = IpAddr::V4(Ipv4Addr::new(127, 100 + test, low(7), low(0)));
+        let store = Store::start(SocketAddr::new(ip, STORE)).await;
+        let mut running = Vec::new();
+        for n in 0..workers {
+            let addr = SocketAddr::new(ip, FIRST_WORKER + n);
+            running.push(Worker::start(addr).await);
+            store.put("keyed.servers", &format!("i-{n}"), &instance(addr, "ready"));
+        }
+        let settings = tempfile::NamedTempFile::new().unwrap();
+        std::fs::write(settings.path(), settings_text(ip)).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_nutmegbay-edge"))
+            .env("NUTMEGBAY_BOOT", settings.path())
+            .stdout(Stdio::null())
+            .spawn()
+            .unwrap();
+        Self {
+            ip,
+            store,
+            workers: running,
+            settings,
+            child,
+        }
+    }
+
+    /// Waits until the edge says that it is ready.
+    pub async fn until_ready(&self) {
+        self.until("ready", async || self.readiness().await == Some(200)).await;
+        // The list of instances is read beside the configuration.
+        self.until("an upstream is known", async || {
+            self.call("GET", "/any/ping", &[]).await.status != 503
+        })
+        .await;
+        for worker in &self.workers {
+            worker.forget();
+        }
+    }
+
+    /// Status that the readiness address answers with.
+    pub async fn readiness(&self) -> Option<u16> {
+        let addr = SocketAddr::new(self.ip, READINESS);
+        let answer = exchange(addr, "GET /-/readyz HTTP/1.1\r\nHost: x\r\n").await;
+        answer.map(|answer| answer.status)
+    }
+
+    /// Text of the metrics.
+    pub async fn metrics(&self) -> String {
+        let addr = SocketAddr::new(self.ip, CONTROL);
+        let answer = exchange(addr, "GET /metrics HTTP/1.1\r\nHost: x\r\n").await;
+        String::from_utf8(answer.unwrap().body).unwrap()
+    }
+
+    /// Waits for a condition.
+    pub async fn until(&self, what: &str, condition: impl AsyncFn() -> bool) {
+        let wait = async {
+            while !condition().await {
+                sleep(Duration::from_millis(20)).await;
+            }
+        };
+        timeout(PATIENCE, wait).await.unwrap_or_else(|_| panic!("not in time: {what}"));
+    }
+
+    /// Sends a request with the usual headers, a fresh id and `extra` ones.
+    pub async fn call(&self, method: &str, path: &str, extra: &[(&str, &str)]) -> Answer {
+        let id: u64 = rand::random();
+        let mut head = format!("{method} {path} HTTP/1.1\r\nHost: shop.example\r\n");
+        head += &format!("X-Attempt-Id: {id:016x}\r\nX-Deadline-Ms: 3000\r\n");
+        if !extra.iter().any(|(name, _)| *name == "X-Api-Key") {
+            head += "X-Api-Key: k1\r\n";
+        }
+        for (name, value) in extra {
+            head += &format!("{name}: {value}\r\n");
+        }
+        exchange(SocketAddr::new(self.ip, INGRESS), &head)
+            .await
+            .unwrap_or_default()
+    }
+
+    /// Sends a signal to the edge.
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        let status = Command::new("kill").args([&format!("-{name}"), &pid]).status();
+        assert!(status.unwrap().success());
+    }
+
+    /// Exit code of the edge, if it has ended.
+    pub fn exit_code(&mut self) -> Option<i32> {
+        self.child.try_wait().unwrap().and_then(|status| status.code())
+    }
+
+    /// Changes the settings file.
+    pub fn change_settings(&self, from: &str, to: &str) {
+        let text = std::fs::read_to_string(self.settings.path()).unwrap();
+        std::fs::write(self.settings.path(), text.replace(from, to)).unwrap();
+    }
+
+    /// Requests that the workers have begun to run.
+    pub fn runs(&self) -> usize {
+        self.workers.iter().map(|worker| worker.requests().len()).sum()
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        // Fails only if the process has ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// An answer as a caller gets it.
+#[derive(Debug, Default, Clone)]
+pub struct Answer {
+    /// Status, 0 where the connection ended without an answer.
+    pub status: u16,
+    pub head: String,
+    pub body: Vec<u8>,
+}
+
+impl Answer {
+    /// Value of a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.head.lines().find_map(|line| {
+            let (key, value) = line.split_once(':')?;
+            key.eq_ignore_ascii_case(name).then(|| value.trim())
+        })
+    }
+}
+
+/// Sends a request without a body on a connection of its own and reads to the end.
+async fn exchange(addr: SocketAddr, head: &str) -> Option<Answer> {
+    let mut io = TcpStream::connect(addr).await.ok()?;
+    let request = format!("{head}Connection: close\r\n\r\n");
+    io.write_all(request.as_bytes()).await.ok()?;
+    let mut bytes = Vec::new();
+    // A broken answer ends with an error; what came before it counts.
+    let _ = timeout(PATIENCE, io.read_to_end(&mut bytes)).await;
+    let end = bytes.windows(4).position(|four| four == b"\r\n\r\n")?;
+    let head = String::from_utf8(bytes[..end].to_vec()).ok()?;
+    Some(Answer {
+        status: head.split(' ').nth(1)?.parse().ok()?,
+        body: bytes[end + 4..].to_vec(),
+        head,
+    })
+}
+
+/// Configuration with one route of each kind.
+pub fn config(version: u64, keys: &[&str]) -> Value {
+    let route = |kind: &str, prefix: &str, attempts: u32| {
+        json!({"name": kind, "host": "shop.example", "prefix": prefix, "kind": kind,
+            "timeout-ms": 1500, "slo-ms": 100, "priority": 1, "service": "desk",
+            "attempts": attempts, "anonymous": false})
+    };
+    let mut stream = route("streaming", "/stream/", 2);
+    stream["resumable"] = json!(true);
+    stream["itl-target-ms"] = json!(100);
+    json!({"version": version,
+        "routes": [route("idempotent", "/any/", 2), route("non_idempotent", "/once/", 1), stream],
+        "services": [{"name": "desk", "health-path": "/healthz", "max-conns": 100}],
+        "limits": {"header-bytes": 16384, "body-bytes": 1000, "header-ms": 3000, "idle-ms": 15000},
+        "tenants": [{"name": "acme", "keys": keys}]})
+}
+
+/// Entry of the list of instances.
+pub fn instance(addr: SocketAddr, state: &str) -> Value {
+    json!({"service": "desk", "addr": addr.to_string(), "zone": "z", "version": "v1",
+        "slots": 8, "state": state, "cold-ms": 0, "seq": 1})
+}
+
+fn settings_text(ip: IpAddr) -> String {
+    format!(
+        "node=front-1\nip={ip}\nzone=z\nlisten.front={ip}:{INGRESS}\n\
+         listen.ready={ip}:{READINESS}\nlisten.control={ip}:{CONTROL}\n\
+         platform.addr={ip}:{STORE}\ncloud-api.addr={ip}:{STORE}\n\
+         cloud-api.duties=usage_report\nbounds.grace-s=8\nbounds.retry-slack=54\n\
+         bounds.budget-ratio=0.2\nbounds.window-s=1\nbounds.usage-lag-s=6\n"
+    )
+}
--- /dev/null
+++ b/crates/edge-bin/tests/common/store.rs
@@ -0,0 +1,212 @@
+//! The platform's store and its interface for usage reports.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use axum::Router;
+use axum::body::Bytes;
+use axum::extract::{Query, State};
+use axum::http::StatusCode;
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, post};
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::time::{Instant, sleep};
+
+/// How the store misbehaves.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Fault {
+    #[default]
+    None,
+    /// Every call is refused.
+    Refuse,
+    /// No call is answered.
+    Silent,
+    /// Appends take effect and are not answered.
+    LoseAnswers,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    topics: HashMap<String, Vec<Record>>,
+    /// First offset that is kept, by topic.
+    first: HashMap<String, usize>,
+    fault: Fault,
+    reports: Vec<Value>,
+}
+
+#[derive(Debug, Clone)]
+struct Record {
+    key: String,
+    value: Vec<u8>,
+}
+
+/// A store with keyed topics of one partition.
+#[derive(Debug, Clone, Default)]
+pub struct Store(Arc<Mutex<Inner>>);
+
+type Params = Query<HashMap<String, String>>;
+
+impl Store {
+    /// Serves at `addr`.
+    pub async fn start(addr: SocketAddr) -> Self {
+        let store = Self::default();
+        let router = Router::new()
+            .route("/-/log-newest", get(newest))
+            .route("/-/log-read", get(read))
+            .route("/-/log-append", post(append))
+            .route("/usage", post(usage))
+            .with_state(store.clone());
+        let listener = TcpListener::bind(addr).await.unwrap();
+        tokio::spawn(async move { axum::serve(listener, router).await });
+        store
+    }
+
+    /// Writes a record as the operator or a worker does.
+    pub fn put(&self, topic: &str, key: &str, value: &Value) {
+        self.push(topic, key, value.to_string().into_bytes());
+    }
+
+    /// Removes a key.
+    pub fn remove(&self, topic: &str, key: &str) {
+        self.push(topic, key, Vec::new());
+    }
+
+    /// Forgets the history of all topics; the newest record of each key stays.
+    pub fn drop_history(&self) {
+        let mut inner = self.lock();
+        let ends: Vec<_> = inner
+            .topics
+            .iter()
+            .map(|(topic, records)| (topic.clone(), records.len()))
+            .collect();
+        inner.first.extend(ends);
+    }
+
+    /// Sets how it misbehaves from now on.
+    pub fn set_fault(&self, fault: Fault) {
+        self.lock().fault = fault;
+    }
+
+    /// Usage reports that were accepted.
+    pub fn reports(&self) -> Vec<Value> {
+        self.lock().reports.clone()
+    }
+
+    fn push(&self, topic: &str, key: &str, value: Vec<u8>) -> usize {
+        let mut inner = self.lock();
+        let records = inner.topics.entry(topic.into()).or_default();
+        records.push(Record {
+            key: key.into(),
+            value,
+        });
+        records.len() - 1
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.0.lock().unwrap()
+    }
+
+    /// Applies the fault to a call; none where the call goes on.
+    async fn misbehave(&self) -> Option<Response> {
+        let fault = self.lock().fault;
+        match fault {
+            Fault::Refuse => Some(StatusCode::SERVICE_UNAVAILABLE.into_response()),
+            Fault::Silent => {
+                sleep(Duration::from_secs(60)).await;
+                Some(StatusCode::SERVICE_UNAVAILABLE.into_response())
+            }
+            Fault::None | Fault::LoseAnswers => None,
+        }
+    }
+}
+
+async fn newest(State(store): State<Store>, Query(params): Params) -> Response {
+    if let Some(refusal) = store.misbehave().await {
+        return refusal;
+    }
+    let inner = store.lock();
+    let records = inner.topics.get(&params["topic"]).cloned().unwrap_or_default();
+    let mut by_key: HashMap<&str, (usize, &Record)> = HashMap::new();
+    for (offset, record) in records.iter().enumerate() {
+        by_key.insert(&record.key, (offset, record));
+    }
+    let items: Vec<_> = by_key
+        .values()
+        .filter(|(_, record)| !record.value.is_empty())
+        .map(|(offset, record)| {
+            json!({"key": record.key, "value": STANDARD.encode(&record.value), "offset": offset})
+        })
+        .collect();
+    let body = json!({"items": items, "has-more": false, "end": records.len()});
+    body.to_string().into_response()
+}
+
+async fn read(State(store): State<Store>, Query(params): Params) -> Response {
+    if let Some(refusal) = store.misbehave().await {
+        return refusal;
+    }
+    let topic = &params["topic"];
+    let from: usize = params["from"].parse().unwrap();
+    let wait = params.get("wait-ms").map_or(0, |wait| wait.parse().unwrap());
+    let until = Instant::now() + Duration::from_millis(wait);
+    loop {
+        let (first, records) = {
+            let inner = store.lock();
+            let records = inner.topics.get(topic).cloned().unwrap_or_default();
+            (inner.first.get(topic).copied().unwrap_or(0), records)
+        };
+        if from < first {
+            return (StatusCode::GONE, json!({"first": first}).to_string()).into_response();
+        }
+        if records.len() > from || Instant::now() >= until {
+            return encode(first, from, &records).into_response();
+        }
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
+fn encode(first: usize, from: usize, records: &[Record]) -> Vec<u8> {
+    let mut body = Vec::new();
+    body.extend((records.len() as u64).to_be_bytes());
+    body.extend((first as u64).to_be_bytes());
+    for record in records.iter().skip(from) {
+        let len = u32::try_from(1 + record.key.len() + record.value.len()).unwrap();
+        body.extend(len.to_be_bytes());
+        body.push(u8::try_from(record.key.len()).unwrap());
+        body.extend(record.key.as_bytes());
+        body.extend(&record.value);
+    }
+    body
+}
+
+async fn append(State(store): State<Store>, Query(params): Params, body: Bytes) -> Response {
+    if let Some(refusal) = store.misbehave().await {
+        return refusal;
+    }
+    let topic = &params["topic"];
+    let end = store.lock().topics.get(topic).map_or(0, Vec::len);
+    let at: Option<usize> = params.get("at").map(|at| at.parse().unwrap());
+    if at.is_some_and(|at| at != end) {
+        let body = json!({"end": end}).to_string();
+        return (StatusCode::PRECONDITION_FAILED, body).into_response();
+    }
+    let key_len = usize::from(body[4]);
+    let key = String::from_utf8(body[5..5 + key_len].to_vec()).unwrap();
+    let offset = store.push(topic, &key, body[5 + key_len..].to_vec());
+    let fault = store.lock().fault;
+    if fault == Fault::LoseAnswers {
+        sleep(Duration::from_secs(60)).await;
+    }
+    json!({"offset": offset, "end": offset + 1}).to_string().into_response()
+}
+
+async fn usage(State(store): State<Store>, body: Bytes) -> StatusCode {
+    let report = serde_json::from_slice(&body).unwrap();
+    store.lock().reports.push(report);
+    StatusCode::OK
+}
--- /dev/null
+++ b/crates/edge-bin/tests/whole_path.rs
@@ -0,0 +1,129 @@
+//! Guards the way of a request from a caller to a worker and back, and refusals on the way.
+
+mod common;
+
+use common::store::Fault;
+use common::worker::header;
+use common::{Site, config};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn served_request() {
+    let site = Site::start(1, 2).await;
+    let answer = site
+        .call("POST", "/once/7?a=b", &[("X-Tenant", "forged"), ("X-Other", "kept")])
+        .await;
+    assert_eq!(answer.status, 200);
+    assert_eq!(answer.body, b"done");
+    assert_eq!(answer.header("x-server-seal"), Some("s1"));
+    let requests: Vec<_> = site.workers.iter().flat_map(common::worker::Worker::requests).collect();
+    let [head] = requests.as_slice() else {
+        panic!("{} runs", requests.len());
+    };
+    assert!(head.starts_with("POST /once/7?a=b HTTP/1.1"), "{head}");
+    assert_eq!(header(head, "x-tenant"), Some("acme"));
+    assert_eq!(header(head, "x-other"), Some("kept"));
+    assert_eq!(header(head, "x-api-key"), None);
+    assert!(header(head, "x-expect-instance").is_some());
+    let left: u64 = header(head, "x-deadline-ms").unwrap().parse().unwrap();
+    assert!(left <= 1_500, "the route's time bounds what a worker gets");
+    assert!(site.metrics().await.contains("nutmegbay_requests_total"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn refused_requests() {
+    let site = Site::start(2, 1).await;
+    assert_eq!(site.call("GET", "/any/1", &[("X-Api-Key", "wrong")]).await.status, 401);
+    assert_eq!(site.call("GET", "/nowhere/", &[]).await.status, 404);
+    let two_keys = [("X-Api-Key", "k1"), ("X-Api-Key", "k2")];
+    assert_eq!(site.call("GET", "/any/1", &two_keys).await.status, 400);
+    let two_lengths = [("Content-Length", "1"), ("Content-Length", "2")];
+    assert_eq!(site.call("POST", "/any/1", &two_lengths).await.status, 400);
+    let too_long = [("Content-Length", "5000")];
+    assert_eq!(site.call("POST", "/any/1", &too_long).await.status, 413);
+    assert_eq!(site.runs(), 0);
+}
+
+/// A process that knows no configuration yet must not say that a route or key does not exist.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_config() {
+    let site = Site::start_without_config(3, 1).await;
+    site.until("it listens", async || site.readiness().await == Some(503)).await;
+    let answer = site.call("GET", "/any/1", &[]).await;
+    assert_eq!(answer.status, 503);
+    let after: f64 = answer.header("retry-after").unwrap().parse().unwrap();
+    assert!(after > 0.0 && after < 2.0, "{after}");
+}
+
+/// Changes are in force soon, also where the history was dropped meanwhile, and an older version
+/// that is read later changes nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn config_changes() {
+    let site = Site::start(4, 1).await;
+    site.store.put("keyed.op", "config", &config(5, &["k2"]));
+    site.until("k1 is withdrawn", async || {
+        site.call("GET", "/any/1", &[]).await.status == 401
+    })
+    .await;
+    assert_eq!(site.call("GET", "/any/1", &[("X-Api-Key", "k2")]).await.status, 200);
+    site.store.put("keyed.op", "config", &config(4, &["k1"]));
+    site.store.drop_history();
+    site.store.put("keyed.op", "config", &config(6, &["k3"]));
+    site.until("k3 is granted", async || {
+        site.call("GET", "/any/1", &[("X-Api-Key", "k3")]).await.status == 200
+    })
+    .await;
+    assert_eq!(site.call("GET", "/any/1", &[]).await.status, 401);
+}
+
+/// Without the store, requests are served as before, and changes made meanwhile follow its return.
+#[tokio::test(flavor = "multi_thread")]
+async fn store_outage() {
+    let site = Site::start(5, 1).await;
+    for fault in [Fault::Refuse, Fault::Silent] {
+        site.store.set_fault(fault);
+        assert_eq!(site.call("GET", "/any/1", &[]).await.status, 200, "{fault:?}");
+        assert_eq!(site.readiness().await, Some(200));
+    }
+    site.store.put("keyed.op", "config", &config(9, &["k9"]));
+    site.store.set_fault(Fault::None);
+    site.until("k9 is granted", async || {
+        site.call("GET", "/any/1", &[("X-Api-Key", "k9")]).await.status == 200
+    })
+    .await;
+}
+
+/// A worker that leaves, or whose entry is removed, gets no new request.
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_worker() {
+    let site = Site::start(6, 2).await;
+    site.store.remove("keyed.servers", "i-0");
+    site.until("the entry is gone", async || {
+        site.workers[0].forget();
+        for _ in 0..6 {
+            assert_eq!(site.call("GET", "/any/1", &[]).await.status, 200);
+        }
+        site.workers[0].requests().is_empty()
+    })
+    .await;
+}
+
+/// Usage of a window is reported once, with what began in it.
+#[tokio::test(flavor = "multi_thread")]
+async fn usage_report() {
+    let site = Site::start(7, 1).await;
+    for _ in 0..5 {
+        assert_eq!(site.call("POST", "/once/1", &[]).await.status, 200);
+    }
+    let sum = || {
+        let reports = site.store.reports();
+        let of = |report: &serde_json::Value| report["counts"]["acme"].as_u64().unwrap_or(0);
+        (reports.iter().map(of).sum::<u64>(), reports)
+    };
+    // The requests that waited for the first upstream were refused and do not count.
+    site.until("all requests are reported", async || sum().0 >= 5).await;
+    let (_, reports) = sum();
+    let mut windows: Vec<_> = reports.iter().map(|report| &report["window-seq"]).collect();
+    let all = windows.len();
+    windows.dedup();
+    assert_eq!(windows.len(), all, "a window was reported twice");
+}
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -241,11 +241,14 @@
     limit: usize,
     patience: Duration,
 ) -> Result<Bytes, (StatusCode, &'static str)> {
+    const TOO_LARGE: (StatusCode, &str) = (StatusCode::PAYLOAD_TOO_LARGE, "body_too_large");
+    // A declared length is refused before the body comes.
+    if body.size_hint().lower() > limit as u64 {
+        return Err(TOO_LARGE);
+    }
     match timeout(patience, Limited::new(body, limit).collect()).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            Err((StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"))
-        }
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(TOO_LARGE),
         Ok(Err(_)) => Err((StatusCode::BAD_REQUEST, "body_broken")),
         Err(_) => Err((StatusCode::REQUEST_TIMEOUT, "body_too_slow")),
     }
