Make fewer calls to the store

Change: reads that wait for a record wait 10 s and start anew when any call got no answer; the list is read each 0.42 of the drain bound; usage is written twice a window; members are read every 8 s. A call without an answer drops all idle connections to its address. Ruled out: relaying the list between processes, which costs as much in links.

--- a/crates/edge/src/duty.rs
+++ b/crates/edge/src/duty.rs
@@ -38,7 +38,7 @@
 const LONGEST_WAIT: Duration = Duration::from_millis(1_000);
 
 /// Longest wait of a read of the register.
-const READ_WAIT: Duration = Duration::from_secs(4);
+const READ_WAIT: Duration = Duration::from_secs(10);
 
 /// Oldest window that is sealed, counted back from the current one: older reports are overdue.
 const OLDEST_WINDOW: u64 = 3;
@@ -87,11 +87,12 @@
                     .newest(Topic::Duty)
                     .await
                     .map(|newest| (newest.records, newest.end)),
-                Some(from) => self
-                    .store
-                    .read(Topic::Duty, from, READ_WAIT)
-                    .await
-                    .map(|batch| (batch.records, batch.next)),
+                Some(from) => tokio::select! {
+                    read = self.store.read(Topic::Duty, from, READ_WAIT) => {
+                        read.map(|batch| (batch.records, batch.next))
+                    }
+                    () = self.site.store_doubted.notified() => continue,
+                },
             };
             match read {
                 Ok((records, end)) => {
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -11,13 +11,13 @@
 use crate::port::{CONFIG_KEY, Dialect, Store, StoreError, Topic};
 use crate::site::Site;
 
-/// Longest wait of one read of the configuration. Short enough that a connection that has become
-/// silent costs less than the bound for a change.
-const CONFIG_WAIT: Duration = Duration::from_millis(1_500);
+/// Longest wait of one read of the configuration. A connection that has become silent is noticed
+/// by the reads of the list of instances, which end this one.
+const CONFIG_WAIT: Duration = Duration::from_secs(10);
 
-/// Time between two reads of the list of instances. A leaving upstream must get no new work 2 s
-/// after the store knows, and each read is priced.
-const INSTANCES_EVERY: Duration = Duration::from_millis(700);
+/// Part of the operator's bound for a leaving upstream that lies between two reads of the list of
+/// instances. The rest covers a read that fails, and each read is priced.
+const INSTANCES_PART: f64 = 0.42;
 
 /// First pause after a failed read; doubles up to [`LONGEST_PAUSE`].
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
@@ -92,10 +92,12 @@
                 .newest(Topic::Config)
                 .await
                 .map(|newest| (newest.records, newest.end)),
-            Some(from) => store
-                .read(Topic::Config, from, CONFIG_WAIT)
-                .await
-                .map(|batch| (batch.records, batch.next)),
+            Some(from) => tokio::select! {
+                read = store.read(Topic::Config, from, CONFIG_WAIT) => {
+                    read.map(|batch| (batch.records, batch.next))
+                }
+                () = site.store_doubted.notified() => continue,
+            },
         };
         match read {
             Ok((records, end)) => {
@@ -163,11 +165,14 @@
                 site.seen.borrow_mut().instances_at = Some(now);
                 next = Some(end);
                 site.fleet.borrow_mut().sweep(now);
-                sleep(INSTANCES_EVERY).await;
+                sleep(site.settings().bounds.drain.mul_f64(INSTANCES_PART)).await;
             }
             Err(StoreError::Expired) => next = None,
             Err(error) => {
                 count(&site.metrics.store_failures);
+                if matches!(error, StoreError::Unreachable(_)) {
+                    site.store_doubted.notify_waiters();
+                }
                 sleep(link.fails(now, &error)).await;
             }
         }
--- a/crates/edge/src/http1.rs
+++ b/crates/edge/src/http1.rs
@@ -214,12 +214,15 @@
         req: Outbound,
         limit: Duration,
     ) -> Result<(StatusCode, Bytes), CallError> {
-        timeout(limit, self.exchange(req))
-            .await
-            .unwrap_or(Err(CallError {
+        let answered = timeout(limit, self.exchange(req)).await;
+        answered.unwrap_or_else(|_| {
+            // What silenced one connection has mostly silenced the others as well.
+            self.idle.borrow_mut().clear();
+            Err(CallError {
                 verdict: Verdict::MayHaveRun,
                 cause: Cause::Timeout,
-            }))
+            })
+        })
     }
 
     async fn exchange(&self, req: Outbound) -> Result<(StatusCode, Bytes), CallError> {
--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -15,7 +15,7 @@
 use crate::site::{Member, Site};
 
 /// Writes in one usage window. A killed process loses the counts since its last write.
-const WRITES_PER_WINDOW: u32 = 5;
+const WRITES_PER_WINDOW: u32 = 2;
 
 /// Time after the end of a window at which its counts are written, so that requests that began
 /// just before it are in.
@@ -25,7 +25,7 @@
 const WRITE_MARGIN_MS: u64 = 5;
 
 /// Time between two reads of the other processes' records.
-const READ_EVERY: Duration = Duration::from_secs(4);
+pub const READ_EVERY: Duration = Duration::from_secs(8);
 
 /// Record of one process.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
--- a/crates/edge/src/site.rs
+++ b/crates/edge/src/site.rs
@@ -10,6 +10,7 @@
 use nutmegbay_core::duty::WindowCounts;
 use nutmegbay_core::world::Moment;
 use nutmegbay_policy::edge::budget::{BudgetTerms, RetryShare};
+use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
 use crate::clock::{Moments, TrueTime};
@@ -44,6 +45,8 @@
     pub moments: Moments,
     /// Estimate of true time.
     pub time: RefCell<TrueTime>,
+    /// Told when a call to the store got no answer: reads that wait for a record start anew.
+    pub store_doubted: Notify,
     /// Cancelled when a planned stop begins.
     pub stop: CancellationToken,
     /// Cancelled when idle connections are to be closed.
@@ -77,8 +80,8 @@
 }
 
 /// Time without a new record after which another process is taken for gone. Records are written
-/// twice in a usage window.
-const MEMBER_TTL: Duration = Duration::from_secs(12);
+/// several times in a usage window and read every [`crate::members::READ_EVERY`].
+const MEMBER_TTL: Duration = Duration::from_secs(20);
 
 impl<D: Dialect> Site<D> {
     /// State of a process that knows nothing yet.
@@ -96,6 +99,7 @@
             members: RefCell::default(),
             moments: Moments::new(),
             time: RefCell::new(time),
+            store_doubted: Notify::new(),
             stop,
             close_idle: CancellationToken::new(),
             in_flight: Rc::default(),
