--- a/crates/edge-bin/tests/common/store.rs
+++ b/crates/edge-bin/tests/common/store.rs
@@ -97,6 +97,15 @@
         self.lock().reports.clone()
     }
 
+    /// Values of a topic in order.
+    pub fn values(&self, topic: &str) -> Vec<Value> {
+        let inner = self.lock();
+        let records = inner.topics.get(topic).into_iter().flatten();
+        records
+            .filter_map(|record| serde_json::from_slice(&record.value).ok())
+            .collect()
+    }
+
     fn push(&self, topic: &str, key: &str, value: Vec<u8>) -> usize {
         let mut inner = self.lock();
         let records = inner.topics.entry(topic.into()).or_default();
--- a/crates/edge-bin/tests/signals.rs
+++ b/crates/edge-bin/tests/signals.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use common::Site;
+use common::store::Fault;
 use common::worker::Act;
 use tokio::time::sleep;
 
@@ -64,3 +65,29 @@
     let (answer, ()) = tokio::join!(call, stop);
     assert_eq!(answer.status, 504, "the route's time ends it, not the stop");
 }
+
+/// Counts that the store did not take before the stop are written once it is back: two processes
+/// that stopped during an outage had taken a fifth of a window with them.
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_in_outage() {
+    let mut site = Site::start(25, 1).await;
+    site.store.set_fault(Fault::Refuse);
+    for _ in 0..7 {
+        assert_eq!(site.call("POST", "/once/1", &[]).await.status, 200);
+    }
+    site.signal("TERM");
+    site.until("not ready", async || site.readiness().await == Some(503)).await;
+    sleep(Duration::from_secs(3)).await;
+    assert_eq!(site.exit_code(), None, "it must wait for the store within its grace time");
+    site.store.set_fault(Fault::None);
+    site.until("the counts are written", async || {
+        let records = site.store.values("keyed.nutmegbay-members");
+        let counted = |record: &serde_json::Value| -> u64 {
+            let windows = record["usage"]["counts"].as_object();
+            let sums = windows.into_iter().flat_map(|windows| windows.values());
+            sums.filter_map(|counts| counts["acme"].as_u64()).sum()
+        };
+        records.last().is_some_and(|record| counted(record) >= 7)
+    })
+    .await;
+}
--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -21,6 +21,9 @@
 /// just before it are in.
 const AFTER_WINDOW: Duration = Duration::from_millis(400);
 
+/// Pause between two tries to write while the process stops.
+const LAST_PAUSE: Duration = Duration::from_millis(100);
+
 /// Timers fire to the millisecond; a write must not come just before the end of its step.
 const WRITE_MARGIN_MS: u64 = 5;
 
@@ -68,15 +71,21 @@
                 Ok(_) => {
                     link.works(site.now());
                     last = Some(value);
+                    *site.written_usage.borrow_mut() = record.usage.counts;
                 }
                 Err(error) => {
                     count(&site.metrics.store_failures);
-                    sleep(link.fails(site.now(), &error)).await;
+                    let pause = link.fails(site.now(), &error);
+                    let is_stopping = site.stop.is_cancelled();
+                    sleep(if is_stopping { LAST_PAUSE } else { pause }).await;
                     continue;
                 }
             }
         }
-        sleep(until_next_write(&site)).await;
+        tokio::select! {
+            () = sleep(until_next_write(&site)) => {}
+            () = site.flush_usage.notified() => {}
+        }
     }
 }
 
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -124,9 +124,16 @@
     site.close_idle.cancel();
     accepting.abort();
     let last = began + grace.saturating_sub(BEFORE_KILL);
-    while site.in_flight.get() > 0 && Instant::now() < last {
+    // Counts that are not in the store when the process ends are lost, and with them the report.
+    while (site.in_flight.get() > 0 || !site.is_usage_written()) && Instant::now() < last {
+        if site.in_flight.get() == 0 {
+            site.flush_usage.notify_one();
+        }
         sleep(LAST_LOOK).await;
     }
+    if !site.is_usage_written() {
+        tracing::warn!(event = "usage_lost", "the store took no counts until the end");
+    }
     tracing::info!(event = "stopped", in_flight = site.in_flight.get());
     Ok(())
 }
--- a/crates/edge/src/site.rs
+++ b/crates/edge/src/site.rs
@@ -35,6 +35,10 @@
     budgets: RefCell<HashMap<Box<str>, RetryShare>>,
     /// Usage counts of this process.
     pub usage: RefCell<WindowCounts>,
+    /// Usage counts as they were last written to the store.
+    pub written_usage: RefCell<WindowCounts>,
+    /// Told when counts are to be written at once.
+    pub flush_usage: Notify,
     /// Figures.
     pub metrics: Metrics,
     /// What was read from the store, to pass on to peers.
@@ -94,6 +98,8 @@
             fleet,
             budgets: RefCell::default(),
             usage: RefCell::default(),
+            written_usage: RefCell::default(),
+            flush_usage: Notify::new(),
             metrics: Metrics::default(),
             seen: RefCell::default(),
             members: RefCell::default(),
@@ -224,6 +230,11 @@
         self.usage.borrow_mut().count(window, account);
     }
 
+    /// Whether the store has all usage counts of this process.
+    pub fn is_usage_written(&self) -> bool {
+        *self.usage.borrow() == *self.written_usage.borrow()
+    }
+
     /// Number of the usage window at `ms` since 1970.
     pub fn window_at(&self, ms: u64) -> u64 {
         let length = self.settings().bounds.usage_window.as_millis().max(1);
