--- a/crates/backplane/tests/call_verdicts.rs
+++ b/crates/backplane/tests/call_verdicts.rs
@@ -4,9 +4,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use nutmegbay_backplane::{Cause, ClientSettings, InstanceDirectory, Log, PlatformClient};
 use nutmegbay_core::ids::Offset;
 use nutmegbay_core::verdict::Verdict;
-use nutmegbay_backplane::{Cause, ClientSettings, InstanceDirectory, Log, PlatformClient};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
--- a/crates/core/tests/duty_keeper.rs
+++ b/crates/core/tests/duty_keeper.rs
@@ -94,7 +94,11 @@
         now += 50;
         assert!(now < 10_000, "the duty stays undone");
     }
-    assert_eq!(a.may_act(at(now), Duration::ZERO), None, "both act at {now} ms");
+    assert_eq!(
+        a.may_act(at(now), Duration::ZERO),
+        None,
+        "both act at {now} ms"
+    );
     assert_eq!(b.may_act(at(now + 1), BUDGET), Some(Epoch(2)));
 }
 
@@ -123,7 +127,10 @@
     assert!(register.act(&mut a, at(100)));
     assert_eq!(a.may_act(at(101), Duration::ZERO), None);
     register.show(&mut b, at(110));
-    assert!(register.act(&mut b, at(110)), "a released duty is taken at once");
+    assert!(
+        register.act(&mut b, at(110)),
+        "a released duty is taken at once"
+    );
 }
 
 /// a gives back, b takes over and gives back at once: a must not act again within the term.
--- a/crates/core/tests/window_counts.rs
+++ b/crates/core/tests/window_counts.rs
@@ -22,7 +22,10 @@
 #[test]
 fn all_counted() {
     let members = [member(10, 3, 10), member(10, 4, 10)];
-    assert!(!TERMS.is_due(10, 54_999, members.iter()), "the window is not over");
+    assert!(
+        !TERMS.is_due(10, 54_999, members.iter()),
+        "the window is not over"
+    );
     assert!(TERMS.is_due(10, 55_000, members.iter()));
     let sealed = merge(10, members.iter());
     assert_eq!(sealed.counts.get("acme"), Some(&7));
@@ -52,7 +55,10 @@
         earlier: former.total(),
         ..member(10, 2, 10)
     };
-    assert_eq!(merge(10, [&restarted].into_iter()).counts.get("acme"), Some(&7));
+    assert_eq!(
+        merge(10, [&restarted].into_iter()).counts.get("acme"),
+        Some(&7)
+    );
     assert_eq!(restarted.total().window(10).unwrap().get("acme"), Some(&7));
 }
 
--- a/crates/ctl/src/fleet.rs
+++ b/crates/ctl/src/fleet.rs
@@ -7,8 +7,8 @@
 use futures::future::join_all;
 use jsonrpsee::core::client::Error as RpcError;
 use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
-use nutmegbay_core::ids::Offset;
 use nutmegbay_backplane::InstanceDirectory;
+use nutmegbay_core::ids::Offset;
 use nutmegbay_proto::control::{
     GatewayControlClient, GatewayStatus, LogStatus, SidecarControlClient, SidecarQuery,
     SidecarStatus, Tail,
--- a/crates/ctl/src/operator.rs
+++ b/crates/ctl/src/operator.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use error_stack::Report;
+use nutmegbay_backplane::{Log, PlatformError};
 use nutmegbay_core::ids::{Offset, RecordId};
 use nutmegbay_core::record::{
     Body, ConfigPublish, ConfigScope, DrainRequest, KeyGrant, KeyWithdraw, QuarantineClear, Record,
@@ -11,7 +12,6 @@
 use nutmegbay_core::replica::{Applied, Reason, Replica};
 use nutmegbay_core::snapshot::Collector;
 use nutmegbay_core::verdict::Verdict;
-use nutmegbay_backplane::{Log, PlatformError};
 use nutmegbay_proto::platform::{Entry, ReadResponse};
 use nutmegbay_settings::{Site, Source};
 use nutmegbay_telemetry::clock::WallClock;
--- a/crates/ctl/tests/common/mod.rs
+++ b/crates/ctl/tests/common/mod.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use error_stack::Report;
+use nutmegbay_backplane::{Cause, Log, PlatformError};
 use nutmegbay_core::ids::Offset;
 use nutmegbay_core::verdict::Verdict;
-use nutmegbay_backplane::{Cause, Log, PlatformError};
 use nutmegbay_proto::platform::{AppendResponse, Entry, ReadResponse};
 use serde_json::value::RawValue;
 
--- a/crates/ctl/tests/operator_changes.rs
+++ b/crates/ctl/tests/operator_changes.rs
@@ -4,12 +4,12 @@
 
 use assert_matches::assert_matches;
 use common::{Fate, MemoryLog};
+use nutmegbay_backplane::Log;
 use nutmegbay_core::ids::{Epoch, RecordId};
 use nutmegbay_core::record::{Body, ConfigScope, Record, SCHEMA};
 use nutmegbay_core::snapshot::Image;
 use nutmegbay_core::verdict::Verdict;
 use nutmegbay_ctl::{CtlError, CtlExit, Operator};
-use nutmegbay_backplane::Log;
 use nutmegbay_settings::Source;
 
 const BASE: &str = include_str!("../../../examples/base.jsonc");
--- a/crates/demo/src/site.rs
+++ b/crates/demo/src/site.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use error_stack::Report;
+use nutmegbay_backplane::{ClientSettings, PlatformClient};
 use nutmegbay_core::ids::Offset;
 use nutmegbay_core::record::ConfigScope;
 use nutmegbay_ctl::Operator;
@@ -11,7 +12,6 @@
 use nutmegbay_fakes::platform::{FakePlatform, PlatformConfig};
 use nutmegbay_fakes::service::{FakeService, ServiceConfig};
 use nutmegbay_gateway::settings::GatewaySettings;
-use nutmegbay_backplane::{ClientSettings, PlatformClient};
 use nutmegbay_proto::platform::{Instance, InstanceKind, InstanceList, InstanceState};
 use nutmegbay_settings::Source;
 use nutmegbay_sidecar::Sidecar;
--- a/crates/edge-bin/tests/common/mod.rs
+++ b/crates/edge-bin/tests/common/mod.rs
@@ -5,6 +5,7 @@
 pub mod store;
 pub mod worker;
 
+use std::fmt::Write;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
@@ -57,7 +58,7 @@
             running.push(Worker::start(addr).await);
             store.put("keyed.servers", &format!("i-{n}"), &instance(addr, "ready"));
         }
-        let settings = tempfile::NamedTempFile::new().unwrap();
+        let settings = NamedTempFile::new().unwrap();
         std::fs::write(settings.path(), settings_text(ip)).unwrap();
         let child = Command::new(env!("CARGO_BIN_EXE_nutmegbay-edge"))
             .env("NUTMEGBAY_BOOT", settings.path())
@@ -75,7 +76,8 @@
 
     /// Waits until the edge says that it is ready.
     pub async fn until_ready(&self) {
-        self.until("ready", async || self.readiness().await == Some(200)).await;
+        self.until("ready", async || self.readiness().await == Some(200))
+            .await;
         // The list of instances is read beside the configuration.
         self.until("an upstream is known", async || {
             self.call("GET", "/any/ping", &[]).await.status != 503
@@ -107,19 +109,21 @@
                 sleep(Duration::from_millis(20)).await;
             }
         };
-        timeout(PATIENCE, wait).await.unwrap_or_else(|_| panic!("not in time: {what}"));
+        timeout(PATIENCE, wait)
+            .await
+            .unwrap_or_else(|_| panic!("not in time: {what}"));
     }
 
     /// Sends a request with the usual headers, a fresh id and `extra` ones.
     pub async fn call(&self, method: &str, path: &str, extra: &[(&str, &str)]) -> Answer {
         let id: u64 = rand::random();
         let mut head = format!("{method} {path} HTTP/1.1\r\nHost: shop.example\r\n");
-        head += &format!("X-Attempt-Id: {id:016x}\r\nX-Deadline-Ms: 3000\r\n");
+        write!(head, "X-Attempt-Id: {id:016x}\r\nX-Deadline-Ms: 3000\r\n").unwrap();
         if !extra.iter().any(|(name, _)| *name == "X-Api-Key") {
             head += "X-Api-Key: k1\r\n";
         }
         for (name, value) in extra {
-            head += &format!("{name}: {value}\r\n");
+            write!(head, "{name}: {value}\r\n").unwrap();
         }
         exchange(SocketAddr::new(self.ip, INGRESS), &head)
             .await
@@ -129,13 +133,18 @@
     /// Sends a signal to the edge.
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
-        let status = Command::new("kill").args([&format!("-{name}"), &pid]).status();
+        let status = Command::new("kill")
+            .args([&format!("-{name}"), &pid])
+            .status();
         assert!(status.unwrap().success());
     }
 
     /// Exit code of the edge, if it has ended.
     pub fn exit_code(&mut self) -> Option<i32> {
-        self.child.try_wait().unwrap().and_then(|status| status.code())
+        self.child
+            .try_wait()
+            .unwrap()
+            .and_then(|status| status.code())
     }
 
     /// Changes the settings file.
@@ -146,7 +155,10 @@
 
     /// Requests that the workers have begun to run.
     pub fn runs(&self) -> usize {
-        self.workers.iter().map(|worker| worker.requests().len()).sum()
+        self.workers
+            .iter()
+            .map(|worker| worker.requests().len())
+            .sum()
     }
 }
 
--- a/crates/edge-bin/tests/common/store.rs
+++ b/crates/edge-bin/tests/common/store.rs
@@ -126,7 +126,7 @@
         match fault {
             Fault::Refuse => Some(StatusCode::SERVICE_UNAVAILABLE.into_response()),
             Fault::Silent => {
-                sleep(Duration::from_secs(60)).await;
+                sleep(Duration::from_mins(1)).await;
                 Some(StatusCode::SERVICE_UNAVAILABLE.into_response())
             }
             Fault::None | Fault::LoseAnswers => None,
@@ -139,7 +139,11 @@
         return refusal;
     }
     let inner = store.lock();
-    let records = inner.topics.get(&params["topic"]).cloned().unwrap_or_default();
+    let records = inner
+        .topics
+        .get(&params["topic"])
+        .cloned()
+        .unwrap_or_default();
     let mut by_key: HashMap<&str, (usize, &Record)> = HashMap::new();
     for (offset, record) in records.iter().enumerate() {
         by_key.insert(&record.key, (offset, record));
@@ -161,12 +165,14 @@
     }
     let topic = &params["topic"];
     let from: usize = params["from"].parse().unwrap();
-    let wait = params.get("wait-ms").map_or(0, |wait| wait.parse().unwrap());
+    let wait = params
+        .get("wait-ms")
+        .map_or(0, |wait| wait.parse().unwrap());
     let until = Instant::now() + Duration::from_millis(wait);
     loop {
         if store.lock().fault != Fault::None {
             // A call that waits when the store goes away is never answered.
-            sleep(Duration::from_secs(60)).await;
+            sleep(Duration::from_mins(1)).await;
         }
         let (first, records) = {
             let inner = store.lock();
@@ -213,9 +219,11 @@
     let offset = store.push(topic, &key, body[5 + key_len..].to_vec());
     let fault = store.lock().fault;
     if fault == Fault::LoseAnswers {
-        sleep(Duration::from_secs(60)).await;
+        sleep(Duration::from_mins(1)).await;
     }
-    json!({"offset": offset, "end": offset + 1}).to_string().into_response()
+    json!({"offset": offset, "end": offset + 1})
+        .to_string()
+        .into_response()
 }
 
 async fn usage(State(store): State<Store>, body: Bytes) -> StatusCode {
--- a/crates/edge-bin/tests/common/worker.rs
+++ b/crates/edge-bin/tests/common/worker.rs
@@ -1,6 +1,7 @@
 //! A worker that answers with scripted bytes.
 
 use std::collections::VecDeque;
+use std::fmt::Write;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
@@ -158,9 +159,13 @@
     let mut text = start;
     for n in after + 1..=last {
         let event = event(n);
-        text += &format!("{:x}\r\n{event}\r\n", event.len());
+        write!(text, "{:x}\r\n{event}\r\n", event.len()).unwrap();
     }
-    text += if last == EVENTS { "0\r\n\r\n" } else { "5\r\nid: 9\r\n" };
+    text += if last == EVENTS {
+        "0\r\n\r\n"
+    } else {
+        "5\r\nid: 9\r\n"
+    };
     io.write_all(text.as_bytes()).await.is_ok() && last == EVENTS
 }
 
--- a/crates/edge-bin/tests/signals.rs
+++ b/crates/edge-bin/tests/signals.rs
@@ -37,7 +37,8 @@
 async fn planned_stop() {
     let mut site = Site::start(23, 1).await;
     site.signal("TERM");
-    site.until("not ready", async || site.readiness().await == Some(503)).await;
+    site.until("not ready", async || site.readiness().await == Some(503))
+        .await;
     let answer = site.call("GET", "/any/1", &[]).await;
     assert_eq!(answer.status, 200);
     assert_eq!(answer.header("connection"), Some("close"));
@@ -59,7 +60,8 @@
     site.workers[0].script(&[Act::Hang]);
     let call = site.call("POST", "/once/1", &[]);
     let stop = async {
-        site.until("the worker has it", async || site.runs() == 1).await;
+        site.until("the worker has it", async || site.runs() == 1)
+            .await;
         site.signal("TERM");
     };
     let (answer, ()) = tokio::join!(call, stop);
@@ -76,9 +78,14 @@
         assert_eq!(site.call("POST", "/once/1", &[]).await.status, 200);
     }
     site.signal("TERM");
-    site.until("not ready", async || site.readiness().await == Some(503)).await;
+    site.until("not ready", async || site.readiness().await == Some(503))
+        .await;
     sleep(Duration::from_secs(3)).await;
-    assert_eq!(site.exit_code(), None, "it must wait for the store within its grace time");
+    assert_eq!(
+        site.exit_code(),
+        None,
+        "it must wait for the store within its grace time"
+    );
     site.store.set_fault(Fault::None);
     site.until("the counts are written", async || {
         let records = site.store.values("keyed.nutmegbay-members");
--- a/crates/edge-bin/tests/whole_path.rs
+++ b/crates/edge-bin/tests/whole_path.rs
@@ -13,12 +13,20 @@
 async fn served_request() {
     let site = Site::start(1, 2).await;
     let answer = site
-        .call("POST", "/once/7?a=b", &[("X-Tenant", "forged"), ("X-Other", "kept")])
+        .call(
+            "POST",
+            "/once/7?a=b",
+            &[("X-Tenant", "forged"), ("X-Other", "kept")],
+        )
         .await;
     assert_eq!(answer.status, 200);
     assert_eq!(answer.body, b"done");
     assert_eq!(answer.header("x-server-seal"), Some("s1"));
-    let requests: Vec<_> = site.workers.iter().flat_map(common::worker::Worker::requests).collect();
+    let requests: Vec<_> = site
+        .workers
+        .iter()
+        .flat_map(common::worker::Worker::requests)
+        .collect();
     let [head] = requests.as_slice() else {
         panic!("{} runs", requests.len());
     };
@@ -35,7 +43,12 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn refused_requests() {
     let site = Site::start(2, 1).await;
-    assert_eq!(site.call("GET", "/any/1", &[("X-Api-Key", "wrong")]).await.status, 401);
+    assert_eq!(
+        site.call("GET", "/any/1", &[("X-Api-Key", "wrong")])
+            .await
+            .status,
+        401
+    );
     assert_eq!(site.call("GET", "/nowhere/", &[]).await.status, 404);
     let two_keys = [("X-Api-Key", "k1"), ("X-Api-Key", "k2")];
     assert_eq!(site.call("GET", "/any/1", &two_keys).await.status, 400);
@@ -50,7 +63,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn no_config() {
     let site = Site::start_without_config(3, 1).await;
-    site.until("it listens", async || site.readiness().await == Some(503)).await;
+    site.until("it listens", async || site.readiness().await == Some(503))
+        .await;
     let answer = site.call("GET", "/any/1", &[]).await;
     assert_eq!(answer.status, 503);
     let after: f64 = answer.header("retry-after").unwrap().parse().unwrap();
@@ -67,12 +81,20 @@
         site.call("GET", "/any/1", &[]).await.status == 401
     })
     .await;
-    assert_eq!(site.call("GET", "/any/1", &[("X-Api-Key", "k2")]).await.status, 200);
+    assert_eq!(
+        site.call("GET", "/any/1", &[("X-Api-Key", "k2")])
+            .await
+            .status,
+        200
+    );
     site.store.put("keyed.op", "config", &config(4, &["k1"]));
     site.store.drop_history();
     site.store.put("keyed.op", "config", &config(6, &["k3"]));
     site.until("k3 is granted", async || {
-        site.call("GET", "/any/1", &[("X-Api-Key", "k3")]).await.status == 200
+        site.call("GET", "/any/1", &[("X-Api-Key", "k3")])
+            .await
+            .status
+            == 200
     })
     .await;
     assert_eq!(site.call("GET", "/any/1", &[]).await.status, 401);
@@ -84,13 +106,20 @@
     let site = Site::start(5, 1).await;
     for fault in [Fault::Refuse, Fault::Silent] {
         site.store.set_fault(fault);
-        assert_eq!(site.call("GET", "/any/1", &[]).await.status, 200, "{fault:?}");
+        assert_eq!(
+            site.call("GET", "/any/1", &[]).await.status,
+            200,
+            "{fault:?}"
+        );
         assert_eq!(site.readiness().await, Some(200));
     }
     site.store.put("keyed.op", "config", &config(9, &["k9"]));
     site.store.set_fault(Fault::None);
     site.until("k9 is granted", async || {
-        site.call("GET", "/any/1", &[("X-Api-Key", "k9")]).await.status == 200
+        site.call("GET", "/any/1", &[("X-Api-Key", "k9")])
+            .await
+            .status
+            == 200
     })
     .await;
 }
@@ -105,9 +134,14 @@
     site.store.set_fault(Fault::None);
     site.store.put("keyed.op", "config", &config(9, &["k9"]));
     let in_force = site.until("k9 is granted", async || {
-        site.call("GET", "/any/1", &[("X-Api-Key", "k9")]).await.status == 200
+        site.call("GET", "/any/1", &[("X-Api-Key", "k9")])
+            .await
+            .status
+            == 200
     });
-    timeout(Duration::from_secs(3), in_force).await.expect("the change is in force too late");
+    timeout(Duration::from_secs(3), in_force)
+        .await
+        .expect("the change is in force too late");
 }
 
 /// A worker that leaves, or whose entry is removed, gets no new request.
@@ -138,7 +172,8 @@
         (reports.iter().map(of).sum::<u64>(), reports)
     };
     // The requests that waited for the first upstream were refused and do not count.
-    site.until("all requests are reported", async || sum().0 >= 5).await;
+    site.until("all requests are reported", async || sum().0 >= 5)
+        .await;
     let (_, reports) = sum();
     let mut windows: Vec<_> = reports.iter().map(|report| &report["window-seq"]).collect();
     let all = windows.len();
--- a/crates/edge-bin/tests/worker_faults.rs
+++ b/crates/edge-bin/tests/worker_faults.rs
@@ -34,7 +34,11 @@
         (Act::Serve, 200, 1),
     ];
     for (act, status, runs) in cases {
-        assert_eq!(outcome(&site, "/once/1", act).await, (status, runs), "{act:?}");
+        assert_eq!(
+            outcome(&site, "/once/1", act).await,
+            (status, runs),
+            "{act:?}"
+        );
     }
 }
 
@@ -42,7 +46,14 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn repeatable() {
     let site = Site::start(12, 3).await;
-    for act in [Act::NotRun, Act::Close, Act::OtherId, Act::Unsigned, Act::Truncate, Act::Fail] {
+    for act in [
+        Act::NotRun,
+        Act::Close,
+        Act::OtherId,
+        Act::Unsigned,
+        Act::Truncate,
+        Act::Fail,
+    ] {
         for worker in &site.workers {
             worker.forget();
         }
@@ -50,8 +61,16 @@
         site.workers[1].script(&[act]);
         site.workers[2].script(&[act]);
         let answer = site.call("GET", "/any/1", &[]).await;
-        assert!([500, 502, 503].contains(&answer.status), "{act:?}: {}", answer.status);
-        assert_eq!(answer.status == 503, act == Act::NotRun, "{act:?} is a true promise");
+        assert!(
+            [500, 502, 503].contains(&answer.status),
+            "{act:?}: {}",
+            answer.status
+        );
+        assert_eq!(
+            answer.status == 503,
+            act == Act::NotRun,
+            "{act:?} is a true promise"
+        );
         assert!(site.runs() <= 2, "{act:?}: {} runs", site.runs());
         for worker in &site.workers {
             worker.script(&[]);
@@ -70,7 +89,11 @@
     site.workers[0].script(&[Act::Twice, Act::Serve, Act::Twice, Act::Serve]);
     for n in 0..4 {
         let answer = site.call("POST", "/once/1", &[]).await;
-        assert!([200, 502].contains(&answer.status), "request {n}: {}", answer.status);
+        assert!(
+            [200, 502].contains(&answer.status),
+            "request {n}: {}",
+            answer.status
+        );
         assert!(answer.status != 200 || answer.body == b"done");
     }
 }
@@ -116,8 +139,15 @@
     };
     let (status, got) = first_breaks.await;
     assert_eq!(status, 200);
-    assert_eq!(got, events(1, 2), "both broke: the caller sees whole events and a cut");
-    let second = site.workers.iter().flat_map(common::worker::Worker::requests);
+    assert_eq!(
+        got,
+        events(1, 2),
+        "both broke: the caller sees whole events and a cut"
+    );
+    let second = site
+        .workers
+        .iter()
+        .flat_map(common::worker::Worker::requests);
     let resumes: Vec<_> = second
         .filter_map(|head| header(&head, "last-event-id").map(String::from))
         .collect();
--- a/crates/edge/src/clock.rs
+++ b/crates/edge/src/clock.rs
@@ -10,7 +10,7 @@
 
 /// Time after which a jump of the time of day is taken for a correction. Jumps that are faults go
 /// back within some seconds.
-const BELIEVED_AFTER: Duration = Duration::from_secs(60);
+const BELIEVED_AFTER: Duration = Duration::from_mins(1);
 
 /// Milliseconds since 1970 that do not jump with the time of day.
 #[derive(Debug)]
--- a/crates/edge/src/duty.rs
+++ b/crates/edge/src/duty.rs
@@ -29,13 +29,13 @@
 const CALL_BUDGET: Duration = Duration::from_millis(1_500);
 
 /// Time before a report is due at which its window is sealed although counts are missing.
-const SEAL_BEFORE_DUE: Duration = Duration::from_millis(2_000);
+const SEAL_BEFORE_DUE: Duration = Duration::from_secs(2);
 
 /// Time between two tries to send a report.
 const REPORT_PAUSE: Duration = Duration::from_millis(700);
 
 /// Longest time between two looks at what is due.
-const LONGEST_WAIT: Duration = Duration::from_millis(1_000);
+const LONGEST_WAIT: Duration = Duration::from_secs(1);
 
 /// Longest wait of a read of the register.
 const READ_WAIT: Duration = Duration::from_secs(10);
@@ -98,7 +98,10 @@
                 Ok((records, end)) => {
                     link.works(self.site.now());
                     if next != Some(end) {
-                        self.read(records.last().and_then(|record| record.value.as_deref()), end);
+                        self.read(
+                            records.last().and_then(|record| record.value.as_deref()),
+                            end,
+                        );
                     }
                     next = Some(end);
                 }
@@ -221,7 +224,12 @@
                 .sealed
                 .last()
                 .map_or(0, |sealed| sealed.counts.values().sum());
-            tracing::info!(event = "usage_sealed", window, total, members = records.len());
+            tracing::info!(
+                event = "usage_sealed",
+                window,
+                total,
+                members = records.len()
+            );
             self.write(at, record).await;
         }
     }
@@ -252,12 +260,9 @@
         };
         let settings = self.site.settings();
         for sealed in windows {
-            let sent = self.reports.report_usage(
-                &settings.node,
-                fencing.0,
-                sealed.window,
-                &sealed.counts,
-            );
+            let sent =
+                self.reports
+                    .report_usage(&settings.node, fencing.0, sealed.window, &sealed.counts);
             match sent.await {
                 Ok(()) => {
                     tracing::info!(event = "usage_reported", window = sealed.window);
--- a/crates/edge/src/fleet.rs
+++ b/crates/edge/src/fleet.rs
@@ -179,7 +179,10 @@
     /// Notes that the entry of an upstream lapsed while the store was away; it is used until the
     /// time for it to come back is over.
     pub fn lapse(&mut self, id: &str, until: Moment) {
-        let upstream = self.by_id.get(id).and_then(|key| self.upstreams.get_mut(*key));
+        let upstream = self
+            .by_id
+            .get(id)
+            .and_then(|key| self.upstreams.get_mut(*key));
         if let Some(upstream) = upstream
             && upstream.lapsed_until.is_none()
         {
@@ -285,7 +288,10 @@
             .filter(|key| self.upstreams[*key].report.role != Some(EngineRole::Prefill))
             .collect();
         decoding.sort_by_key(|key| self.upstreams[*key].hash);
-        let own = self.costs.get(&service.name).map_or(0.0, |costs| costs.streams);
+        let own = self
+            .costs
+            .get(&service.name)
+            .map_or(0.0, |costs| costs.streams);
         let all = own * instances as f64;
         decoding.truncate(gathering_engines(all, engine.slots, decoding.len()));
         decoding
@@ -398,11 +404,7 @@
     }
 
     fn service_keys(&self, service: &str) -> impl Iterator<Item = UpstreamKey> {
-        self.by_service
-            .get(service)
-            .into_iter()
-            .flatten()
-            .copied()
+        self.by_service.get(service).into_iter().flatten().copied()
     }
 
     /// Upstreams that take new work. Those that were tried or are avoided are left out as long as
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -17,7 +17,7 @@
 use crate::fleet::Ticket;
 use crate::http1::{CallError, Caller, Cause, Connection};
 use crate::metrics::count;
-use crate::model::{AnswerHead, Instructions, RequestKind, Stage};
+use crate::model::{AnswerHead, Instructions, Refusal, RequestKind, Stage};
 use crate::port::{Dialect, Outbound};
 use crate::site::Site;
 use crate::sse::Events;
@@ -34,6 +34,10 @@
 const TELLING_TOKENS: u32 = 2_048;
 
 /// How a send ended.
+#[allow(
+    clippy::large_enum_variant,
+    reason = "one value exists for each request in flight"
+)]
 pub enum Send {
     /// The upstream answered.
     Reply(Reply),
@@ -54,6 +58,10 @@
 }
 
 /// Body of an upstream's answer.
+#[allow(
+    clippy::large_enum_variant,
+    reason = "one value exists for each request in flight"
+)]
 pub enum ReplyBody {
     /// All of it.
     Whole(Bytes),
@@ -111,7 +119,7 @@
 }
 
 /// Answer whose body has not been read.
-struct Head {
+struct Opened {
     head: AnswerHead,
     headers: HeaderMap,
     source: Source,
@@ -143,7 +151,7 @@
         let left = self.job.left(self.site.now());
         let sent = self.open(at, cost_ms, Stage::Whole, Some(after));
         match timeout(left, sent).await {
-            Ok(Ok(Head { head, source, .. })) if head.status.is_success() => Some(source),
+            Ok(Ok(Opened { head, source, .. })) if head.status.is_success() => Some(source),
             _ => None,
         }
     }
@@ -158,7 +166,7 @@
         let counted = self.sends;
         let began = self.site.now();
         let read = async {
-            let Head {
+            let Opened {
                 head,
                 headers,
                 mut source,
@@ -167,7 +175,7 @@
                 source.ticket.note(Outcome::Faulty, self.site.now());
                 return Err(Send::Lost("prefill_broken"));
             };
-            if head.is_not_run || !head.status.is_success() {
+            if head.is_not_run() || !head.status.is_success() {
                 if let Some(outcome) = outcome_of(&head, Stage::Prefill) {
                     source.ticket.note(outcome, self.site.now());
                 }
@@ -186,13 +194,12 @@
             let fleet = self.site.fleet.borrow();
             fleet.get(at).map(|upstream| upstream.report.addr)
         };
-        let (true, Some(prefilled), Some(source)) =
-            (head.status.is_success(), prefilled, address)
+        let (true, Some(prefilled), Some(source)) = (head.status.is_success(), prefilled, address)
         else {
             return Err(Send::Reply(Reply {
                 head: AnswerHead {
                     // A prefill does not run the request, whatever its answer is.
-                    is_not_run: true,
+                    refusal: head.refusal.or(Some(Refusal::NotRun)),
                     ..head
                 },
                 headers,
@@ -239,7 +246,7 @@
         stage: Stage<'_>,
         after: Option<&str>,
     ) -> Send {
-        let Head {
+        let Opened {
             head,
             headers,
             mut source,
@@ -247,7 +254,7 @@
             Ok(head) => head,
             Err(send) => return send,
         };
-        if head.is_not_run || !head.status.is_success() {
+        if head.is_not_run() || !head.status.is_success() {
             return self.short_answer(head, headers, source, stage).await;
         }
         if !head.is_signed {
@@ -269,7 +276,7 @@
         stage: Stage<'_>,
     ) -> Send {
         let Ok((body, true)) = read_up_to(&mut source, WHOLE_BODY).await else {
-            return if head.is_not_run {
+            return if head.is_not_run() {
                 Send::Reply(Reply {
                     head,
                     headers,
@@ -279,7 +286,7 @@
                 Send::Lost("upstream_broke")
             };
         };
-        if !head.is_not_run {
+        if !head.is_not_run() {
             source.ticket.began(self.site.now());
             self.count_run();
         }
@@ -383,7 +390,7 @@
         cost_ms: f64,
         stage: Stage<'_>,
         after: Option<&str>,
-    ) -> Result<Head, Send> {
+    ) -> Result<Opened, Send> {
         self.tried.push(at);
         let id = upstream_id(self.site, at);
         note_upstream(self.job, &id, stage);
@@ -408,7 +415,11 @@
             ticket.reported(load.running + load.waiting, self.site.now());
         }
         // An answer that was left over from an earlier request names that one.
-        if head.id.as_deref().is_some_and(|id| *id != *self.job.inbound.id) {
+        if head
+            .id
+            .as_deref()
+            .is_some_and(|id| *id != *self.job.inbound.id)
+        {
             ticket.note(Outcome::Faulty, self.site.now());
             return Err(Send::Lost("answer_of_another_request"));
         }
@@ -417,7 +428,7 @@
         {
             ticket.note(outcome, self.site.now());
         }
-        Ok(Head {
+        Ok(Opened {
             headers: parts.headers,
             source: Source {
                 connection,
--- a/crates/edge/src/forward/job.rs
+++ b/crates/edge/src/forward/job.rs
@@ -62,7 +62,10 @@
 
     /// Whether its answer is a long stream.
     pub fn is_long(&self) -> bool {
-        self.inbound.work.as_ref().is_some_and(crate::fleet::is_long)
+        self.inbound
+            .work
+            .as_ref()
+            .is_some_and(crate::fleet::is_long)
     }
 
     /// Rank for the upstream.
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -17,7 +17,7 @@
 use nutmegbay_policy::edge::health::Outcome;
 use nutmegbay_policy::edge::placement::Placement;
 
-use crate::model::{RequestKind, Stage};
+use crate::model::{Refusal, RequestKind, Stage};
 use crate::port::Dialect;
 use crate::site::Site;
 use crate::stream::{Broken, Cut, Source, relay};
@@ -189,7 +189,7 @@
         let objective = match self.job.route.kind {
             RequestKind::Streaming => self.job.route.objective,
             // A plain call is short: it is served late rather than not at all.
-            _ => self.job.route.timeout,
+            RequestKind::Idempotent | RequestKind::NonIdempotent => self.job.route.timeout,
         };
         let claim = Claim {
             first_ms: predicted_ms,
@@ -242,7 +242,7 @@
                 cost_ms,
                 first_ms,
             }),
-            whole => Some(whole),
+            whole @ Placement::Whole { .. } => Some(whole),
         }
     }
 
@@ -294,7 +294,7 @@
         };
         let patience = self.patience(first_ms);
         let reply = self.send(decode, move_ms, stage, patience).await;
-        if matches!(&reply, Send::Reply(reply) if !reply.head.is_not_run) {
+        if matches!(&reply, Send::Reply(reply) if !reply.head.is_not_run()) {
             handle.taken();
         }
         reply
@@ -303,7 +303,7 @@
     /// Takes an answer that goes to the caller out of `send`, or notes why there is none.
     fn judge(&mut self, send: Send) -> Option<Reply> {
         match send {
-            Send::Reply(reply) if reply.head.is_not_run => {
+            Send::Reply(reply) if reply.head.is_not_run() => {
                 self.cause = "upstream_refused";
                 None
             }
@@ -355,7 +355,9 @@
 /// Name of an upstream for the log.
 fn upstream_id<D: Dialect>(site: &Site<D>, key: UpstreamKey) -> Box<str> {
     let fleet = site.fleet.borrow();
-    fleet.get(key).map_or_else(|| "gone".into(), |up| up.id.clone())
+    fleet
+        .get(key)
+        .map_or_else(|| "gone".into(), |up| up.id.clone())
 }
 
 /// Service of a request whose route names one that is not known.
@@ -372,10 +374,10 @@
 /// Evidence that an answer's head gives about its upstream.
 fn outcome_of(head: &crate::model::AnswerHead, stage: Stage<'_>) -> Option<Outcome> {
     match head.status {
-        _ if head.is_misdirected => Some(Outcome::Unreachable),
+        _ if head.refusal == Some(Refusal::Misdirected) => Some(Outcome::Unreachable),
         // The refusal may be about the prefill result, which another engine holds.
-        _ if head.is_not_run && matches!(stage, Stage::Decode { .. }) => None,
-        _ if head.is_not_run => Some(Outcome::Refusing),
+        _ if head.is_not_run() && matches!(stage, Stage::Decode { .. }) => None,
+        _ if head.is_not_run() => Some(Outcome::Refusing),
         status if status.is_server_error() => Some(Outcome::Faulty),
         _ => Some(Outcome::Good),
     }
--- a/crates/edge/src/http1.rs
+++ b/crates/edge/src/http1.rs
@@ -100,7 +100,7 @@
 impl Connection {
     /// Opens a connection.
     pub async fn open(addr: SocketAddr) -> Result<Self, CallError> {
-        let failed = |_| CallError {
+        let failed = |()| CallError {
             verdict: Verdict::NotRun,
             cause: Cause::Connect,
         };
@@ -143,7 +143,9 @@
 
     /// Marks the connection as idle from now on. `keep_alive` is what the other end said.
     pub fn rest(&mut self, keep_alive: Option<Duration>) {
-        let idle = keep_alive.unwrap_or(DEFAULT_IDLE).saturating_sub(IDLE_MARGIN);
+        let idle = keep_alive
+            .unwrap_or(DEFAULT_IDLE)
+            .saturating_sub(IDLE_MARGIN);
         self.idle_until = Instant::now() + idle;
         self.is_reused = true;
     }
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -120,9 +120,7 @@
 }
 
 /// One body type for answers that are whole and answers that are passed on as they come.
-pub fn unify<B>(
-    body: Either<Full<Bytes>, B>,
-) -> impl Body<Data = Bytes, Error = Broken> + use<B>
+pub fn unify<B>(body: Either<Full<Bytes>, B>) -> impl Body<Data = Bytes, Error = Broken> + use<B>
 where
     B: Body<Data = Bytes, Error = Broken>,
 {
@@ -198,10 +196,12 @@
             NoRoute::BadKey => reject(StatusCode::UNAUTHORIZED, "unknown_key"),
             NoRoute::Unknown => reject(StatusCode::NOT_FOUND, "no_route"),
         })?;
-    let service = table.service(route, rand::random()).ok_or_else(|| Rejected {
-        id: id.clone(),
-        failure: unknown_service(&route.name),
-    })?;
+    let service = table
+        .service(route, rand::random())
+        .ok_or_else(|| Rejected {
+            id: id.clone(),
+            failure: unknown_service(&route.name),
+        })?;
     site.first_request(&service.name);
     if service.engine.is_some() {
         let mut fleet = site.fleet.borrow_mut();
@@ -257,7 +257,10 @@
 /// Answer of the system's own.
 fn refusal(failure: &Failure) -> Response<Full<Bytes>> {
     let verdict: &str = failure.verdict.into();
-    let body = format!("{{\"cause\":\"{}\",\"verdict\":\"{verdict}\"}}\n", failure.cause);
+    let body = format!(
+        "{{\"cause\":\"{}\",\"verdict\":\"{verdict}\"}}\n",
+        failure.cause
+    );
     let mut res = Response::new(Full::new(Bytes::from(body)));
     *res.status_mut() = failure.status;
     let headers = res.headers_mut();
@@ -280,7 +283,8 @@
         cause: &'static str,
         verdict: Verdict,
     ) {
-        site.metrics.request(&self.route.name, status.as_u16(), cause);
+        site.metrics
+            .request(&self.route.name, status.as_u16(), cause);
         let facts = self.facts.borrow();
         if facts.is_streaming {
             return;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -6,15 +6,20 @@
 use std::time::Duration;
 
 /// Upper bounds of the latency buckets, in milliseconds.
-const BUCKETS_MS: [u32; 12] = [5, 10, 20, 50, 100, 150, 200, 500, 1_000, 2_000, 5_000, 15_000];
+const BUCKETS_MS: [u32; 12] = [
+    5, 10, 20, 50, 100, 150, 200, 500, 1_000, 2_000, 5_000, 15_000,
+];
 
 /// Longest name of a route and outcome that is counted by itself; a site has a few dozen.
 const MOST_SERIES: usize = 1_024;
 
+/// Route, status and cause of requests that ended alike.
+type Ending = (Box<str>, u16, &'static str);
+
 /// Counters and histograms of one process.
 #[derive(Debug, Default)]
 pub struct Metrics {
-    requests: RefCell<BTreeMap<(Box<str>, u16, &'static str), u64>>,
+    requests: RefCell<BTreeMap<Ending, u64>>,
     first_result: RefCell<BTreeMap<Box<str>, Histogram>>,
     /// Connections opened to upstreams.
     pub connections_opened: Cell<u64>,
@@ -107,7 +112,10 @@
     fn write(&self, text: &mut String, route: &str) {
         const NAME: &str = "nutmegbay_first_result_ms";
         for (bound, n) in BUCKETS_MS.iter().zip(&self.buckets) {
-            let _ = writeln!(text, "{NAME}_bucket{{route=\"{route}\",le=\"{bound}\"}} {n}");
+            let _ = writeln!(
+                text,
+                "{NAME}_bucket{{route=\"{route}\",le=\"{bound}\"}} {n}"
+            );
         }
         let _ = writeln!(
             text,
--- a/crates/edge/src/model.rs
+++ b/crates/edge/src/model.rs
@@ -271,10 +271,8 @@
     pub id: Option<Box<str>>,
     /// Whether it carries the upstream's signature.
     pub is_signed: bool,
-    /// Whether it states that the request did not run and never will.
-    pub is_not_run: bool,
-    /// Whether the upstream is another one, or in another role, than the request expects.
-    pub is_misdirected: bool,
+    /// Its statement that the request did not run and never will, where it makes one.
+    pub refusal: Option<Refusal>,
     /// Load of the upstream, where given.
     pub load: Option<LoadReport>,
     /// How long an idle connection stays usable, where given.
@@ -283,6 +281,23 @@
     pub is_closing: bool,
 }
 
+impl AnswerHead {
+    /// Whether it states that the request did not run and never will.
+    pub fn is_not_run(&self) -> bool {
+        self.refusal.is_some()
+    }
+}
+
+/// Statement of an upstream that it did not run a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Refusal {
+    /// It has no room, or the request's time was over.
+    NotRun,
+    /// It is another one, or in another role, than the request expects.
+    Misdirected,
+}
+
 /// Load of an upstream as of an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LoadReport {
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -88,7 +88,12 @@
         store,
         reports,
     } = adapter;
-    let site = Rc::new(Site::new(dialect, settings, TrueTime::system(), stop.clone()));
+    let site = Rc::new(Site::new(
+        dialect,
+        settings,
+        TrueTime::system(),
+        stop.clone(),
+    ));
     spawn_local(follow::config(Rc::clone(&site), store.clone()));
     spawn_local(follow::instances(Rc::clone(&site), store.clone()));
     spawn_local(members::watch(Rc::clone(&site), store.clone()));
@@ -132,7 +137,10 @@
         sleep(LAST_LOOK).await;
     }
     if !site.is_usage_written() {
-        tracing::warn!(event = "usage_lost", "the store took no counts until the end");
+        tracing::warn!(
+            event = "usage_lost",
+            "the store took no counts until the end"
+        );
     }
     tracing::info!(event = "stopped", in_flight = site.in_flight.get());
     Ok(())
--- a/crates/edge/src/site.rs
+++ b/crates/edge/src/site.rs
@@ -90,7 +90,12 @@
 
 impl<D: Dialect> Site<D> {
     /// State of a process that knows nothing yet.
-    pub fn new(dialect: D, settings: EdgeSettings, time: TrueTime, stop: CancellationToken) -> Self {
+    pub fn new(
+        dialect: D,
+        settings: EdgeSettings,
+        time: TrueTime,
+        stop: CancellationToken,
+    ) -> Self {
         let fleet = Rc::new(RefCell::new(Fleet::new(&settings.domain)));
         Self {
             dialect,
@@ -182,7 +187,7 @@
 
     /// Counts a first request for `service`.
     pub fn first_request(&self, service: &str) {
-        self.with_budget(service, |share, now| share.first(now));
+        self.with_budget(service, RetryShare::first);
     }
 
     /// Takes a retry for `service` out of the budget; false if there is none left.
@@ -213,10 +218,9 @@
     pub fn elapsed(&self, route: &str, deadline: Duration) -> Duration {
         let mut longest = self.longest_deadline.borrow_mut();
         match longest.get_mut(route) {
-            Some(longest) if *longest >= deadline => *longest - deadline,
             Some(longest) => {
-                *longest = deadline;
-                Duration::ZERO
+                *longest = deadline.max(*longest);
+                longest.saturating_sub(deadline)
             }
             None => {
                 longest.insert(route.into(), deadline);
--- a/crates/edge/src/sse.rs
+++ b/crates/edge/src/sse.rs
@@ -69,7 +69,5 @@
 fn last_event_end(bytes: &[u8]) -> Option<usize> {
     let newline = bytes.windows(2).rposition(|pair| pair == b"\n\n");
     let returns = bytes.windows(4).rposition(|four| four == b"\r\n\r\n");
-    newline
-        .map(|at| at + 2)
-        .max(returns.map(|at| at + 4))
+    newline.map(|at| at + 2).max(returns.map(|at| at + 4))
 }
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -178,9 +178,8 @@
                 Err(_) if self.job.left(self.site.now()).is_zero() => {
                     return Some(Err(Broken::Deadline));
                 }
-                Err(_) => Read::Lost,
+                Err(_) | Ok(Some(Err(_))) => Read::Lost,
                 Ok(None) => Read::End,
-                Ok(Some(Err(_))) => Read::Lost,
                 Ok(Some(Ok(bytes))) => Read::Bytes(bytes),
             };
             match read {
--- a/crates/edge/tests/event_cut.rs
+++ b/crates/edge/tests/event_cut.rs
@@ -23,7 +23,11 @@
     let mut events = Events::default();
     let whole = push(&mut events, "id: 1\ndata: a\n\nid: 2\nda").unwrap();
     assert_eq!(whole, "id: 1\ndata: a\n\n");
-    assert_eq!(events.last_id(), Some("1"), "a resume must ask for event 2 again");
+    assert_eq!(
+        events.last_id(),
+        Some("1"),
+        "a resume must ask for event 2 again"
+    );
     assert!(!events.is_between_events());
     assert_eq!(push(&mut events, "ta: b\n"), None);
     assert_eq!(push(&mut events, "\n").unwrap(), "id: 2\ndata: b\n\n");
--- a/crates/edge/tests/route_table.rs
+++ b/crates/edge/tests/route_table.rs
@@ -61,7 +61,11 @@
 #[test]
 fn longest_prefix() {
     let table = table();
-    let name = |path| table.route("shop.example:80", path).map(|route| route.name.clone());
+    let name = |path| {
+        table
+            .route("shop.example:80", path)
+            .map(|route| route.name.clone())
+    };
     assert_eq!(name("/orders/old/1").as_deref(), Some("old"));
     assert_eq!(name("/orders/new/1").as_deref(), Some("orders"));
     assert_eq!(name("/ordersnew").as_deref(), Some("root"));
@@ -73,7 +77,11 @@
 fn keys() {
     let table = table();
     let route = table.route("shop.example", "/orders/1").unwrap();
-    let account = |key| table.account(route, key).map(|account| account.unwrap().name.clone());
+    let account = |key| {
+        table
+            .account(route, key)
+            .map(|account| account.unwrap().name.clone())
+    };
     assert_eq!(account(Some("k1")).as_deref(), Ok("acme"));
     assert_eq!(account(Some("k2")), Err(NoRoute::BadKey));
     assert_eq!(account(None), Err(NoRoute::NoKey));
--- a/crates/fakes/tests/append_offsets.rs
+++ b/crates/fakes/tests/append_offsets.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 use common::{client, record};
+use nutmegbay_backplane::Log;
 use nutmegbay_core::ids::Offset;
 use nutmegbay_fakes::platform::{FakePlatform, PlatformConfig};
-use nutmegbay_backplane::Log;
 
 #[tokio::test]
 async fn concurrent_groups() {
--- a/crates/fakes/tests/long_poll.rs
+++ b/crates/fakes/tests/long_poll.rs
@@ -6,11 +6,11 @@
 use std::time::Duration;
 
 use common::{client, record, soon, until};
+use nutmegbay_backplane::{Cause, Log};
 use nutmegbay_core::ids::Offset;
 use nutmegbay_fakes::platform::{
     FakePlatform, FaultRule, Interface, Outage, PlatformConfig, PlatformFaults,
 };
-use nutmegbay_backplane::{Cause, Log};
 
 #[tokio::test]
 async fn append_wakes_reader() {
--- a/crates/fakes/tests/lost_answer.rs
+++ b/crates/fakes/tests/lost_answer.rs
@@ -6,12 +6,12 @@
 use std::time::Duration;
 
 use common::{client, record};
+use nutmegbay_backplane::{Cause, ClientSettings, Log, PlatformClient};
 use nutmegbay_core::ids::Offset;
 use nutmegbay_core::verdict::Verdict;
 use nutmegbay_fakes::platform::{
     FakePlatform, FaultRule, Interface, Outage, PlatformConfig, PlatformFaults,
 };
-use nutmegbay_backplane::{Cause, ClientSettings, Log, PlatformClient};
 
 fn losing(rule: FaultRule) -> PlatformFaults {
     PlatformFaults::one(FaultRule {
--- a/crates/fakes/tests/rate_limit.rs
+++ b/crates/fakes/tests/rate_limit.rs
@@ -3,9 +3,9 @@
 mod common;
 
 use common::{client, record};
+use nutmegbay_backplane::{Cause, Log, WeightStore};
 use nutmegbay_core::ids::Offset;
 use nutmegbay_fakes::platform::{FakePlatform, PlatformConfig};
-use nutmegbay_backplane::{Cause, Log, WeightStore};
 
 #[tokio::test]
 async fn appends_over_rate() {
--- a/crates/fakes/tests/received_calls.rs
+++ b/crates/fakes/tests/received_calls.rs
@@ -4,10 +4,10 @@
 mod common;
 
 use common::{Http, client};
+use nutmegbay_backplane::{Cause, InstanceDirectory, UpstreamOrders, UsageReports};
 use nutmegbay_core::ids::{Epoch, RecordId, WindowId};
 use nutmegbay_core::record::{OrderCommand, Usage};
 use nutmegbay_fakes::platform::{FakePlatform, PlatformConfig};
-use nutmegbay_backplane::{Cause, InstanceDirectory, UpstreamOrders, UsageReports};
 use nutmegbay_proto::platform::{InstanceList, UpstreamOrder, UsageReport};
 use serde_json::json;
 
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -6,9 +6,9 @@
 
 use error_stack::{Report, ResultExt};
 use jsonrpsee::server::{Server, ServerConfig};
+use nutmegbay_backplane::{ClientSettings, PlatformClient};
 use nutmegbay_core::ids::Incarnation;
 use nutmegbay_core::node::Event;
-use nutmegbay_backplane::{ClientSettings, PlatformClient};
 use nutmegbay_proto::control::GatewayControlServer;
 use nutmegbay_telemetry::admin::{self, Readiness};
 use tokio::net::TcpListener;
--- a/crates/gateway/src/state/actor.rs
+++ b/crates/gateway/src/state/actor.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use nutmegbay_backplane::{Log, UpstreamOrders, UsageReports};
 use nutmegbay_core::attempt::{DispatchResult, TicketId};
 use nutmegbay_core::freshness::ISOLATED_AFTER;
 use nutmegbay_core::guard::{AttemptRef, AttemptState};
@@ -16,7 +17,6 @@
 use nutmegbay_core::usage::WindowTerms;
 use nutmegbay_core::verdict::Verdict;
 use nutmegbay_core::world::{Moment, World as _};
-use nutmegbay_backplane::{Log, UpstreamOrders, UsageReports};
 use nutmegbay_proto::control::LogStatus;
 use nutmegbay_proto::platform::{Entry, InstanceKind, InstanceList, ReadResponse};
 use nutmegbay_settings::parse_site;
--- a/crates/gateway/src/state/effects.rs
+++ b/crates/gateway/src/state/effects.rs
@@ -3,13 +3,13 @@
 use std::time::Duration;
 
 use futures::future::join_all;
+use nutmegbay_backplane::{Cause, InstanceDirectory, Log, UpstreamOrders, UsageReports};
 use nutmegbay_core::ids::Offset;
 use nutmegbay_core::node::{Effect, Event};
 use nutmegbay_core::orders::{OrderAnswer, SendOrder};
 use nutmegbay_core::record::{CrashReport, OrderCommand};
 use nutmegbay_core::snapshot::Image;
 use nutmegbay_core::usage::SendUsageReport;
-use nutmegbay_backplane::{Cause, InstanceDirectory, Log, UpstreamOrders, UsageReports};
 use nutmegbay_proto::control::{GatewayControlClient, Gossip, SidecarControlClient};
 use nutmegbay_proto::engine::EngineOrder;
 use nutmegbay_proto::platform::{UpstreamOrder, UsageReport};
--- a/crates/policy/src/edge/load.rs
+++ b/crates/policy/src/edge/load.rs
@@ -105,8 +105,7 @@
 
     /// Requests of other instances at `now`.
     pub fn foreign(&self, now: Moment) -> f64 {
-        let age =
-            now.since(self.foreign_at).as_secs_f64() / FOREIGN_HALF_LIFE.as_secs_f64();
+        let age = now.since(self.foreign_at).as_secs_f64() / FOREIGN_HALF_LIFE.as_secs_f64();
         self.foreign * 0.5_f64.powf(age)
     }
 
--- a/crates/policy/tests/edge_budget.rs
+++ b/crates/policy/tests/edge_budget.rs
@@ -36,7 +36,10 @@
             (firsts + 1, retries + u32::from(*retried))
         });
         let bound = 0.2 * f64::from(firsts) + 54.0;
-        assert!(f64::from(retries) <= bound, "{retries} of {bound} from {start} ms");
+        assert!(
+            f64::from(retries) <= bound,
+            "{retries} of {bound} from {start} ms"
+        );
     }
 }
 
--- a/crates/policy/tests/edge_health.rs
+++ b/crates/policy/tests/edge_health.rs
@@ -25,7 +25,10 @@
     health.sent();
     assert!(health.is_avoided(at(400)));
     health.ended_unknown();
-    assert!(!health.is_avoided(at(400)), "a caller that left must not block the next try");
+    assert!(
+        !health.is_avoided(at(400)),
+        "a caller that left must not block the next try"
+    );
 }
 
 #[test]
@@ -35,7 +38,10 @@
         health.note(at(n * 3_000), Outcome::Unreachable);
     }
     assert!(health.is_avoided(at(27_000 + 2_300)));
-    assert!(!health.is_avoided(at(27_000 + 2_500)), "an upstream is back after some seconds");
+    assert!(
+        !health.is_avoided(at(27_000 + 2_500)),
+        "an upstream is back after some seconds"
+    );
     health.note(at(30_000), Outcome::Good);
     assert!(!health.is_avoided(at(30_000)));
 }
@@ -46,12 +52,22 @@
     let (mut grey, mut sound) = (Health::default(), Health::default());
     for n in 0..50 {
         let failed = n % 5 < 2;
-        grey.note(at(n * 50), if failed { Outcome::Faulty } else { Outcome::Good });
+        grey.note(
+            at(n * 50),
+            if failed {
+                Outcome::Faulty
+            } else {
+                Outcome::Good
+            },
+        );
         sound.note(at(n * 50), Outcome::Good);
     }
     assert!(grey.failure_rate(at(2_500)) > 0.2);
     assert!(sound.failure_rate(at(2_500)) < 0.01);
-    assert!(grey.failure_rate(at(20_000)) < 0.02, "it must get another chance");
+    assert!(
+        grey.failure_rate(at(20_000)) < 0.02,
+        "it must get another chance"
+    );
 }
 
 /// An upstream that changes its role refuses work; that is no failure of its requests.
--- a/crates/policy/tests/edge_prefixes.rs
+++ b/crates/policy/tests/edge_prefixes.rs
@@ -20,7 +20,10 @@
     assert!(prefixes.belief(7, other, 5, at(0)) < 0.01);
     prefixes.used(7, other, at(1));
     assert!(prefixes.belief(7, other, 5, at(2)) > 0.99);
-    assert!(prefixes.belief(7, other, 5, at(60)) < 0.01, "memory is reused");
+    assert!(
+        prefixes.belief(7, other, 5, at(60)) < 0.01,
+        "memory is reused"
+    );
 }
 
 /// More parts than are remembered must neither grow without bound nor panic.
@@ -51,7 +54,10 @@
             .unwrap()
     };
     let parts = 0..4_000_u64;
-    let at_first = parts.clone().filter(|part| first(*part, &engines) == 11).count();
+    let at_first = parts
+        .clone()
+        .filter(|part| first(*part, &engines) == 11)
+        .count();
     assert!((1_800..2_200).contains(&at_first), "{at_first} of 4000");
     for part in parts {
         let before = first(part, &engines);
--- a/crates/sidecar/src/log_view.rs
+++ b/crates/sidecar/src/log_view.rs
@@ -3,10 +3,10 @@
 use std::collections::VecDeque;
 use std::time::Duration as StdDuration;
 
+use nutmegbay_backplane::{ClientSettings, Log, PlatformClient};
 use nutmegbay_core::guard::{Authority, OrderRefused};
 use nutmegbay_core::ids::{Epoch, Offset};
 use nutmegbay_core::record::Record;
-use nutmegbay_backplane::{ClientSettings, Log, PlatformClient};
 use nutmegbay_proto::control::{LogStatus, Tail};
 use nutmegbay_proto::platform::Entry;
 use tokio::time::{Duration, Instant, sleep};
--- a/crates/telemetry/src/log/buffer.rs
+++ b/crates/telemetry/src/log/buffer.rs
@@ -124,8 +124,8 @@
         let stopping = state.stopping;
         drop(state);
         if out.write_all(&lines).and_then(|()| out.flush()).is_err() {
-            let lost = lines.iter().filter(|byte| **byte == b'\n').count();
-            DROPPED.fetch_add(lost as u64, Ordering::Relaxed);
+            let lost = lines.split(|byte| *byte == b'\n').count() as u64;
+            DROPPED.fetch_add(lost.saturating_sub(1), Ordering::Relaxed);
         }
         lines.clear();
         if stopping {
