Seal windows in order from the oldest that can be reported

While no window had been sealed, the newest one was the next; looks a second apart that fell within the first 0.4 s of a window of one second found it not fully counted each time, and it moved on. Ruled out: lost appends, the lease (held all along in the log). A look also seals all windows that are due, not one.

--- a/crates/core/src/duty/windows.rs
+++ b/crates/core/src/duty/windows.rs
@@ -2,8 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
-/// Windows for which a process keeps its counts: a report is due two windows after the end.
-const WINDOWS_KEPT: usize = 4;
+/// Windows for which a process keeps its counts. A report is due a few windows after the end.
+const WINDOWS_KEPT: usize = 8;
 
 /// Windows without a write after which a process is taken for gone.
 const SILENT_WINDOWS: u64 = 3;
--- a/crates/edge-bin/tests/common/mod.rs
+++ b/crates/edge-bin/tests/common/mod.rs
@@ -21,6 +21,9 @@
 /// Longest wait for anything that a test expects.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
+/// Environment variable that shows the edge's log where it is set.
+const LOG_VARIABLE: &str = "NUTMEGBAY_TEST_LOG";
+
 /// Ports of the parts, the same at every address.
 const INGRESS: u16 = 8_405;
 const READINESS: u16 = 8_406;
@@ -60,9 +63,13 @@
         }
         let settings = NamedTempFile::new().unwrap();
         std::fs::write(settings.path(), settings_text(ip)).unwrap();
+        let log = match std::env::var_os(LOG_VARIABLE) {
+            Some(_) => Stdio::inherit(),
+            None => Stdio::null(),
+        };
         let child = Command::new(env!("CARGO_BIN_EXE_nutmegbay-edge"))
             .env("NUTMEGBAY_BOOT", settings.path())
-            .stdout(Stdio::null())
+            .stdout(log)
             .spawn()
             .unwrap();
         Self {
--- a/crates/edge/src/duty.rs
+++ b/crates/edge/src/duty.rs
@@ -40,9 +40,6 @@
 /// Longest wait of a read of the register.
 const READ_WAIT: Duration = Duration::from_secs(10);
 
-/// Oldest window that is sealed, counted back from the current one: older reports are overdue.
-const OLDEST_WINDOW: u64 = 3;
-
 /// Time for giving back the duties on a planned stop.
 const RELEASE_TIME: Duration = Duration::from_millis(500);
 
@@ -152,8 +149,10 @@
             Step::Wait(wait) => wait,
             Step::Write { at, record } => self.write(at, record).await,
         };
-        if let Some(window) = self.window_to_seal() {
-            self.seal(window).await;
+        while let Some(window) = self.window_to_seal() {
+            if !self.seal(window).await {
+                break;
+            }
         }
         self.report().await.map_or(wait, |pause| pause.min(wait))
     }
@@ -186,18 +185,22 @@
         keeper.may_act(self.site.now(), CALL_BUDGET)?;
         let now_ms = self.site.time.borrow().now_ms();
         let newest = self.site.window_at(now_ms).checked_sub(1)?;
-        let oldest = newest.saturating_sub(OLDEST_WINDOW - 1);
+        // The reports of older windows are overdue.
+        let terms = self.seal_terms();
+        let oldest = newest.saturating_sub(terms.latest_ms.div_ceil(terms.window_ms.max(1)));
         let sealed = keeper.record()?.sealed.last().map(|last| last.window);
-        let next = sealed.map_or(newest, |sealed| (sealed + 1).max(oldest));
+        // Not the newest where none is sealed: while it is not counted yet, it would move on.
+        let next = sealed.map_or(oldest, |sealed| (sealed + 1).max(oldest));
         (next <= newest).then_some(next)
     }
 
-    async fn seal(&self, window: u64) {
+    /// Seals a window and returns whether that worked.
+    async fn seal(&self, window: u64) -> bool {
         let records = match members::read(&self.site, &self.store).await {
             Ok(records) => records,
             Err(error) => {
                 tracing::debug!(event = "usage_not_read", window, ?error);
-                return;
+                return false;
             }
         };
         let usage = records
@@ -212,7 +215,7 @@
         own.through = members::through(&self.site);
         let counted = usage.clone().chain([&own]);
         if !self.seal_terms().is_due(window, now_ms, counted) {
-            return;
+            return false;
         }
         let sealed = merge(window, usage.chain([&own]));
         let step = self
@@ -232,6 +235,9 @@
             );
             self.write(at, record).await;
         }
+        let keeper = self.keeper.borrow();
+        let sealed = keeper.record().and_then(|record| record.sealed.last());
+        sealed.is_some_and(|sealed| sealed.window >= window)
     }
 
     fn seal_terms(&self) -> SealTerms {
