--- a/crates/edge/src/duty.rs
+++ b/crates/edge/src/duty.rs
@@ -37,6 +37,13 @@
 /// Longest time between two looks at what is due.
 const LONGEST_WAIT: Duration = Duration::from_secs(1);
 
+/// Pause of a process that does not hold the duties between two reads of the register, for each
+/// process that runs. Each renewal would otherwise end a waiting read of every process.
+const FOLLOW_PAUSE: Duration = Duration::from_millis(80);
+
+/// Longest such pause: it delays a claim after the loss of the holder.
+const LONGEST_FOLLOW_PAUSE: Duration = Duration::from_millis(2_500);
+
 /// Longest wait of a read of the register.
 const READ_WAIT: Duration = Duration::from_secs(10);
 
@@ -101,6 +108,11 @@
                         );
                     }
                     next = Some(end);
+                    if !self.is_holder() {
+                        let instances = u32::try_from(self.site.instances()).unwrap_or(u32::MAX);
+                        let pause = FOLLOW_PAUSE.saturating_mul(instances);
+                        sleep(pause.min(LONGEST_FOLLOW_PAUSE)).await;
+                    }
                 }
                 Err(StoreError::Expired) => next = None,
                 Err(error) => {
@@ -111,6 +123,11 @@
         }
     }
 
+    fn is_holder(&self) -> bool {
+        let keeper = self.keeper.borrow();
+        keeper.may_act(self.site.now(), Duration::ZERO).is_some()
+    }
+
     fn read(&self, value: Option<&[u8]>, end: u64) {
         let record: Option<DutyRecord> = match value.map(serde_json::from_slice).transpose() {
             Ok(record) => record,
