--- a/crates/edge-bin/tests/common/mod.rs
+++ b/crates/edge-bin/tests/common/mod.rs
@@ -61,17 +61,7 @@
             running.push(Worker::start(addr).await);
             store.put("keyed.servers", &format!("i-{n}"), &instance(addr, "ready"));
         }
-        let settings = NamedTempFile::new().unwrap();
-        std::fs::write(settings.path(), settings_text(ip)).unwrap();
-        let log = match std::env::var_os(LOG_VARIABLE) {
-            Some(_) => Stdio::inherit(),
-            None => Stdio::null(),
-        };
-        let child = Command::new(env!("CARGO_BIN_EXE_nutmegbay-edge"))
-            .env("NUTMEGBAY_BOOT", settings.path())
-            .stdout(log)
-            .spawn()
-            .unwrap();
+        let (settings, child) = start_edge("front-1", ip, SocketAddr::new(ip, STORE), ip);
         Self {
             ip,
             store,
@@ -81,6 +71,22 @@
         }
     }
 
+    /// Starts one more edge, which cannot reach the store and knows the first one.
+    pub fn start_cut_off(&self, test: u8) -> CutOff {
+        let IpAddr::V4(own) = self.ip else {
+            panic!("sites have IPv4 addresses");
+        };
+        let [_, _, c, d] = own.octets();
+        let ip = IpAddr::V4(Ipv4Addr::new(127, 100 + test, c, d));
+        let nobody = SocketAddr::new(ip, STORE);
+        let (_settings, child) = start_edge("front-2", ip, nobody, self.ip);
+        CutOff {
+            ip,
+            child,
+            _settings,
+        }
+    }
+
     /// Waits until the edge says that it is ready.
     pub async fn until_ready(&self) {
         self.until("ready", async || self.readiness().await == Some(200))
@@ -123,18 +129,17 @@
 
     /// Sends a request with the usual headers, a fresh id and `extra` ones.
     pub async fn call(&self, method: &str, path: &str, extra: &[(&str, &str)]) -> Answer {
-        let id: u64 = rand::random();
-        let mut head = format!("{method} {path} HTTP/1.1\r\nHost: shop.example\r\n");
-        write!(head, "X-Attempt-Id: {id:016x}\r\nX-Deadline-Ms: 3000\r\n").unwrap();
-        if !extra.iter().any(|(name, _)| *name == "X-Api-Key") {
-            head += "X-Api-Key: k1\r\n";
-        }
-        for (name, value) in extra {
-            write!(head, "{name}: {value}\r\n").unwrap();
-        }
-        exchange(SocketAddr::new(self.ip, INGRESS), &head)
+        call_at(self.ip, method, path, extra).await
+    }
+
+    /// Sends a request and closes the connection after `wait`, without reading an answer.
+    pub async fn call_and_leave(&self, path: &str, wait: Duration) {
+        let mut io = TcpStream::connect((self.ip, INGRESS)).await.unwrap();
+        let head = head("POST", path, &[]);
+        io.write_all(format!("{head}\r\n").as_bytes())
             .await
-            .unwrap_or_default()
+            .unwrap();
+        sleep(wait).await;
     }
 
     /// Sends a signal to the edge.
@@ -177,6 +182,43 @@
     }
 }
 
+/// An edge that cannot reach the store.
+pub struct CutOff {
+    ip: IpAddr,
+    child: Child,
+    _settings: NamedTempFile,
+}
+
+impl CutOff {
+    /// Sends a request to it.
+    pub async fn call(&self, method: &str, path: &str, extra: &[(&str, &str)]) -> Answer {
+        call_at(self.ip, method, path, extra).await
+    }
+}
+
+impl Drop for CutOff {
+    fn drop(&mut self) {
+        // Fails only if the process has ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn start_edge(node: &str, ip: IpAddr, store: SocketAddr, seed: IpAddr) -> (NamedTempFile, Child) {
+    let settings = NamedTempFile::new().unwrap();
+    std::fs::write(settings.path(), settings_text(node, ip, store, seed)).unwrap();
+    let log = match std::env::var_os(LOG_VARIABLE) {
+        Some(_) => Stdio::inherit(),
+        None => Stdio::null(),
+    };
+    let child = Command::new(env!("CARGO_BIN_EXE_nutmegbay-edge"))
+        .env("NUTMEGBAY_BOOT", settings.path())
+        .stdout(log)
+        .spawn()
+        .unwrap();
+    (settings, child)
+}
+
 /// An answer as a caller gets it.
 #[derive(Debug, Default, Clone)]
 pub struct Answer {
@@ -196,6 +238,26 @@
     }
 }
 
+async fn call_at(ip: IpAddr, method: &str, path: &str, extra: &[(&str, &str)]) -> Answer {
+    exchange(SocketAddr::new(ip, INGRESS), &head(method, path, extra))
+        .await
+        .unwrap_or_default()
+}
+
+/// Head of a request with the usual headers, a fresh id and `extra` ones.
+fn head(method: &str, path: &str, extra: &[(&str, &str)]) -> String {
+    let id: u64 = rand::random();
+    let mut head = format!("{method} {path} HTTP/1.1\r\nHost: shop.example\r\n");
+    write!(head, "X-Attempt-Id: {id:016x}\r\nX-Deadline-Ms: 3000\r\n").unwrap();
+    if !extra.iter().any(|(name, _)| *name == "X-Api-Key") {
+        head += "X-Api-Key: k1\r\n";
+    }
+    for (name, value) in extra {
+        write!(head, "{name}: {value}\r\n").unwrap();
+    }
+    head
+}
+
 /// Sends a request without a body on a connection of its own and reads to the end.
 async fn exchange(addr: SocketAddr, head: &str) -> Option<Answer> {
     let mut io = TcpStream::connect(addr).await.ok()?;
@@ -236,11 +298,11 @@
         "slots": 8, "state": state, "cold-ms": 0, "seq": 1})
 }
 
-fn settings_text(ip: IpAddr) -> String {
+fn settings_text(node: &str, ip: IpAddr, store: SocketAddr, seed: IpAddr) -> String {
     format!(
-        "node=front-1\nip={ip}\nzone=z\nlisten.front={ip}:{INGRESS}\n\
+        "node={node}\nip={ip}\nzone=z\nlisten.front={ip}:{INGRESS}\n\
          listen.ready={ip}:{READINESS}\nlisten.control={ip}:{CONTROL}\n\
-         platform.addr={ip}:{STORE}\ncloud-api.addr={ip}:{STORE}\n\
+         seeds={seed}:{CONTROL}\nplatform.addr={store}\ncloud-api.addr={store}\n\
          cloud-api.duties=usage_report\nbounds.grace-s=8\nbounds.retry-slack=54\n\
          bounds.budget-ratio=0.2\nbounds.window-s=1\nbounds.usage-lag-s=6\n"
     )
--- a/crates/edge-bin/tests/common/worker.rs
+++ b/crates/edge-bin/tests/common/worker.rs
@@ -42,6 +42,7 @@
 struct Inner {
     script: VecDeque<Act>,
     requests: Vec<String>,
+    left: usize,
 }
 
 /// A worker.
@@ -72,6 +73,11 @@
         self.0.lock().unwrap().requests.clone()
     }
 
+    /// Requests that hung and whose connection the edge closed.
+    pub fn left(&self) -> usize {
+        self.0.lock().unwrap().left
+    }
+
     /// Forgets the requests so far.
     pub fn forget(&self) {
         self.0.lock().unwrap().requests.clear();
@@ -87,7 +93,11 @@
                 }
                 act
             };
-            if !answer(&mut io, act, &head).await {
+            let goes_on = answer(&mut io, act, &head).await;
+            if act == Act::Hang {
+                self.0.lock().unwrap().left += 1;
+            }
+            if !goes_on {
                 return;
             }
         }
--- a/crates/edge-bin/tests/whole_path.rs
+++ b/crates/edge-bin/tests/whole_path.rs
@@ -180,3 +180,42 @@
     windows.dedup();
     assert_eq!(windows.len(), all, "a window was reported twice");
 }
+
+/// Entries that vanish while the store is away are used until their workers had time to come back,
+/// and not for longer.
+#[tokio::test(flavor = "multi_thread")]
+async fn lapsed_entry() {
+    let site = Site::start(9, 1).await;
+    site.store.set_fault(Fault::Refuse);
+    sleep(Duration::from_millis(3_500)).await;
+    site.store.remove("keyed.servers", "i-0");
+    site.store.set_fault(Fault::None);
+    sleep(Duration::from_millis(1_200)).await;
+    assert_eq!(
+        site.call("GET", "/any/1", &[]).await.status,
+        200,
+        "it may come back"
+    );
+    site.until("it is gone", async || {
+        site.call("GET", "/any/1", &[]).await.status == 503
+    })
+    .await;
+}
+
+/// An edge that cannot reach the store serves with what another one has read, also changes of keys.
+#[tokio::test(flavor = "multi_thread")]
+async fn cut_off_edge() {
+    let site = Site::start(10, 1).await;
+    let cut_off = site.start_cut_off(110);
+    site.until("it serves", async || {
+        cut_off.call("GET", "/any/1", &[]).await.status == 200
+    })
+    .await;
+    site.store.put("keyed.op", "config", &config(7, &["k7"]));
+    let withdrawn = site.until("k1 is withdrawn", async || {
+        cut_off.call("GET", "/any/1", &[]).await.status == 401
+    });
+    timeout(Duration::from_secs(5), withdrawn)
+        .await
+        .expect("the key works for too long");
+}
--- a/crates/edge-bin/tests/worker_faults.rs
+++ b/crates/edge-bin/tests/worker_faults.rs
@@ -3,8 +3,11 @@
 
 mod common;
 
+use std::time::Duration;
+
 use common::Site;
 use common::worker::{Act, EVENTS, event, header};
+use tokio::time::timeout;
 
 /// Status that a caller gets, and runs, for a request on `path` whose worker does `act`.
 async fn outcome(site: &Site, path: &str, act: Act) -> (u16, usize) {
@@ -82,6 +85,19 @@
     }
 }
 
+/// A worker must not go on for a caller that has left.
+#[tokio::test(flavor = "multi_thread")]
+async fn caller_leaves() {
+    let site = Site::start(16, 1).await;
+    site.workers[0].script(&[Act::Hang]);
+    site.call_and_leave("/once/1", Duration::from_millis(200))
+        .await;
+    let told = site.until("the worker is told", async || site.workers[0].left() == 1);
+    timeout(Duration::from_millis(500), told)
+        .await
+        .expect("told too late");
+}
+
 /// Bytes after a whole answer belong to no request.
 #[tokio::test(flavor = "multi_thread")]
 async fn extra_bytes() {
