--- a/crates/edge-bin/tests/common/mod.rs
+++ b/crates/edge-bin/tests/common/mod.rs
@@ -79,11 +79,11 @@
         let [_, _, c, d] = own.octets();
         let ip = IpAddr::V4(Ipv4Addr::new(127, 100 + test, c, d));
         let nobody = SocketAddr::new(ip, STORE);
-        let (_settings, child) = start_edge("front-2", ip, nobody, self.ip);
+        let (settings, child) = start_edge("front-2", ip, nobody, self.ip);
         CutOff {
             ip,
             child,
-            _settings,
+            _settings: settings,
         }
     }
 
--- a/crates/edge/src/clock.rs
+++ b/crates/edge/src/clock.rs
@@ -92,3 +92,8 @@
         Moment(self.start.elapsed())
     }
 }
+
+/// Whole milliseconds of a duration.
+pub fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/edge/src/duty.rs
+++ b/crates/edge/src/duty.rs
@@ -10,6 +10,7 @@
 use nutmegbay_core::lease::LeaseTerms;
 use tokio::time::{sleep, timeout};
 
+use crate::clock::millis;
 use crate::follow::Link;
 use crate::members;
 use crate::metrics::count;
@@ -259,10 +260,9 @@
 
     fn seal_terms(&self) -> SealTerms {
         let bounds = self.site.settings().bounds;
-        let ms = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
         SealTerms {
-            window_ms: ms(bounds.usage_window),
-            latest_ms: ms(bounds.usage_lag.saturating_sub(SEAL_BEFORE_DUE)),
+            window_ms: millis(bounds.usage_window),
+            latest_ms: millis(bounds.usage_lag.saturating_sub(SEAL_BEFORE_DUE)),
         }
     }
 
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -6,6 +6,7 @@
 use nutmegbay_core::world::Moment;
 use tokio::time::sleep;
 
+use crate::clock::millis;
 use crate::metrics::count;
 use crate::model::KeyedRecord;
 use crate::port::{CONFIG_KEY, Dialect, Store, StoreError, Topic};
@@ -58,7 +59,7 @@
             if now.since(since) >= LAPSING_OUTAGE {
                 self.returned = Some(now);
             }
-            let away_ms = u64::try_from(now.since(since).as_millis()).unwrap_or(u64::MAX);
+            let away_ms = millis(now.since(since));
             tracing::info!(event = "dependency_regained", name = self.name, away_ms);
         }
     }
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -1,12 +1,10 @@
 //! One send of a request to one upstream.
 
 use std::fmt::Write;
-use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http::header::{CONTENT_LENGTH, HOST};
+use http::header::CONTENT_LENGTH;
 use http::{HeaderMap, Request};
 use nutmegbay_core::verdict::Verdict;
 use nutmegbay_policy::UpstreamKey;
@@ -15,23 +13,16 @@
 
 use super::{CONNECTION_HEADERS, Forward, outcome_of, upstream_id};
 use crate::fleet::Ticket;
-use crate::http1::{CallError, Caller, Cause, Connection};
+use crate::http1::{CallError, Cause, Connection};
 use crate::metrics::count;
-use crate::model::{AnswerHead, Instructions, Refusal, RequestKind, Stage};
+use crate::model::{AnswerHead, Instructions, RequestKind, Stage};
 use crate::port::{Dialect, Outbound};
-use crate::site::Site;
 use crate::sse::Events;
 use crate::stream::{Cut, Source};
 
 /// Largest body that is read whole before it is passed on, in bytes: a broken answer up to this
 /// size can still be replaced.
-const WHOLE_BODY: usize = 64 * 1024;
-
-/// Longest wait for the answer to freeing a prefill result.
-const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
-
-/// Prompt tokens from which the time of a prefill tells the rate of reading.
-const TELLING_TOKENS: u32 = 2_048;
+pub const WHOLE_BODY: usize = 64 * 1024;
 
 /// How a send ended.
 #[allow(
@@ -78,51 +69,14 @@
     },
 }
 
-/// Result of a prefill. It is freed at its engine unless another one took it.
-pub struct Handle<D: Dialect> {
-    /// Engine that holds it.
-    pub source: SocketAddr,
-    /// Name.
-    pub name: Box<str>,
-    site: Rc<Site<D>>,
-    is_taken: bool,
-}
-
-impl<D: Dialect> Handle<D> {
-    /// Notes that another engine took the result.
-    pub fn taken(mut self) {
-        self.is_taken = true;
-    }
-}
-
-impl<D: Dialect> Drop for Handle<D> {
-    fn drop(&mut self) {
-        if self.is_taken {
-            return;
-        }
-        let source = self.source;
-        let mut req = self.site.dialect.release_handle(&self.name);
-        let caller = Caller::new(source);
-        if let Ok(host) = caller.host().parse() {
-            req.headers_mut().insert(HOST, host);
-        }
-        tokio::task::spawn_local(async move {
-            let freed = caller
-                .call(req.map(|()| Bytes::new().into()), RELEASE_TIMEOUT)
-                .await;
-            if let Err(error) = freed {
-                // The engine frees it by itself after a few seconds.
-                tracing::debug!(event = "prefill_result_not_freed", %source, %error);
-            }
-        });
-    }
-}
-
 /// Answer whose body has not been read.
-struct Opened {
-    head: AnswerHead,
-    headers: HeaderMap,
-    source: Source,
+pub struct Opened {
+    /// Decoded head.
+    pub head: AnswerHead,
+    /// Headers as they came.
+    pub headers: HeaderMap,
+    /// Where the body comes from.
+    pub source: Source,
 }
 
 impl<D: Dialect> Forward<'_, D> {
@@ -134,7 +88,7 @@
         stage: Stage<'_>,
         patience: Duration,
     ) -> Send {
-        let exchange = self.exchange(at, cost_ms, stage, None);
+        let exchange = self.exchange(at, cost_ms, stage);
         match timeout(patience, exchange).await {
             Ok(send) => send,
             Err(_) => self.silent(at),
@@ -156,80 +110,8 @@
         }
     }
 
-    /// Reads the prompt at `at`.
-    pub async fn prefill(
-        &mut self,
-        at: UpstreamKey,
-        cost_ms: f64,
-        patience: Duration,
-    ) -> Result<Handle<D>, Send> {
-        let counted = self.sends;
-        let began = self.site.now();
-        let read = async {
-            let Opened {
-                head,
-                headers,
-                mut source,
-            } = self.open(at, cost_ms, Stage::Prefill, None).await?;
-            let Ok((body, true)) = read_up_to(&mut source, WHOLE_BODY).await else {
-                source.ticket.note(Outcome::Faulty, self.site.now());
-                return Err(Send::Lost("prefill_broken"));
-            };
-            if head.is_not_run() || !head.status.is_success() {
-                if let Some(outcome) = outcome_of(&head, Stage::Prefill) {
-                    source.ticket.note(outcome, self.site.now());
-                }
-            } else {
-                source.ticket.began(self.site.now());
-                source.finish(self.site);
-            }
-            Ok((head, headers, body))
-        };
-        let (head, headers, body) = match timeout(patience, read).await {
-            Ok(read) => read?,
-            Err(_) => return Err(self.silent(at)),
-        };
-        let prefilled = self.site.dialect.prefilled(&body);
-        let address = {
-            let fleet = self.site.fleet.borrow();
-            fleet.get(at).map(|upstream| upstream.report.addr)
-        };
-        let (true, Some(prefilled), Some(source)) = (head.status.is_success(), prefilled, address)
-        else {
-            return Err(Send::Reply(Reply {
-                head: AnswerHead {
-                    // A prefill does not run the request, whatever its answer is.
-                    refusal: head.refusal.or(Some(Refusal::NotRun)),
-                    ..head
-                },
-                headers,
-                body: ReplyBody::Whole(body),
-            }));
-        };
-        // The first prefill that an engine takes is no attempt of its own.
-        self.sends = counted;
-        self.learn(at, self.site.now().since(began));
-        Ok(Handle {
-            source,
-            name: prefilled.handle,
-            site: Rc::clone(self.site),
-            is_taken: false,
-        })
-    }
-
-    fn learn(&self, at: UpstreamKey, took: Duration) {
-        let Some(work) = &self.job.inbound.work else {
-            return;
-        };
-        let mut fleet = self.site.fleet.borrow_mut();
-        fleet.used_prefix(work, at, self.site.now());
-        if let Some(own) = work.parts.last().filter(|own| own.tokens >= TELLING_TOKENS) {
-            fleet.saw_prefill(&self.job.service.name, own.tokens, took.as_secs_f64());
-        }
-    }
-
     /// Gives up on an upstream that stayed silent. Dropping its connection told it to stop.
-    fn silent(&mut self, at: UpstreamKey) -> Send {
+    pub fn silent(&mut self, at: UpstreamKey) -> Send {
         let now = self.site.now();
         let is_late = self.job.left(now).is_zero();
         self.site
@@ -239,18 +121,12 @@
         Send::Lost(if is_late { "deadline" } else { "silent" })
     }
 
-    async fn exchange(
-        &mut self,
-        at: UpstreamKey,
-        cost_ms: f64,
-        stage: Stage<'_>,
-        after: Option<&str>,
-    ) -> Send {
+    async fn exchange(&mut self, at: UpstreamKey, cost_ms: f64, stage: Stage<'_>) -> Send {
         let Opened {
             head,
             headers,
             mut source,
-        } = match self.open(at, cost_ms, stage, after).await {
+        } = match self.open(at, cost_ms, stage, None).await {
             Ok(head) => head,
             Err(send) => return send,
         };
@@ -384,7 +260,7 @@
     }
 
     /// Sends the request and reads the head of its answer.
-    async fn open(
+    pub async fn open(
         &mut self,
         at: UpstreamKey,
         cost_ms: f64,
@@ -396,7 +272,7 @@
         note_upstream(self.job, &id, stage);
         let is_long = stage != Stage::Prefill && self.job.is_long();
         let mut ticket = Ticket::new(&self.site.fleet, at, cost_ms, is_long, self.site.now());
-        let req = self.request(&id, at, stage, after);
+        let req = self.request(&id, stage, after);
         let (connection, answer) = match self.deliver(at, req).await {
             Ok(sent) => sent,
             Err(CallError { verdict, cause }) => {
@@ -479,13 +355,7 @@
         }
     }
 
-    fn request(
-        &self,
-        instance: &str,
-        at: UpstreamKey,
-        stage: Stage<'_>,
-        after: Option<&str>,
-    ) -> Outbound {
+    fn request(&self, instance: &str, stage: Stage<'_>, after: Option<&str>) -> Outbound {
         let job = self.job;
         let is_model = job.service.engine.is_some();
         let mut req = Request::new(job.body.clone().into());
@@ -508,7 +378,6 @@
             },
             headers,
         );
-        tracing::trace!(event = "sending", ?at);
         req
     }
 
@@ -531,7 +400,7 @@
 }
 
 /// Reads up to `limit` bytes; true if that is the whole body.
-async fn read_up_to(source: &mut Source, limit: usize) -> Result<(Bytes, bool), hyper::Error> {
+pub async fn read_up_to(source: &mut Source, limit: usize) -> Result<(Bytes, bool), hyper::Error> {
     let mut first = Bytes::new();
     let mut buf = BytesMut::new();
     while let Some(bytes) = source.next().await {
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod job;
+mod prefill;
 
 use std::rc::Rc;
 use std::time::Duration;
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -19,6 +19,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
 
+use crate::clock::millis;
 use crate::forward::{Facts, Failure, InFlight, Job, serve, unknown_service};
 use crate::http1::detect_silence;
 use crate::model::{CallerLimits, Inbound};
@@ -307,7 +308,3 @@
         );
     }
 }
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
+use crate::clock::millis;
 use crate::follow::Link;
 use crate::metrics::count;
 use crate::port::{Dialect, Newest, Store, StoreError, Topic};
@@ -108,16 +109,16 @@
 
 /// Last window whose requests have all been counted.
 pub fn through<D: Dialect>(site: &Site<D>) -> u64 {
-    let after_ms = u64::try_from(AFTER_WINDOW.as_millis()).unwrap_or(0);
-    let now_ms = site.time.borrow().now_ms().saturating_sub(after_ms);
+    let now_ms = site.time.borrow().now_ms();
+    let now_ms = now_ms.saturating_sub(millis(AFTER_WINDOW));
     site.window_at(now_ms).saturating_sub(1)
 }
 
 fn until_next_write<D: Dialect>(site: &Site<D>) -> Duration {
     let step = site.settings().bounds.usage_window / WRITES_PER_WINDOW;
-    let step_ms = u64::try_from(step.as_millis()).unwrap_or(u64::MAX).max(1);
-    let after_ms = u64::try_from(AFTER_WINDOW.as_millis()).unwrap_or(0);
-    let now_ms = site.time.borrow().now_ms().saturating_sub(after_ms);
+    let step_ms = millis(step).max(1);
+    let now_ms = site.time.borrow().now_ms();
+    let now_ms = now_ms.saturating_sub(millis(AFTER_WINDOW));
     Duration::from_millis(step_ms - now_ms % step_ms + WRITE_MARGIN_MS)
 }
 
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -17,6 +17,7 @@
 use tokio::net::TcpListener;
 use tokio::time::sleep;
 
+use crate::clock::millis;
 use crate::follow::{take_config, take_instance};
 use crate::http1::Caller;
 use crate::model::KeyedRecord;
@@ -164,7 +165,7 @@
     let now = site.now();
     let age = seen.instances_at.map_or(now.0, |at| now.since(at));
     let reply = SeenReply {
-        age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+        age_ms: millis(age),
         config: seen.config.as_ref().and_then(SeenRecord::of),
         instances: seen.instances.values().filter_map(SeenRecord::of).collect(),
     };
--- a/crates/edge/src/site.rs
+++ b/crates/edge/src/site.rs
@@ -13,7 +13,7 @@
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
-use crate::clock::{Moments, TrueTime};
+use crate::clock::{Moments, TrueTime, millis};
 use crate::fleet::Fleet;
 use crate::metrics::Metrics;
 use crate::model::{KeyedRecord, SiteConfig};
@@ -242,8 +242,7 @@
 
     /// Number of the usage window at `ms` since 1970.
     pub fn window_at(&self, ms: u64) -> u64 {
-        let length = self.settings().bounds.usage_window.as_millis().max(1);
-        ms / u64::try_from(length).unwrap_or(u64::MAX)
+        ms / millis(self.settings().bounds.usage_window).max(1)
     }
 
     /// Keeps a copy of a configuration record for peers.
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -13,6 +13,7 @@
 use strum::IntoStaticStr;
 use tokio::time::timeout;
 
+use crate::clock::millis;
 use crate::fleet::Ticket;
 use crate::forward::{Job, resume};
 use crate::http1::Connection;
@@ -277,7 +278,3 @@
         );
     }
 }
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
