Read a prompt elsewhere when its engine fails or stays silent

Cause: reading a prompt ahead does not run the request, yet on routes that must not be repeated a silent prefill engine held it to its end, and it ended with 504. Now the prefill has its own patience on every route, and what only a prefill has seen is refused as not run. Tests: prefill_faults (silent_prefill answered 504 before).

--- a/crates/edge-bin/tests/common/mod.rs
+++ b/crates/edge-bin/tests/common/mod.rs
@@ -71,6 +71,23 @@
         }
     }
 
+    /// Starts two prefill engines and a decode engine, in this order.
+    pub async fn start_engines(test: u8) -> Self {
+        let site = Self::start_without_config(test, 3).await;
+        for (n, phase) in (0..).zip(["prefill", "prefill", "decode"]) {
+            let mut entry = instance(SocketAddr::new(site.ip, FIRST_WORKER + n), "ready");
+            entry["phase"] = json!(phase);
+            site.store.put("keyed.servers", &format!("i-{n}"), &entry);
+        }
+        let mut config = config(1, &["k1"]);
+        config["services"][0]["engine"] = json!({"slots": 8, "kv-capacity": 900_000,
+            "kv-token-bytes": 163_840, "link-mbps": 4_600_000.0});
+        config["routes"][2]["resumable"] = json!(false);
+        site.store.put("keyed.op", "config", &config);
+        site.until_ready().await;
+        site
+    }
+
     /// Starts one more edge, which cannot reach the store and knows the first one.
     pub fn start_cut_off(&self, test: u8) -> CutOff {
         let IpAddr::V4(own) = self.ip else {
@@ -307,3 +324,17 @@
          bounds.budget-ratio=0.2\nbounds.window-s=1\nbounds.usage-lag-s=6\n"
     )
 }
+
+/// Text of a chunked body without its framing.
+pub fn text(body: &[u8]) -> String {
+    let mut rest = body;
+    let mut text = String::new();
+    while let Some(at) = rest.windows(2).position(|two| two == b"\r\n") {
+        let len = std::str::from_utf8(&rest[..at]).unwrap();
+        let len = usize::from_str_radix(len, 16).unwrap();
+        let chunk = &rest[at + 2..at + 2 + len];
+        text += std::str::from_utf8(chunk).unwrap();
+        rest = &rest[at + 4 + len..];
+    }
+    text
+}
--- a/crates/edge-bin/tests/common/worker.rs
+++ b/crates/edge-bin/tests/common/worker.rs
@@ -134,6 +134,12 @@
     };
     let signed = "X-Server-Seal: s1\r\n";
     let text = match act {
+        Act::Serve if header(head, "x-serving-stage").is_some() => whole(
+            "200 OK",
+            id,
+            "",
+            r#"{"transfer-handle":"h1","tokens":20000,"version":1}"#,
+        ),
         Act::Serve => whole("200 OK", id, signed, "done"),
         Act::NotRun => whole("503 Full", id, "X-Not-Executed: 1\r\n", ""),
         Act::Fail => whole("500 Oops", id, signed, "oops"),
@@ -183,3 +189,8 @@
 pub fn event(n: u32) -> String {
     format!("id: {n}\ndata: piece {n}\n\n")
 }
+
+/// Events of a range of numbers.
+pub fn events(from: u32, to: u32) -> String {
+    (from..=to).map(event).collect()
+}
--- /dev/null
+++ b/crates/edge-bin/tests/prefill_faults.rs
@@ -0,0 +1,65 @@
+//! Guards requests whose prompt is read ahead: that never runs them, so a fault there must neither
+//! hold them to their end nor cost more than another engine.
+
+mod common;
+
+use common::worker::{Act, EVENTS, events, header};
+use common::{Answer, Site, text};
+
+/// A prompt so long that it is read at a prefill engine.
+const LONG_PROMPT: [(&str, &str); 2] = [
+    ("X-Token-Counts", "20000,100"),
+    ("X-Prompt-Prefix", "a:10,b:19990"),
+];
+
+async fn call(site: &Site) -> Answer {
+    site.call("POST", "/stream/1", &LONG_PROMPT).await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn split_run() {
+    let site = Site::start_engines(31).await;
+    site.workers[2].script(&[Act::Stream]);
+    let answer = call(&site).await;
+    assert_eq!(answer.status, 200);
+    assert_eq!(text(&answer.body), events(1, EVENTS));
+    let requests = site.workers[2].requests();
+    let source = header(&requests[0], "x-kv-source").expect("it must take the prompt over");
+    assert!(source.ends_with("/h1"), "{source}");
+}
+
+/// Prefill engines fail in some way: nothing has run, so the caller is told that, or gets the whole
+/// stream where one of them reads the prompt after all.
+#[tokio::test(flavor = "multi_thread")]
+async fn failing_prefill() {
+    let site = Site::start_engines(32).await;
+    for act in [Act::Close, Act::NotRun, Act::Truncate] {
+        for worker in &site.workers {
+            worker.forget();
+        }
+        site.workers[0].script(&[act]);
+        site.workers[1].script(&[act]);
+        site.workers[2].script(&[Act::Stream]);
+        let answer = call(&site).await;
+        if answer.status == 200 {
+            assert_eq!(text(&answer.body), events(1, EVENTS), "{act:?}");
+        } else {
+            assert_eq!(answer.status, 503, "{act:?}");
+            assert!(site.workers[2].requests().is_empty(), "{act:?}: it ran");
+        }
+    }
+}
+
+/// A silent prefill engine held the request to its end, 1.5 s, and it ended with 504.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_prefill() {
+    let site = Site::start_engines(33).await;
+    site.workers[0].script(&[Act::Hang]);
+    site.workers[1].script(&[Act::Hang]);
+    let answer = call(&site).await;
+    assert_eq!(
+        answer.status, 503,
+        "nothing ran, and the caller may come again"
+    );
+    assert!(answer.header("retry-after").is_some());
+}
--- a/crates/edge-bin/tests/worker_faults.rs
+++ b/crates/edge-bin/tests/worker_faults.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use common::Site;
-use common::worker::{Act, EVENTS, event, header};
+use common::text;
+use common::worker::{Act, EVENTS, event, events, header};
 use tokio::time::timeout;
 
 /// Status that a caller gets, and runs, for a request on `path` whose worker does `act`.
@@ -114,24 +115,6 @@
     }
 }
 
-fn events(from: u32, to: u32) -> String {
-    (from..=to).map(event).collect()
-}
-
-/// Text of a chunked body without its framing.
-fn text(body: &[u8]) -> String {
-    let mut rest = body;
-    let mut text = String::new();
-    while let Some(at) = rest.windows(2).position(|two| two == b"\r\n") {
-        let len = std::str::from_utf8(&rest[..at]).unwrap();
-        let len = usize::from_str_radix(len, 16).unwrap();
-        let chunk = &rest[at + 2..at + 2 + len];
-        text += std::str::from_utf8(chunk).unwrap();
-        rest = &rest[at + 4 + len..];
-    }
-    text
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn whole_stream() {
     let site = Site::start(14, 1).await;
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -32,8 +32,8 @@
 pub enum Send {
     /// The upstream answered.
     Reply(Reply),
-    /// Nothing was sent.
-    Unsent,
+    /// Nothing was sent, or only what cannot run the request.
+    NotRun(&'static str),
     /// It was sent, and no usable answer came.
     Lost(&'static str),
 }
@@ -91,7 +91,7 @@
         let exchange = self.exchange(at, cost_ms, stage);
         match timeout(patience, exchange).await {
             Ok(send) => send,
-            Err(_) => self.silent(at),
+            Err(_) => Send::Lost(self.silent(at)),
         }
     }
 
@@ -110,15 +110,19 @@
         }
     }
 
-    /// Gives up on an upstream that stayed silent. Dropping its connection told it to stop.
-    pub fn silent(&mut self, at: UpstreamKey) -> Send {
+    /// Gives up on an upstream that stayed silent and returns the cause. Dropping its connection
+    /// told it to stop.
+    pub fn silent(&self, at: UpstreamKey) -> &'static str {
         let now = self.site.now();
-        let is_late = self.job.left(now).is_zero();
         self.site
             .fleet
             .borrow_mut()
             .note(at, Outcome::Unreachable, now);
-        Send::Lost(if is_late { "deadline" } else { "silent" })
+        if self.job.left(now).is_zero() {
+            "deadline"
+        } else {
+            "silent"
+        }
     }
 
     async fn exchange(&mut self, at: UpstreamKey, cost_ms: f64, stage: Stage<'_>) -> Send {
@@ -278,9 +282,9 @@
             Err(CallError { verdict, cause }) => {
                 ticket.note(Outcome::Unreachable, self.site.now());
                 return Err(match verdict {
-                    Verdict::NotRun => Send::Unsent,
+                    Verdict::NotRun => Send::NotRun("connect"),
                     // A prefill does not run the request.
-                    _ if stage == Stage::Prefill => Send::Unsent,
+                    _ if stage == Stage::Prefill => Send::NotRun(cause.into()),
                     _ => Send::Lost(cause.into()),
                 });
             }
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -264,9 +264,16 @@
     fn patience(&self, first_ms: f64) -> Duration {
         let left = self.job.left(self.site.now());
         let can_move = self.job.route.is_repeatable() && self.sends + 1 < self.job.route.attempts;
-        if !can_move {
-            return left;
+        if can_move {
+            self.prefill_patience(first_ms)
+        } else {
+            left
         }
+    }
+
+    /// Time for reading a prompt ahead, which may go elsewhere on every route.
+    fn prefill_patience(&self, first_ms: f64) -> Duration {
+        let left = self.job.left(self.site.now());
         let predicted = Duration::try_from_secs_f64(first_ms * PATIENCE_FACTOR / 1e3);
         let patience = predicted.unwrap_or(left).max(self.job.route.objective * 2);
         patience.min(left)
@@ -282,9 +289,9 @@
             first_ms,
         } = placement
         else {
-            return Send::Unsent;
+            return Send::NotRun("no_upstream");
         };
-        let patience = self.patience(first_ms).min(self.job.left(self.site.now()));
+        let patience = self.prefill_patience(first_ms);
         let handle = match self.prefill(prefill, cost_ms, patience).await {
             Ok(handle) => handle,
             Err(send) => return send,
@@ -319,8 +326,8 @@
                 }
             }
             Send::Reply(reply) => Some(reply),
-            Send::Unsent => {
-                self.cause = "connect";
+            Send::NotRun(cause) => {
+                self.cause = cause;
                 None
             }
             Send::Lost(cause) => {
--- a/crates/edge/src/forward/prefill.rs
+++ b/crates/edge/src/forward/prefill.rs
@@ -81,7 +81,7 @@
             } = self.open(at, cost_ms, Stage::Prefill, None).await?;
             let Ok((body, true)) = read_up_to(&mut source, WHOLE_BODY).await else {
                 source.ticket.note(Outcome::Faulty, self.site.now());
-                return Err(Send::Lost("prefill_broken"));
+                return Err(Send::NotRun("prefill_broken"));
             };
             if head.is_not_run() || !head.status.is_success() {
                 if let Some(outcome) = outcome_of(&head, Stage::Prefill) {
@@ -95,7 +95,7 @@
         };
         let (head, headers, body) = match timeout(patience, read).await {
             Ok(read) => read?,
-            Err(_) => return Err(self.silent(at)),
+            Err(_) => return Err(Send::NotRun(self.silent(at))),
         };
         let prefilled = self.site.dialect.prefilled(&body);
         let address = {
