Refuse a request with two keys on the product's own interface

Cause: a second Authorization header was accepted and the first one used, so it was not clear whose request it was. Two of either header are refused with 401 now, not run. Test two_keys: failed before (the request was served), passes.

--- a/crates/gateway/src/auth.rs
+++ b/crates/gateway/src/auth.rs
@@ -4,7 +4,7 @@
 use nutmegbay_core::replica::KeyRef;
 use nutmegbay_proto::problem::{Problem, ProblemKind};
 
-use crate::data::headers::key_token;
+use crate::data::headers::{has_several_keys, key_token};
 use crate::data::refuse::not_run;
 use crate::gateway::Gateway;
 use crate::state::revoke::Ended;
@@ -19,6 +19,10 @@
 
 /// Checks the key of a request and registers the request under it.
 pub fn identify(gateway: &Gateway, headers: &HeaderMap) -> Result<Identity, Problem> {
+    if has_several_keys(headers) {
+        let detail = "send one key, in one `Authorization` or `X-Api-Key` header";
+        return Err(not_run(ProblemKind::InvalidKey, detail));
+    }
     let token = key_token(headers).ok_or_else(|| {
         let detail = "send the key as `Authorization: Bearer` or `X-Api-Key`";
         not_run(ProblemKind::MissingKey, detail)
--- a/crates/gateway/src/data/headers.rs
+++ b/crates/gateway/src/data/headers.rs
@@ -41,6 +41,15 @@
     bearer.or_else(|| headers.get(API_KEY)?.to_str().ok().map(str::trim))
 }
 
+/// Whether a request carries more than one key, so that it is not clear whose it is.
+pub fn has_several_keys(headers: &HeaderMap) -> bool {
+    let keys = headers
+        .get_all(header::AUTHORIZATION)
+        .iter()
+        .chain(headers.get_all(API_KEY));
+    keys.count() > 1
+}
+
 /// Copies the headers of a request that an upstream may see.
 pub fn copy_request(from: &HeaderMap, to: &mut HeaderMap) {
     copy(from, to, |name| SECRETS.contains(name));
--- a/crates/gateway/tests/bad_requests.rs
+++ b/crates/gateway/tests/bad_requests.rs
@@ -43,6 +43,26 @@
     }
 }
 
+/// Of two keys the first one was used, whatever the second one was.
+#[tokio::test]
+async fn two_keys() {
+    let site = Site::start(&[]).await;
+    let body = chat("x", false);
+    for second in [
+        format!("authorization: Bearer {KEY}"),
+        "authorization: Bearer nb_k9_other".to_owned(),
+        "x-api-key: nb_k9_other".to_owned(),
+    ] {
+        let request = format!(
+            "POST {CHAT} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\n{second}\r\n\
+             content-type: application/json\r\ncontent-length: {}\r\nconnection: close\r\n\r\n{body}",
+            body.to_string().len()
+        );
+        let answer = raw(site.listen, request.as_bytes()).await;
+        assert!(answer.starts_with("HTTP/1.1 401"), "{second}: {answer}");
+    }
+}
+
 #[tokio::test]
 async fn oversized_body() {
     let site = Site::start(&[]).await;
