--- a/crates/edge/src/fleet.rs
+++ b/crates/edge/src/fleet.rs
@@ -410,9 +410,10 @@
     /// Upstreams that take new work. Those that were tried or are avoided are left out as long as
     /// others remain.
     fn candidates(&self, service: &str, tried: &[UpstreamKey], now: Moment) -> Vec<UpstreamKey> {
+        let is_listed = |upstream: &Upstream| upstream.lapsed_until.is_none_or(|until| now < until);
         let ready: Vec<_> = self
             .service_keys(service)
-            .filter(|key| self.upstreams[*key].report.is_ready)
+            .filter(|key| self.upstreams[*key].report.is_ready && is_listed(&self.upstreams[*key]))
             .collect();
         let untried: Vec<_> = ready
             .iter()
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use nutmegbay_core::world::Moment;
+use nutmegbay_policy::edge::lapse::Lapse;
 use tokio::time::sleep;
 
 use crate::clock::millis;
@@ -27,18 +28,11 @@
 /// Longest pause between tries while the store is away.
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 
-/// Shortest outage in which entries can lapse: their writers miss three heartbeats first.
-const LAPSING_OUTAGE: Duration = Duration::from_secs(2);
-
-/// Time after the store's return within which entries that lapsed come back.
-const LAPSE_GRACE: Duration = Duration::from_millis(1_900);
-
 /// Whether a dependency answers, logged when it changes.
 #[derive(Debug)]
 pub struct Link {
     name: &'static str,
     failing_since: Option<Moment>,
-    returned: Option<Moment>,
     pause: Duration,
 }
 
@@ -48,21 +42,17 @@
         Self {
             name,
             failing_since: None,
-            returned: None,
             pause: FIRST_PAUSE,
         }
     }
 
-    /// Notes an answer.
-    pub fn works(&mut self, now: Moment) {
+    /// Notes an answer and returns for how long there had been none, if calls failed before it.
+    pub fn works(&mut self, now: Moment) -> Option<Duration> {
         self.pause = FIRST_PAUSE;
-        if let Some(since) = self.failing_since.take() {
-            if now.since(since) >= LAPSING_OUTAGE {
-                self.returned = Some(now);
-            }
-            let away_ms = millis(now.since(since));
-            tracing::info!(event = "dependency_regained", name = self.name, away_ms);
-        }
+        let away = now.since(self.failing_since.take()?);
+        let away_ms = millis(away);
+        tracing::info!(event = "dependency_regained", name = self.name, away_ms);
+        Some(away)
     }
 
     /// Notes a failure and returns how long to wait before the next try.
@@ -75,12 +65,6 @@
         self.pause = (pause * 2).min(LONGEST_PAUSE);
         pause
     }
-
-    /// Until when entries that vanish are taken for lapsed; none where they are gone.
-    pub fn lapsing_until(&self, now: Moment) -> Option<Moment> {
-        let until = self.returned?.plus(LAPSE_GRACE);
-        (now < until).then_some(until)
-    }
 }
 
 /// Follows the configuration for as long as the process runs.
@@ -140,14 +124,15 @@
 /// Follows the list of instances for as long as the process runs.
 pub async fn instances<D: Dialect, S: Store>(site: Rc<Site<D>>, store: S) {
     let mut link = Link::new("store_instances");
+    let mut lapse = Lapse::default();
     let mut next = None;
     loop {
         count(&site.metrics.store_calls);
         let read = match next {
             None => match store.newest(Topic::Instances).await {
                 Ok(newest) => {
-                    link.works(site.now());
-                    drop_unlisted(&site, &newest.records, &link);
+                    lapse.listed(site.now(), link.works(site.now()));
+                    drop_unlisted(&site, &newest.records, &lapse);
                     Ok((newest.records, newest.end))
                 }
                 Err(error) => Err(error),
@@ -160,9 +145,11 @@
         let now = site.now();
         match read {
             Ok((records, end)) => {
-                link.works(now);
+                if next.is_some() {
+                    lapse.listed(now, link.works(now));
+                }
                 for record in records {
-                    take_instance(&site, record, link.lapsing_until(now));
+                    take_instance(&site, record, lapse.until(now));
                 }
                 site.seen.borrow_mut().instances_at = Some(now);
                 next = Some(end);
@@ -214,14 +201,14 @@
 }
 
 /// Drops upstreams that a whole list does not name.
-fn drop_unlisted<D: Dialect>(site: &Site<D>, listed: &[KeyedRecord], link: &Link) {
+fn drop_unlisted<D: Dialect>(site: &Site<D>, listed: &[KeyedRecord], lapse: &Lapse) {
     let now = site.now();
     let mut fleet = site.fleet.borrow_mut();
     for id in fleet.ids() {
         if listed.iter().any(|record| record.key == id) {
             continue;
         }
-        match link.lapsing_until(now) {
+        match lapse.until(now) {
             Some(until) => fleet.lapse(&id, until),
             None => fleet.remove(&id, "not listed"),
         }
--- a/crates/policy/src/edge/mod.rs
+++ b/crates/policy/src/edge/mod.rs
@@ -4,6 +4,7 @@
 pub mod admission;
 pub mod budget;
 pub mod health;
+pub mod lapse;
 pub mod load;
 pub mod placement;
 pub mod prefixes;
