--- a/crates/gateway/src/data/headers.rs
+++ b/crates/gateway/src/data/headers.rs
@@ -41,13 +41,11 @@
     bearer.or_else(|| headers.get(API_KEY)?.to_str().ok().map(str::trim))
 }
 
-/// Whether a request carries more than one key, so that it is not clear whose it is.
+/// Whether a header with a key stands more than once, so that it is not clear whose request it is.
 pub fn has_several_keys(headers: &HeaderMap) -> bool {
-    let keys = headers
-        .get_all(header::AUTHORIZATION)
+    [header::AUTHORIZATION, API_KEY]
         .iter()
-        .chain(headers.get_all(API_KEY));
-    keys.count() > 1
+        .any(|name| headers.get_all(name).iter().count() > 1)
 }
 
 /// Copies the headers of a request that an upstream may see.
