--- a/crates/policy/src/edge/admission.rs
+++ b/crates/policy/src/edge/admission.rs
@@ -15,7 +15,7 @@
 
 /// Part of the objective for which a request may wait beside its own time when it cannot be on time:
 /// a prompt that takes longer to read than its objective is refused by no other rule for ever.
-const LATE_WAIT_PART: f64 = 0.25;
+const LATE_WAIT_PART: f64 = 0.4;
 
 /// Shortest Retry-After: the way of a refusal to the caller and back.
 const LEAST_RETRY_MS: f64 = 40.0;
