Split placement and the exchange off the fleet; bound sums of digests

No behaviour changes but that sums of digests saturate: a damaged digest with the largest counts overflowed them (edge_exchange::absurd_digest).

--- a/crates/edge/src/fleet/mod.rs
+++ b/crates/edge/src/fleet/mod.rs
@@ -1,6 +1,8 @@
 //! Upstreams with what is believed of each: load, health, kept connections.
 
+mod choose;
 mod costs;
+mod shared;
 mod ticket;
 
 use std::collections::{BTreeMap, HashMap};
@@ -10,14 +12,12 @@
 
 use nutmegbay_core::world::Moment;
 use nutmegbay_policy::UpstreamKey;
-use nutmegbay_policy::edge::exchange::{Digest, Exchange, PartUse, Role, Work};
+use nutmegbay_policy::edge::exchange::{Exchange, PartUse};
 use nutmegbay_policy::edge::health::{Health, Outcome};
 use nutmegbay_policy::edge::link::LinkLoad;
 use nutmegbay_policy::edge::load::{Ahead, UpstreamLoad};
-use nutmegbay_policy::edge::placement::{
-    Engine, Part, Placement, Plain, Prompt, Rates, gathering_engines, place, place_plain,
-};
-use nutmegbay_policy::edge::prefixes::{Evidence, Prefixes, first_ranks, ranking_weight};
+use nutmegbay_policy::edge::placement::Part;
+use nutmegbay_policy::edge::prefixes::Prefixes;
 use nutmegbay_policy::edge::read_rate::ReadRate;
 use nutmegbay_policy::edge::urgency::Urgency;
 use slotmap::SlotMap;
@@ -25,8 +25,9 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::http1::{Connection, IdleConnections};
-use crate::model::{EngineRole, EngineSpec, InstanceReport, ModelWork, Service};
+use crate::model::{EngineRole, InstanceReport, ModelWork};
 
+pub use choose::ModelRequest;
 use costs::{FIRST_MEAN_MS, ServiceCosts, costs_of};
 pub use ticket::{Demand, Ticket, Waiting};
 
@@ -37,9 +38,6 @@
 /// Idle connections kept to one upstream. The upstream's own bound is shared by all instances.
 const KEPT_CONNECTIONS: usize = 32;
 
-/// Share of the ranking of an engine that reads prompts at full rate, against one at half rate.
-const PREFILL_SHARE: f64 = 2.0;
-
 /// One upstream.
 pub struct Upstream {
     /// Identity in the list of instances.
@@ -84,24 +82,6 @@
     }
 }
 
-/// A model request that is to be placed.
-pub struct ModelRequest<'a> {
-    /// Service.
-    pub service: &'a Service,
-    /// Its engines.
-    pub engine: &'a EngineSpec,
-    /// Work.
-    pub work: &'a ModelWork,
-    /// Its urgency.
-    pub urgency: Urgency,
-    /// Time within which its first result is on time.
-    pub objective: Duration,
-    /// Length of its body.
-    pub body_bytes: usize,
-    /// Upstreams that it was sent to before.
-    pub tried: &'a [UpstreamKey],
-}
-
 /// All upstreams.
 pub struct Fleet {
     upstreams: SlotMap<UpstreamKey, Upstream>,
@@ -265,113 +245,6 @@
         self.upstreams.get(key)
     }
 
-    /// Chooses where a model request runs, without the tried upstreams as long as there are others.
-    pub fn place_model(
-        &self,
-        req: &ModelRequest<'_>,
-        instances: usize,
-        now: Moment,
-    ) -> Option<Placement> {
-        let &ModelRequest {
-            service,
-            engine,
-            work,
-            urgency,
-            objective,
-            body_bytes,
-            tried,
-        } = req;
-        let shared = work.shared_parts();
-        let shared_tokens: u32 = shared.iter().map(|part| part.tokens).sum();
-        let own_tokens = work.prompt_tokens.saturating_sub(shared_tokens);
-        let prompt = Prompt {
-            shared_tokens: work.prompt_tokens - own_tokens,
-            own_tokens,
-            domain: self.own_domain,
-            is_long: is_long(work),
-        };
-        let excess_ms = |is_split| {
-            // Long streams wait for other things than prompts do.
-            if prompt.is_long {
-                0.0
-            } else {
-                self.excess_ms(&service.name, is_split, urgency, now)
-            }
-        };
-        let again_ms = self.link.send_ms(body_bytes);
-        let read = self.read_rate(&service.name);
-        let rates = Rates {
-            fixed_ms: read.fixed_ms(),
-            read_ms: read.token_ms(work.prompt_tokens, objective),
-            move_ms: move_ms(engine),
-            send_ms: self.link.queue_ms(now) + again_ms,
-            again_ms,
-            request_ms: self.request_ms(&service.name),
-            whole_excess_ms: excess_ms(false),
-            split_excess_ms: excess_ms(true),
-        };
-        let candidates = self.candidates(&service.name, tried, now);
-        let gathering = self.gathering(service, engine, &candidates, instances);
-        let ranked = self.ranks(&candidates, &gathering, shared.last().map(|part| part.id));
-        let evidence = match self.known_others() {
-            Some(_) => Evidence::Shared,
-            None => Evidence::Own,
-        };
-        let engines: Vec<_> = candidates
-            .iter()
-            .zip(ranked)
-            .map(|(key, rank)| {
-                let upstream = &self.upstreams[*key];
-                // Where long streams are gathered, the others' requests are streams as well: they
-                // take slots and no time of reading.
-                let usual = if prompt.is_long {
-                    0.0
-                } else {
-                    self.usual(upstream)
-                };
-                let ahead = self.ahead(upstream, urgency, usual, now);
-                Engine {
-                    key: *key,
-                    part: upstream.part(),
-                    domain: upstream.domain,
-                    backlog_ms: ahead.backlog_ms,
-                    requests: ahead.requests,
-                    slots: upstream.report.slots,
-                    held: shared.last().map_or(0.0, |part| {
-                        self.prefixes.belief(part.id, *key, rank, evidence, now)
-                    }),
-                    is_gathering: gathering.contains(key),
-                    streams: upstream.streams + self.exchange.work(upstream.tag()).streams,
-                    failure_rate: upstream.health.failure_rate(now),
-                }
-            })
-            .collect();
-        place(&engines, prompt, rates)
-    }
-
-    /// Decode engines that gather long streams, which all instances rank alike.
-    fn gathering(
-        &self,
-        service: &Service,
-        engine: &EngineSpec,
-        candidates: &[UpstreamKey],
-        instances: usize,
-    ) -> Vec<UpstreamKey> {
-        let mut decoding: Vec<_> = candidates
-            .iter()
-            .copied()
-            .filter(|key| self.upstreams[*key].part() == Part::Decode)
-            .collect();
-        decoding.sort_by_key(|key| self.upstreams[*key].hash);
-        let own = self
-            .costs
-            .get(&service.name)
-            .map_or(0.0, |costs| costs.streams);
-        let all = own * instances as f64;
-        decoding.truncate(gathering_engines(all, engine.slots, decoding.len()));
-        decoding
-    }
-
     /// Averages the number of long streams of a service.
     pub fn average_streams(&mut self, service: &str, now: Moment) {
         let count: u32 = self
@@ -381,30 +254,6 @@
         costs_of(&mut self.costs, service).average_streams(count, now);
     }
 
-    /// Chooses an upstream of a plain service and predicts the wait there in milliseconds.
-    pub fn place_plain(
-        &self,
-        service: &Service,
-        tried: &[UpstreamKey],
-        now: Moment,
-    ) -> Option<(UpstreamKey, f64)> {
-        let upstreams: Vec<_> = self
-            .candidates(&service.name, tried, now)
-            .into_iter()
-            .map(|key| {
-                let upstream = &self.upstreams[key];
-                Plain {
-                    key,
-                    domain: upstream.domain,
-                    requests: self.requests_ahead(upstream, now),
-                    slots: upstream.report.slots,
-                    failure_rate: upstream.health.failure_rate(now),
-                }
-            })
-            .collect();
-        place_plain(&upstreams, self.own_domain, self.mean_ms(&service.name))
-    }
-
     /// Mean time of a request of a plain service, in milliseconds.
     pub fn mean_ms(&self, service: &str) -> f64 {
         self.costs
@@ -467,8 +316,8 @@
         // Instances that were not heard of send as much as the others.
         let scale = self.others.max(known) as f64 / known as f64;
         let work = self.exchange.work(upstream.tag());
-        let pending_ms: u32 = work.pending_ms.ahead_of(urgency).sum();
-        let pending_ms = f64::from(pending_ms) * scale;
+        let pending_ms: f64 = work.pending_ms.ahead_of(urgency).map(f64::from).sum();
+        let pending_ms = pending_ms * scale;
         let requests = f64::from(work.requests) * scale;
         upstream.load.ahead_of(urgency, now, pending_ms, requests)
     }
@@ -480,72 +329,6 @@
         ahead.requests
     }
 
-    /// Other instances that have told of their work; none while most have not.
-    fn known_others(&self) -> Option<usize> {
-        let known = self.exchange.instances() as usize;
-        (known > 0 && known >= self.others / 2).then_some(known)
-    }
-
-    /// Takes a part in the exchange among `others` instances.
-    pub fn set_role(&mut self, role: Option<Role<SocketAddr>>, others: usize) {
-        self.exchange.set_role(role);
-        self.others = others;
-    }
-
-    /// Other instances that are believed to run.
-    pub fn others(&self) -> usize {
-        self.others
-    }
-
-    /// Digests of this instance's work for others.
-    pub fn digests(&mut self, now: Moment) -> Vec<(SocketAddr, Digest)> {
-        let work_of = |upstream: &Upstream| Work {
-            pending_ms: upstream.load.pending_ms().map(|ms| ms.round() as u32),
-            requests: upstream.load.in_flight(),
-            streams: upstream.streams,
-        };
-        let own: Vec<_> = self
-            .upstreams
-            .values()
-            .filter(|upstream| upstream.load.in_flight() > 0)
-            .map(|upstream| (upstream.tag(), work_of(upstream)))
-            .collect();
-        self.exchange.sweep(now);
-        let mut digests = self.exchange.digests(&own);
-        let times = |(name, costs): (&Box<_>, &ServiceCosts)| {
-            Some((service_tag(name), costs.read.times()?))
-        };
-        let reads: Vec<_> = self.costs.iter().filter_map(times).collect();
-        for (_, digest) in &mut digests {
-            digest.reads.clone_from(&reads);
-        }
-        digests
-    }
-
-    /// Notes the digest of another instance.
-    pub fn received(&mut self, from: SocketAddr, digest: &Digest, now: Moment) {
-        if !self.exchange.received(from, digest, now) {
-            return;
-        }
-        if self.exchange.passes_on() {
-            self.changed.notify_one();
-        }
-        for (tag, times) in &digest.reads {
-            let known = self
-                .by_service
-                .keys()
-                .find(|name| service_tag(name) == *tag);
-            if let Some(name) = known {
-                costs_of(&mut self.costs, name).read.heard(*times);
-            }
-        }
-        for used in &digest.uses {
-            if let Some(key) = self.by_tag.get(&used.upstream) {
-                self.prefixes.used(used.part, *key, now);
-            }
-        }
-    }
-
     /// Requests of other instances that an upstream of this kind usually has.
     fn usual(&self, upstream: &Upstream) -> f64 {
         let costs = self.costs.get(&upstream.report.service);
@@ -616,58 +399,6 @@
         self.by_service.get(service).into_iter().flatten().copied()
     }
 
-    /// Upstreams that take new work. Those that were tried or are avoided are left out as long as
-    /// others remain.
-    fn candidates(&self, service: &str, tried: &[UpstreamKey], now: Moment) -> Vec<UpstreamKey> {
-        let is_listed = |upstream: &Upstream| upstream.lapsed_until.is_none_or(|until| now < until);
-        let ready: Vec<_> = self
-            .service_keys(service)
-            .filter(|key| self.upstreams[*key].report.is_ready && is_listed(&self.upstreams[*key]))
-            .collect();
-        let untried: Vec<_> = ready
-            .iter()
-            .copied()
-            .filter(|key| !tried.contains(key))
-            .collect();
-        let calm: Vec<_> = untried
-            .iter()
-            .copied()
-            .filter(|key| !self.upstreams[*key].health.is_avoided(now))
-            .collect();
-        let is_servable = |keys: &[UpstreamKey]| {
-            keys.iter()
-                .any(|key| self.upstreams[*key].part() == Part::Decode)
-        };
-        match (is_servable(&calm), is_servable(&untried)) {
-            (true, _) => calm,
-            (false, true) => untried,
-            (false, false) => ready,
-        }
-    }
-
-    /// Place of each candidate in the ranking of `part`, in the order of `candidates`, as far as it is
-    /// one of the first ones. Engines that gather long streams read no prompts and have no place.
-    fn ranks(
-        &self,
-        candidates: &[UpstreamKey],
-        gathering: &[UpstreamKey],
-        part: Option<u64>,
-    ) -> Vec<usize> {
-        let Some(part) = part else {
-            return vec![usize::MAX; candidates.len()];
-        };
-        let weights = candidates.iter().map(|key| {
-            let upstream = &self.upstreams[*key];
-            let share = match upstream.part() {
-                _ if gathering.contains(key) => return 0.0,
-                Part::Prefill => PREFILL_SHARE,
-                Part::Decode => 1.0,
-            };
-            ranking_weight(part, upstream.hash, share)
-        });
-        first_ranks(weights)
-    }
-
     fn request_ms(&self, service: &str) -> f64 {
         let costs = self.costs.get(service);
         costs.map_or(FIRST_MEAN_MS, |costs| costs.request_ms)
@@ -692,16 +423,3 @@
 pub fn is_long(work: &ModelWork) -> bool {
     work.output_tokens >= LONG_OUTPUT
 }
-
-/// Short name of a service among instances.
-fn service_tag(name: &str) -> u32 {
-    xxh3_64(name.as_bytes()) as u32
-}
-
-/// Milliseconds in which a token is moved between engines.
-fn move_ms(engine: &EngineSpec) -> f64 {
-    if engine.link_mbps <= 0.0 {
-        return 0.0;
-    }
-    engine.token_bytes as f64 * 8.0 / (engine.link_mbps * 1e3)
-}
--- a/crates/policy/src/edge/admission.rs
+++ b/crates/policy/src/edge/admission.rs
@@ -13,8 +13,8 @@
 /// displace what can be on time.
 const LATE_PART: f64 = 0.5;
 
-/// Part of the objective for which a request may wait beside its own time when it cannot be on time:
-/// a prompt that takes longer to read than its objective is refused by no other rule for ever.
+/// Part of the objective for which a request may wait beside its own time when it cannot be on time. A
+/// prompt that takes longer to read than its objective would otherwise be refused at each attempt.
 const LATE_WAIT_PART: f64 = 0.4;
 
 /// Shortest Retry-After: the way of a refusal to the caller and back.
--- a/crates/policy/src/edge/exchange.rs
+++ b/crates/policy/src/edge/exchange.rs
@@ -316,7 +316,7 @@
             .collect();
         if work.len() > MOST_UPSTREAMS {
             work.sort_unstable_by_key(|(_, work)| {
-                std::cmp::Reverse(work.pending_ms.all().sum::<u32>())
+                std::cmp::Reverse(work.pending_ms.all().map(u64::from).sum::<u64>())
             });
             work.truncate(MOST_UPSTREAMS);
         }
@@ -332,12 +332,12 @@
 
 impl Sum {
     fn add(&mut self, received: &Received) {
-        self.instances += received.instances;
+        self.instances = self.instances.saturating_add(received.instances);
         self.apply(received, u32::saturating_add);
     }
 
     fn subtract(&mut self, received: &Received) {
-        self.instances -= received.instances;
+        self.instances = self.instances.saturating_sub(received.instances);
         self.apply(received, u32::saturating_sub);
     }
 
--- a/crates/policy/src/edge/read_rate.rs
+++ b/crates/policy/src/edge/read_rate.rs
@@ -144,7 +144,7 @@
         if times.reads > own && is_sound {
             *self = Self {
                 known: Some((f64::from(times.fixed_ms), f64::from(times.token_ms))),
-                window: (times.reads * 2).clamp(WINDOW.0, WINDOW.1),
+                window: times.reads.saturating_mul(2).clamp(WINDOW.0, WINDOW.1),
                 ..Self::new()
             };
         }
--- a/crates/policy/tests/edge_exchange.rs
+++ b/crates/policy/tests/edge_exchange.rs
@@ -181,3 +181,29 @@
     assert!(spacing(300) >= Duration::from_millis(40));
     assert!(spacing(1_000) * 3 <= Duration::from_millis(400));
 }
+
+/// A digest that another program sends, or that was damaged on the way, must not end the process by an
+/// overflow.
+#[test]
+fn absurd_digest() {
+    let mut exchange = Exchange::default();
+    exchange.set_role(Some(Role::Relay(vec![1])));
+    let absurd = Work {
+        pending_ms: ByUrgency::default().map(|_: u32| u32::MAX),
+        requests: u32::MAX,
+        streams: u32::MAX,
+    };
+    for from in 2..5 {
+        let digest = Digest {
+            scope: Scope::Own,
+            instances: u32::MAX,
+            work: vec![(UPSTREAM, absurd); 200],
+            uses: Vec::new(),
+            reads: Vec::new(),
+        };
+        assert!(exchange.received(from, &digest, at(0)));
+    }
+    assert!(!exchange.digests(&[(UPSTREAM, absurd)]).is_empty());
+    exchange.sweep(at(1_000));
+    assert_eq!(exchange.instances(), 0);
+}
