Follow a relay without proof for half of the contact time only

A process that has just started trusts its relay's replies at once. What the last of them vouches for must end before the operator's bounds hold for the process, so that a relay which was paused cannot cost it a bound.

--- a/crates/edge/src/site.rs
+++ b/crates/edge/src/site.rs
@@ -31,6 +31,10 @@
 /// partition may be away for longer than the others.
 const AWAY_PAUSE: Duration = Duration::from_secs(5);
 
+/// Part of the time in which no bound holds for a process that has started, in which it follows a relay
+/// without proof. What the last such reply vouches for ends within the rest.
+const STARTING_PART: f64 = 0.5;
+
 /// State of one process.
 pub struct Site<D> {
     /// Names on the wire.
@@ -101,7 +105,8 @@
             settings.link_mbps,
         )));
         let moments = Moments::new();
-        let starting_until = moments.now().plus(settings.bounds.contact);
+        let starting = settings.bounds.contact.mul_f64(STARTING_PART);
+        let starting_until = moments.now().plus(starting);
         Self {
             dialect,
             settings: RefCell::new(Rc::new(settings)),
