Choose another decode engine when the chosen one leaves during the prefill

The prompt of a split run was read for 1.6 s, and the stream then went to the decode engine that had been chosen with the prefill engine, which had announced its end meanwhile. Ruled out: a late list, since the engine's end was known in time.

Change: before the second send the engine must still take work; otherwise another one is chosen. prefill_faults::leaving_engine failed before (the leaving engine got the stream) and passes.

--- a/crates/edge-bin/tests/common/mod.rs
+++ b/crates/edge-bin/tests/common/mod.rs
@@ -111,22 +111,34 @@
 
     /// Starts two prefill engines and a decode engine, in this order.
     pub async fn start_resumable_engines(test: u8, is_resumable: bool) -> Self {
-        let site = Self::start_listed(test, 3, |addr, state| {
-            let mut entry = instance(addr, state);
-            let is_last = addr.port() == FIRST_WORKER + 2;
-            entry["phase"] = json!(if is_last { "decode" } else { "prefill" });
-            entry
-        })
-        .await;
+        Self::start_some_engines(test, 1, is_resumable, 100).await
+    }
+
+    /// Starts two prefill engines and then `decoding` decode engines; streams are on time within
+    /// `objective_ms`.
+    pub async fn start_some_engines(
+        test: u8,
+        decoding: u16,
+        is_resumable: bool,
+        objective_ms: u32,
+    ) -> Self {
+        let site = Self::start_listed(test, 2 + decoding, engine_instance).await;
         let mut config = config(1, &["k1"]);
         config["services"][0]["engine"] = json!({"slots": 8, "kv-capacity": 900_000,
             "kv-token-bytes": 163_840, "link-mbps": 4_600_000.0});
         config["routes"][2]["resumable"] = json!(is_resumable);
+        config["routes"][2]["slo-ms"] = json!(objective_ms);
         site.store.put("keyed.op", "config", &config);
         site.until_ready().await;
         site
     }
 
+    /// Lists engine `n` as leaving.
+    pub fn list_engine_as_leaving(&self, n: u16) {
+        let entry = engine_instance(self.listed_address(n), "draining");
+        self.store.put("keyed.servers", &format!("i-{n}"), &entry);
+    }
+
     /// Starts one more edge, which cannot reach the store and knows the first one, and waits until it
     /// serves.
     pub async fn start_cut_off(&self, test: u8) -> Edge {
@@ -387,6 +399,14 @@
         .unwrap()
 }
 
+/// Entry of an engine in the list of instances: the first two workers read prompts for the others.
+fn engine_instance(addr: SocketAddr, state: &str) -> Value {
+    let mut entry = instance(addr, state);
+    let is_prefill = addr.port() < FIRST_WORKER + 2;
+    entry["phase"] = json!(if is_prefill { "prefill" } else { "decode" });
+    entry
+}
+
 /// An answer as a caller gets it.
 #[derive(Debug, Default, Clone)]
 pub struct Answer {
--- a/crates/edge-bin/tests/common/worker.rs
+++ b/crates/edge-bin/tests/common/worker.rs
@@ -15,6 +15,8 @@
 pub enum Act {
     /// Answers with a signed 200.
     Serve,
+    /// Answers a prefill after a second, within which the list of instances is read again.
+    SlowPrefill,
     /// Says that it did not run the request.
     NotRun,
     /// Fails with a signed 500.
@@ -50,6 +52,9 @@
 const JUNK_BYTES: usize = 16 * 1024;
 const JUNK_PAUSE: Duration = Duration::from_millis(1);
 
+/// Time of a slow prefill.
+const SLOW_PREFILL: Duration = Duration::from_secs(1);
+
 /// Pause between the bytes of a stalled stream.
 const TRICKLE_PAUSE: Duration = Duration::from_millis(100);
 
@@ -167,14 +172,17 @@
         )
     };
     let signed = "X-Server-Seal: s1\r\n";
+    if act == Act::SlowPrefill {
+        sleep(SLOW_PREFILL).await;
+    }
     let text = match act {
-        Act::Serve if header(head, "x-serving-stage").is_some() => whole(
+        Act::Serve | Act::SlowPrefill if header(head, "x-serving-stage").is_some() => whole(
             "200 OK",
             id,
             "",
             r#"{"transfer-handle":"h1","tokens":20000,"version":1}"#,
         ),
-        Act::Serve => whole("200 OK", id, signed, "done"),
+        Act::Serve | Act::SlowPrefill => whole("200 OK", id, signed, "done"),
         Act::NotRun => whole("503 Full", id, "X-Not-Executed: 1\r\n", ""),
         Act::Fail => whole("500 Oops", id, signed, "oops"),
         Act::OtherId => whole("200 OK", "another", signed, "not yours"),
--- a/crates/edge-bin/tests/prefill_faults.rs
+++ b/crates/edge-bin/tests/prefill_faults.rs
@@ -74,3 +74,25 @@
     assert_eq!(answer.status, 200);
     assert_eq!(text(&answer.body), events(1, EVENTS));
 }
+
+/// The decode engine that was chosen with the prefill engine announces its end while the prompt is read:
+/// the stream was sent to it 2 s later all the same.
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_engine() {
+    let site = Site::start_some_engines(46, 2, false, 1_000).await;
+    for worker in &site.workers {
+        let acts = [Act::SlowPrefill, Act::SlowPrefill];
+        worker.script(&acts);
+    }
+    site.workers[2].script(&[Act::Stream]);
+    site.workers[3].script(&[Act::Stream]);
+    let leave = async {
+        site.until("the prompt is read", async || site.runs() > 0)
+            .await;
+        site.list_engine_as_leaving(2);
+    };
+    let (answer, ()) = tokio::join!(call(&site), leave);
+    assert_eq!(answer.status, 200);
+    assert!(site.workers[2].requests().is_empty(), "it is leaving");
+    assert_eq!(text(&answer.body), events(1, EVENTS));
+}
--- a/crates/edge/src/fleet/choose.rs
+++ b/crates/edge/src/fleet/choose.rs
@@ -10,7 +10,7 @@
 use nutmegbay_policy::edge::prefixes::{Evidence, first_ranks, ranking_weight};
 use nutmegbay_policy::edge::urgency::Urgency;
 
-use super::{Fleet, Upstream, is_long};
+use super::{Fleet, is_long};
 use crate::model::{EngineSpec, ModelWork, Service};
 
 /// Share of the ranking of an engine that reads prompts at full rate, against one at half rate.
@@ -166,13 +166,20 @@
         place_plain(&upstreams, self.own_domain, self.mean_ms(&service.name))
     }
 
+    /// Whether an upstream takes new work: it is listed, and not as leaving.
+    pub fn takes_work(&self, key: UpstreamKey, now: Moment) -> bool {
+        self.upstreams.get(key).is_some_and(|upstream| {
+            let lapsed_until = upstream.lapsed_until;
+            upstream.report.is_ready && lapsed_until.is_none_or(|until| now < until)
+        })
+    }
+
     /// Upstreams that take new work. Those that were tried or are avoided are left out as long as
     /// others remain.
     fn candidates(&self, service: &str, tried: &[UpstreamKey], now: Moment) -> Vec<UpstreamKey> {
-        let is_listed = |upstream: &Upstream| upstream.lapsed_until.is_none_or(|until| now < until);
         let ready: Vec<_> = self
             .service_keys(service)
-            .filter(|key| self.upstreams[*key].report.is_ready && is_listed(&self.upstreams[*key]))
+            .filter(|key| self.takes_work(*key, now))
             .collect();
         let untried: Vec<_> = ready
             .iter()
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -353,6 +353,9 @@
             handle: &handle.name,
         };
         let patience = self.patience(first_ms);
+        let Some(decode) = self.decode_engine(decode) else {
+            return Send::NotRun("no_upstream");
+        };
         let reply = self.send(decode, move_ms, stage, patience).await;
         if matches!(&reply, Send::Reply(reply) if !reply.head.is_not_run()) {
             handle.taken();
@@ -360,6 +363,19 @@
         reply
     }
 
+    /// Engine that generates from a prompt that was just read: the one that was `chosen` with the prefill
+    /// engine, or another one where it has announced its end since then.
+    fn decode_engine(&self, chosen: UpstreamKey) -> Option<UpstreamKey> {
+        let now = self.site.now();
+        if self.site.fleet.borrow().takes_work(chosen, now) {
+            return Some(chosen);
+        }
+        match self.place_whole()? {
+            Placement::Whole { at, .. } => Some(at),
+            Placement::Split { .. } => None,
+        }
+    }
+
     /// Takes an answer that goes to the caller out of `send`, or notes why there is none.
     fn judge(&mut self, send: Send) -> Option<Reply> {
         match send {
