Take the reads behind a learned rate from one place

ReadRate::heard worked out again what times() tells: the reads of the last window, none before the first one. It now asks times(). No behaviour changes.

--- a/crates/policy/src/edge/read_rate.rs
+++ b/crates/policy/src/edge/read_rate.rs
@@ -135,11 +135,7 @@
 
     /// Takes over what another instance knows where it comes from more reads.
     pub fn heard(&mut self, times: ReadTimes) {
-        let own = if self.known.is_some() {
-            self.window / 2
-        } else {
-            0
-        };
+        let own = self.times().map_or(0, |own| own.reads);
         let is_sound = times.fixed_ms >= 0.0 && times.token_ms > 0.0 && times.token_ms.is_finite();
         if times.reads > own && is_sound {
             *self = Self {
