Log the prefix blocks of runs that break

Cause: the log could not tell apart why requests with one prefix block went on crashing engines: it named neither what the broken runs had in common nor the hash under which they are blamed.

Change: one line run_broken for each run whose connection broke after the request was sent, with the hash, the shared blocks and whether a first result had come. The number of lines is bounded by the requests in flight.

--- a/crates/edge/src/crashes.rs
+++ b/crates/edge/src/crashes.rs
@@ -14,8 +14,9 @@
 
 use crate::clock::millis;
 use crate::fleet::InFlightSend;
-use crate::forward::RoutedRequest;
+use crate::forward::{RoutedRequest, upstream_id};
 use crate::http1::BufferedClient;
+use crate::model::ModelWork;
 use crate::peers::{CRASHES_PATH, PEER_TIMEOUT, known_peers};
 use crate::platform_api::WireCodec;
 use crate::state::EdgeState;
@@ -31,6 +32,15 @@
 ) {
     let broke_ms = state.wall_clock.borrow().now_ms();
     let took = state.now().since(in_flight_send.sent_at());
+    tracing::info!(
+        event = "run_broken",
+        id = %request.head.id,
+        upstream = %upstream_id(state, in_flight_send.key()),
+        fingerprint = format_args!("{:016x}", request.fingerprint()),
+        blocks = %shared_block_ids(request),
+        has_result = in_flight_send.has_result(),
+        took_ms = millis(took),
+    );
     let run = BrokenRun {
         fingerprint: request.fingerprint(),
         incarnation: in_flight_send.incarnation(),
@@ -43,6 +53,17 @@
         .record_broken_run(state.now(), run, false);
 }
 
+/// Returns the ids of the request's shared prefix blocks for the log.
+fn shared_block_ids(request: &RoutedRequest) -> String {
+    let work = request.head.work.as_ref();
+    let shared = work.map_or(&[][..], ModelWork::shared_blocks);
+    let ids: Vec<_> = shared
+        .iter()
+        .map(|block| format!("{:x}", block.id))
+        .collect();
+    ids.join(",")
+}
+
 /// Records that a request received its complete response, which clears it of suspicion.
 pub fn record_complete_response<D: WireCodec>(state: &EdgeState<D>, request: &RoutedRequest) {
     let mut crashes = state.crashes.borrow_mut();
--- a/crates/edge/src/fleet/in_flight.rs
+++ b/crates/edge/src/fleet/in_flight.rs
@@ -143,6 +143,11 @@
         self.key
     }
 
+    /// Returns whether the first result has arrived.
+    pub fn has_result(&self) -> bool {
+        self.has_begun
+    }
+
     /// Records the first result.
     pub fn record_first_result(&mut self, now: MonotonicTime) {
         if !self.has_begun
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -469,7 +469,7 @@
 }
 
 /// Returns the id of an upstream for the log.
-fn upstream_id<D: WireCodec>(state: &EdgeState<D>, key: UpstreamKey) -> Box<str> {
+pub fn upstream_id<D: WireCodec>(state: &EdgeState<D>, key: UpstreamKey) -> Box<str> {
     let fleet = state.fleet.borrow();
     fleet
         .get(key)
