Treat a stream that ends within an event as broken off

What callers saw: a stream whose upstream failed within an event was ended as complete, with the incomplete event as its last bytes, if the response had neither a length nor chunks. It was not resumed, and its request counted as answered, which cleared it of the suspicion of crashing upstreams.

Cause: such a response ends with its connection, so the end of the body was taken for the end of the stream. Framed responses were not affected: their body is an error when it ends early.

Evidence: unframed_answers::broken_off failed with resumed_after [] where ["2"] was expected, and not_resumable with a response that ended with the last chunk; both pass now. whole_stream guards the sound case and passed before and after.

Why it works: events end with an empty line, so buffered bytes at the end of the body are a part of an event. The stream is then resumed, or the caller's connection closes.

--- a/crates/edge-bin/tests/common/worker.rs
+++ b/crates/edge-bin/tests/common/worker.rs
@@ -45,6 +45,11 @@
     Trickle,
     /// Streams all events.
     Stream,
+    /// Streams events up to this number and a part of the next one in a response without a length
+    /// or chunks, which ends with its connection. A resumed stream is sent whole.
+    UnframedBreakAfter(u32),
+    /// Streams all events in a response without a length or chunks, which ends with its connection.
+    UnframedStream,
 }
 
 /// Number of events in a complete stream.
@@ -215,6 +220,9 @@
         Action::Endless(part) => return endless(io, part, id).await,
         Action::Trickle => return trickle(io, id).await,
         Action::BreakAfter(_) | Action::Stream => return stream(io, action, head).await,
+        Action::UnframedBreakAfter(_) | Action::UnframedStream => {
+            return unframed_stream(io, action, head).await;
+        }
     };
     io.write_all(text.as_bytes()).await.is_ok() && action != Action::Truncate
 }
@@ -287,6 +295,20 @@
     io.write_all(text.as_bytes()).await.is_ok() && last == EVENTS
 }
 
+/// Streams events without a length or chunks. The connection ends with the response.
+async fn unframed_stream(io: &mut TcpStream, action: Action, head: &str) -> bool {
+    let id = header(head, "x-attempt-id").unwrap_or_default();
+    let after: u32 = header(head, "last-event-id").map_or(0, |id| id.parse().unwrap());
+    let head = stream_head(id).replace("Transfer-Encoding: chunked\r\n", "");
+    let text = match action {
+        Action::UnframedBreakAfter(last) if after == 0 => events(1, last) + "id: 9\nda",
+        _ => events(after + 1, EVENTS),
+    };
+    // The edge may have closed the connection.
+    let _ = io.write_all((head + &text).as_bytes()).await;
+    false
+}
+
 /// Returns the event with number `n`.
 pub fn event(n: u32) -> String {
     format!("id: {n}\ndata: piece {n}\n\n")
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -218,6 +218,9 @@
                     return Some(Err(ResponseBodyError::Deadline));
                 }
                 Err(_) | Ok(Some(Err(_))) => ReadOutcome::Failed,
+                // A response without a length or chunks ends with its connection, also when the
+                // upstream fails.
+                Ok(None) if !self.events.is_between_events() => ReadOutcome::Failed,
                 Ok(None) => ReadOutcome::End,
                 Ok(Some(Ok(bytes))) => ReadOutcome::Bytes(bytes),
             };
@@ -235,8 +238,7 @@
                         crashes::record_complete_response(&self.state, &self.request);
                         source.finish(&self.state);
                     }
-                    let rest = self.events.take_rest();
-                    return (!rest.is_empty()).then_some(Ok(rest));
+                    return None;
                 }
                 ReadOutcome::Failed => {
                     if !self.resume_elsewhere().await {
