--- a/crates/edge-bin/tests/common/worker.rs
+++ b/crates/edge-bin/tests/common/worker.rs
@@ -9,6 +9,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
 
 /// What a worker does with a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -74,9 +75,17 @@
     Event,
 }
 
+/// Time from a crash until the worker listens again.
+const DOWN_TIME: Duration = Duration::from_millis(400);
+
 #[derive(Debug, Default)]
 struct WorkerState {
     script: VecDeque<Action>,
+    /// Id of the prefix block on which the worker crashes when it begins to answer.
+    crashing_block: Option<String>,
+    crashes: usize,
+    /// Cancelled when the worker crashes, which ends all of its connections.
+    crash: CancellationToken,
     requests: Vec<String>,
     /// Number of requests that the worker began to run since its start.
     total_runs: u64,
@@ -95,13 +104,42 @@
         let listener = TcpListener::bind(addr).await.unwrap();
         let acceptor = worker.clone();
         tokio::spawn(async move {
-            while let Ok((io, _)) = listener.accept().await {
-                tokio::spawn(acceptor.clone().serve_connection(io));
+            acceptor.accept_until_crash(listener).await;
+            loop {
+                sleep(DOWN_TIME).await;
+                acceptor.0.lock().unwrap().crash = CancellationToken::new();
+                let listener = TcpListener::bind(addr).await.unwrap();
+                acceptor.accept_until_crash(listener).await;
             }
         });
         worker
     }
 
+    /// Makes the worker crash whenever it begins to answer a request whose prompt contains `block`
+    /// before its last prefix block. It listens again after [`DOWN_TIME`].
+    pub fn crash_on(&self, block: &str) {
+        self.0.lock().unwrap().crashing_block = Some(block.into());
+    }
+
+    /// Returns the number of crashes.
+    pub fn crashes(&self) -> usize {
+        self.0.lock().unwrap().crashes
+    }
+
+    async fn accept_until_crash(&self, listener: TcpListener) {
+        let crash = self.0.lock().unwrap().crash.clone();
+        let accept = async {
+            while let Ok((io, _)) = listener.accept().await {
+                let (worker, crash) = (self.clone(), crash.clone());
+                tokio::spawn(async move {
+                    let serve = worker.serve_connection(io);
+                    crash.run_until_cancelled(serve).await;
+                });
+            }
+        };
+        crash.run_until_cancelled(accept).await;
+    }
+
     /// Sets what the worker does with its next requests, in order. It serves the requests after
     /// them.
     pub fn script(&self, actions: &[Action]) {
@@ -140,6 +178,15 @@
                 }
                 action
             };
+            if self.crashes_on(&head) {
+                let id = header(&head, "x-attempt-id").unwrap_or_default();
+                // The connection may be closed already; the worker crashes in any case.
+                let _ = io.write_all(stream_head(id).as_bytes()).await;
+                let mut inner = self.0.lock().unwrap();
+                inner.crashes += 1;
+                inner.crash.cancel();
+                return;
+            }
             let stays_open = respond(&mut io, action, &head).await;
             if action == Action::Hang {
                 self.0.lock().unwrap().abandoned += 1;
@@ -151,6 +198,20 @@
     }
 }
 
+impl Worker {
+    fn crashes_on(&self, head: &str) -> bool {
+        let inner = self.0.lock().unwrap();
+        let Some(block) = inner.crashing_block.as_deref() else {
+            return false;
+        };
+        let prefix = header(head, "x-prompt-prefix").unwrap_or_default();
+        let (shared, _) = prefix.rsplit_once(',').unwrap_or_default();
+        let is_prefill = header(head, "x-serving-stage").is_some();
+        let has_block = |entry: &str| entry.split(':').next() == Some(block);
+        !is_prefill && shared.split(',').any(has_block)
+    }
+}
+
 /// Returns the value of a header in a request or response head.
 pub fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
     head.lines().find_map(|line| {
--- a/crates/edge-bin/tests/crashing_requests.rs
+++ b/crates/edge-bin/tests/crashing_requests.rs
@@ -5,8 +5,9 @@
 
 use std::time::Duration;
 
-use common::Site;
-use common::worker::Action;
+use common::store::Fault;
+use common::worker::{Action, Worker};
+use common::{Edge, Response, Site};
 use tokio::time::sleep;
 
 const POISON: &str = "/once/poison";
@@ -86,3 +87,83 @@
     crash_worker(&site, "/once/1", 3_000).await;
     assert_eq!(site.call("POST", "/once/1", &[]).await.status, 200);
 }
+
+/// Prefix block on which the workers crash.
+const CRASHING_BLOCK: &str = "f00d";
+
+/// Crashes that requests with one block may cause in all: the operator's limit of three beyond the
+/// fifth.
+const MAX_CRASHES: usize = 8;
+
+/// Time between two of these requests. A crashed worker listens again after two rounds.
+const ROUND_TIME: Duration = Duration::from_millis(200);
+
+/// Sends a prompt whose shared prefix blocks are `a` and `block`. No two prompts are alike.
+async fn call_with_block(edge: &Edge, block: &str) -> Response {
+    let prefix = format!("a:20,{block}:20,{:x}:20", rand::random::<u64>());
+    let headers = [("X-Token-Counts", "60,5"), ("X-Prompt-Prefix", &*prefix)];
+    edge.call("POST", "/stream/1", &headers).await
+}
+
+/// Starts two prefill engines, and decode engines that crash on [`CRASHING_BLOCK`].
+async fn start_crashing_site(test: u8) -> Site {
+    let site = Site::start_engines_with(test, 6, true, 1_000).await;
+    for worker in site.workers.iter().skip(2) {
+        worker.script(&[Action::Stream; 100]);
+        worker.crash_on(CRASHING_BLOCK);
+    }
+    site
+}
+
+fn crashes(site: &Site) -> usize {
+    site.workers.iter().map(Worker::crashes).sum()
+}
+
+/// Waits until each edge serves sound prompts that share the account and the first block with the
+/// crashing ones.
+async fn assert_sound_served(site: &Site, edges: &[&Edge]) {
+    for edge in edges {
+        site.wait_until("sound prompts are served", async || {
+            call_with_block(edge, "50").await.status == 200
+        })
+        .await;
+        for _ in 0..3 {
+            assert_eq!(call_with_block(edge, "50").await.status, 200);
+        }
+    }
+}
+
+/// Requests with one block, no two alike, come at all edges. An edge that starts while the store is
+/// down refuses them too.
+#[tokio::test(flavor = "multi_thread")]
+async fn shared_block() {
+    let site = start_crashing_site(38).await;
+    let others = [
+        site.start_edge(39, site.store_address()).await,
+        site.start_edge(40, site.store_address()).await,
+    ];
+    let edges = [site.edge(), &others[0], &others[1]];
+    for round in 0..12 {
+        call_with_block(edges[round % 3], CRASHING_BLOCK).await;
+        // Sound prompts are in flight at the same time.
+        call_with_block(edges[(round + 1) % 3], "50").await;
+        sleep(ROUND_TIME).await;
+    }
+    let crashed = crashes(&site);
+    assert!(
+        crashed <= MAX_CRASHES,
+        "{crashed} crashes by requests with one block"
+    );
+    assert_sound_served(&site, &edges).await;
+    site.store.set_fault(Fault::Refuse);
+    let started = site.start_edge_without_store(41).await;
+    sleep(LIST_READ).await;
+    for edge in edges.into_iter().chain([&started]) {
+        let refused = call_with_block(edge, CRASHING_BLOCK).await;
+        assert_eq!(refused.status, 503);
+        let body = String::from_utf8(refused.body).unwrap();
+        assert!(body.contains("crashes_upstreams"), "{body}");
+    }
+    assert_eq!(crashes(&site), crashed, "a refused request has run");
+    assert_sound_served(&site, &[&started]).await;
+}
