Refuse requests by the prefix block that crashes upstreams

What callers saw: requests that share one prefix block, no two of them alike, crashed one engine after another for as long as they came. Sound callers of the same account and first block were served at the first attempt a seventh as often.

Cause: blame was kept for each whole request, while the fault belongs to a part that requests share; it counted only once the list of instances showed the end of the upstream, 3.5 s after the crash; and each edge told the others only then. Class: state kept for each caller's request where the fault belongs to something shared.

Change: a run has content (the whole request and each prefix block but the last). Content with three consecutive crashes and no complete answer is refused. The content with the most crashes explains them; content that was in all of its runs is refused only together with it; a complete answer clears its content at all edges. An edge whose run breaks opens a connection to the upstream: refused, it has crashed. Runs go to the other edges with digests and with the replies of relays and peers, and through a topic of the store. Every send checks (Forwarder::open). After the refusal period one request runs at a time, at a time that differs between edges.

Why it works: the evidence is the same at all edges, needs no agreement, and is there within one datagram. A harmless block that is in crashed runs is cleared by the answers of the requests that share it.

Ruled out: a verdict in the store alone (no use while the store is down); reports to each edge (350 calls a crash and edge).

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -5,10 +5,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use nutmegbay_policy::edge::crashes::ReportSource;
 use nutmegbay_policy::edge::exchange::{Digest, Role, spacing};
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
+use crate::crashes;
 use crate::metrics::increment;
 use crate::platform_api::WireCodec;
 use crate::state::EdgeState;
@@ -66,13 +68,11 @@
     let mut buf = vec![0; MAX_DIGEST_BYTES];
     loop {
         match socket.recv_from(&mut buf).await {
-            Ok((len, from)) => match postcard::from_bytes::<Digest>(&buf[..len]) {
-                Ok(digest) => {
-                    let mut fleet = state.fleet.borrow_mut();
-                    fleet.receive_digest(from, &digest, state.now());
+            Ok((len, from)) => {
+                if let Err(error) = receive_digest(state, from, &buf[..len]) {
+                    tracing::debug!(event = "digest_unreadable", %from, %error);
                 }
-                Err(error) => tracing::debug!(event = "digest_unreadable", %from, %error),
-            },
+            }
             Err(error) => {
                 tracing::debug!(event = "digest_not_received", %error);
                 sleep(RECEIVE_ERROR_PAUSE).await;
@@ -81,6 +81,29 @@
     }
 }
 
+/// Applies a datagram: a digest, and news of crashes if there are any. Earlier versions send the
+/// digest alone and ignore what follows it.
+fn receive_digest<D: WireCodec>(
+    state: &EdgeState<D>,
+    from: SocketAddr,
+    datagram: &[u8],
+) -> Result<(), postcard::Error> {
+    let (digest, news) = postcard::take_from_bytes::<Digest>(datagram)?;
+    let source = {
+        let mut fleet = state.fleet.borrow_mut();
+        fleet.receive_digest(from, &digest, state.now());
+        if fleet.is_relay() {
+            ReportSource::Unshared
+        } else {
+            ReportSource::Shared
+        }
+    };
+    if !news.is_empty() {
+        crashes::merge(state, &postcard::from_bytes(news)?, source);
+    }
+    Ok(())
+}
+
 /// Sets the role of this instance from the known members. Instances that read the store also
 /// forward digests.
 fn update_role<D: WireCodec>(state: &EdgeState<D>, port: u16) {
@@ -105,9 +128,13 @@
 
 fn send_digests<D: WireCodec>(state: &EdgeState<D>, socket: &UdpSocket) {
     let digests = state.fleet.borrow_mut().digests(state.now());
+    if digests.is_empty() {
+        return;
+    }
+    let news = encode_news(state);
     for (to, digest) in digests {
         let encoded = match postcard::to_stdvec(&digest) {
-            Ok(encoded) => encoded,
+            Ok(encoded) => [encoded, news.clone()].concat(),
             Err(error) => {
                 tracing::error!(event = "digest_not_encoded", %error);
                 continue;
@@ -121,3 +148,15 @@
         }
     }
 }
+
+/// Encodes the news of crashes that are due. Empty if there are none.
+fn encode_news<D: WireCodec>(state: &EdgeState<D>) -> Vec<u8> {
+    let news = crashes::take_news(state);
+    if news.is_empty() {
+        return Vec::new();
+    }
+    postcard::to_stdvec(&news).unwrap_or_else(|error| {
+        tracing::error!(event = "crashes_not_encoded", %error);
+        Vec::new()
+    })
+}
--- a/crates/edge/src/fleet/digests.rs
+++ b/crates/edge/src/fleet/digests.rs
@@ -16,6 +16,11 @@
         self.other_instances = other_instances;
     }
 
+    /// Whether this instance forwards what others send.
+    pub fn is_relay(&self) -> bool {
+        self.exchange.is_relay()
+    }
+
     /// Returns the number of other instances considered alive.
     pub fn other_instances(&self) -> usize {
         self.other_instances
--- a/crates/edge/src/fleet/in_flight.rs
+++ b/crates/edge/src/fleet/in_flight.rs
@@ -85,6 +85,7 @@
     sent_at: MonotonicTime,
     predicted_ms: f64,
     has_begun: bool,
+    result_at: Option<MonotonicTime>,
     has_outcome: bool,
 }
 
@@ -124,6 +125,7 @@
             sent_at: now,
             predicted_ms,
             has_begun: false,
+            result_at: None,
             has_outcome: false,
         }
     }
@@ -143,9 +145,9 @@
         self.key
     }
 
-    /// Returns whether the first result has arrived.
-    pub fn has_result(&self) -> bool {
-        self.has_begun
+    /// Returns the time of the first result, or `None` if there is none yet.
+    pub fn result_at(&self) -> Option<MonotonicTime> {
+        self.result_at
     }
 
     /// Records the first result.
@@ -159,6 +161,7 @@
                 .load
                 .record_observation(urgency, now, self.predicted_ms, actual_ms);
         }
+        self.result_at.get_or_insert(now);
         self.leave_queue();
     }
 
--- a/crates/edge/src/fleet/mod.rs
+++ b/crates/edge/src/fleet/mod.rs
@@ -76,7 +76,7 @@
     }
 
     /// Returns a hash that identifies this incarnation of the upstream.
-    fn incarnation(&self) -> u64 {
+    pub fn incarnation(&self) -> u64 {
         xxh3_64_with_seed(
             self.id.as_bytes(),
             self.report.started_ms.unwrap_or_default(),
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -324,13 +324,13 @@
     expiry_grace.usable_until(now)
 }
 
-/// Drops expired state and reports crashes. To be called after each update of the list of
+/// Drops expired state and counts crashes. To be called after each update of the list of
 /// instances.
 pub fn finish_instances_update<D: WireCodec>(state: &Rc<EdgeState<D>>) {
     let now = state.now();
     state.fleet.borrow_mut().sweep(now);
     state.known_records.borrow_mut().sweep(now);
-    crashes::send_reports(state);
+    crashes::record_ended_upstreams(state);
 }
 
 /// Applies a record of the list of instances. A removed entry may have expired because the store
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -12,7 +12,7 @@
 use nutmegbay_policy::edge::health::Outcome;
 use tokio::time::timeout;
 
-use super::{CONNECTION_HEADERS, Forwarder, upstream_id, upstream_outcome};
+use super::{CONNECTION_HEADERS, CRASHES_UPSTREAMS, Forwarder, upstream_id, upstream_outcome};
 use crate::crashes;
 use crate::fleet::{Demand, InFlightSend};
 use crate::http1::{CallError, Cause, Connection};
@@ -286,6 +286,12 @@
         stage: Stage<'_>,
         after: Option<&str>,
     ) -> Result<OpenedResponse, SendOutcome> {
+        if crashes::refused_for(self.state, self.request).is_some() {
+            return Err(SendOutcome::NotRun(CRASHES_UPSTREAMS));
+        }
+        if stage != Stage::Prefill {
+            crashes::record_sent(self.state, self.request);
+        }
         self.tried.push(at);
         let id = upstream_id(self.state, at);
         append_upstream(self.request, &id, stage);
@@ -413,7 +419,10 @@
                 Some(connection) => connection,
                 None => {
                     increment(&self.state.metrics.connections_opened);
-                    Connection::open(addr).await?
+                    let opened = Connection::open(addr).await;
+                    opened.inspect_err(|error| {
+                        crashes::record_connect_error(self.state, at, error);
+                    })?
                 }
             };
             self.sends += 1;
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -43,6 +43,9 @@
 /// another upstream.
 const FIRST_RESULT_TIMEOUT_FACTOR: f64 = 4.0;
 
+/// Cause of a request that is refused because its content crashes upstreams.
+const CRASHES_UPSTREAMS: &str = "crashes_upstreams";
+
 /// Response headers that apply to a single connection.
 const CONNECTION_HEADERS: [http::HeaderName; 5] = [
     http::header::CONNECTION,
@@ -161,7 +164,7 @@
         for round in 0..MAX_PLACEMENTS {
             self.refused_for = crashes::refused_for(self.state, self.request);
             if self.refused_for.is_some() {
-                self.cause = "crashes_upstreams";
+                self.cause = CRASHES_UPSTREAMS;
                 break;
             }
             let Some(placement) = self.place() else {
--- a/crates/edge/src/forward/request.rs
+++ b/crates/edge/src/forward/request.rs
@@ -6,10 +6,12 @@
 use http::{Method, StatusCode};
 use nutmegbay_core::environment::MonotonicTime;
 use nutmegbay_core::verdict::Verdict;
+use nutmegbay_policy::edge::crashes::ContentId;
 use nutmegbay_policy::edge::urgency::Urgency;
-use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
-use crate::model::{Account, RequestHead, Route, Service};
+use crate::crashes::block_content;
+use crate::model::{Account, ModelWork, RequestHead, Route, Service};
 
 /// A caller's request with its route, service and client account.
 pub struct RoutedRequest {
@@ -36,8 +38,8 @@
     pub _in_flight: InFlightGuard,
     /// Progress so far, for the log.
     pub progress: RefCell<RequestProgress>,
-    /// Cache for [`Self::fingerprint`].
-    pub fingerprint: OnceCell<u64>,
+    /// Cache for [`Self::contents`].
+    pub contents: OnceCell<Box<[ContentId]>>,
 }
 
 /// What has happened to a request so far.
@@ -88,22 +90,41 @@
         Urgency::of_rank(self.rank)
     }
 
+    /// Returns the identities of the content that may crash an upstream: the whole request, then
+    /// its shared prefix blocks.
+    pub fn contents(&self) -> &[ContentId] {
+        self.contents.get_or_init(|| {
+            std::iter::once(self.fingerprint())
+                .chain(self.block_contents())
+                .collect()
+        })
+    }
+
+    /// Returns the identities of the shared prefix blocks.
+    pub fn block_contents(&self) -> Vec<ContentId> {
+        let work = self.head.work.as_ref();
+        let shared = work.map_or(&[][..], ModelWork::shared_blocks);
+        let service = xxh3_64(self.service.name.as_bytes());
+        shared
+            .iter()
+            .map(|block| block_content(service, block.id))
+            .collect()
+    }
+
     /// Returns a hash of the method, path, account and body, which stay the same when a caller
     /// repeats a request.
-    pub fn fingerprint(&self) -> u64 {
-        *self.fingerprint.get_or_init(|| {
-            let mut hash = Xxh3::new();
-            for part in [
-                self.method.as_str().as_bytes(),
-                self.target.as_bytes(),
-                self.account_name().as_bytes(),
-                &self.body,
-            ] {
-                hash.update(&part.len().to_le_bytes());
-                hash.update(part);
-            }
-            hash.digest()
-        })
+    fn fingerprint(&self) -> ContentId {
+        let mut hash = Xxh3::new();
+        for part in [
+            self.method.as_str().as_bytes(),
+            self.target.as_bytes(),
+            self.account_name().as_bytes(),
+            &self.body,
+        ] {
+            hash.update(&part.len().to_le_bytes());
+            hash.update(part);
+        }
+        ContentId(hash.digest())
     }
 
     /// Returns the name of the client account, empty on anonymous routes.
--- a/crates/edge/src/http1.rs
+++ b/crates/edge/src/http1.rs
@@ -67,7 +67,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 pub enum Cause {
-    /// The connection was refused or did not open in time.
+    /// No process listens at the address.
+    Refused,
+    /// The connection did not open, in time or at all.
     Connect,
     /// The connection was closed before the request was written.
     Closed,
@@ -122,19 +124,19 @@
 impl Connection {
     /// Opens a connection within [`CONNECT_TIMEOUT`].
     pub async fn open(addr: SocketAddr) -> Result<Self, CallError> {
-        let failed = |()| CallError {
+        let failed = |cause| CallError {
             verdict: Verdict::NotRun,
-            cause: Cause::Connect,
+            cause,
+        };
+        let io = match timeout(CONNECT_TIMEOUT, connect(addr)).await {
+            Ok(Ok(io)) => io,
+            Ok(Err(error)) if is_refused(&error) => return Err(failed(Cause::Refused)),
+            Ok(Err(_)) | Err(_) => return Err(failed(Cause::Connect)),
         };
-        let io = timeout(CONNECT_TIMEOUT, connect(addr))
-            .await
-            .map_err(|_| ())
-            .and_then(|opened| opened.map_err(|_| ()))
-            .map_err(failed)?;
         let (sender, connection) = Builder::new()
             .handshake(TokioIo::new(io))
             .await
-            .map_err(|_| failed(()))?;
+            .map_err(|_| failed(Cause::Connect))?;
         let driver = tokio::task::spawn_local(async move {
             let (io, read_ahead) = drive(connection).await;
             Some((io.into_inner(), read_ahead))
@@ -282,6 +284,11 @@
     }
 }
 
+fn is_refused(error: &std::io::Error) -> bool {
+    use std::io::ErrorKind::{ConnectionRefused, ConnectionReset};
+    matches!(error.kind(), ConnectionRefused | ConnectionReset)
+}
+
 async fn connect(addr: SocketAddr) -> std::io::Result<TcpStream> {
     let socket = if addr.is_ipv4() {
         TcpSocket::new_v4()?
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -234,7 +234,7 @@
         arrived,
         _in_flight: in_flight,
         progress: RequestProgress::default().into(),
-        fingerprint: OnceCell::new(),
+        contents: OnceCell::new(),
     }))
 }
 
--- a/crates/edge/src/peers/ask.rs
+++ b/crates/edge/src/peers/ask.rs
@@ -4,12 +4,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use nutmegbay_policy::edge::crashes::ReportSource;
 use rand::seq::IteratorRandom;
 use tokio::time::sleep;
 
 use super::{
     KNOWN_RECORDS_PATH, PEER_TIMEOUT, RecordsReply, WireRecord, fetch, known_peers, time_before,
 };
+use crate::crashes;
 use crate::follow::{apply_config_record, apply_instance_record, finish_instances_update};
 use crate::http1::BufferedClient;
 use crate::platform_api::WireCodec;
@@ -63,11 +65,16 @@
     if let Some(config) = reply.config {
         apply_config_record(state, &config.into_record(), "peer");
     }
+    crashes::merge(state, &reply.crashes, ReportSource::Shared);
     let now = state.now();
     let grace_until = Some(now.plus(REMOVED_ENTRY_GRACE));
     for record in reply.instances.into_iter().map(WireRecord::into_record) {
         apply_instance_record(state, record, grace_until);
     }
+    // A process that has never read the store finds its relay among these.
+    for member in reply.members {
+        state.members.borrow_mut().record(member, now);
+    }
     let read_at = time_before(now, Duration::from_millis(reply.instances_age_ms));
     {
         let mut known_records = state.known_records.borrow_mut();
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -13,12 +13,14 @@
 use http::{Request, StatusCode};
 use nutmegbay_core::duty::MemberCounts;
 use nutmegbay_core::environment::MonotonicTime;
+use nutmegbay_policy::edge::crashes::CrashReport;
 use nutmegbay_policy::edge::relay::ReadCounts;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use strum::Display;
 
 use crate::clock::millis;
+use crate::crashes;
 use crate::http1::BufferedClient;
 use crate::members::MemberInfo;
 use crate::model::KeyedRecord;
@@ -34,9 +36,6 @@
 /// Path that returns changed records as soon as the process has read the store again.
 const CHANGES_PATH: &str = "/changes";
 
-/// Path that accepts reports of requests that crash upstreams.
-pub const CRASHES_PATH: &str = "/crashes";
-
 /// Path that returns the usage counts of a process.
 const USAGE_PATH: &str = "/usage";
 
@@ -80,6 +79,9 @@
     #[serde(rename = "lapse_ms")]
     expiry_grace_ms: u64,
     members: Vec<MemberInfo>,
+    /// Crashed runs that the requesting process may lack.
+    #[serde(default)]
+    crashes: CrashReport,
 }
 
 /// Store record as sent between processes.
@@ -140,6 +142,7 @@
             .borrow()
             .changed_since(request.members_next)
             .collect(),
+        crashes: crashes::report(state),
     }
 }
 
--- a/crates/edge/src/peers/relay.rs
+++ b/crates/edge/src/peers/relay.rs
@@ -6,9 +6,11 @@
 use std::time::Duration;
 
 use nutmegbay_core::environment::MonotonicTime;
+use nutmegbay_policy::edge::crashes::ReportSource;
 use tokio::time::sleep;
 
 use super::{CHANGES_PATH, ChangesRequest, RecordsReply, WireRecord, fetch, time_before};
+use crate::crashes;
 use crate::follow::{
     apply_config_record, apply_instance_record, finish_instances_update, instances_read_interval,
     max_config_wait, remove_unlisted,
@@ -116,6 +118,7 @@
 /// Applies the records that the relay has read.
 fn apply_reply<D: WireCodec>(state: &Rc<EdgeState<D>>, relay: SocketAddr, reply: RecordsReply) {
     let now = state.now();
+    crashes::merge(state, &reply.crashes, ReportSource::Shared);
     if let Some(config) = reply.config {
         apply_config_record(state, &config.into_record(), "relay");
     }
--- a/crates/edge/src/peers/serve.rs
+++ b/crates/edge/src/peers/serve.rs
@@ -17,11 +17,9 @@
 use tokio::time::{sleep, timeout};
 
 use super::{
-    CHANGES_PATH, CRASHES_PATH, ChangesRequest, KNOWN_RECORDS_PATH, METRICS_PATH, USAGE_PATH,
-    build_reply, relay,
+    CHANGES_PATH, ChangesRequest, KNOWN_RECORDS_PATH, METRICS_PATH, USAGE_PATH, build_reply, relay,
 };
 use crate::clock::millis;
-use crate::crashes::{self, MAX_REPORT_BYTES};
 use crate::members::own_counts;
 use crate::platform_api::WireCodec;
 use crate::state::EdgeState;
@@ -29,6 +27,9 @@
 /// Pause after a failed accept, for example if no file descriptor is free.
 const ACCEPT_ERROR_PAUSE: Duration = Duration::from_millis(500);
 
+/// Maximum size of the body of a request, in bytes.
+const MAX_REQUEST_BYTES: usize = 64 * 1024;
+
 /// Maximum time to receive the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -58,7 +59,7 @@
         tokio::task::spawn_local(async move {
             let service = service_fn(async |req: Request<Incoming>| {
                 let (parts, body) = req.into_parts();
-                let body = Limited::new(body, MAX_REPORT_BYTES).collect().await;
+                let body = Limited::new(body, MAX_REQUEST_BYTES).collect().await;
                 let (status, kind, text) = match body {
                     Ok(body) => handler.handle(parts.uri.path(), &body.to_bytes()).await,
                     Err(_) => (StatusCode::BAD_REQUEST, "text/plain", String::new()),
@@ -97,8 +98,7 @@
     }
 }
 
-/// Handles requests of peers and of operators: metrics, store records, usage counts and crash
-/// reports.
+/// Handles requests of peers and of operators: metrics, store records and usage counts.
 pub struct ControlHandler<D>(pub Rc<EdgeState<D>>);
 
 impl<D: WireCodec> RequestHandler for ControlHandler<D> {
@@ -110,10 +110,6 @@
                 let text = state.metrics.render(&gauges(state), dropped);
                 (StatusCode::OK, "text/plain", text)
             }
-            CRASHES_PATH if crashes::receive_report(state, body) => {
-                (StatusCode::OK, "text/plain", String::new())
-            }
-            CRASHES_PATH => (StatusCode::BAD_REQUEST, "text/plain", String::new()),
             KNOWN_RECORDS_PATH => json_response(&build_reply(state, &ChangesRequest::default())),
             USAGE_PATH => match own_counts(state) {
                 Some(counts) => json_response(&counts),
@@ -132,7 +128,7 @@
 }
 
 /// Returns the names and values of the gauges.
-fn gauges<D: WireCodec>(state: &EdgeState<D>) -> [(&'static str, u64); 6] {
+fn gauges<D: WireCodec>(state: &EdgeState<D>) -> [(&'static str, u64); 7] {
     let now = state.now();
     let known_records = state.known_records.borrow();
     [
@@ -142,6 +138,10 @@
         ("members", state.process_count() as u64),
         ("follows_relay", state.is_relayed().into()),
         ("requests_in_flight", state.in_flight.get() as u64),
+        (
+            "quarantined_contents",
+            state.crashes.borrow().quarantines().len() as u64,
+        ),
     ]
 }
 
--- a/crates/edge/src/platform_api.rs
+++ b/crates/edge/src/platform_api.rs
@@ -96,6 +96,8 @@
     Members,
     /// A single record: the duty holder and what it has sealed.
     Duty,
+    /// One record per edge process with its runs that are evidence against some content.
+    Crashes,
 }
 
 /// Key of the configuration record in [`Topic::Config`].
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -1,13 +1,14 @@
 //! State shared by the tasks of one edge process.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use nutmegbay_core::duty::WindowCounts;
 use nutmegbay_core::environment::MonotonicTime;
+use nutmegbay_policy::UpstreamKey;
 use nutmegbay_policy::edge::attempts::Deadlines;
 use nutmegbay_policy::edge::budget::{RetryShare, SharedRetryBudget};
 use nutmegbay_policy::edge::crashes::CrashHistory;
@@ -59,8 +60,12 @@
     pub stored_usage: RefCell<WindowCounts>,
     /// Notified when the usage counts must be written at once.
     pub flush_usage: Notify,
-    /// Requests whose connections broke together with an upstream.
+    /// Broken runs, and content that is refused because it crashes upstreams.
     pub crashes: RefCell<CrashHistory>,
+    /// Notified when `crashes` may have changed.
+    pub crashes_changed: Notify,
+    /// Upstreams to which a connection is being opened to find out whether they have ended.
+    pub checked_upstreams: RefCell<HashSet<UpstreamKey>>,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// Records read from the store, to be passed on to peers.
@@ -122,7 +127,9 @@
             previous_usage: RefCell::default(),
             stored_usage: RefCell::default(),
             flush_usage: Notify::new(),
-            crashes: RefCell::default(),
+            crashes: CrashHistory::new(rand::random()).into(),
+            crashes_changed: Notify::new(),
+            checked_upstreams: RefCell::default(),
             metrics: Metrics::default(),
             known_records: RefCell::default(),
             expiry_grace: RefCell::default(),
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -93,7 +93,11 @@
     }
 
     /// Records that the upstream failed before the end of the body.
-    pub fn record_failure<D: WireCodec>(&mut self, state: &EdgeState<D>, request: &RoutedRequest) {
+    pub fn record_failure<D: WireCodec>(
+        &mut self,
+        state: &Rc<EdgeState<D>>,
+        request: &RoutedRequest,
+    ) {
         crashes::record_broken_send(state, request, &self.in_flight_send);
         self.in_flight_send
             .record_outcome(Outcome::Faulty, state.now());
