Suspect content when all upstreams crash at the same time

What callers saw: where four of ten requests have the crashing block, all engines crashed within 0.2 s, and again when they were back 3.5 s later: eight sends after the fifth crash and the bound, of three allowed.

Cause: three consecutive crashes are asked for, each of a run that was sent after the one before broke. All engines were down before a third such run was sent.

Change: content in five crashes that was never answered is refused for five to ten seconds, a time that differs between edges, after which one run is a trial. A crash of it leads on to the long refusal, a complete answer clears the content. The state changes, log lines and wake-ups of the writer only when something was learned.

Why it works: content that came in many requests and was never answered is either the cause or came first just before all upstreams went down for another reason; one run tells, when they are back.

The test edge_crashes::simultaneous_crashes fails without the change (the block is not refused).

--- a/crates/edge/src/crashes/mod.rs
+++ b/crates/edge/src/crashes/mod.rs
@@ -214,8 +214,12 @@
 ) -> T {
     let now_ms = state.wall_clock.borrow().now_ms();
     let mut crashes = state.crashes.borrow_mut();
+    let revision = crashes.revision();
     let before = crashes.quarantines().to_vec();
     let result = change(&mut crashes, now_ms);
+    if crashes.revision() == revision {
+        return result;
+    }
     let after = crashes.quarantines();
     for quarantine in added(&before, after) {
         tracing::warn!(
--- a/crates/policy/src/edge/crashes/mod.rs
+++ b/crates/policy/src/edge/crashes/mod.rs
@@ -8,8 +8,10 @@
 //! upstream. Others break without any crash: connections are reset, or upstreams go down together.
 //!
 //! Content is quarantined after three consecutive crashes of which each broke a run with this
-//! content that was sent after the previous one had broken. A complete answer to a request with the
-//! content clears it. Instances exchange [`CrashReport`]s and draw the same conclusions from them.
+//! content that was sent after the previous one had broken. If many of these requests come at once,
+//! all upstreams crash before that; content that was never answered is then refused until upstreams
+//! are back and one run has shown its effect. A complete answer to a request with the content
+//! clears it. Instances exchange [`CrashReport`]s and draw the same conclusions from them.
 
 mod culprits;
 mod news;
@@ -19,12 +21,17 @@
 
 use serde::{Deserialize, Serialize};
 
+use culprits::Culprit;
 use news::News;
 
 /// Time for which content is refused after its last crash. A run after that may cost one more
 /// crash, so this bounds the crashes by one piece of content to thirty per hour.
 const REFUSAL_PERIOD: Duration = Duration::from_mins(2);
 
+/// Time for which content is refused after simultaneous crashes, which may have another cause. One
+/// run after that shows which it was.
+const SUSPICION_PERIOD: Duration = Duration::from_secs(5);
+
 /// Time after the first run that follows the refusal period in which no other request with this
 /// content runs. The run either completes or crashes in this time.
 const TRIAL_PERIOD: Duration = Duration::from_secs(10);
@@ -40,8 +47,7 @@
 /// quarantined for it.
 const RECENT_RUN_AGE: Duration = Duration::from_secs(10);
 
-/// Number of consecutive crashes from which the runs of a piece of content are written to the
-/// store.
+/// Number of crashes from which the runs of a piece of content are written to the store.
 const SUSPICIOUS_CRASHES: usize = 2;
 
 /// Maximum number of crashed runs that are kept. One crash breaks as many as the upstream has
@@ -150,6 +156,8 @@
     answers: HashMap<ContentId, u64>,
     quarantines: Vec<Quarantine>,
     news: News,
+    /// Number of changes of what is known of crashes.
+    revision: u64,
     /// Fraction by which this instance extends the refusal period, 0 to 1. It differs between
     /// instances, so that they do not allow another run at the same time.
     refusal_jitter: f64,
@@ -286,6 +294,11 @@
         }
     }
 
+    /// Returns a number that increases with each change of what is known of crashes.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
     /// Returns the quarantined content.
     pub fn quarantines(&self) -> &[Quarantine] {
         &self.quarantines
@@ -333,6 +346,7 @@
             !is_old(&crashed.run) || recent.iter().any(|q| q.is_in(&crashed.run))
         });
         if self.crashed.len() != before {
+            self.revision += 1;
             self.update_quarantines();
         }
     }
@@ -350,7 +364,9 @@
             let contents = &mut known.run.contents;
             let before = contents.len();
             contents.retain(|content| run.contents.contains(content));
-            return contents.len() != before;
+            let is_changed = contents.len() != before;
+            self.revision += u64::from(is_changed);
+            return is_changed;
         }
         if self.crashed.len() >= MAX_CRASHED_RUNS {
             let oldest = (0..self.crashed.len()).min_by_key(|at| {
@@ -363,6 +379,7 @@
             self.news.add_run(run.clone(), now_ms);
         }
         self.crashed.push(CrashedRun { run, is_own });
+        self.revision += 1;
         true
     }
 
@@ -390,6 +407,7 @@
                 is_changed |= run.contents.len() != before;
             }
         }
+        self.revision += u64::from(is_changed);
         is_changed
     }
 
@@ -445,24 +463,34 @@
     }
 
     fn update_quarantines(&mut self) {
-        let refusal = REFUSAL_PERIOD.mul_f64(1.0 + self.refusal_jitter);
-        let found = culprits::find(self.suspect_runs());
-        let quarantine = |contents: Vec<ContentId>| {
-            let mut quarantine = Quarantine {
-                contents,
-                until_ms: 0,
-            };
-            let runs = self.suspect_runs().filter(|run| quarantine.is_in(run));
-            let last_ms = runs.map(|run| run.broke_ms).max().unwrap_or(0);
-            let trial_end_ms = self
-                .quarantines
-                .iter()
-                .find(|known| known.contents == quarantine.contents)
-                .map_or(0, |known| known.until_ms);
-            quarantine.until_ms = trial_end_ms.max(last_ms + millis(refusal));
-            quarantine
+        let found = culprits::find(self.suspect_runs(), |content| {
+            self.answers.contains_key(&content)
+        });
+        let quarantines = found.into_iter().map(|culprit| self.quarantine(culprit));
+        self.quarantines = quarantines.collect();
+    }
+
+    fn quarantine(&self, culprit: Culprit) -> Quarantine {
+        let period = if culprit.is_certain {
+            REFUSAL_PERIOD
+        } else {
+            SUSPICION_PERIOD
+        };
+        let mut quarantine = Quarantine {
+            contents: culprit.contents,
+            until_ms: 0,
         };
-        self.quarantines = found.into_iter().map(quarantine).collect();
+        let runs = self.suspect_runs().filter(|run| quarantine.is_in(run));
+        let last_ms = runs.map(|run| run.broke_ms).max().unwrap_or(0);
+        let known = self
+            .quarantines
+            .iter()
+            .find(|known| known.contents == quarantine.contents);
+        // A trial that is in progress goes on.
+        let known_until_ms = known.map_or(0, |known| known.until_ms);
+        let refused_ms = millis(period.mul_f64(1.0 + self.refusal_jitter));
+        quarantine.until_ms = known_until_ms.max(last_ms + refused_ms);
+        quarantine
     }
 }
 
--- a/crates/policy/tests/edge_crashes.rs
+++ b/crates/policy/tests/edge_crashes.rs
@@ -92,6 +92,32 @@
     assert!(!is_refused(&crashes, &new_prompt(&[HARMLESS]), 1_100));
 }
 
+/// So many requests with the block come that all upstreams crash before a third one was sent after
+/// the second crash. When upstreams are back, one request shows that the block is the cause. Harmless
+/// blocks that were answered before are not refused.
+#[test]
+fn simultaneous_crashes() {
+    let mut crashes = CrashHistory::default();
+    crashes.record_answer(&new_prompt(&[HARMLESS]), 1_000);
+    let prompts: [&[_]; 2] = [&[CRASHING], &[HARMLESS]];
+    for incarnation in 1..=6 {
+        crash_with(&mut crashes, incarnation, 60_000, &prompts);
+    }
+    let contents = new_prompt(&[CRASHING]);
+    assert!(is_refused(&crashes, &contents, 60_100));
+    assert!(!is_refused(&crashes, &new_prompt(&[HARMLESS]), 60_100));
+    assert!(
+        !is_refused(&crashes, &contents, 66_000),
+        "upstreams are back"
+    );
+    crashes.record_sent(&contents, 66_000);
+    assert!(is_refused(&crashes, &contents, 66_001), "one run at a time");
+    crash_with(&mut crashes, 7, 66_000, &[&[CRASHING]]);
+    crashes.record_sent(&contents, 80_000);
+    crash_with(&mut crashes, 8, 80_000, &[&[CRASHING]]);
+    assert!(is_refused(&crashes, &contents, 180_000));
+}
+
 /// Broken connections of upstreams that keep running are no crashes.
 #[test]
 fn broken_connections() {
