Charge a repeated prefill to the retry budget

Cause: only the first accepted prefill of a request is free. A retry that was split again made two calls, a prefill and a decode, and took one retry from the budget.

Change: a repeated prefill takes a retry of its own. Without one, the decode engine prefills the prompt.

--- a/crates/edge-bin/tests/common/mod.rs
+++ b/crates/edge-bin/tests/common/mod.rs
@@ -282,6 +282,12 @@
         self.workers.iter().map(Worker::total_runs).sum()
     }
 
+    /// Returns the number of requests that reached the workers since their start, including those
+    /// that they refused.
+    pub fn calls(&self) -> usize {
+        self.workers.iter().map(Worker::calls).sum()
+    }
+
     /// Makes another edge the seed of the first one.
     pub fn set_seed(&self, other: &Edge) {
         let (own, other) = (self.ip, other.ip);
--- a/crates/edge-bin/tests/common/worker.rs
+++ b/crates/edge-bin/tests/common/worker.rs
@@ -89,6 +89,8 @@
     requests: Vec<String>,
     /// Number of requests that the worker began to run since its start.
     total_runs: u64,
+    /// Number of requests that reached the worker since its start.
+    calls: usize,
     /// Number of hung requests whose connection the edge closed.
     abandoned: usize,
 }
@@ -157,6 +159,12 @@
         self.0.lock().unwrap().total_runs
     }
 
+    /// Returns the number of requests that reached the worker since its start, including those that
+    /// it refused.
+    pub fn calls(&self) -> usize {
+        self.0.lock().unwrap().calls
+    }
+
     /// Returns the number of hung requests whose connection the edge closed.
     pub fn abandoned(&self) -> usize {
         self.0.lock().unwrap().abandoned
@@ -172,6 +180,8 @@
             let action = {
                 let mut inner = self.0.lock().unwrap();
                 let action = inner.script.pop_front().unwrap_or(Action::Serve);
+                // The release of a prefill result is no call of a request.
+                inner.calls += usize::from(!head.starts_with("DELETE"));
                 if action != Action::NotRun {
                     inner.requests.push(head.clone());
                     inner.total_runs += 1;
--- a/crates/edge-bin/tests/prefill_faults.rs
+++ b/crates/edge-bin/tests/prefill_faults.rs
@@ -106,3 +106,23 @@
     );
     assert_eq!(decode_chunked(&response.body), events(1, EVENTS));
 }
+
+/// The decode engine refuses every request after its prefill. A retry that is prefilled again makes
+/// two calls. If it counts as one, the calls exceed the operator's budget.
+#[tokio::test(flavor = "multi_thread")]
+async fn retry_budget() {
+    const REQUESTS: usize = 300;
+    // `bounds.budget-ratio` and `bounds.retry-slack` of the settings.
+    const MAX_RETRIES: usize = REQUESTS / 5 + 54;
+    let site = Site::start_engines_with(35, 2, true, 100).await;
+    for worker in site.workers.iter().skip(2) {
+        worker.script(&[Action::NotRun; 2 * REQUESTS]);
+    }
+    let calls_before = site.calls();
+    for _ in 0..REQUESTS {
+        assert_eq!(call(&site).await.status, 503);
+    }
+    // Each request has one prefill and one first call of a decode engine.
+    let retries = (site.calls() - calls_before).saturating_sub(2 * REQUESTS);
+    assert!(retries <= MAX_RETRIES, "{retries} repeated calls");
+}
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -142,6 +142,8 @@
     refused_for: Option<Duration>,
     /// Counts the request as pending work until its first result.
     prefill_wait: Option<PrefillWait>,
+    /// Whether an engine has run a separate prefill.
+    has_prefill: bool,
     cause: &'static str,
 }
 
@@ -156,6 +158,7 @@
             last_error_response: None,
             refused_for: None,
             prefill_wait: None,
+            has_prefill: false,
             cause: "no_upstream",
         }
     }
@@ -167,7 +170,7 @@
                 self.cause = CRASHES_UPSTREAMS;
                 break;
             }
-            let Some(placement) = self.place() else {
+            let Some(mut placement) = self.place() else {
                 break;
             };
             if round == 0 {
@@ -175,6 +178,12 @@
             } else if self.sends > 0 && !self.may_send_again() {
                 break;
             }
+            if self.has_prefill && matches!(placement, Placement::Split { .. }) {
+                let Some(affordable) = self.repeat_prefill(placement) else {
+                    break;
+                };
+                placement = affordable;
+            }
             let outcome = match placement {
                 Placement::Whole {
                     at,
@@ -329,6 +338,15 @@
         allowed
     }
 
+    /// Returns the placement of a request whose prefill is repeated. Only the first prefill is free,
+    /// so another one needs a retry of its own; without it, the decode engine prefills.
+    fn repeat_prefill(&self, split: Placement) -> Option<Placement> {
+        if self.state.try_retry(&self.request.service.name) {
+            return Some(split);
+        }
+        self.place_unsplit()
+    }
+
     /// Returns the maximum wait for the first result of a send. Only a repeatable request is sent
     /// elsewhere before its deadline.
     fn first_result_timeout(&self, first_result_ms: f64) -> Duration {
--- a/crates/edge/src/forward/prefill.rs
+++ b/crates/edge/src/forward/prefill.rs
@@ -119,6 +119,7 @@
             }));
         };
         // A successful prefill does not count as an attempt of its own.
+        self.has_prefill = true;
         self.sends = sends_before;
         self.request.progress.borrow_mut().sends = sends_before;
         let took = self.state.now().since(began);
