Let the content in the most crashes explain them

Cause: consecutive crashes went before the number of crashes. A harmless request that is sent again after each crash breaks three times in a row within 0.2 s, while runs with the block overlap.

Change: the content in the most crashes explains them. Content is not taken for the cause while other content was in all of its crashes and in more.

Why it works: the cause was in every crash by definition; what only ran beside it was in some of them.

--- a/crates/policy/src/edge/crashes/culprits.rs
+++ b/crates/policy/src/edge/crashes/culprits.rs
@@ -1,7 +1,7 @@
 //! Search for the content that explains crashes.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 
 use super::{BrokenRun, ContentId};
 
@@ -26,8 +26,8 @@
 /// Runs with one piece of content.
 struct Evidence<'a> {
     runs: Vec<&'a BrokenRun>,
-    /// Number of crashes that broke them.
-    crashes: usize,
+    /// Upstream incarnations with whose crash they broke.
+    crashes: BTreeSet<u64>,
     /// Number of consecutive ones among the crashes.
     consecutive: usize,
 }
@@ -36,17 +36,39 @@
     /// Creates the evidence from runs in the order in which they broke.
     fn new(runs: Vec<&'a BrokenRun>) -> Self {
         Self {
-            crashes: incarnations(&runs).len(),
+            crashes: runs.iter().map(|run| run.incarnation).collect(),
             consecutive: consecutive_crashes(&runs),
             runs,
         }
     }
+
+    fn is_certain(&self) -> bool {
+        self.consecutive >= MIN_CONSECUTIVE
+    }
+
+    /// Returns whether the content explains all crashes that `other` explains, and more.
+    fn explains_more_than(&self, other: &Self) -> bool {
+        self.crashes.len() > other.crashes.len() && self.crashes.is_superset(&other.crashes)
+    }
+
+    /// Returns the contents that were in all of the runs, in ascending order.
+    fn common_contents(&self) -> Vec<ContentId> {
+        let is_in_all = |content: &&ContentId| {
+            let mut runs = self.runs.iter();
+            runs.all(|run| run.contents.contains(content))
+        };
+        let contents = self.runs.first().map_or(&[][..], |run| &run.contents);
+        let mut common: Vec<_> = contents.iter().filter(is_in_all).copied().collect();
+        common.sort_unstable();
+        common
+    }
 }
 
-/// Returns the content that explains the crashes in which `runs` broke. The content with the most
-/// consecutive crashes explains all crashes of its runs, which then speak against no other content.
-/// Of two with as many, the one in fewer runs is more likely: several runs of harmless content may
-/// break in one crash. `was_answered` returns whether a request with the content was ever answered.
+/// Returns the content that explains the crashes in which `runs` broke. The content in the most
+/// crashes explains all of them, and they then speak against no other content: a harmless request
+/// may break with the crashes of other requests several times in a row. Of two in as many, the one
+/// in fewer runs is more likely: several runs of harmless content may break in one crash.
+/// `was_answered` returns whether a request with the content was ever answered.
 pub fn find<'a>(
     runs: impl Iterator<Item = &'a BrokenRun>,
     was_answered: impl Fn(ContentId) -> bool,
@@ -55,40 +77,36 @@
     let mut found = Vec::new();
     loop {
         let by_content = evidence_by_content(&unexplained);
-        let certain = by_content
+        let is_suspect = |(content, evidence): &(&ContentId, &Evidence<'_>)| {
+            let is_simultaneous = evidence.crashes.len() >= MIN_SIMULTANEOUS;
+            evidence.is_certain() || (is_simultaneous && !was_answered(**content))
+        };
+        let has_better = |evidence: &Evidence<'_>| {
+            let mut others = by_content.values();
+            others.any(|other| other.explains_more_than(evidence))
+        };
+        let culprit = by_content
             .iter()
-            .filter(|(_, evidence)| evidence.consecutive >= MIN_CONSECUTIVE)
+            .filter(is_suspect)
+            .filter(|(_, evidence)| !has_better(evidence))
             .max_by_key(|(content, evidence)| {
+                let runs = Reverse(evidence.runs.len());
                 (
+                    evidence.crashes.len(),
                     evidence.consecutive,
-                    Reverse(evidence.runs.len()),
+                    runs,
                     **content,
                 )
             });
-        let simultaneous = || {
-            by_content
-                .iter()
-                .filter(|(content, evidence)| {
-                    evidence.crashes >= MIN_SIMULTANEOUS && !was_answered(**content)
-                })
-                .max_by_key(|(content, evidence)| {
-                    (evidence.crashes, Reverse(evidence.runs.len()), **content)
-                })
-        };
-        let Some((_, Evidence { runs, .. })) = certain.or_else(simultaneous) else {
+        let Some((_, evidence)) = culprit else {
             return found;
         };
         // Content that was in all of these runs may be the cause as well.
-        let is_in_all = |other: &&ContentId| runs.iter().all(|run| run.contents.contains(other));
-        let contents = runs[0].contents.iter().filter(is_in_all);
-        let mut contents: Vec<_> = contents.copied().collect();
-        contents.sort_unstable();
         found.push(Culprit {
-            contents,
-            is_certain: certain.is_some(),
+            contents: evidence.common_contents(),
+            is_certain: evidence.is_certain(),
         });
-        let explained = incarnations(runs);
-        unexplained.retain(|run| !explained.contains(&run.incarnation));
+        unexplained.retain(|run| !evidence.crashes.contains(&run.incarnation));
     }
 }
 
@@ -99,15 +117,11 @@
 ) -> HashSet<ContentId> {
     evidence_by_content(&sorted(runs))
         .into_iter()
-        .filter(|(_, evidence)| evidence.crashes >= crashes)
+        .filter(|(_, evidence)| evidence.crashes.len() >= crashes)
         .map(|(content, _)| content)
         .collect()
 }
 
-fn incarnations(runs: &[&BrokenRun]) -> HashSet<u64> {
-    runs.iter().map(|run| run.incarnation).collect()
-}
-
 fn sorted<'a>(runs: impl Iterator<Item = &'a BrokenRun>) -> Vec<&'a BrokenRun> {
     let mut runs: Vec<_> = runs.collect();
     runs.sort_unstable_by_key(|run| (run.broke_ms, run.sent_ms, run.id));
--- a/crates/policy/tests/edge_crashes.rs
+++ b/crates/policy/tests/edge_crashes.rs
@@ -118,6 +118,28 @@
     assert!(is_refused(&crashes, &contents, 180_000));
 }
 
+/// A harmless request breaks with three upstreams in a row, which crash under other requests. It is
+/// not taken for the cause, neither before nor after the block is refused.
+#[test]
+fn unlucky_request() {
+    let mut crashes = CrashHistory::default();
+    crash_with(&mut crashes, 1, 900, &[&[CRASHING]]);
+    for n in 0..3 {
+        let (incarnation, sent_ms) = (n + 2, 1_000 + n * 100);
+        let unlucky = run(REQUEST, &[HARMLESS], incarnation, sent_ms);
+        crashes.record_broken_run(unlucky, sent_ms + 20);
+        // Sent before the crash of the first upstream.
+        let mut other = run(ContentId(n), &[CRASHING], incarnation, 900);
+        other.broke_ms = sent_ms + 20;
+        crashes.record_broken_run(other, sent_ms + 20);
+        crashes.record_crash(incarnation, sent_ms + 30);
+        assert!(!is_refused(&crashes, &[REQUEST, HARMLESS], sent_ms + 40));
+    }
+    crash_with(&mut crashes, 5, 1_210, &[&[CRASHING]]);
+    assert!(is_refused(&crashes, &new_prompt(&[CRASHING]), 1_300));
+    assert!(!is_refused(&crashes, &[REQUEST, HARMLESS], 1_300));
+}
+
 /// Broken connections of upstreams that keep running are no crashes.
 #[test]
 fn broken_connections() {
