Log the limits that upstreams state

Cause: an upstream may state in its answers how many requests a second it accepts from all instances together. Nothing decoded it, and the log could not show when an edge was told.

No decision uses it yet.

--- a/crates/edge/src/fleet/in_flight.rs
+++ b/crates/edge/src/fleet/in_flight.rs
@@ -185,6 +185,11 @@
             .record_outcome(self.key, outcome, now);
     }
 
+    /// Records the limit that the response states, in requests per second.
+    pub fn record_limit(&self, per_s: Option<f64>) {
+        self.fleet.borrow_mut().record_limit(self.key, per_s);
+    }
+
     /// Records the number of requests that the response reports.
     pub fn record_reported_load(&self, requests: u32, now: MonotonicTime) {
         let is_typical_sample = self.demand.needs_prefill && !self.demand.is_long;
--- a/crates/edge/src/fleet/mod.rs
+++ b/crates/edge/src/fleet/mod.rs
@@ -51,6 +51,8 @@
     pub health: Health,
     /// Number of this process's long streams at the upstream.
     streams: u32,
+    /// Limit that it stated last, in requests per second over all instances.
+    limit_per_s: Option<f64>,
     /// Idle connections.
     idle: IdleConnections,
     /// Hash of the id, for rankings on which all instances agree.
@@ -172,6 +174,7 @@
             load: UpstreamLoad::new(INITIAL_MEAN_MS),
             health: Health::default(),
             streams: 0,
+            limit_per_s: None,
             idle: IdleConnections::new(MAX_IDLE_CONNECTIONS),
             expiry_grace_until: None,
             report,
@@ -384,6 +387,23 @@
         }
     }
 
+    /// Records the limit that an upstream states in a response, in requests per second.
+    fn record_limit(&mut self, key: UpstreamKey, per_s: Option<f64>) {
+        let Some(upstream) = self.upstreams.get_mut(key) else {
+            return;
+        };
+        if upstream.limit_per_s != per_s {
+            tracing::info!(
+                event = "upstream_limit",
+                upstream = %upstream.id,
+                per_s,
+                before_per_s = upstream.limit_per_s,
+                in_flight = upstream.load.in_flight(),
+            );
+            upstream.limit_per_s = per_s;
+        }
+    }
+
     /// Records that `bytes` of a request are being sent over this process's link.
     pub fn record_sent_bytes(&mut self, bytes: usize, now: MonotonicTime) {
         self.link.enqueue(now, bytes);
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -337,6 +337,7 @@
                 return Err(lost);
             }
         }
+        in_flight_send.record_limit(head.limit_per_s);
         if let Some(load) = head.load {
             in_flight_send.record_reported_load(load.running + load.waiting, self.state.now());
         }
--- a/crates/edge/src/model.rs
+++ b/crates/edge/src/model.rs
@@ -274,6 +274,9 @@
     pub refusal: Option<Refusal>,
     /// Load of the upstream, if given.
     pub load: Option<LoadReport>,
+    /// Number of requests per second that the upstream accepts from all instances together, if it
+    /// states one.
+    pub limit_per_s: Option<f64>,
     /// Time for which an idle connection stays usable, if given.
     pub keep_alive: Option<Duration>,
     /// Whether the upstream closes the connection after this response.
