--- a/crates/edge-bin/tests/common/worker.rs
+++ b/crates/edge-bin/tests/common/worker.rs
@@ -8,7 +8,7 @@
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
 
 /// What a worker does with a request.
@@ -91,6 +91,10 @@
     total_runs: u64,
     /// Number of requests that reached the worker since its start.
     calls: usize,
+    /// Limit that the worker states in its responses, in requests per second.
+    limit_per_s: Option<usize>,
+    /// Arrival times of its requests since the limit was set.
+    arrivals: Vec<Instant>,
     /// Number of hung requests whose connection the edge closed.
     abandoned: usize,
 }
@@ -165,6 +169,18 @@
         self.0.lock().unwrap().calls
     }
 
+    /// Sets the limit that the worker states in its responses, in requests per second.
+    pub fn set_limit(&self, per_s: Option<usize>) {
+        let mut inner = self.0.lock().unwrap();
+        inner.limit_per_s = per_s;
+        inner.arrivals.clear();
+    }
+
+    /// Returns the arrival times of requests since the limit was set.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.0.lock().unwrap().arrivals.clone()
+    }
+
     /// Returns the number of hung requests whose connection the edge closed.
     pub fn abandoned(&self) -> usize {
         self.0.lock().unwrap().abandoned
@@ -182,6 +198,7 @@
                 let action = inner.script.pop_front().unwrap_or(Action::Serve);
                 // The release of a prefill result is no call of a request.
                 inner.calls += usize::from(!head.starts_with("DELETE"));
+                inner.arrivals.push(Instant::now());
                 if action != Action::NotRun {
                     inner.requests.push(head.clone());
                     inner.total_runs += 1;
@@ -197,7 +214,8 @@
                 inner.crash.cancel();
                 return;
             }
-            let stays_open = respond(&mut io, action, &head).await;
+            let limit = self.0.lock().unwrap().limit_per_s;
+            let stays_open = respond(&mut io, action, &head, limit).await;
             if action == Action::Hang {
                 self.0.lock().unwrap().abandoned += 1;
             }
@@ -242,13 +260,14 @@
 }
 
 /// Performs an action and returns whether the connection stays open.
-async fn respond(io: &mut TcpStream, action: Action, head: &str) -> bool {
+async fn respond(io: &mut TcpStream, action: Action, head: &str, limit: Option<usize>) -> bool {
     let id = header(head, "x-attempt-id").unwrap_or_default();
     let path = head.split(' ').nth(1).unwrap_or_default();
+    let limit = limit.map_or_else(String::new, |limit| format!("Server-Limit: {limit}\r\n"));
     let response = |status: &str, id: &str, extra: &str, body: &str| {
         let len = body.len();
         format!(
-            "HTTP/1.1 {status}\r\nX-Attempt-Id: {id}\r\nX-Echo: {path}\r\n{extra}\
+            "HTTP/1.1 {status}\r\nX-Attempt-Id: {id}\r\nX-Echo: {path}\r\n{extra}{limit}\
              Content-Length: {len}\r\n\r\n{body}"
         )
     };
