Share the limits that upstreams state among the edges

What upstreams saw: one that stated how many requests a second it accepts from all edges together got up to 2.4 times what the rule allows, as if it had stated none.

Cause: nothing decided on the limit, and the state from which an edge decides is its own: its requests exactly, those of the others as requests in flight. Class: a limit that belongs to all edges together, and is kept by none.

Change: an edge keeps each upstream's limit. The limit is divided in advance among owners, which all edges derive from the members; each saves up its share for 1.5 s at most. Every send takes from the share (Forwarder::open: prefill, decode, whole run, retry, resumption). Placement leaves out upstreams whose share is used up; where none is left the request is refused at once, with Retry-After. Changes go to the other edges with the digests. A limit ends with an answer without one to a request that was sent after the last statement.

Why it works: the shares add up to the limit wherever the edges know each other, without a message for a request. All owners' savings and shares are 5.5 times the limit in 4 s, of 6 times and five requests allowed.

Ruled out: a count of all edges' requests from digests, see docs/design.md §9.6.

--- a/crates/edge-bin/tests/common/worker.rs
+++ b/crates/edge-bin/tests/common/worker.rs
@@ -197,8 +197,10 @@
                 let mut inner = self.0.lock().unwrap();
                 let action = inner.script.pop_front().unwrap_or(Action::Serve);
                 // The release of a prefill result is no call of a request.
-                inner.calls += usize::from(!head.starts_with("DELETE"));
-                inner.arrivals.push(Instant::now());
+                if !head.starts_with("DELETE") {
+                    inner.calls += 1;
+                    inner.arrivals.push(Instant::now());
+                }
                 if action != Action::NotRun {
                     inner.requests.push(head.clone());
                     inner.total_runs += 1;
@@ -309,7 +311,7 @@
         }
         Action::Endless(part) => return endless(io, part, id).await,
         Action::Trickle => return trickle(io, id).await,
-        Action::BreakAfter(_) | Action::Stream => return stream(io, action, head).await,
+        Action::BreakAfter(_) | Action::Stream => return stream(io, action, head, &limit).await,
         Action::UnframedBreakAfter(_) | Action::UnframedStream => {
             return unframed_stream(io, action, head).await;
         }
@@ -365,14 +367,14 @@
     )
 }
 
-async fn stream(io: &mut TcpStream, action: Action, head: &str) -> bool {
+async fn stream(io: &mut TcpStream, action: Action, head: &str, limit: &str) -> bool {
     let id = header(head, "x-attempt-id").unwrap_or_default();
     let after: u32 = header(head, "last-event-id").map_or(0, |id| id.parse().unwrap());
     let last = match action {
         Action::BreakAfter(last) => last,
         _ => EVENTS,
     };
-    let mut text = stream_head(id);
+    let mut text = stream_head(id).replacen("\r\n", &format!("\r\n{limit}"), 1);
     for n in after + 1..=last {
         let event = event(n);
         write!(text, "{:x}\r\n{event}\r\n", event.len()).unwrap();
--- a/crates/edge-bin/tests/upstream_limits.rs
+++ b/crates/edge-bin/tests/upstream_limits.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use common::Site;
-use common::worker::Worker;
+use common::worker::{Action, Worker};
 use tokio::time::{Instant, sleep};
 
 /// Window of the operator's rule. An upstream may get one and a half times what its limit allows in
@@ -139,3 +139,35 @@
         "{outcome:?}"
     );
 }
+
+/// The engines state limits, and no longer after a while. The responses of a prefill engine are not
+/// signed; its limit must end too.
+#[tokio::test(flavor = "multi_thread")]
+async fn ended_limits() {
+    const CALL_TIME: Duration = Duration::from_secs(3);
+    let site = Site::start_engines(57).await;
+    site.list_engine_as_draining(0);
+    let [_, prefill, decode] = &site.workers[..] else {
+        panic!("there are three engines");
+    };
+    decode.script(&[Action::Stream; 800]);
+    let call_engines = async || {
+        let prompt = [
+            ("X-Token-Counts", "20000,100"),
+            ("X-Prompt-Prefix", "a:10,b:19990"),
+        ];
+        let end = Instant::now() + CALL_TIME;
+        while Instant::now() < end {
+            site.call("POST", "/stream/1", &prompt).await;
+            sleep(CALL_PAUSE).await;
+        }
+        prefill.arrivals().len()
+    };
+    prefill.set_limit(Some(2));
+    decode.set_limit(Some(2));
+    let limited = call_engines().await;
+    prefill.set_limit(None);
+    decode.set_limit(None);
+    let unlimited = call_engines().await;
+    assert!(unlimited > 5 * limited, "{limited}, then {unlimited}");
+}
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -5,8 +5,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use nutmegbay_policy::edge::crashes::ReportSource;
+use nutmegbay_policy::edge::crashes::{CrashReport, ReportSource};
 use nutmegbay_policy::edge::exchange::{Digest, Role, spacing};
+use nutmegbay_policy::edge::upstream_limit::LimitNews;
+use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
@@ -81,26 +83,41 @@
     }
 }
 
-/// Applies a datagram: a digest, and news of crashes if there are any. Earlier versions send the
-/// digest alone and ignore what follows it.
+/// News that follow the digest in a datagram. Earlier versions send the digest alone and ignore
+/// what follows it.
+#[derive(Debug, Serialize, Deserialize)]
+struct News {
+    crashes: CrashReport,
+    limits: Vec<LimitNews>,
+}
+
+/// Applies a datagram: a digest, and news if there are any.
 fn receive_digest<D: WireCodec>(
     state: &EdgeState<D>,
     from: SocketAddr,
     datagram: &[u8],
 ) -> Result<(), postcard::Error> {
     let (digest, news) = postcard::take_from_bytes::<Digest>(datagram)?;
-    let source = {
+    let is_relay = {
         let mut fleet = state.fleet.borrow_mut();
         fleet.receive_digest(from, &digest, state.now());
-        if fleet.is_relay() {
-            ReportSource::Unshared
-        } else {
-            ReportSource::Shared
-        }
+        fleet.is_relay()
     };
-    if !news.is_empty() {
-        crashes::merge(state, &postcard::from_bytes(news)?, source);
+    if news.is_empty() {
+        return Ok(());
     }
+    let News {
+        crashes: report,
+        limits,
+    } = postcard::from_bytes(news)?;
+    let source = if is_relay {
+        ReportSource::Unshared
+    } else {
+        ReportSource::Shared
+    };
+    crashes::merge(state, &report, source);
+    let mut fleet = state.fleet.borrow_mut();
+    fleet.merge_limits(&limits, is_relay, state.now());
     Ok(())
 }
 
@@ -149,14 +166,17 @@
     }
 }
 
-/// Encodes the news of crashes that are due. Empty if there are none.
+/// Encodes the news that are due. Empty if there are none.
 fn encode_news<D: WireCodec>(state: &EdgeState<D>) -> Vec<u8> {
-    let news = crashes::take_news(state);
-    if news.is_empty() {
+    let news = News {
+        crashes: crashes::take_news(state),
+        limits: state.fleet.borrow_mut().take_limit_news(state.now()),
+    };
+    if news.crashes.is_empty() && news.limits.is_empty() {
         return Vec::new();
     }
     postcard::to_stdvec(&news).unwrap_or_else(|error| {
-        tracing::error!(event = "crashes_not_encoded", %error);
+        tracing::error!(event = "news_not_encoded", %error);
         Vec::new()
     })
 }
--- a/crates/edge/src/fleet/in_flight.rs
+++ b/crates/edge/src/fleet/in_flight.rs
@@ -186,8 +186,9 @@
     }
 
     /// Records the limit that the response states, in requests per second.
-    pub fn record_limit(&self, per_s: Option<f64>) {
-        self.fleet.borrow_mut().record_limit(self.key, per_s);
+    pub fn record_limit(&self, per_s: Option<f64>, now: MonotonicTime) {
+        let mut fleet = self.fleet.borrow_mut();
+        fleet.record_limit(self.key, per_s, self.sent_at, now);
     }
 
     /// Records the number of requests that the response reports.
--- a/crates/edge/src/fleet/mod.rs
+++ b/crates/edge/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 mod costs;
 mod digests;
 mod in_flight;
+mod limits;
 mod placement;
 
 use std::collections::{BTreeMap, HashMap};
@@ -19,6 +20,7 @@
 use nutmegbay_policy::edge::placement::EnginePhase;
 use nutmegbay_policy::edge::prefill_rate::PrefillRate;
 use nutmegbay_policy::edge::prefixes::PrefixLocations;
+use nutmegbay_policy::edge::upstream_limit::{Instances, UpstreamLimit};
 use nutmegbay_policy::edge::urgency::Urgency;
 use slotmap::SlotMap;
 use tokio::sync::Notify;
@@ -51,8 +53,8 @@
     pub health: Health,
     /// Number of this process's long streams at the upstream.
     streams: u32,
-    /// Limit that it stated last, in requests per second over all instances.
-    limit_per_s: Option<f64>,
+    /// Limit that it states on its requests.
+    limit: UpstreamLimit,
     /// Idle connections.
     idle: IdleConnections,
     /// Hash of the id, for rankings on which all instances agree.
@@ -104,6 +106,8 @@
     exchange: LoadExchange<SocketAddr>,
     /// Number of other instances considered alive.
     other_instances: usize,
+    /// Instances among which the limits of upstreams are divided.
+    limit_instances: Instances,
     /// Notified when this process's load has changed and a digest should be sent.
     pub load_changed: Rc<Notify>,
 }
@@ -125,6 +129,7 @@
             link: LinkQueue::new(link_mbps),
             exchange: LoadExchange::default(),
             other_instances: 0,
+            limit_instances: Instances::default(),
             load_changed: Rc::default(),
         }
     }
@@ -174,7 +179,7 @@
             load: UpstreamLoad::new(INITIAL_MEAN_MS),
             health: Health::default(),
             streams: 0,
-            limit_per_s: None,
+            limit: UpstreamLimit::default(),
             idle: IdleConnections::new(MAX_IDLE_CONNECTIONS),
             expiry_grace_until: None,
             report,
@@ -387,23 +392,6 @@
         }
     }
 
-    /// Records the limit that an upstream states in a response, in requests per second.
-    fn record_limit(&mut self, key: UpstreamKey, per_s: Option<f64>) {
-        let Some(upstream) = self.upstreams.get_mut(key) else {
-            return;
-        };
-        if upstream.limit_per_s != per_s {
-            tracing::info!(
-                event = "upstream_limit",
-                upstream = %upstream.id,
-                per_s,
-                before_per_s = upstream.limit_per_s,
-                in_flight = upstream.load.in_flight(),
-            );
-            upstream.limit_per_s = per_s;
-        }
-    }
-
     /// Records that `bytes` of a request are being sent over this process's link.
     pub fn record_sent_bytes(&mut self, bytes: usize, now: MonotonicTime) {
         self.link.enqueue(now, bytes);
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -328,6 +328,7 @@
 /// instances.
 pub fn finish_instances_update<D: WireCodec>(state: &Rc<EdgeState<D>>) {
     let now = state.now();
+    state.share_limits();
     state.fleet.borrow_mut().sweep(now);
     state.known_records.borrow_mut().sweep(now);
     crashes::record_ended_upstreams(state);
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -12,7 +12,9 @@
 use nutmegbay_policy::edge::health::Outcome;
 use tokio::time::timeout;
 
-use super::{CONNECTION_HEADERS, CRASHES_UPSTREAMS, Forwarder, upstream_id, upstream_outcome};
+use super::{
+    CONNECTION_HEADERS, CRASHES_UPSTREAMS, Forwarder, UPSTREAM_LIMIT, upstream_id, upstream_outcome,
+};
 use crate::crashes;
 use crate::fleet::{Demand, InFlightSend};
 use crate::http1::{CallError, Cause, Connection};
@@ -278,6 +280,22 @@
         })
     }
 
+    /// Counts a send to `at` that is about to happen. Returns the cause if it must not happen. Every
+    /// send of a request passes through this check.
+    fn check_send(&self, at: UpstreamKey, stage: Stage<'_>) -> Result<(), &'static str> {
+        if crashes::refused_for(self.state, self.request).is_some() {
+            return Err(CRASHES_UPSTREAMS);
+        }
+        let mut fleet = self.state.fleet.borrow_mut();
+        if !fleet.try_send(at, self.state.now()) {
+            return Err(UPSTREAM_LIMIT);
+        }
+        if stage != Stage::Prefill {
+            crashes::record_sent(self.state, self.request);
+        }
+        Ok(())
+    }
+
     /// Sends the request and reads the head of the response.
     pub async fn open(
         &mut self,
@@ -286,12 +304,7 @@
         stage: Stage<'_>,
         after: Option<&str>,
     ) -> Result<OpenedResponse, SendOutcome> {
-        if crashes::refused_for(self.state, self.request).is_some() {
-            return Err(SendOutcome::NotRun(CRASHES_UPSTREAMS));
-        }
-        if stage != Stage::Prefill {
-            crashes::record_sent(self.state, self.request);
-        }
+        self.check_send(at, stage).map_err(SendOutcome::NotRun)?;
         self.tried.push(at);
         let id = upstream_id(self.state, at);
         append_upstream(self.request, &id, stage);
@@ -337,7 +350,11 @@
                 return Err(lost);
             }
         }
-        in_flight_send.record_limit(head.limit_per_s);
+        // Results of a prefill and refusals are not signed.
+        let is_genuine = head.is_signed || stage == Stage::Prefill || head.is_not_run();
+        if head.limit_per_s.is_some() || is_genuine {
+            in_flight_send.record_limit(head.limit_per_s, self.state.now());
+        }
         if let Some(load) = head.load {
             in_flight_send.record_reported_load(load.running + load.waiting, self.state.now());
         }
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -14,7 +14,9 @@
 use http_body_util::{Either, Full};
 use nutmegbay_core::verdict::Verdict;
 use nutmegbay_policy::UpstreamKey;
-use nutmegbay_policy::edge::admission::{AdmissionRequest, Decision, decide, retry_after};
+use nutmegbay_policy::edge::admission::{
+    AdmissionRequest, Decision, decide, overload_retry_ms, retry_after,
+};
 use nutmegbay_policy::edge::health::Outcome;
 use nutmegbay_policy::edge::placement::Placement;
 
@@ -46,6 +48,10 @@
 /// Cause of a request that is refused because its content crashes upstreams.
 const CRASHES_UPSTREAMS: &str = "crashes_upstreams";
 
+/// Cause of a request that is refused because all upstreams that accept requests state limits, and
+/// this instance has used up its shares.
+const UPSTREAM_LIMIT: &str = "upstream_limit";
+
 /// Response headers that apply to a single connection.
 const CONNECTION_HEADERS: [http::HeaderName; 5] = [
     http::header::CONNECTION,
@@ -140,6 +146,8 @@
     last_error_response: Option<UpstreamResponse>,
     /// Time for which the request is refused because it crashes upstreams.
     refused_for: Option<Duration>,
+    /// Time until this instance may send a request to an upstream within its limit.
+    limit_wait: Option<Duration>,
     /// Counts the request as pending work until its first result.
     prefill_wait: Option<PrefillWait>,
     /// Whether an engine has run a separate prefill.
@@ -157,6 +165,7 @@
             verdict: Verdict::NotRun,
             last_error_response: None,
             refused_for: None,
+            limit_wait: None,
             prefill_wait: None,
             has_prefill: false,
             cause: "no_upstream",
@@ -171,6 +180,7 @@
                 break;
             }
             let Some(mut placement) = self.place() else {
+                self.record_limit_wait();
                 break;
             };
             if round == 0 {
@@ -446,6 +456,17 @@
         }
     }
 
+    /// Records why no upstream was found, if it is their limits.
+    fn record_limit_wait(&mut self) {
+        let now = self.state.now();
+        let fleet = self.state.fleet.borrow();
+        let service = &self.request.service.name;
+        if fleet.has_limited(service, now) {
+            self.cause = UPSTREAM_LIMIT;
+            self.limit_wait = Some(fleet.limit_wait(service, now).unwrap_or_default());
+        }
+    }
+
     fn failure(&self) -> Failure {
         let is_late = self.request.time_left(self.state.now()).is_zero();
         let status = match self.verdict {
@@ -453,10 +474,10 @@
             _ if is_late => StatusCode::GATEWAY_TIMEOUT,
             _ => StatusCode::BAD_GATEWAY,
         };
-        let retry_ms = if self.cause == "no_upstream" {
-            NO_UPSTREAM_RETRY_MS
-        } else {
-            REFUSED_RETRY_MS
+        let retry_ms = match self.limit_wait {
+            Some(wait) => overload_retry_ms(wait.as_secs_f64() * 1e3),
+            None if self.cause == "no_upstream" => NO_UPSTREAM_RETRY_MS,
+            None => REFUSED_RETRY_MS,
         };
         Failure {
             status,
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -35,6 +35,9 @@
 /// made anyway. A single partition may be unavailable for longer than the others.
 const MAX_STORE_OUTAGE_WAIT: Duration = Duration::from_secs(5);
 
+/// Age of the known list of instances up to which the members are considered current.
+const MAX_MEMBERS_AGE: Duration = Duration::from_secs(4);
+
 /// Fraction of [`Bounds::contact`], counted from the start of the process, during which it follows
 /// a relay that has not yet proven to be up to date. The rest of that time covers the period for
 /// which the relay's last reply stays valid.
@@ -215,6 +218,20 @@
         members.others(&self.settings().node, self.now()).count() + 1
     }
 
+    /// Divides the limits of upstreams among the processes considered alive. While the list of
+    /// instances is out of date, the division stays: processes that cannot write their records
+    /// look failed.
+    pub fn share_limits(&self) {
+        let now = self.now();
+        let mut fleet = self.fleet.borrow_mut();
+        let is_current = self.known_records.borrow().instances_age(now) < MAX_MEMBERS_AGE;
+        if is_current || !fleet.shares_limits() {
+            let members = self.members.borrow();
+            let node = &self.settings().node;
+            fleet.share_limits(node, members.others(node, now), now);
+        }
+    }
+
     /// Records whether the last read of the list of instances succeeded.
     pub fn set_store_available(&self, is_available: bool) {
         if self.is_store_unavailable.replace(!is_available) && is_available {
--- a/crates/policy/src/edge/admission.rs
+++ b/crates/policy/src/edge/admission.rs
@@ -78,12 +78,18 @@
     }
     Decision::Refuse {
         retry_after: retry_after(
-            (request.first_result_ms - limit_ms).max(MIN_OVERLOAD_RETRY_AFTER_MS),
+            overload_retry_ms(request.first_result_ms - limit_ms),
             jitter,
         ),
     }
 }
 
+/// Returns the time until capacity is expected after a refusal for lack of capacity, in
+/// milliseconds, where `capacity_ms` is the time until the capacity for one request.
+pub fn overload_retry_ms(capacity_ms: f64) -> f64 {
+    capacity_ms.max(MIN_OVERLOAD_RETRY_AFTER_MS)
+}
+
 /// Returns the Retry-After for capacity that is expected in `capacity_ms` milliseconds. `jitter` is
 /// a random number from 0 to 1.
 pub fn retry_after(capacity_ms: f64, jitter: f64) -> Duration {
--- a/crates/policy/src/edge/mod.rs
+++ b/crates/policy/src/edge/mod.rs
@@ -15,4 +15,5 @@
 pub mod prefill_rate;
 pub mod prefixes;
 pub mod relay;
+pub mod upstream_limit;
 pub mod urgency;
--- /dev/null
+++ b/crates/policy/src/edge/upstream_limit.rs
@@ -0,0 +1,237 @@
+//! Limit that an upstream states on its requests, and this instance's share of it.
+//!
+//! Load pattern: an upstream in need states in its answers how many requests per second it accepts
+//! from all instances together. Each instance knows its own requests exactly and those of the
+//! others too late: several instances would use the same free place at the same time. The limit is
+//! therefore divided in advance among owners, which are the first instances in an order that all
+//! instances derive from their names. A small limit has few owners, since the sum of many small
+//! shares varies more than the limit allows. Instances that own no share learn from the others when
+//! the limit changes or ends.
+
+use std::time::Duration;
+
+use nutmegbay_core::environment::MonotonicTime;
+use serde::{Deserialize, Serialize};
+
+use super::prefixes::rendezvous_weight;
+
+/// Owners per request per second of the limit.
+const OWNERS_PER_LIMIT: f64 = 1.5;
+
+/// Owners in addition, so that the loss of one does not end the use of a small limit.
+const ADDITIONAL_OWNERS: f64 = 2.0;
+
+/// Time for whose requests an owner may save up its share. The operator's rule allows one and a half
+/// times the limit in 4 s, that is the requests of 2 s more.
+const BURST_TIME: Duration = Duration::from_millis(1_500);
+
+/// Time after which an instance sends one request to find out whether a statement that was not
+/// repeated still holds. An upstream that gets no requests cannot repeat it.
+const TRIAL_INTERVAL: Duration = Duration::from_secs(30);
+
+/// Time after which a repeated statement is told to other instances again.
+const REPEAT_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Number of times that a changed statement is sent to other instances. Datagrams may be lost.
+const SENDS_PER_CHANGE: u8 = 3;
+
+/// Statement of an upstream, as sent between instances.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct LimitNews {
+    /// Tag of the upstream.
+    pub upstream: u32,
+    /// Limit in requests per second, or `None` if the upstream states none any more.
+    pub per_s: Option<f64>,
+    /// Age of the statement, in milliseconds.
+    pub age_ms: u32,
+}
+
+/// Instances among which limits are divided, including this one.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Instances {
+    /// Hash of this instance's name.
+    pub own: u64,
+    /// Hashes of the other instances' names.
+    pub others: Vec<u64>,
+}
+
+impl Instances {
+    /// Returns this instance's share of a limit of the upstream with the hash `upstream`, in
+    /// requests per second. All instances that know each other derive shares that add up to the
+    /// limit.
+    pub fn share(&self, upstream: u64, limit_per_s: f64) -> f64 {
+        let count = self.others.len() + 1;
+        let owners = (OWNERS_PER_LIMIT * limit_per_s + ADDITIONAL_OWNERS) as usize;
+        let owners = owners.clamp(1, count);
+        let own_weight = rendezvous_weight(upstream, self.own, 1.0);
+        let before = self
+            .others
+            .iter()
+            .filter(|other| rendezvous_weight(upstream, **other, 1.0) > own_weight)
+            .count();
+        if before < owners {
+            limit_per_s / owners as f64
+        } else {
+            0.0
+        }
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Statement {
+    per_s: Option<f64>,
+    at: MonotonicTime,
+}
+
+/// Limit of one upstream, as known to one instance.
+#[derive(Debug, Clone, Default)]
+pub struct UpstreamLimit {
+    /// Newest statement of the upstream.
+    statement: Option<Statement>,
+    /// This instance's share, in requests per second.
+    share_per_s: f64,
+    /// Part, 0 to 1, by which this instance differs from others that would act at the same time.
+    spread: f64,
+    /// Requests that may be sent as of `tokens_at`.
+    tokens: f64,
+    tokens_at: MonotonicTime,
+    /// Number of times that the statement is still to be sent to other instances.
+    unsent: u8,
+    told_at: MonotonicTime,
+}
+
+impl UpstreamLimit {
+    /// Records what a response states that belongs to a request sent at `sent_at`. A response
+    /// without a limit ends the limit only if its request was sent after the last statement, since
+    /// responses may overtake each other. Returns whether the limit has changed.
+    pub fn record_response(
+        &mut self,
+        per_s: Option<f64>,
+        sent_at: MonotonicTime,
+        now: MonotonicTime,
+    ) -> bool {
+        let is_outdated = match (per_s, &self.statement) {
+            (Some(_), _) => false,
+            (None, Some(known)) => known.per_s.is_none() || sent_at < known.at,
+            (None, None) => true,
+        };
+        !is_outdated && self.replace(Statement { per_s, at: now }, now)
+    }
+
+    /// Applies news from another instance if they are newer than what is known. Returns whether the
+    /// limit has changed.
+    pub fn merge(&mut self, news: &LimitNews, is_forwarded: bool, now: MonotonicTime) -> bool {
+        let age = Duration::from_millis(news.age_ms.into());
+        let statement = Statement {
+            per_s: news.per_s,
+            at: MonotonicTime(now.0.saturating_sub(age)),
+        };
+        let is_valid = news.per_s.is_none_or(|per_s| per_s >= 0.0) && age < TRIAL_INTERVAL;
+        let is_newer = self
+            .statement
+            .is_none_or(|known| known.at < statement.at && known.at < now);
+        if !is_valid || !is_newer {
+            return false;
+        }
+        let unsent = self.unsent;
+        let is_changed = self.replace(statement, now);
+        if !is_forwarded {
+            // The others have it from the instance that told this one.
+            self.unsent = unsent;
+            self.told_at = now;
+        }
+        is_changed
+    }
+
+    fn replace(&mut self, statement: Statement, now: MonotonicTime) -> bool {
+        let before = self.limit();
+        self.statement = Some(statement);
+        let is_changed = before != self.limit();
+        if is_changed {
+            self.unsent = SENDS_PER_CHANGE;
+        } else if now.since(self.told_at) >= REPEAT_INTERVAL {
+            self.unsent = self.unsent.max(1);
+        }
+        is_changed
+    }
+
+    /// Returns the limit in requests per second, or `None` if the upstream states none.
+    pub fn limit(&self) -> Option<f64> {
+        self.statement?.per_s
+    }
+
+    /// Returns this instance's share of the limit, in requests per second.
+    pub fn share(&self) -> f64 {
+        self.share_per_s
+    }
+
+    /// Sets this instance's share of the limit, in requests per second. `spread`, 0 to 1, is the
+    /// part of a request with which a new share starts. Random values keep owners apart that would
+    /// send at the same time.
+    pub fn set_share(&mut self, share_per_s: f64, spread: f64, now: MonotonicTime) {
+        self.tokens = if self.share_per_s > 0.0 {
+            self.tokens(now)
+        } else {
+            spread
+        };
+        self.tokens_at = now;
+        self.share_per_s = share_per_s;
+        self.spread = spread;
+    }
+
+    fn tokens(&self, now: MonotonicTime) -> f64 {
+        let max_tokens = (self.share_per_s * BURST_TIME.as_secs_f64()).max(1.0);
+        let gained = now.since(self.tokens_at).as_secs_f64() * self.share_per_s;
+        (self.tokens + gained).min(max_tokens)
+    }
+
+    /// Returns whether the limit has to be tried because nobody has repeated it for a long time.
+    fn is_trial_due(&self, now: MonotonicTime) -> bool {
+        let interval = TRIAL_INTERVAL.mul_f64(1.0 + self.spread);
+        let stated_at = self.statement.map(|statement| statement.at);
+        stated_at.is_some_and(|at| now.since(at) >= interval)
+    }
+
+    /// Returns the time until this instance may send a request, zero if it may now, or `None` if it
+    /// has no share of the limit.
+    pub fn wait(&self, now: MonotonicTime) -> Option<Duration> {
+        let missing = 1.0 - self.tokens(now);
+        if self.limit().is_none() || missing <= 0.0 || self.is_trial_due(now) {
+            return Some(Duration::ZERO);
+        }
+        Duration::try_from_secs_f64(missing / self.share_per_s).ok()
+    }
+
+    /// Counts a request that is being sent. Returns false if it must not be sent.
+    pub fn try_send(&mut self, now: MonotonicTime) -> bool {
+        if self.limit().is_none() {
+            return true;
+        }
+        if self.is_trial_due(now) {
+            // Others are sent only after its response, or after another interval.
+            self.statement = self.statement.map(|known| Statement { at: now, ..known });
+            return true;
+        }
+        let tokens = self.tokens(now);
+        if tokens < 1.0 {
+            return false;
+        }
+        self.tokens = tokens - 1.0;
+        self.tokens_at = now;
+        true
+    }
+
+    /// Returns the news about the upstream with this tag that are due to be sent to other
+    /// instances.
+    pub fn take_news(&mut self, upstream: u32, now: MonotonicTime) -> Option<LimitNews> {
+        let statement = self.statement.filter(|_| self.unsent > 0)?;
+        self.unsent -= 1;
+        self.told_at = now;
+        let age_ms = now.since(statement.at).as_millis();
+        Some(LimitNews {
+            upstream,
+            per_s: statement.per_s,
+            age_ms: u32::try_from(age_ms).unwrap_or(u32::MAX),
+        })
+    }
+}
