Leave the limits of upstreams to requests that need them

What callers saw: while most engines state limits, prompts were refused and streams late although engines without a limit had room.

Cause: placement knew a limit only as a gate. The decode after a prefill, which takes as long on any engine, used up the limits of decode engines, and the prompts behind it crowded on the others.

Change: the score of an engine that states a limit rises by up to one mean request with the part of the share that is used up. Predictions, and so admission, stay as they are.

--- a/crates/edge/src/fleet/placement.rs
+++ b/crates/edge/src/fleet/placement.rs
@@ -120,6 +120,7 @@
                     is_stream_host: stream_hosts.contains(key),
                     streams: upstream.streams + self.exchange.work(upstream.tag()).streams,
                     failure_rate: upstream.health.failure_rate(now),
+                    limit_use: upstream.limit.used_fraction(now),
                 }
             })
             .collect();
--- a/crates/policy/src/edge/placement.rs
+++ b/crates/policy/src/edge/placement.rs
@@ -39,6 +39,10 @@
 /// Penalty of an upstream that fails all of its requests, in milliseconds.
 const FAILURE_PENALTY_MS: f64 = 400.0;
 
+/// Penalty of an engine that states a limit and whose share is used up, in mean costs of a request.
+/// Requests that gain little there leave it to those that gain more.
+const LIMIT_PENALTY: f64 = 1.0;
+
 /// Fraction of a decode engine's slots that can be taken before a new stream is expected to wait.
 const UNCONTENDED_SLOT_FRACTION: f64 = 0.8;
 
@@ -101,6 +105,9 @@
     pub streams: u32,
     /// Fraction of recent requests that failed there, 0 to 1.
     pub failure_rate: f64,
+    /// Fraction of this instance's share of the engine's limit that is used up, 0 to 1. 0 if the
+    /// engine states no limit.
+    pub limit_use: f64,
 }
 
 /// Model request that is to be placed.
@@ -209,6 +216,7 @@
                 + penalty_ms(engine, request.domain)
                 + estimates.whole_lateness_ms;
             let score_ms = first_result_ms
+                + limit_penalty_ms(engine, estimates)
                 + stream_penalty_ms(engine, request, estimates, cost_ms)
                 + miss_ms(engine, request, estimates) * weight;
             (engine, cost_ms, first_result_ms, score_ms)
@@ -232,7 +240,9 @@
                 + wait_ms(engine, estimates)
                 + penalty_ms(engine, request.domain)
                 + estimates.split_lateness_ms;
-            let score_ms = prefilled_ms + miss_ms(engine, request, estimates) * weight;
+            let score_ms = prefilled_ms
+                + limit_penalty_ms(engine, estimates)
+                + miss_ms(engine, request, estimates) * weight;
             (engine, cost_ms, prefilled_ms, score_ms)
         })
         .min_by(|a, b| a.3.total_cmp(&b.3))
@@ -270,6 +280,7 @@
             let start_ms =
                 transfer_ms + slot_wait_ms(engine, estimates) + penalty_ms(engine, request.domain);
             let slowed_ms = engine.backlog_ms * BACKLOG_DELAY_FRACTION
+                + limit_penalty_ms(engine, estimates)
                 + stream_penalty_ms(engine, request, estimates, 0.0);
             (engine, transfer_ms, start_ms, start_ms + slowed_ms)
         })
@@ -335,6 +346,11 @@
     domain_ms + engine.failure_rate * FAILURE_PENALTY_MS
 }
 
+/// Penalty for the use of an engine's limit. It is part of the score and delays no result.
+fn limit_penalty_ms(engine: &Engine, estimates: CostEstimates) -> f64 {
+    engine.limit_use * LIMIT_PENALTY * estimates.request_ms
+}
+
 /// Penalty for the delay of long streams on `engine`: of the streams there by a prefill of
 /// `cost_ms`, or of the request itself if it is a long stream.
 fn stream_penalty_ms(
--- a/crates/policy/src/edge/upstream_limit.rs
+++ b/crates/policy/src/edge/upstream_limit.rs
@@ -179,8 +179,21 @@
         self.spread = spread;
     }
 
+    /// Returns the fraction of the requests that this instance may save up which are used up, 0 to
+    /// 1. It is 0 without a limit.
+    pub fn used_fraction(&self, now: MonotonicTime) -> f64 {
+        if self.limit().is_none() {
+            return 0.0;
+        }
+        1.0 - self.tokens(now) / self.max_tokens()
+    }
+
+    fn max_tokens(&self) -> f64 {
+        (self.share_per_s * BURST_TIME.as_secs_f64()).max(1.0)
+    }
+
     fn tokens(&self, now: MonotonicTime) -> f64 {
-        let max_tokens = (self.share_per_s * BURST_TIME.as_secs_f64()).max(1.0);
+        let max_tokens = self.max_tokens();
         let gained = now.since(self.tokens_at).as_secs_f64() * self.share_per_s;
         (self.tokens + gained).min(max_tokens)
     }
--- a/crates/policy/tests/edge_placement.rs
+++ b/crates/policy/tests/edge_placement.rs
@@ -34,6 +34,7 @@
             is_stream_host: false,
             streams: 0,
             failure_rate: 0.0,
+            limit_use: 0.0,
         })
         .collect()
 }
@@ -214,3 +215,25 @@
     let placement = place(&engines, request(1_000, false), ESTIMATES);
     assert_matches!(placement, Some(Placement::Whole { at, .. }) if at != engines[0].key);
 }
+
+/// The decode after a prefill takes as long on one engine as on another. It leaves the limit of one
+/// that states a limit to prompts that need the engine, and nothing is predicted to take longer.
+#[test]
+fn limited_engine() {
+    let mut engines = engines(&[
+        EnginePhase::Prefill,
+        EnginePhase::Decode,
+        EnginePhase::Decode,
+    ]);
+    let unlimited = place(&engines, request(9_000, false), ESTIMATES).unwrap();
+    engines[1].limit_use = 0.8;
+    let placement = place(&engines, request(9_000, false), ESTIMATES).unwrap();
+    assert_matches!(placement, Placement::Split { decode, .. } if decode == engines[2].key);
+    engines[2].limit_use = 0.8;
+    let placement = place(&engines, request(9_000, false), ESTIMATES).unwrap();
+    assert!((placement.first_result_ms() - unlimited.first_result_ms()).abs() < 1e-9);
+    // A prompt whose shared blocks the limited engine holds goes there nonetheless.
+    engines[1].cached_fraction = 1.0;
+    let placement = place(&engines, request(100, false), ESTIMATES).unwrap();
+    assert_matches!(placement, Placement::Whole { at, .. } if at == engines[1].key);
+}
