Keep late responses from bringing back a limit that has ended

What callers would see: an edge that owns no share of a limit sends nothing to its upstream, so a late response with the limit, or the loss of the datagrams that tell its end, would keep the upstream out of that edge's use for 30 to 60 s.

Cause: found by reading. Any response with a limit counted, also one to a request from before the end; and the end was told three times within some milliseconds.

Change: a response to a request from before the last statement brings back no limit that has ended. The end is repeated every 2 s for 10 s by the edges that see it.

Evidence: edge_upstream_limit::late_response and repeated_end fail on the code before and pass.

--- a/crates/policy/src/edge/upstream_limit.rs
+++ b/crates/policy/src/edge/upstream_limit.rs
@@ -32,6 +32,10 @@
 /// Time after which a repeated statement is told to other instances again.
 const REPEAT_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Time for which the end of a limit is repeated to other instances. Those that own no share of it
+/// learn of the end from nobody else.
+const END_REPEAT_TIME: Duration = Duration::from_secs(10);
+
 /// Number of times that a changed statement is sent to other instances. Datagrams may be lost.
 const SENDS_PER_CHANGE: u8 = 3;
 
@@ -88,6 +92,8 @@
 pub struct UpstreamLimit {
     /// Newest statement of the upstream.
     statement: Option<Statement>,
+    /// Time at which the statement last changed.
+    changed_at: MonotonicTime,
     /// This instance's share, in requests per second.
     share_per_s: f64,
     /// Part, 0 to 1, by which this instance differs from others that would act at the same time.
@@ -101,21 +107,23 @@
 }
 
 impl UpstreamLimit {
-    /// Records what a response states that belongs to a request sent at `sent_at`. A response
-    /// without a limit ends the limit only if its request was sent after the last statement, since
-    /// responses may overtake each other. Returns whether the limit has changed.
+    /// Records what a response states that belongs to a request sent at `sent_at`. Responses
+    /// overtake each other, so one to a request from before the last statement neither ends a limit
+    /// nor brings back one that has ended. Returns whether the limit has changed.
     pub fn record_response(
         &mut self,
         per_s: Option<f64>,
         sent_at: MonotonicTime,
         now: MonotonicTime,
     ) -> bool {
-        let is_outdated = match (per_s, &self.statement) {
-            (Some(_), _) => false,
-            (None, Some(known)) => known.per_s.is_none() || sent_at < known.at,
-            (None, None) => true,
+        let counts = match (per_s, &self.statement) {
+            (Some(_), None) => true,
+            (None, None) => false,
+            (Some(_), Some(known)) => known.per_s.is_some() || sent_at >= known.at,
+            (None, Some(known)) if known.per_s.is_some() => sent_at >= known.at,
+            (None, Some(_)) => now.since(self.changed_at) < END_REPEAT_TIME,
         };
-        !is_outdated && self.replace(Statement { per_s, at: now }, now)
+        counts && self.replace(Statement { per_s, at: now }, now)
     }
 
     /// Applies news from another instance if they are newer than what is known. Returns whether the
@@ -148,6 +156,7 @@
         self.statement = Some(statement);
         let is_changed = before != self.limit();
         if is_changed {
+            self.changed_at = now;
             self.unsent = SENDS_PER_CHANGE;
         } else if now.since(self.told_at) >= REPEAT_INTERVAL {
             self.unsent = self.unsent.max(1);
--- a/crates/policy/tests/edge_upstream_limit.rs
+++ b/crates/policy/tests/edge_upstream_limit.rs
@@ -103,7 +103,8 @@
     assert!((0..100).all(|_| limit.try_send(at(1_700))));
 }
 
-/// Responses overtake each other. One to a request from before the statement does not end the limit.
+/// Responses overtake each other. One to a request from before the last statement does not end the
+/// limit, nor does it bring back a limit that has ended.
 #[test]
 fn late_response() {
     let mut limit = UpstreamLimit::default();
@@ -112,6 +113,10 @@
     assert_eq!(limit.limit(), Some(2.0));
     assert!(limit.record_response(None, at(1_050), at(1_200)));
     assert_eq!(limit.limit(), None);
+    assert!(!limit.record_response(Some(2.0), at(1_150), at(1_250)));
+    assert_eq!(limit.limit(), None);
+    assert!(limit.record_response(Some(3.0), at(1_210), at(1_300)));
+    assert_eq!(limit.limit(), Some(3.0));
 }
 
 /// An instance without a share gets no responses. It learns from the others that the limit has
@@ -140,6 +145,21 @@
     assert_eq!(other.limit(), None);
 }
 
+/// All datagrams on the end of a limit may be lost. It is repeated for a while, and not forever.
+#[test]
+fn repeated_end() {
+    let mut owner = UpstreamLimit::default();
+    owner.record_response(Some(2.0), at(0), at(1_000));
+    let mut told = Vec::new();
+    for ms in (2_000..60_000).step_by(100) {
+        owner.record_response(None, at(ms), at(ms));
+        told.extend(owner.take_news(1, at(ms)).map(|_| ms));
+    }
+    let late: Vec<_> = told.iter().filter(|ms| **ms > 3_000).collect();
+    assert!((3..=5).contains(&late.len()), "{told:?}");
+    assert!(late.iter().all(|ms| **ms < 13_000), "{told:?}");
+}
+
 /// Each change is sent three times, and a repeated statement once in 2 s. Only relays pass on what
 /// they are told.
 #[test]
