Let the roles of edges settle before tests of relayed reads

Cause: in the test. It waited until three edges followed a relay, which also holds for a moment after the start: an edge that has just started follows one before it knows its own record, and reads the store itself until its relay is proven to be up to date. Trace of a failed run: the condition held at 49.8 s, less than half a second after the last start; two of the four final relays stopped following at 51.60, and two of the three final followers began at 53.99, after the roles had been taken at 51.14.

Change: the test waits until all edges know each other and the same three have followed a relay for 3 s. What it asserts stays: no call of an edge that follows a relay in 4 s.

--- a/crates/edge-bin/tests/relayed_reads.rs
+++ b/crates/edge-bin/tests/relayed_reads.rs
@@ -3,13 +3,14 @@
 
 mod common;
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use common::proxy::{LinkState, Proxy};
 use common::{Edge, Site, config};
 use futures::future::join_all;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 /// Number of edges in addition to the first one. Four of the seven edges read the store, and three
 /// follow them.
@@ -20,6 +21,15 @@
 
 const STORE_CALLS: &str = "nutmegbay_store_calls_total{topic=\"";
 
+/// Metric with the number of edges that an edge considers running.
+const MEMBERS: &str = "nutmegbay_members ";
+
+/// Time after which the roles of edges that know each other are final. Before, an edge that has just
+/// started follows a relay even if it is going to be one, and one whose relay is not proven to be up
+/// to date reads the store. A read that was waiting when its edge began to follow a relay ends within
+/// this time too.
+const ROLE_TIME: Duration = Duration::from_secs(3);
+
 /// A site of seven edges. All but the first one reach the store through their own proxy.
 struct RelayedSite {
     site: Site,
@@ -37,27 +47,36 @@
             edges.push((site.start_edge(test + n, at).await, proxy));
         }
         let relayed = Self { site, edges };
+        relayed.wait_for_roles().await;
         relayed
-            .site
+    }
+
+    /// Waits until all edges know each other and the same three of them have followed a relay for
+    /// [`ROLE_TIME`].
+    async fn wait_for_roles(&self) {
+        let since = RefCell::new((Vec::new(), Instant::now()));
+        self.site
             .wait_until("three edges follow a relay", async || {
-                let (following, _) = relayed.by_role().await;
-                following.len() + usize::from(follows_relay(relayed.site.edge()).await) == 3
+                let first = self.site.edge();
+                let edges: Vec<_> = self.edges.iter().map(|(edge, _)| edge).collect();
+                let all = || edges.iter().copied().chain([first]);
+                let members = join_all(all().map(|edge| edge.metric(MEMBERS))).await;
+                let roles = join_all(all().map(follows_relay)).await;
+                let is_complete = members.iter().all(|known| *known == members.len() as u64);
+                let followers = roles.iter().filter(|follows| **follows).count();
+                let mut since = since.borrow_mut();
+                if !is_complete || followers != 3 || since.0 != roles {
+                    *since = (roles, Instant::now());
+                }
+                since.1.elapsed() >= ROLE_TIME
             })
             .await;
-        // A read that was waiting when its edge began to follow a relay ends within this time.
-        sleep(Duration::from_millis(1_300)).await;
-        relayed
     }
 
     /// Returns the indices of the edges that follow a relay, and of those that read the store. The
     /// first edge, which reaches the store without a proxy, is not included.
     async fn by_role(&self) -> (Vec<usize>, Vec<usize>) {
-        let follows_relay = join_all(
-            self.edges
-                .iter()
-                .map(|(edge, _)| async { edge.metric("nutmegbay_follows_relay").await == 1 }),
-        )
-        .await;
+        let follows_relay = join_all(self.edges.iter().map(|(edge, _)| follows_relay(edge))).await;
         (0..self.edges.len()).partition(|n| follows_relay[*n])
     }
 
