Give edges that have just started no share of a limit for 2 s

What an upstream would see: while edges join, more requests than its limit allows. Each new edge knows the others from the store and takes its share at once; the others read its record up to 8 s later and keep theirs.

Edges divided a limit by different views of each other. Class: a limit that belongs to all edges together, and is divided by a state that each has for itself.

Change: an edge that has just started announces itself directly, with the load digests, and owns no share until the others know of it. One that cannot write its record for 6.5 s announces itself too, so that it is not taken for failed.

Why it works: an edge that joins takes a share only after every other one has given it up, and the end of an edge adds at most the share that it had (edge_limit_owners).

--- a/crates/edge-bin/tests/common/mod.rs
+++ b/crates/edge-bin/tests/common/mod.rs
@@ -152,8 +152,7 @@
     /// Starts another edge, which uses the store at `store` and has the first edge as its seed.
     /// Waits until it serves.
     pub async fn start_edge(&self, test: u8, store: SocketAddr) -> Edge {
-        let name = format!("front-{test}");
-        let edge = Edge::start(&name, self.address(test), store, self.ip);
+        let edge = self.launch_edge(test, store);
         self.wait_until("it serves", async || {
             edge.call("GET", "/any/1", &[]).await.status == 200
         })
@@ -161,6 +160,11 @@
         edge
     }
 
+    /// Starts another edge as [`Self::start_edge`] does, without waiting for it.
+    pub fn launch_edge(&self, test: u8, store: SocketAddr) -> Edge {
+        Edge::start(&format!("front-{test}"), self.address(test), store, self.ip)
+    }
+
     /// Returns the loopback address of this site for another test number.
     pub fn address(&self, test: u8) -> IpAddr {
         let IpAddr::V4(own) = self.ip else {
--- a/crates/edge-bin/tests/upstream_limits.rs
+++ b/crates/edge-bin/tests/upstream_limits.rs
@@ -5,8 +5,8 @@
 
 use std::time::Duration;
 
-use common::Site;
 use common::worker::{Action, Worker};
+use common::{Edge, Site};
 use tokio::time::{Instant, sleep};
 
 /// Window of the operator's rule. An upstream may get one and a half times what its limit allows in
@@ -33,14 +33,14 @@
     slowest_refusal: Duration,
 }
 
-/// Sends requests to three edges for `time`. Returns the outcome.
-async fn call_edges(edges: &[&common::Edge; 3], time: Duration) -> Outcome {
+/// Sends requests to the edges for `time`. Returns the outcome.
+async fn call_edges(edges: &[&Edge], time: Duration) -> Outcome {
     let end = Instant::now() + time;
-    let callers = (0..6).map(async |n| {
+    let callers = (0..2 * edges.len()).map(async |n| {
         let mut outcome = Outcome::default();
         while Instant::now() < end {
             let began = Instant::now();
-            let response = edges[n % 3].call("GET", "/any/1", &[]).await;
+            let response = edges[n % edges.len()].call("GET", "/any/1", &[]).await;
             match response.status {
                 200 => outcome.served += 1,
                 503 => {
@@ -140,6 +140,31 @@
     );
 }
 
+/// Edges join while a limit is in force. Those that ran before read their records seconds later.
+#[tokio::test(flavor = "multi_thread")]
+async fn joining_edges() {
+    const LIMIT: usize = 4;
+    let site = Site::start(58, 1).await;
+    let worker = &site.workers[0];
+    worker.set_limit(Some(LIMIT));
+    let first = site.edge();
+    call_edges(&[first], CONTACT_TIME).await;
+    let start = Instant::now();
+    let joined = (59..65).map(|test| site.launch_edge(test, site.store_address()));
+    let joined: Vec<_> = joined.collect();
+    for edge in &joined {
+        site.wait_until("it answers", async || {
+            edge.call("GET", "/any/1", &[]).await.status != 0
+        })
+        .await;
+    }
+    let edges: Vec<_> = joined.iter().chain([first]).collect();
+    call_edges(&edges, Duration::from_secs(6)).await;
+    assert_limit_kept(worker, LIMIT, start);
+    let got = worker.arrivals().len();
+    assert!(got >= LIMIT * 9 / 2, "it got only {got}");
+}
+
 /// The engines state limits, and no longer after a while. The responses of a prefill engine are not
 /// signed; its limit must end too.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -32,20 +32,12 @@
 
 /// Sends the load of this instance to others and receives theirs, for as long as the process runs.
 pub async fn run<D: WireCodec>(state: Rc<EdgeState<D>>) {
-    let Some(at) = state.settings().exchange else {
-        tracing::info!(
-            event = "exchange_off",
-            "the settings contain no exchange address"
-        );
+    let Some((socket, port)) = bind(&state).await else {
+        // The others learn of this instance from the store alone.
+        state.presence.borrow_mut().record_alone(state.now());
         return;
     };
-    let socket = match UdpSocket::bind(at).await {
-        Ok(socket) => Rc::new(socket),
-        Err(error) => {
-            tracing::error!(event = "exchange_off", %at, %error);
-            return;
-        }
-    };
+    let socket = Rc::new(socket);
     let (receiver_state, rx) = (Rc::clone(&state), Rc::clone(&socket));
     tokio::task::spawn_local(async move { receive_digests(&receiver_state, &rx).await });
     let changed = Rc::clone(&state.fleet.borrow().load_changed);
@@ -53,7 +45,8 @@
     loop {
         let now = state.now();
         if role_updated_at.is_none_or(|at| now.since(at) >= ROLE_UPDATE_INTERVAL) {
-            update_role(&state, at.port());
+            update_role(&state, port);
+            state.share_limits();
             role_updated_at = Some(now);
         }
         send_digests(&state, &socket);
@@ -66,6 +59,24 @@
     }
 }
 
+/// Binds the exchange address. Returns the socket and its port, or `None` if there is none.
+async fn bind<D: WireCodec>(state: &EdgeState<D>) -> Option<(UdpSocket, u16)> {
+    let Some(at) = state.settings().exchange else {
+        tracing::info!(
+            event = "exchange_off",
+            "the settings contain no exchange address"
+        );
+        return None;
+    };
+    match UdpSocket::bind(at).await {
+        Ok(socket) => Some((socket, at.port())),
+        Err(error) => {
+            tracing::error!(event = "exchange_off", %at, %error);
+            None
+        }
+    }
+}
+
 async fn receive_digests<D: WireCodec>(state: &EdgeState<D>, socket: &UdpSocket) {
     let mut buf = vec![0; MAX_DIGEST_BYTES];
     loop {
@@ -89,6 +100,8 @@
 struct News {
     crashes: CrashReport,
     limits: Vec<LimitNews>,
+    /// Hashes of the names of processes that announce themselves.
+    announced: Vec<u64>,
 }
 
 /// Applies a datagram: a digest, and news if there are any.
@@ -109,6 +122,7 @@
     let News {
         crashes: report,
         limits,
+        announced,
     } = postcard::from_bytes(news)?;
     let source = if is_relay {
         ReportSource::Unshared
@@ -116,6 +130,10 @@
         ReportSource::Shared
     };
     crashes::merge(state, &report, source);
+    let mut presence = state.presence.borrow_mut();
+    for instance in announced {
+        presence.record(instance, is_relay, state.now());
+    }
     let mut fleet = state.fleet.borrow_mut();
     fleet.merge_limits(&limits, is_relay, state.now());
     Ok(())
@@ -130,6 +148,9 @@
     let others = members.others(&settings.node, now).count();
     let relays = members.relays(&settings.node, now);
     let role = if relays.has_own {
+        if relays.others.is_empty() {
+            state.presence.borrow_mut().record_alone(now);
+        }
         let others = relays.others.iter();
         Some(Role::Relay(
             others
@@ -168,11 +189,14 @@
 
 /// Encodes the news that are due. Empty if there are none.
 fn encode_news<D: WireCodec>(state: &EdgeState<D>) -> Vec<u8> {
+    let now = state.now();
+    let record_age = now.since(state.record_written_at.get());
     let news = News {
         crashes: crashes::take_news(state),
-        limits: state.fleet.borrow_mut().take_limit_news(state.now()),
+        limits: state.fleet.borrow_mut().take_limit_news(now),
+        announced: state.presence.borrow_mut().take(record_age, now),
     };
-    if news.crashes.is_empty() && news.limits.is_empty() {
+    if news.crashes.is_empty() && news.limits.is_empty() && news.announced.is_empty() {
         return Vec::new();
     }
     postcard::to_stdvec(&news).unwrap_or_else(|error| {
--- a/crates/edge/src/fleet/limits.rs
+++ b/crates/edge/src/fleet/limits.rs
@@ -4,8 +4,8 @@
 
 use nutmegbay_core::environment::MonotonicTime;
 use nutmegbay_policy::UpstreamKey;
-use nutmegbay_policy::edge::upstream_limit::{Instances, LimitNews};
-use xxhash_rust::xxh3::xxh3_64;
+use nutmegbay_policy::edge::limit_owners::LimitOwners;
+use nutmegbay_policy::edge::upstream_limit::LimitNews;
 
 use super::{Fleet, Upstream};
 
@@ -13,31 +13,23 @@
 const MAX_LIMIT_NEWS: usize = 100;
 
 impl Fleet {
-    /// Divides the limits of upstreams among this instance and `others`, given by name.
-    pub fn share_limits<'a>(
+    /// Sets the instances among which the limits of upstreams are divided, see
+    /// [`LimitOwners::update`].
+    pub fn share_limits(
         &mut self,
-        own: &str,
-        others: impl Iterator<Item = &'a str>,
+        others: Vec<u64>,
+        is_complete: bool,
+        has_joined: bool,
         now: MonotonicTime,
     ) {
-        let instances = Instances {
-            own: xxh3_64(own.as_bytes()),
-            others: others.map(|name| xxh3_64(name.as_bytes())).collect(),
-        };
-        if self.limit_instances == instances {
-            return;
-        }
-        self.limit_instances = instances;
-        for upstream in self.upstreams.values_mut() {
-            update_share(upstream, &self.limit_instances, now);
+        let owners = &mut self.limit_owners;
+        if owners.update(others, is_complete, has_joined) {
+            for upstream in self.upstreams.values_mut() {
+                update_share(upstream, owners, now);
+            }
         }
     }
 
-    /// Returns whether limits have been divided among the instances.
-    pub fn shares_limits(&self) -> bool {
-        self.limit_instances != Instances::default()
-    }
-
     /// Records the limit that the response to a request states, which was sent at `sent_at`.
     pub fn record_limit(
         &mut self,
@@ -51,7 +43,7 @@
         };
         let before = upstream.limit.limit();
         if upstream.limit.record_response(per_s, sent_at, now) {
-            update_share(upstream, &self.limit_instances, now);
+            update_share(upstream, &self.limit_owners, now);
             log_limit(upstream, before, "response");
         }
     }
@@ -66,7 +58,7 @@
             };
             let before = upstream.limit.limit();
             if upstream.limit.merge(news, is_forwarded, now) {
-                update_share(upstream, &self.limit_instances, now);
+                update_share(upstream, &self.limit_owners, now);
                 log_limit(upstream, before, "peer");
             }
         }
@@ -106,9 +98,9 @@
     }
 }
 
-fn update_share(upstream: &mut Upstream, instances: &Instances, now: MonotonicTime) {
+fn update_share(upstream: &mut Upstream, owners: &LimitOwners, now: MonotonicTime) {
     let limit = upstream.limit.limit().unwrap_or(0.0);
-    let share = instances.share(upstream.hash, limit);
+    let share = owners.share(upstream.hash, limit);
     upstream.limit.set_share(share, rand::random(), now);
 }
 
--- a/crates/edge/src/fleet/mod.rs
+++ b/crates/edge/src/fleet/mod.rs
@@ -15,18 +15,20 @@
 use nutmegbay_policy::UpstreamKey;
 use nutmegbay_policy::edge::exchange::{LoadExchange, PrefixBlockUse};
 use nutmegbay_policy::edge::health::{Health, Outcome};
+use nutmegbay_policy::edge::limit_owners::LimitOwners;
 use nutmegbay_policy::edge::link::LinkQueue;
 use nutmegbay_policy::edge::load::{QueueAhead, UpstreamLoad};
 use nutmegbay_policy::edge::placement::EnginePhase;
 use nutmegbay_policy::edge::prefill_rate::PrefillRate;
 use nutmegbay_policy::edge::prefixes::PrefixLocations;
-use nutmegbay_policy::edge::upstream_limit::{Instances, UpstreamLimit};
+use nutmegbay_policy::edge::upstream_limit::UpstreamLimit;
 use nutmegbay_policy::edge::urgency::Urgency;
 use slotmap::SlotMap;
 use tokio::sync::Notify;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::http1::{Connection, IdleConnections};
+use crate::members::member_hash;
 use crate::model::{EngineRole, InstanceReport, ModelWork};
 
 use costs::{INITIAL_MEAN_MS, ServiceCosts, costs_mut};
@@ -107,15 +109,15 @@
     /// Number of other instances considered alive.
     other_instances: usize,
     /// Instances among which the limits of upstreams are divided.
-    limit_instances: Instances,
+    limit_owners: LimitOwners,
     /// Notified when this process's load has changed and a digest should be sent.
     pub load_changed: Rc<Notify>,
 }
 
 impl Fleet {
-    /// Creates a fleet without upstreams, for a process in failure domain `domain` with a network
-    /// link of `link_mbps` megabits per second.
-    pub fn new(domain: &str, link_mbps: Option<f64>) -> Self {
+    /// Creates a fleet without upstreams, for the process `node` in failure domain `domain` with a
+    /// network link of `link_mbps` megabits per second.
+    pub fn new(node: &str, domain: &str, link_mbps: Option<f64>) -> Self {
         Self {
             upstreams: SlotMap::with_key(),
             by_id: BTreeMap::new(),
@@ -129,7 +131,7 @@
             link: LinkQueue::new(link_mbps),
             exchange: LoadExchange::default(),
             other_instances: 0,
-            limit_instances: Instances::default(),
+            limit_owners: LimitOwners::new(member_hash(node)),
             load_changed: Rc::default(),
         }
     }
--- a/crates/edge/src/members/mod.rs
+++ b/crates/edge/src/members/mod.rs
@@ -122,7 +122,7 @@
             control: info.control,
             domain: info.domain,
             relay_capacity: info.relay_capacity,
-            hash: xxh3_64(info.name.as_bytes()),
+            hash: member_hash(&info.name),
             offset: info.offset,
             changed_at: now,
         };
@@ -134,6 +134,11 @@
         self.alive(own, now).map(|(name, _)| name)
     }
 
+    /// Returns the hashes of the names of the processes considered alive, without `own`.
+    pub fn other_hashes(&self, own: &str, now: MonotonicTime) -> impl Iterator<Item = u64> {
+        self.alive(own, now).map(|(_, member)| member.hash)
+    }
+
     /// Returns the rank of `own` among the processes considered alive, starting at 0. It is
     /// `usize::MAX` while the record of `own` is unknown.
     pub fn rank(&self, own: &str, now: MonotonicTime) -> usize {
@@ -205,6 +210,11 @@
     }
 }
 
+/// Returns the hash of a process name, which identifies the process where names are too long.
+pub fn member_hash(name: &str) -> u64 {
+    xxh3_64(name.as_bytes())
+}
+
 /// Returns the capacity of an instance for relaying: its fraction of a CPU core in thousandths, or
 /// less if its network link is slow. Forwarding digests to ten instances takes about one megabit
 /// per second.
--- a/crates/edge/src/members/publish.rs
+++ b/crates/edge/src/members/publish.rs
@@ -57,6 +57,7 @@
                 Ok(_) => {
                     store_status.record_success(state.now());
                     last = Some(value);
+                    state.record_written_at.set(state.now());
                     *state.stored_usage.borrow_mut() = record.usage.counts;
                 }
                 Err(error) => {
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -13,6 +13,7 @@
 use nutmegbay_policy::edge::budget::{RetryShare, SharedRetryBudget};
 use nutmegbay_policy::edge::crashes::CrashHistory;
 use nutmegbay_policy::edge::expiry_grace::ExpiryGrace;
+use nutmegbay_policy::edge::presence::Presence;
 use nutmegbay_policy::edge::relay::RelayFollower;
 use tokio::sync::Notify;
 use tokio::time::sleep;
@@ -21,7 +22,7 @@
 use crate::clock::{MonotonicClock, SmoothedWallClock, millis};
 use crate::fleet::Fleet;
 use crate::known_records::KnownRecords;
-use crate::members::Members;
+use crate::members::{Members, member_hash};
 use crate::metrics::Metrics;
 use crate::model::DeploymentConfig;
 use crate::platform_api::WireCodec;
@@ -77,6 +78,10 @@
     pub expiry_grace: RefCell<ExpiryGrace>,
     /// Known edge processes.
     pub members: RefCell<Members>,
+    /// Processes that have announced themselves directly.
+    pub presence: RefCell<Presence>,
+    /// Time at which this process last wrote its member record, or of its start.
+    pub record_written_at: Cell<MonotonicTime>,
     /// Relay from which this process receives changes instead of reading the store.
     pub relay_follower: RefCell<RelayFollower<SocketAddr>>,
     /// Notified when this process has to read the store itself again.
@@ -114,12 +119,15 @@
         stop: CancellationToken,
     ) -> Self {
         let fleet = Rc::new(RefCell::new(Fleet::new(
+            &settings.node,
             &settings.domain,
             settings.link_mbps,
         )));
         let monotonic_clock = MonotonicClock::new();
         let starting = settings.bounds.contact.mul_f64(STARTUP_RELAY_FRACTION);
-        let starting_until = monotonic_clock.now().plus(starting);
+        let now = monotonic_clock.now();
+        let starting_until = now.plus(starting);
+        let presence = Presence::new(member_hash(&settings.node));
         Self {
             codec,
             settings: RefCell::new(Rc::new(settings)),
@@ -137,6 +145,8 @@
             known_records: RefCell::default(),
             expiry_grace: RefCell::default(),
             members: RefCell::default(),
+            presence: presence.into(),
+            record_written_at: now.into(),
             relay_follower: RelayFollower::starting(starting_until).into(),
             relay_lost: Notify::new(),
             read_done: Notify::new(),
@@ -219,17 +229,19 @@
     }
 
     /// Divides the limits of upstreams among the processes considered alive. While the list of
-    /// instances is out of date, the division stays: processes that cannot write their records
-    /// look failed.
+    /// instances is out of date, all that were known before still count: processes that cannot write
+    /// their records look failed.
     pub fn share_limits(&self) {
         let now = self.now();
-        let mut fleet = self.fleet.borrow_mut();
         let is_current = self.known_records.borrow().instances_age(now) < MAX_MEMBERS_AGE;
-        if is_current || !fleet.shares_limits() {
-            let members = self.members.borrow();
-            let node = &self.settings().node;
-            fleet.share_limits(node, members.others(node, now), now);
-        }
+        let members = self.members.borrow();
+        let presence = self.presence.borrow();
+        let settings = self.settings();
+        let alive = members.other_hashes(&settings.node, now);
+        let others = alive.chain(presence.heard(now)).collect();
+        let has_joined = presence.has_joined(now);
+        let mut fleet = self.fleet.borrow_mut();
+        fleet.share_limits(others, is_current, has_joined, now);
     }
 
     /// Records whether the last read of the list of instances succeeded.
--- /dev/null
+++ b/crates/policy/src/edge/limit_owners.rs
@@ -0,0 +1,69 @@
+//! Division of the limits of upstreams among instances.
+//!
+//! Load pattern: instances join, are replaced and fail while upstreams state limits, and learn of each
+//! other at different times. One that joins gets no share until the others know of it. The owners of a
+//! limit are chosen so that each other instance then has the same share as before or a smaller one,
+//! and that the end of an instance adds at most the share that it had.
+
+use super::prefixes::rendezvous_weight;
+
+/// Owners per request per second of the limit.
+const OWNERS_PER_LIMIT: f64 = 1.5;
+
+/// Owners in addition, so that the loss of one does not end the use of a small limit.
+const ADDITIONAL_OWNERS: f64 = 2.0;
+
+/// Instances among which limits are divided, from the view of one of them. They are identified by the
+/// hashes of their names.
+#[derive(Debug, Clone)]
+pub struct LimitOwners {
+    own: u64,
+    /// Other instances that run, in ascending order.
+    others: Vec<u64>,
+    /// Whether the others know of this instance.
+    has_joined: bool,
+}
+
+impl LimitOwners {
+    /// Creates the view of an instance that knows no others yet.
+    pub fn new(own: u64) -> Self {
+        Self {
+            own,
+            others: Vec::new(),
+            has_joined: false,
+        }
+    }
+
+    /// Sets the other instances that run, and whether they know of this one. Without `is_complete`,
+    /// those known before still count. Returns whether shares may have changed.
+    pub fn update(&mut self, mut others: Vec<u64>, is_complete: bool, has_joined: bool) -> bool {
+        if !is_complete {
+            others.extend_from_slice(&self.others);
+        }
+        others.sort_unstable();
+        others.dedup();
+        let is_changed = self.others != others || self.has_joined != has_joined;
+        self.others = others;
+        self.has_joined = has_joined;
+        is_changed
+    }
+
+    /// Returns this instance's share of a limit of the upstream with the hash `upstream`, in
+    /// requests per second. The shares of all instances add up to the limit at most.
+    pub fn share(&self, upstream: u64, limit_per_s: f64) -> f64 {
+        let count = self.others.len() + 1;
+        let owners = (OWNERS_PER_LIMIT * limit_per_s + ADDITIONAL_OWNERS) as usize;
+        let owners = owners.clamp(1, count);
+        let own_weight = rendezvous_weight(upstream, self.own, 1.0);
+        let before = self
+            .others
+            .iter()
+            .filter(|other| rendezvous_weight(upstream, **other, 1.0) > own_weight)
+            .count();
+        if self.has_joined && before < owners {
+            limit_per_s / owners as f64
+        } else {
+            0.0
+        }
+    }
+}
--- a/crates/policy/src/edge/upstream_limit.rs
+++ b/crates/policy/src/edge/upstream_limit.rs
@@ -13,14 +13,6 @@
 use nutmegbay_core::environment::MonotonicTime;
 use serde::{Deserialize, Serialize};
 
-use super::prefixes::rendezvous_weight;
-
-/// Owners per request per second of the limit.
-const OWNERS_PER_LIMIT: f64 = 1.5;
-
-/// Owners in addition, so that the loss of one does not end the use of a small limit.
-const ADDITIONAL_OWNERS: f64 = 2.0;
-
 /// Time for whose requests an owner may save up its share. The operator's rule allows one and a half
 /// times the limit in 4 s, that is the requests of 2 s more.
 const BURST_TIME: Duration = Duration::from_millis(1_500);
@@ -50,37 +42,6 @@
     pub age_ms: u32,
 }
 
-/// Instances among which limits are divided, including this one.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Instances {
-    /// Hash of this instance's name.
-    pub own: u64,
-    /// Hashes of the other instances' names.
-    pub others: Vec<u64>,
-}
-
-impl Instances {
-    /// Returns this instance's share of a limit of the upstream with the hash `upstream`, in
-    /// requests per second. All instances that know each other derive shares that add up to the
-    /// limit.
-    pub fn share(&self, upstream: u64, limit_per_s: f64) -> f64 {
-        let count = self.others.len() + 1;
-        let owners = (OWNERS_PER_LIMIT * limit_per_s + ADDITIONAL_OWNERS) as usize;
-        let owners = owners.clamp(1, count);
-        let own_weight = rendezvous_weight(upstream, self.own, 1.0);
-        let before = self
-            .others
-            .iter()
-            .filter(|other| rendezvous_weight(upstream, **other, 1.0) > own_weight)
-            .count();
-        if before < owners {
-            limit_per_s / owners as f64
-        } else {
-            0.0
-        }
-    }
-}
-
 #[derive(Debug, Clone, Copy)]
 struct Statement {
     per_s: Option<f64>,
--- a/crates/policy/tests/edge_upstream_limit.rs
+++ b/crates/policy/tests/edge_upstream_limit.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 
 use nutmegbay_core::environment::MonotonicTime;
-use nutmegbay_policy::edge::prefixes::rendezvous_weight;
-use nutmegbay_policy::edge::upstream_limit::{Instances, LimitNews, UpstreamLimit};
+use nutmegbay_policy::edge::limit_owners::LimitOwners;
+use nutmegbay_policy::edge::upstream_limit::{LimitNews, UpstreamLimit};
 
 /// Upstream with this hash.
 const UPSTREAM: u64 = 77;
@@ -18,11 +18,14 @@
     MonotonicTime(Duration::from_millis(ms))
 }
 
-fn instances(count: u64) -> Vec<Instances> {
+/// Returns the views of instances that know each other.
+fn instances(count: u64) -> Vec<LimitOwners> {
     let names: Vec<_> = (0..count).map(|n| n * 7_919 + 13).collect();
-    let view = |own: &u64| Instances {
-        own: *own,
-        others: names.iter().copied().filter(|name| name != own).collect(),
+    let view = |own: &u64| {
+        let others = names.iter().copied().filter(|name| name != own);
+        let mut owners = LimitOwners::new(*own);
+        owners.update(others.collect(), true, true);
+        owners
     };
     names.iter().map(view).collect()
 }
@@ -30,12 +33,12 @@
 /// Replays 30 s in which each instance sends whenever it may, every 5 ms. Returns the most requests
 /// in 4 s and the number in all.
 fn replay(count: u64, limit: f64) -> (usize, usize) {
-    let mut limits: Vec<_> = instances(count)
-        .iter()
-        .map(|view| {
+    let mut limits: Vec<_> = (0..)
+        .zip(&instances(count))
+        .map(|(n, view)| {
             let mut own = UpstreamLimit::default();
             own.record_response(Some(limit), at(0), at(0));
-            let spread = rendezvous_weight(UPSTREAM, view.own, 1.0).fract();
+            let spread = f64::from(n * 37 % 101) / 101.0;
             own.set_share(view.share(UPSTREAM, limit), spread, at(0));
             own
         })
