Read datagrams of any size that news about crashes can have

What callers would see: content that crashes upstreams is refused late at edges that saw none of its crashes, where crashes break many runs while all upstreams are busy.

Cause: found by reading. A datagram was read into 8 KiB. What does not fit is cut off, and news that are cut off are dropped; so are their repeats, which are as large. Edges then learn from the store and from replies of peers only.

Change: datagrams are read into 64 KiB, the largest that UDP has.

Evidence: large_datagrams::many_runs failed (the content is not refused within 20 s) and passes.

--- a/crates/edge-bin/tests/common/mod.rs
+++ b/crates/edge-bin/tests/common/mod.rs
@@ -32,7 +32,7 @@
 const READINESS: u16 = 8_406;
 const CONTROL: u16 = 8_407;
 const STORE: u16 = 8_408;
-const EXCHANGE: u16 = 8_409;
+pub const EXCHANGE: u16 = 8_409;
 const FIRST_WORKER: u16 = 8_500;
 
 /// Difference between the port of a worker and that of the proxy in front of it.
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -24,8 +24,9 @@
 /// Time between two updates of the role of this instance.
 const ROLE_UPDATE_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Maximum size of a datagram, in bytes.
-const MAX_DIGEST_BYTES: usize = 8 * 1024;
+/// Maximum size of a datagram, in bytes. News about the crash of an upstream with many runs take some
+/// 6 KiB in addition to the digest.
+const MAX_DATAGRAM_BYTES: usize = 64 * 1024;
 
 /// Pause after a receive error.
 const RECEIVE_ERROR_PAUSE: Duration = Duration::from_millis(200);
@@ -78,7 +79,7 @@
 }
 
 async fn receive_digests<D: WireCodec>(state: &EdgeState<D>, socket: &UdpSocket) {
-    let mut buf = vec![0; MAX_DIGEST_BYTES];
+    let mut buf = vec![0; MAX_DATAGRAM_BYTES];
     loop {
         match socket.recv_from(&mut buf).await {
             Ok((len, from)) => {
