Keep edges known to each other while the store is down for long

What upstreams would see: where the store is down for more than 20 s, more retries than the budget allows, up to half of it from each edge.

An edge whose record has not changed for 20 s is taken for failed, and no edge can write one while the store is down. Each then knows no other, takes its share of the retry budget for one edge of one, and exchanges no load digests.

Change: the announcement of an edge that cannot write its record counts like a new record.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -131,9 +131,13 @@
         ReportSource::Shared
     };
     crashes::merge(state, &report, source);
-    let mut presence = state.presence.borrow_mut();
+    let now = state.now();
     for instance in announced {
-        presence.record(instance, is_relay, state.now());
+        state.presence.borrow_mut().record(instance, is_relay, now);
+        state
+            .members
+            .borrow_mut()
+            .record_announcement(instance, now);
     }
     let mut fleet = state.fleet.borrow_mut();
     fleet.merge_limits(&limits, is_relay, state.now());
--- a/crates/edge/src/members/mod.rs
+++ b/crates/edge/src/members/mod.rs
@@ -31,7 +31,7 @@
 /// their records by then.
 const SECOND_READ_DELAY: Duration = Duration::from_secs(2);
 
-/// Time without a new record after which another process is considered failed. Records are written
+/// Time without a new record or an announcement after which another process is considered failed. Records are written
 /// several times in a usage window and read every [`READ_INTERVAL`].
 const MEMBER_TTL: Duration = Duration::from_secs(20);
 
@@ -82,7 +82,7 @@
     /// Hash of the name. It orders members of equal capacity, which mixes the failure domains.
     hash: u64,
     offset: u64,
-    /// Time at which a new record was last received.
+    /// Time at which a new record or an announcement was last received.
     changed_at: MonotonicTime,
 }
 
@@ -129,6 +129,15 @@
         self.by_name.insert(info.name, member);
     }
 
+    /// Records that a process announced itself, given the hash of its name. A process that is known
+    /// only by its announcements has no record yet.
+    pub fn record_announcement(&mut self, hash: u64, now: MonotonicTime) {
+        let known = self.by_name.values_mut();
+        for member in known.filter(|member| member.hash == hash) {
+            member.changed_at = now;
+        }
+    }
+
     /// Returns the names of the processes considered alive, without `own`.
     pub fn others(&self, own: &str, now: MonotonicTime) -> impl Iterator<Item = &str> {
         self.alive(own, now).map(|(name, _)| name)
