--- a/crates/edge-bin/tests/long_outages.rs
+++ b/crates/edge-bin/tests/long_outages.rs
@@ -1,5 +1,5 @@
-//! Guards against edges that take each other for failed while the store is down for long. Each would
-//! then use all of what belongs to them together, such as the retry budget.
+//! Guards against edges that take each other for failed while the store is down for long. Each
+//! would then use all of what belongs to them together, such as the retry budget.
 
 mod common;
 
--- a/crates/edge-bin/tests/relayed_reads.rs
+++ b/crates/edge-bin/tests/relayed_reads.rs
@@ -24,10 +24,10 @@
 /// Metric with the number of edges that an edge considers running.
 const MEMBERS: &str = "nutmegbay_members ";
 
-/// Time after which the roles of edges that know each other are final. Before, an edge that has just
-/// started follows a relay even if it is going to be one, and one whose relay is not proven to be up
-/// to date reads the store. A read that was waiting when its edge began to follow a relay ends within
-/// this time too.
+/// Time after which the roles of edges that know each other are final. Before, an edge that has
+/// just started follows a relay even if it is going to be one, and one whose relay is not proven to
+/// be up to date reads the store. A read that was waiting when its edge began to follow a relay
+/// ends within this time too.
 const ROLE_TIME: Duration = Duration::from_secs(3);
 
 /// A site of seven edges. All but the first one reach the store through their own proxy.
--- a/crates/edge-bin/tests/upstream_limits.rs
+++ b/crates/edge-bin/tests/upstream_limits.rs
@@ -1,5 +1,5 @@
-//! Guards against an upstream that gets more requests than the limit that it states, which belongs to
-//! all edges together.
+//! Guards against an upstream that gets more requests than the limit that it states, which belongs
+//! to all edges together.
 
 mod common;
 
@@ -86,8 +86,8 @@
     );
 }
 
-/// One of three workers states a limit. The others take the rest, and no caller is refused. When the
-/// limit ends, the worker gets its part again.
+/// One of three workers states a limit. The others take the rest, and no caller is refused. When
+/// the limit ends, the worker gets its part again.
 #[tokio::test(flavor = "multi_thread")]
 async fn shared_limit() {
     const LIMIT: usize = 8;
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -24,8 +24,8 @@
 /// Time between two updates of the role of this instance.
 const ROLE_UPDATE_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Maximum size of a datagram, in bytes. News about the crash of an upstream with many runs take some
-/// 6 KiB in addition to the digest.
+/// Maximum size of a datagram, in bytes. News about the crash of an upstream with many runs take
+/// some 6 KiB in addition to the digest.
 const MAX_DATAGRAM_BYTES: usize = 64 * 1024;
 
 /// Pause after a receive error.
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -280,8 +280,8 @@
         })
     }
 
-    /// Counts a send to `at` that is about to happen. Returns the cause if it must not happen. Every
-    /// send of a request passes through this check.
+    /// Counts a send to `at` that is about to happen. Returns the cause if it must not happen.
+    /// Every send of a request passes through this check.
     fn check_send(&self, at: UpstreamKey, stage: Stage<'_>) -> Result<(), &'static str> {
         if crashes::refused_for(self.state, self.request).is_some() {
             return Err(CRASHES_UPSTREAMS);
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -348,8 +348,8 @@
         allowed
     }
 
-    /// Returns the placement of a request whose prefill is repeated. Only the first prefill is free,
-    /// so another one needs a retry of its own; without it, the decode engine prefills.
+    /// Returns the placement of a request whose prefill is repeated. Only the first prefill is
+    /// free, so another one needs a retry of its own; without it, the decode engine prefills.
     fn repeat_prefill(&self, split: Placement) -> Option<Placement> {
         if self.state.try_retry(&self.request.service.name) {
             return Some(split);
--- a/crates/edge/src/members/mod.rs
+++ b/crates/edge/src/members/mod.rs
@@ -31,8 +31,8 @@
 /// their records by then.
 const SECOND_READ_DELAY: Duration = Duration::from_secs(2);
 
-/// Time without a new record or an announcement after which another process is considered failed. Records are written
-/// several times in a usage window and read every [`READ_INTERVAL`].
+/// Time without a new record or an announcement after which another process is considered failed.
+/// Records are written several times in a usage window and read every [`READ_INTERVAL`].
 const MEMBER_TTL: Duration = Duration::from_secs(20);
 
 /// Record of one process in [`Topic::Members`].
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -229,8 +229,8 @@
     }
 
     /// Divides the limits of upstreams among the processes considered alive. While the list of
-    /// instances is out of date, all that were known before still count: processes that cannot write
-    /// their records look failed.
+    /// instances is out of date, all that were known before still count: processes that cannot
+    /// write their records look failed.
     pub fn share_limits(&self) {
         let now = self.now();
         let is_current = self.known_records.borrow().instances_age(now) < MAX_MEMBERS_AGE;
--- a/crates/policy/src/edge/limit_owners.rs
+++ b/crates/policy/src/edge/limit_owners.rs
@@ -1,9 +1,9 @@
 //! Division of the limits of upstreams among instances.
 //!
-//! Load pattern: instances join, are replaced and fail while upstreams state limits, and learn of each
-//! other at different times. One that joins gets no share until the others know of it. The owners of a
-//! limit are chosen so that each other instance then has the same share as before or a smaller one,
-//! and that the end of an instance adds at most the share that it had.
+//! Load pattern: instances join, are replaced and fail while upstreams state limits, and learn of
+//! each other at different times. One that joins gets no share until the others know of it. The
+//! owners of a limit are chosen so that each other instance then has the same share as before or a
+//! smaller one, and that the end of an instance adds at most the share that it had.
 
 use super::prefixes::rendezvous_weight;
 
@@ -13,8 +13,8 @@
 /// Owners in addition, so that the loss of one does not end the use of a small limit.
 const ADDITIONAL_OWNERS: f64 = 2.0;
 
-/// Instances among which limits are divided, from the view of one of them. They are identified by the
-/// hashes of their names.
+/// Instances among which limits are divided, from the view of one of them. They are identified by
+/// the hashes of their names.
 #[derive(Debug, Clone)]
 pub struct LimitOwners {
     own: u64,
--- a/crates/policy/src/edge/presence.rs
+++ b/crates/policy/src/edge/presence.rs
@@ -1,16 +1,18 @@
 //! Announcements by which instances tell each other directly that they run.
 //!
-//! Load pattern: instances are added or replaced, and the others read their records in the store only
-//! seconds later. Or the store is down for some instances, which cannot write their records for longer
-//! than the time after which an instance counts as failed. An instance announces itself in both cases.
-//! Announcements follow the way of load digests (see [`super::exchange`]): relays forward them.
+//! Load pattern: instances are added or replaced, and the others read their records in the store
+//! only seconds later. Or the store is down for some instances, which cannot write their records
+//! for longer than the time after which an instance counts as failed. An instance announces itself
+//! in both cases. Announcements follow the way of load digests (see [`super::exchange`]): relays
+//! forward them.
 
 use std::collections::HashMap;
 use std::time::Duration;
 
 use nutmegbay_core::environment::MonotonicTime;
 
-/// Time from the first announcement of an instance until all others know of it, also if one is lost.
+/// Time from the first announcement of an instance until all others know of it, also if one is
+/// lost.
 const SPREAD_TIME: Duration = Duration::from_secs(2);
 
 /// Time between two announcements of an instance that has just started.
@@ -19,12 +21,12 @@
 /// Time for which an instance counts as running after an announcement.
 const ANNOUNCEMENT_TTL: Duration = Duration::from_secs(20);
 
-/// Age of an instance's record in the store from which it announces itself, and time between two such
-/// announcements. Three of them fit into [`ANNOUNCEMENT_TTL`].
+/// Age of an instance's record in the store from which it announces itself, and time between two
+/// such announcements. Three of them fit into [`ANNOUNCEMENT_TTL`].
 const RECORD_MAX_AGE: Duration = Duration::from_millis(6_500);
 
-/// Minimum time between two announcements of the same instance that are forwarded. Relays forward them
-/// to each other, so each arrives several times.
+/// Minimum time between two announcements of the same instance that are forwarded. Relays forward
+/// them to each other, so each arrives several times.
 const FORWARD_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Maximum number of instances whose announcements are remembered.
@@ -33,8 +35,8 @@
 /// Maximum number of announcements in one datagram. The others wait for the next one.
 const MAX_PER_DATAGRAM: usize = 64;
 
-/// Announcements of one instance and those that it has heard. Instances are identified by the hashes
-/// of their names.
+/// Announcements of one instance and those that it has heard. Instances are identified by the
+/// hashes of their names.
 #[derive(Debug, Clone)]
 pub struct Presence {
     own: u64,
@@ -82,8 +84,8 @@
         }
     }
 
-    /// Returns the announcements that are due to be sent to other instances. `record_age` is the age
-    /// of this instance's record in the store.
+    /// Returns the announcements that are due to be sent to other instances. `record_age` is the
+    /// age of this instance's record in the store.
     pub fn take(&mut self, record_age: Duration, now: MonotonicTime) -> Vec<u64> {
         let sends = self.waiting.len().min(MAX_PER_DATAGRAM - 1);
         let mut announcements: Vec<_> = self.waiting.drain(..sends).collect();
--- a/crates/policy/src/edge/upstream_limit.rs
+++ b/crates/policy/src/edge/upstream_limit.rs
@@ -13,8 +13,8 @@
 use nutmegbay_core::environment::MonotonicTime;
 use serde::{Deserialize, Serialize};
 
-/// Time for whose requests an owner may save up its share. The operator's rule allows one and a half
-/// times the limit in 4 s, that is the requests of 2 s more.
+/// Time for whose requests an owner may save up its share. The operator's rule allows one and a
+/// half times the limit in 4 s, that is the requests of 2 s more.
 const BURST_TIME: Duration = Duration::from_millis(1_500);
 
 /// Time after which an instance sends one request to find out whether a statement that was not
--- a/crates/policy/tests/edge_crashes.rs
+++ b/crates/policy/tests/edge_crashes.rs
@@ -93,8 +93,8 @@
 }
 
 /// So many requests with the block come that all upstreams crash before a third one was sent after
-/// the second crash. When upstreams are back, one request shows that the block is the cause. Harmless
-/// blocks that were answered before are not refused.
+/// the second crash. When upstreams are back, one request shows that the block is the cause.
+/// Harmless blocks that were answered before are not refused.
 #[test]
 fn simultaneous_crashes() {
     let mut crashes = CrashHistory::default();
--- a/crates/policy/tests/edge_limit_owners.rs
+++ b/crates/policy/tests/edge_limit_owners.rs
@@ -1,5 +1,5 @@
-//! Guards against instances that divide the limits of upstreams by different views of each other, and
-//! together send more than a limit allows.
+//! Guards against instances that divide the limits of upstreams by different views of each other,
+//! and together send more than a limit allows.
 #![allow(
     clippy::cast_precision_loss,
     reason = "counts of requests stay far below 2^52"
--- a/crates/policy/tests/edge_upstream_limit.rs
+++ b/crates/policy/tests/edge_upstream_limit.rs
@@ -187,8 +187,8 @@
     assert!(relay.take_news(1, at(1_000)).is_some());
 }
 
-/// A limit that nobody has confirmed for a long time is tried with one request. Otherwise an upstream
-/// to which no instance sends would stay limited forever.
+/// A limit that nobody has confirmed for a long time is tried with one request. Otherwise an
+/// upstream to which no instance sends would stay limited forever.
 #[test]
 fn forgotten_limit() {
     let mut limit = UpstreamLimit::default();
