Log how a response shows where its body ends

The hypotheses of the incident of truncated streams differ by whether the response of the upstream had a length, chunks, or neither, and no line said so. The request lines of streamed and of whole responses have the field delimiter now: length, chunks, or connection. Nothing decides on it yet.

--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -17,7 +17,7 @@
 };
 use crate::crashes;
 use crate::fleet::{Demand, InFlightSend};
-use crate::http1::{CallError, Cause, Connection};
+use crate::http1::{BodyDelimiter, CallError, Cause, Connection};
 use crate::metrics::increment;
 use crate::model::{RequestKind, ResponseHead, Stage, UpstreamRequestContext};
 use crate::platform_api::{OutboundRequest, UnreadResponse, WireCodec};
@@ -363,6 +363,7 @@
         {
             in_flight_send.record_outcome(outcome, self.state.now());
         }
+        self.request.progress.borrow_mut().delimiter = Some(BodyDelimiter::of(&response));
         let (parts, incoming) = response.into_parts();
         Ok(OpenedResponse {
             headers: parts.headers,
--- a/crates/edge/src/forward/request.rs
+++ b/crates/edge/src/forward/request.rs
@@ -11,6 +11,7 @@
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 use crate::crashes::block_content;
+use crate::http1::BodyDelimiter;
 use crate::model::{Account, ModelWork, RequestHead, Route, Service};
 
 /// A caller's request with its route, service and client account.
@@ -62,6 +63,8 @@
     pub prefill: Option<Duration>,
     /// Time of the first result.
     pub first_result_at: Option<MonotonicTime>,
+    /// How the newest response of an upstream shows where its body ends.
+    pub delimiter: Option<BodyDelimiter>,
     /// Whether the response is streamed to the caller.
     pub is_streaming: bool,
     /// Whether the request was counted for its client account.
--- a/crates/edge/src/http1.rs
+++ b/crates/edge/src/http1.rs
@@ -11,6 +11,8 @@
 
 use bytes::Bytes;
 use http::StatusCode;
+use http::header::TRANSFER_ENCODING;
+use http_body::Body;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{self, Builder, SendRequest};
 use hyper::rt::{Read, Write};
@@ -87,6 +89,31 @@
 
 impl std::error::Error for CallError {}
 
+/// How a response shows where its body ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum BodyDelimiter {
+    /// A length that is known from the head.
+    Length,
+    /// Chunked transfer encoding.
+    Chunks,
+    /// The end of the connection, which shows nothing about what was meant to be sent.
+    Connection,
+}
+
+impl BodyDelimiter {
+    /// Returns the delimiter of `response`.
+    pub fn of(response: &UnreadResponse) -> Self {
+        if response.body().size_hint().exact().is_some() {
+            Self::Length
+        } else if response.headers().contains_key(TRANSFER_ENCODING) {
+            Self::Chunks
+        } else {
+            Self::Connection
+        }
+    }
+}
+
 /// An open connection. Dropping it closes the connection, which tells the other end to stop its
 /// work.
 #[derive(Debug)]
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -307,6 +307,7 @@
             verdict,
             upstreams = %progress.upstreams,
             sends = progress.sends,
+            delimiter = progress.delimiter.map(<&str>::from),
             cost_ms = progress.cost_ms.round(),
             summed_ms = progress.summed_ms.round(),
             predicted_ms = progress.predicted_ms.round(),
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -315,6 +315,7 @@
             cause = end,
             upstreams = %progress.upstreams,
             sends = progress.sends,
+            delimiter = progress.delimiter.map(<&str>::from),
             prompt = self.request.head.work.as_ref().map(|work| work.prompt_tokens),
             output = self.request.head.work.as_ref().map(|work| work.output_tokens),
             cost_ms = progress.cost_ms.round(),
