Add failing tests of responses that end early

The others fail in these rows:

resumed_streams: Connection, AfterHead, Fin: Complete(2 events) in place of BrokenOff plain_bodies: Connection, AfterHead, Fin: Complete("") in place of Failure(502) repeated_plain_requests: Connection, AfterHead, Fin: Complete("") in place of Complete("done") single_streams, decoded_streams: Length, WithinLastPiece, all closes: no response in place of BrokenOff

The first is a reproduction of the incident's class on the current code.

--- a/crates/edge-bin/tests/common/mod.rs
+++ b/crates/edge-bin/tests/common/mod.rs
@@ -2,6 +2,7 @@
 //! platform's formats, and their faults can be changed while they run.
 #![allow(dead_code, reason = "each test file uses a subset")]
 
+pub mod body_end;
 pub mod proxy;
 pub mod store;
 pub mod worker;
--- a/crates/edge-bin/tests/common/worker.rs
+++ b/crates/edge-bin/tests/common/worker.rs
@@ -1,5 +1,6 @@
 //! A stand-in for an upstream, which responds with scripted bytes.
 
+use super::body_end::{self, BodyEnd};
 use std::collections::VecDeque;
 use std::fmt::Write;
 use std::net::SocketAddr;
@@ -51,6 +52,8 @@
     UnframedBreakAfter(u32),
     /// Streams all events in a response without a length or chunks, which ends with its connection.
     UnframedStream,
+    /// Sends a response that may end early: a stream of events, or a plain body on other routes.
+    End(BodyEnd),
 }
 
 /// Number of events in a complete stream.
@@ -81,6 +84,8 @@
 #[derive(Debug, Default)]
 struct WorkerState {
     script: VecDeque<Action>,
+    /// Script of several workers, whose actions come first.
+    shared_script: Arc<Mutex<VecDeque<Action>>>,
     /// Id of the prefix block on which the worker crashes when it begins to answer.
     crashing_block: Option<String>,
     crashes: usize,
@@ -152,6 +157,14 @@
         self.0.lock().unwrap().script = actions.iter().copied().collect();
     }
 
+    /// Sets what the next requests get, in order, whichever of `workers` they reach.
+    pub fn share_script(workers: &[Self], actions: &[Action]) {
+        let script = Arc::new(Mutex::new(actions.iter().copied().collect()));
+        for worker in workers {
+            worker.0.lock().unwrap().shared_script = Arc::clone(&script);
+        }
+    }
+
     /// Returns the heads of the requests that the worker began to run since the last call of
     /// [`Worker::clear_requests`].
     pub fn requests(&self) -> Vec<String> {
@@ -195,7 +208,9 @@
         while let Some(head) = read_request(&mut io).await {
             let action = {
                 let mut inner = self.0.lock().unwrap();
-                let action = inner.script.pop_front().unwrap_or(Action::Serve);
+                let shared = inner.shared_script.lock().unwrap().pop_front();
+                let own = || inner.script.pop_front();
+                let action = shared.or_else(own).unwrap_or(Action::Serve);
                 // The release of a prefill result is no call of a request.
                 if !head.starts_with("DELETE") {
                     inner.calls += 1;
@@ -315,6 +330,7 @@
         Action::UnframedBreakAfter(_) | Action::UnframedStream => {
             return unframed_stream(io, action, head).await;
         }
+        Action::End(end) => return body_end::respond(io, end, head).await,
     };
     io.write_all(text.as_bytes()).await.is_ok() && action != Action::Truncate
 }
@@ -360,7 +376,7 @@
     false
 }
 
-fn stream_head(id: &str) -> String {
+pub fn stream_head(id: &str) -> String {
     format!(
         "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Server-Seal: s1\r\n\
          Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
