Treat an unframed body that has not begun as broken

Cause: the end of a connection became the end of the body at four places, and each of them judged by itself whether the body can be whole. The first read of a stream did, since the read within a stream does for ends within an event; the response that resumes a stream and read_whole_response did not.

Why it works: the one function through which all bodies are read, ResponseSource::next_bytes, knows how the response shows its end and returns an error for an end that shows nothing. A response without a body states its length, so hyper knows its size, and is not affected.

--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -22,7 +22,7 @@
 use crate::model::{RequestKind, ResponseHead, Stage, UpstreamRequestContext};
 use crate::platform_api::{OutboundRequest, UnreadResponse, WireCodec};
 use crate::sse::EventSplitter;
-use crate::stream::{Framing, ResponseSource};
+use crate::stream::{BrokenBody, Framing, ResponseSource};
 
 /// Largest body that is buffered before it is passed on, in bytes. A response that breaks within
 /// this size can still be replaced by another upstream's.
@@ -212,13 +212,11 @@
         loop {
             let read = source.next_bytes().await;
             let Some(Ok(bytes)) = read else {
-                let is_empty = read.is_none() && events.is_between_events();
                 source.record_failure(self.state, self.request);
-                return if is_empty {
-                    SendOutcome::NoResponse("empty_stream")
-                } else {
-                    SendOutcome::NoResponse("upstream_broke")
-                };
+                return SendOutcome::NoResponse(match read {
+                    None if events.is_between_events() => "empty_stream",
+                    _ => "upstream_broke",
+                });
             };
             match events.push(&bytes) {
                 Ok(Some(ready)) => {
@@ -363,7 +361,8 @@
         {
             in_flight_send.record_outcome(outcome, self.state.now());
         }
-        self.request.progress.borrow_mut().delimiter = Some(BodyDelimiter::of(&response));
+        let delimiter = BodyDelimiter::of(&response);
+        self.request.progress.borrow_mut().delimiter = Some(delimiter);
         let (parts, incoming) = response.into_parts();
         Ok(OpenedResponse {
             headers: parts.headers,
@@ -372,6 +371,8 @@
                 keep_alive: head.keep_alive,
                 is_closing: head.is_closing || !is_reusable,
                 incoming,
+                delimiter,
+                has_begun: false,
                 in_flight_send,
             },
             head,
@@ -515,7 +516,7 @@
 pub async fn read_up_to(
     source: &mut ResponseSource,
     limit: usize,
-) -> Result<(Bytes, bool), hyper::Error> {
+) -> Result<(Bytes, bool), BrokenBody> {
     let mut first = Bytes::new();
     let mut buf = BytesMut::new();
     while let Some(bytes) = source.next_bytes().await {
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -18,7 +18,7 @@
 use crate::crashes;
 use crate::fleet::InFlightSend;
 use crate::forward::{RoutedRequest, resume};
-use crate::http1::Connection;
+use crate::http1::{BodyDelimiter, Connection};
 use crate::metrics::increment;
 use crate::platform_api::WireCodec;
 use crate::sse::EventSplitter;
@@ -66,21 +66,41 @@
     pub is_closing: bool,
     /// Unread rest of the body.
     pub incoming: Incoming,
+    /// How the response shows where its body ends.
+    pub delimiter: BodyDelimiter,
+    /// Whether the body has begun.
+    pub has_begun: bool,
     /// Counts the request as in flight at the upstream.
     pub in_flight_send: InFlightSend,
 }
 
+/// Error for a body that has not arrived whole.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BrokenBody;
+
 impl ResponseSource {
     /// Returns the next bytes, or `None` at the end of the body.
-    pub async fn next_bytes(&mut self) -> Option<Result<Bytes, hyper::Error>> {
+    pub async fn next_bytes(&mut self) -> Option<Result<Bytes, BrokenBody>> {
         loop {
-            match self.incoming.frame().await? {
-                Ok(frame) => match frame.into_data() {
-                    Ok(bytes) if !bytes.is_empty() => return Some(Ok(bytes)),
+            match self.incoming.frame().await {
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(bytes) if !bytes.is_empty() => {
+                        self.has_begun = true;
+                        return Some(Ok(bytes));
+                    }
                     // Trailers and empty frames contain no bytes of the body.
                     _ => {}
                 },
-                Err(error) => return Some(Err(error)),
+                Some(Err(error)) => {
+                    tracing::debug!(event = "body_broken", %error);
+                    return Some(Err(BrokenBody));
+                }
+                // An upstream with an empty body states its length. Without one, the upstream has
+                // failed before the body.
+                None if self.delimiter == BodyDelimiter::Connection && !self.has_begun => {
+                    return Some(Err(BrokenBody));
+                }
+                None => return None,
             }
         }
     }
