Write the events before the end of a stream that broke off

What callers saw: a connection that was closed without a response, although the upstream had answered and whole events had arrived. A caller that may resume after the last event had none to resume after.

Cause: the body of the response gave its events and then its error within one poll. hyper ends the connection at the error and drops what is in its buffer, the head included.

Evidence: body_ends::single_streams and decoded_streams failed for a stream with a length whose bytes arrive at once and end within an event (no response in place of a broken off one); they pass now. body_ends 6 of 6, unframed_answers, worker_faults, prefill_faults and endless_bytes pass.

Why it works: the stream is pending once before its error, and hyper writes its buffer whenever the body is pending.

--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -12,6 +12,7 @@
 use nutmegbay_core::environment::MonotonicTime;
 use nutmegbay_policy::edge::health::Outcome;
 use strum::IntoStaticStr;
+use tokio::task::yield_now;
 use tokio::time::timeout;
 
 use crate::clock::millis;
@@ -218,7 +219,12 @@
                 self.last_received_at = now;
                 self.sent_bytes += bytes.len();
             }
-            Some(Err(broken)) => self.end = Some(broken.into()),
+            Some(Err(broken)) => {
+                self.end = Some(broken.into());
+                // `hyper` closes the connection at an error, without writing what is still in its
+                // buffer. It writes that first if the body is pending.
+                yield_now().await;
+            }
             None => self.end = Some("complete"),
         }
         next
