Log the era of the store

Nothing decoded the header by which the store says that it was restored, so the hypotheses could not be told apart. Positions in topics hold their era now, the event store_era marks the first response of a later era together with what the edge knows, and the gauge nutmegbay_store_era gives the newest one.

Comparisons still use the offset alone, so that nothing is decided otherwise than before. Messages between edges state positions as pairs; an edge of the earlier version refuses them, and the other one reads the store itself.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod mutation;
 pub mod node;
 pub mod orders;
+pub mod position;
 pub mod quarantine;
 pub mod record;
 pub mod replica;
--- a/crates/edge/src/duty.rs
+++ b/crates/edge/src/duty.rs
@@ -12,6 +12,7 @@
 };
 use nutmegbay_core::ids::Incarnation;
 use nutmegbay_core::lease::LeaseTiming;
+use nutmegbay_core::position::Position;
 use tokio::time::{sleep, timeout};
 
 use crate::clock::millis;
@@ -118,7 +119,7 @@
                     if next != Some(end) {
                         self.apply_read(
                             records.last().and_then(|record| record.value.as_deref()),
-                            end,
+                            end.offset,
                         );
                     }
                     next = Some(end);
@@ -217,14 +218,15 @@
         };
         self.keeper.borrow_mut().on_write_sent(self.state.now(), at);
         self.state.metrics.count_store_call(Topic::Duty);
-        let condition = Some(at);
+        let condition = Some(Position::new(self.state.store_era(), at));
         match self
             .store
             .append(Topic::Duty, RECORD_KEY, &value, condition)
             .await
         {
-            Ok(offset) => {
-                self.apply_read(Some(&value), offset + 1);
+            Ok(position) => {
+                self.state.observe_store_era(position.era, Topic::Duty);
+                self.apply_read(Some(&value), position.next().offset);
                 Duration::ZERO
             }
             // Another process wrote first, or an earlier write took effect. The next read shows
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use nutmegbay_core::environment::MonotonicTime;
+use nutmegbay_core::position::Position;
 use tokio::time::sleep;
 
 use crate::clock::millis;
@@ -79,9 +80,9 @@
 pub struct NewestRecords {
     /// Records of the pages read so far.
     pub records: Vec<KeyedRecord>,
-    /// End offset of the topic when the first page was read. Later pages may contain newer records;
-    /// reading on from this offset repeats them.
-    pub end: Option<u64>,
+    /// End of the topic when the first page was read. Later pages may contain newer records;
+    /// reading on from this position repeats them.
+    pub end: Option<Position>,
 }
 
 impl NewestRecords {
@@ -95,6 +96,7 @@
         state.metrics.count_store_call(topic);
         let last = self.records.last().map(|record| &*record.key);
         let page = store.newest(topic, last).await?;
+        state.observe_store_era(page.end.era, topic);
         self.end.get_or_insert(page.end);
         let known = self.records.len();
         let has_more = page.has_more && !page.records.is_empty();
@@ -114,23 +116,24 @@
     }
 }
 
-/// Reads the records of a topic from offset `next` on, or the newest record of each key if `next`
-/// is `None`. Returns the records and the offset to read from next.
+/// Reads the records of a topic from `next` on, or the newest record of each key if `next`
+/// is `None`. Returns the records and the position to read from next.
 async fn read_topic<D: WireCodec, S: Store>(
     state: &EdgeState<D>,
     store: &S,
     topic: Topic,
-    next: Option<u64>,
+    next: Option<Position>,
     wait: Duration,
-) -> Result<(Vec<KeyedRecord>, u64), StoreError> {
+) -> Result<(Vec<KeyedRecord>, Position), StoreError> {
     match next {
         None => {
             let newest = NewestRecords::read(state, store, topic).await?;
-            Ok((newest.records, newest.end.unwrap_or(0)))
+            Ok((newest.records, newest.end.unwrap_or_default()))
         }
         Some(from) => {
             state.metrics.count_store_call(topic);
             let batch = store.read(topic, from, wait).await?;
+            state.observe_store_era(batch.next.era, topic);
             Ok((batch.records, batch.next))
         }
     }
@@ -142,9 +145,9 @@
     state: &EdgeState<D>,
     store: &S,
     topic: Topic,
-    next: Option<u64>,
+    next: Option<Position>,
     wait: Duration,
-) -> Result<(Vec<KeyedRecord>, u64), StoreError> {
+) -> Result<(Vec<KeyedRecord>, Position), StoreError> {
     loop {
         tokio::select! {
             read = read_topic(state, store, topic, next, wait) => return read,
@@ -220,7 +223,7 @@
         }
         Err(error) => tracing::error!(
             event = "config_unreadable",
-            offset = record.offset,
+            offset = record.position.offset,
             error = %error.0,
             "the previous version stays in force"
         ),
@@ -263,16 +266,17 @@
     }
 }
 
-/// Reads and applies the changes of the list of instances from offset `from` on. Returns the offset
-/// to read from next.
+/// Reads and applies the changes of the list of instances from `from` on. Returns the position to
+/// read from next.
 async fn read_instance_changes<D: WireCodec, S: Store>(
     state: &EdgeState<D>,
     store: &S,
     store_status: &mut DependencyStatus,
-    from: u64,
-) -> Result<u64, StoreError> {
+    from: Position,
+) -> Result<Position, StoreError> {
     state.metrics.count_store_call(Topic::Instances);
     let batch = store.read(Topic::Instances, from, Duration::ZERO).await?;
+    state.observe_store_era(batch.next.era, Topic::Instances);
     let grace_until = record_instances_response(state, store_status);
     for record in batch.records {
         apply_instance_record(state, record, grace_until);
@@ -281,13 +285,13 @@
 }
 
 /// Reads the rest of the list of instances after the pages in `newest`. Each page is applied as
-/// soon as it is read. Returns the offset to read from after the whole list.
+/// soon as it is read. Returns the position to read from after the whole list.
 async fn read_instance_list<D: WireCodec, S: Store>(
     state: &EdgeState<D>,
     store: &S,
     store_status: &mut DependencyStatus,
     newest: &mut NewestRecords,
-) -> Result<u64, StoreError> {
+) -> Result<Position, StoreError> {
     let mut grace_until = None;
     loop {
         let is_first = newest.end.is_none();
@@ -305,7 +309,7 @@
         }
     }
     let newest = std::mem::take(newest);
-    let end = newest.end.unwrap_or(0);
+    let end = newest.end.unwrap_or_default();
     remove_unlisted(state, &newest.records, end, grace_until);
     state.known_records.borrow_mut().record_full_read(end);
     Ok(end)
@@ -369,11 +373,11 @@
     known_records.keep_instance(record, is_change, now);
 }
 
-/// Removes the upstreams that are not in `listed`, which is the whole list up to offset `end`.
+/// Removes the upstreams that are not in `listed`, which is the whole list up to `end`.
 pub fn remove_unlisted<D: WireCodec>(
     state: &EdgeState<D>,
     listed: &[KeyedRecord],
-    end: u64,
+    end: Position,
     grace_until: Option<MonotonicTime>,
 ) {
     let listed: HashSet<&str> = listed.iter().map(|record| &*record.key).collect();
@@ -383,7 +387,7 @@
             continue;
         }
         let removal = KeyedRecord {
-            offset: end.saturating_sub(1),
+            position: Position::new(end.era, end.offset.saturating_sub(1)),
             key: id,
             value: None,
         };
--- a/crates/edge/src/http1.rs
+++ b/crates/edge/src/http1.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::StatusCode;
+use http::Response;
 use http::header::TRANSFER_ENCODING;
 use http_body::Body;
 use http_body_util::{BodyExt, Full, Limited};
@@ -410,7 +410,7 @@
         &self,
         req: OutboundRequest,
         limit: Duration,
-    ) -> Result<(StatusCode, Bytes), CallError> {
+    ) -> Result<Response<Bytes>, CallError> {
         let response = timeout(limit, self.call_without_timeout(req)).await;
         response.unwrap_or_else(|_| {
             // The cause of the timeout probably affects the other connections to this address too.
@@ -425,15 +425,15 @@
     async fn call_without_timeout(
         &self,
         req: OutboundRequest,
-    ) -> Result<(StatusCode, Bytes), CallError> {
+    ) -> Result<Response<Bytes>, CallError> {
         let kept = self.idle.borrow_mut().take();
         let mut connection = match kept {
             Some(connection) => connection,
             None => Connection::open(self.addr).await?,
         };
         let response = connection.send(req).await?;
-        let status = response.status();
-        let body = Limited::new(response.into_body(), MAX_BODY_BYTES)
+        let (head, body) = response.into_parts();
+        let body = Limited::new(body, MAX_BODY_BYTES)
             .collect()
             .await
             .map_err(|_| CallError {
@@ -443,6 +443,6 @@
             .to_bytes();
         connection.mark_idle(None);
         self.idle.borrow_mut().keep(connection);
-        Ok((status, body))
+        Ok(Response::from_parts(head, body))
     }
 }
--- a/crates/edge/src/known_records.rs
+++ b/crates/edge/src/known_records.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use nutmegbay_core::environment::MonotonicTime;
+use nutmegbay_core::position::Position;
 use nutmegbay_policy::edge::relay::ReadCounts;
 
 use crate::model::KeyedRecord;
@@ -17,18 +18,18 @@
 pub struct KnownRecords {
     /// Configuration record.
     pub config: Option<KeyedRecord>,
-    /// Offset from which the configuration is read next.
-    pub config_next: Option<u64>,
+    /// Position from which the configuration is read next.
+    pub config_next: Option<Position>,
     /// Time as of which the configuration is known to be current.
     pub config_at: Option<MonotonicTime>,
     /// Entries of the list of instances, by key.
     instances: BTreeMap<Box<str>, Entry>,
-    /// Offset from which the list of instances is read next.
-    pub instances_next: Option<u64>,
+    /// Position from which the list of instances is read next.
+    pub instances_next: Option<Position>,
     /// Time as of which the list is known to be current.
     pub instances_at: Option<MonotonicTime>,
-    /// Offset from which every removal is known.
-    complete_from: Option<u64>,
+    /// Position from which every removal is known.
+    complete_from: Option<Position>,
     /// Number of store reads that this process itself has completed.
     pub reads: ReadCounts,
 }
@@ -37,8 +38,8 @@
 #[derive(Debug)]
 struct Entry {
     record: KeyedRecord,
-    /// Offset of the last record that changed the entry; later records are heartbeats.
-    changed: u64,
+    /// Position of the last record that changed the entry; later records are heartbeats.
+    changed: Position,
     received_at: MonotonicTime,
 }
 
@@ -48,7 +49,7 @@
         let is_newer = self
             .config
             .as_ref()
-            .is_none_or(|known| known.offset < record.offset);
+            .is_none_or(|known| known.position.offset < record.position.offset);
         if is_newer {
             self.config = Some(record.clone());
         }
@@ -57,7 +58,7 @@
     /// Returns whether this record of the list, or a newer one with the same key, is already known.
     pub fn has_instance(&self, record: &KeyedRecord) -> bool {
         let known = self.instances.get(&record.key);
-        known.is_some_and(|known| known.record.offset >= record.offset)
+        known.is_some_and(|known| known.record.position.offset >= record.position.offset)
     }
 
     /// Stores a record of the list. `is_change` is false for a heartbeat.
@@ -65,7 +66,7 @@
         let before = self.instances.get(&record.key);
         let changed = match before {
             Some(before) if !is_change => before.changed,
-            _ => record.offset,
+            _ => record.position,
         };
         let entry = Entry {
             changed,
@@ -75,23 +76,26 @@
         self.instances.insert(entry.record.key.clone(), entry);
     }
 
-    /// Records that the whole list was read up to offset `end`. Removals before the first such read
+    /// Records that the whole list was read up to `end`. Removals before the first such read
     /// are unknown.
-    pub fn record_full_read(&mut self, end: u64) {
+    pub fn record_full_read(&mut self, end: Position) {
         self.complete_from.get_or_insert(end);
     }
 
     /// Returns the entries that a process lacks which knows the list up to `next`. The flag is true
     /// if they are the whole list, and false if they are the changes since `next`.
-    pub fn instances_since(&self, next: Option<u64>) -> (bool, impl Iterator<Item = &KeyedRecord>) {
+    pub fn instances_since(
+        &self,
+        next: Option<Position>,
+    ) -> (bool, impl Iterator<Item = &KeyedRecord>) {
         let from = next.filter(|next| {
             let complete_from = self.complete_from;
-            complete_from.is_some_and(|complete_from| *next >= complete_from)
+            complete_from.is_some_and(|complete_from| next.offset >= complete_from.offset)
         });
         let records = self
             .instances
             .values()
-            .filter(move |entry| from.is_none_or(|from| entry.changed >= from))
+            .filter(move |entry| from.is_none_or(|from| entry.changed.offset >= from.offset))
             .map(|entry| &entry.record);
         (from.is_none(), records)
     }
@@ -103,7 +107,7 @@
             let is_kept =
                 entry.record.value.is_some() || now.since(entry.received_at) < REMOVAL_RETENTION;
             if !is_kept {
-                let after = Some(entry.changed + 1);
+                let after = Some(entry.changed.next());
                 *complete_from = (*complete_from).max(after);
             }
             is_kept
--- a/crates/edge/src/members/mod.rs
+++ b/crates/edge/src/members/mod.rs
@@ -10,6 +10,7 @@
 
 use nutmegbay_core::duty::MemberCounts;
 use nutmegbay_core::environment::MonotonicTime;
+use nutmegbay_core::position::Position;
 use nutmegbay_policy::edge::relay::{Relay, relay_count};
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
@@ -64,8 +65,8 @@
     /// Capacity for relaying, see [`relay_capacity`].
     #[serde(rename = "strength")]
     pub relay_capacity: u32,
-    /// Offset of its record in the store.
-    pub offset: u64,
+    /// Position of its record in the store.
+    pub position: Position,
 }
 
 /// All known processes, including those considered failed.
@@ -81,7 +82,7 @@
     relay_capacity: u32,
     /// Hash of the name. It orders members of equal capacity, which mixes the failure domains.
     hash: u64,
-    offset: u64,
+    position: Position,
     /// Time at which a new record or an announcement was last received.
     changed_at: MonotonicTime,
 }
@@ -108,11 +109,11 @@
     /// the known one is ignored.
     pub fn record(&mut self, info: MemberInfo, now: MonotonicTime) {
         if let Some(known) = self.by_name.get_mut(&info.name) {
-            if known.offset < info.offset {
+            if known.position.offset < info.position.offset {
                 known.control = info.control;
                 known.domain = info.domain;
                 known.relay_capacity = info.relay_capacity;
-                known.offset = info.offset;
+                known.position = info.position;
                 known.changed_at = now;
             }
             return;
@@ -123,7 +124,7 @@
             domain: info.domain,
             relay_capacity: info.relay_capacity,
             hash: member_hash(&info.name),
-            offset: info.offset,
+            position: info.position,
             changed_at: now,
         };
         self.by_name.insert(info.name, member);
@@ -189,23 +190,25 @@
         self.by_name.values().filter_map(|member| member.control)
     }
 
-    /// Returns the offset after the newest known record.
-    pub fn next_offset(&self) -> u64 {
-        let newest = self.by_name.values().map(|member| member.offset + 1).max();
-        newest.unwrap_or(0)
+    /// Returns the position after the newest known record.
+    pub fn next_position(&self) -> Position {
+        let positions = self.by_name.values().map(|member| member.position);
+        positions
+            .max()
+            .map_or_else(Position::default, Position::next)
     }
 
-    /// Returns the processes whose records were written at `offset` or later.
-    pub fn changed_since(&self, offset: u64) -> impl Iterator<Item = MemberInfo> {
+    /// Returns the processes whose records were written at `position` or later.
+    pub fn changed_since(&self, position: Position) -> impl Iterator<Item = MemberInfo> {
         self.by_name
             .iter()
-            .filter(move |(_, member)| member.offset >= offset)
+            .filter(move |(_, member)| member.position.offset >= position.offset)
             .map(|(name, member)| MemberInfo {
                 name: name.clone(),
                 control: member.control,
                 domain: member.domain.clone(),
                 relay_capacity: member.relay_capacity,
-                offset: member.offset,
+                position: member.position,
             })
     }
 
@@ -264,7 +267,7 @@
             control: decoded.control,
             domain: decoded.domain.clone(),
             relay_capacity: decoded.relay_capacity,
-            offset: record.offset,
+            position: record.position,
         };
         members.record(info, now);
         records.insert(record.key, decoded);
--- a/crates/edge/src/members/publish.rs
+++ b/crates/edge/src/members/publish.rs
@@ -54,7 +54,8 @@
                 .append(Topic::Members, &state.settings().node, &value, None)
                 .await
             {
-                Ok(_) => {
+                Ok(position) => {
+                    state.observe_store_era(position.era, Topic::Members);
                     store_status.record_success(state.now());
                     last = Some(value);
                     state.record_written_at.set(state.now());
--- a/crates/edge/src/model.rs
+++ b/crates/edge/src/model.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
+use nutmegbay_core::position::Position;
 use strum::{Display, EnumString, IntoStaticStr};
 
 /// Complete configuration of a deployment, as published by an operator.
@@ -323,8 +324,8 @@
 /// One record of a keyed topic.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct KeyedRecord {
-    /// Offset in the topic.
-    pub offset: u64,
+    /// Position in the topic.
+    pub position: Position,
     /// Key of the record within the topic.
     pub key: Box<str>,
     /// Value. `None` if the key was removed.
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -13,6 +13,7 @@
 use http::{Request, StatusCode};
 use nutmegbay_core::duty::MemberCounts;
 use nutmegbay_core::environment::MonotonicTime;
+use nutmegbay_core::position::Position;
 use nutmegbay_policy::edge::crashes::CrashReport;
 use nutmegbay_policy::edge::relay::ReadCounts;
 use serde::de::DeserializeOwned;
@@ -50,12 +51,12 @@
 struct ChangesRequest {
     /// Read counts in the last reply of the receiver.
     reads: ReadCounts,
-    /// Offset up to which the configuration is known.
-    config_next: Option<u64>,
-    /// Offset up to which the list of instances is known.
-    instances_next: Option<u64>,
-    /// Offset up to which the member records are known.
-    members_next: u64,
+    /// Position up to which the configuration is known.
+    config_next: Option<Position>,
+    /// Position up to which the list of instances is known.
+    instances_next: Option<Position>,
+    /// Position up to which the member records are known.
+    members_next: Position,
 }
 
 /// Store records that a process has read.
@@ -69,10 +70,10 @@
     /// Age of the known configuration, in milliseconds.
     config_age_ms: u64,
     config: Option<WireRecord>,
-    config_next: Option<u64>,
+    config_next: Option<Position>,
     /// Changed entries of the list of instances.
     instances: Vec<WireRecord>,
-    instances_next: Option<u64>,
+    instances_next: Option<Position>,
     /// Whether `instances` is the whole list, so that entries missing from it are removed.
     is_whole: bool,
     /// Grace period for upstreams whose entries were removed, in milliseconds. 0 for none.
@@ -88,7 +89,7 @@
 #[derive(Debug, Serialize, Deserialize)]
 struct WireRecord {
     key: Box<str>,
-    offset: u64,
+    position: Position,
     value: Option<Box<str>>,
 }
 
@@ -102,14 +103,14 @@
         };
         Some(Self {
             key: record.key.clone(),
-            offset: record.offset,
+            position: record.position,
             value,
         })
     }
 
     fn into_record(self) -> KeyedRecord {
         KeyedRecord {
-            offset: self.offset,
+            position: self.position,
             key: self.key,
             value: self.value.map(|text| Bytes::from(String::from(text))),
         }
@@ -120,11 +121,11 @@
 fn build_reply<D: WireCodec>(state: &EdgeState<D>, request: &ChangesRequest) -> RecordsReply {
     let known_records = state.known_records.borrow();
     let now = state.now();
-    let known = request.config_next.unwrap_or(0);
+    let known = request.config_next.unwrap_or_default();
     let config = known_records
         .config
         .as_ref()
-        .filter(|config| config.offset >= known);
+        .filter(|config| config.position.offset >= known.offset);
     let grace_until = state.expiry_grace.borrow().usable_until(now);
     let (is_whole, instances) = known_records.instances_since(request.instances_next);
     RecordsReply {
@@ -197,14 +198,14 @@
         .header(HOST, client.host())
         .body(Bytes::from(body).into())
         .map_err(|e| PeerError::Unreadable(e.to_string().into()))?;
-    let (status, body) = client
+    let response = client
         .call(req, limit)
         .await
         .map_err(|e| PeerError::Unreachable(e.to_string().into()))?;
-    if status != StatusCode::OK {
-        return Err(PeerError::Refused(status.as_u16()));
+    if response.status() != StatusCode::OK {
+        return Err(PeerError::Refused(response.status().as_u16()));
     }
-    serde_json::from_slice(&body).map_err(|e| PeerError::Unreadable(e.to_string().into()))
+    serde_json::from_slice(response.body()).map_err(|e| PeerError::Unreadable(e.to_string().into()))
 }
 
 /// Returns the time that is `age` before `now`.
--- a/crates/edge/src/peers/relay.rs
+++ b/crates/edge/src/peers/relay.rs
@@ -107,7 +107,7 @@
             .unwrap_or_default(),
         config_next: known_records.config_next,
         instances_next: known_records.instances_next,
-        members_next: state.members.borrow().next_offset(),
+        members_next: state.members.borrow().next_position(),
     };
     serde_json::to_vec(&request).unwrap_or_else(|error| {
         tracing::error!(event = "question_not_encoded", %error);
@@ -130,7 +130,7 @@
         .map(WireRecord::into_record)
         .collect();
     if reply.is_whole {
-        let end = reply.instances_next.unwrap_or(0);
+        let end = reply.instances_next.unwrap_or_default();
         remove_unlisted(state, &records, end, grace_until);
     }
     for record in records {
--- a/crates/edge/src/peers/serve.rs
+++ b/crates/edge/src/peers/serve.rs
@@ -128,13 +128,14 @@
 }
 
 /// Returns the names and values of the gauges.
-fn gauges<D: WireCodec>(state: &EdgeState<D>) -> [(&'static str, u64); 7] {
+fn gauges<D: WireCodec>(state: &EdgeState<D>) -> [(&'static str, u64); 8] {
     let now = state.now();
     let known_records = state.known_records.borrow();
     [
         ("config_version", state.version().unwrap_or(0)),
         ("config_age_ms", millis(known_records.config_age(now))),
         ("instances_age_ms", millis(known_records.instances_age(now))),
+        ("store_era", state.store_era()),
         ("members", state.process_count() as u64),
         ("follows_relay", state.is_relayed().into()),
         ("requests_in_flight", state.in_flight.get() as u64),
--- a/crates/edge/src/platform_api.rs
+++ b/crates/edge/src/platform_api.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode, Uri};
+use nutmegbay_core::position::Position;
 use strum::{Display, IntoStaticStr};
 
 use crate::model::{
@@ -52,23 +53,23 @@
         after: Option<&str>,
     ) -> impl Future<Output = Result<NewestPage, StoreError>>;
 
-    /// Reads records from offset `from` on. Waits up to `wait` for the first one.
+    /// Reads records from `from` on, whose era is not checked. Waits up to `wait` for the first one.
     fn read(
         &self,
         topic: Topic,
-        from: u64,
+        from: Position,
         wait: Duration,
     ) -> impl Future<Output = Result<ReadBatch, StoreError>>;
 
-    /// Appends one record and returns its offset. With `at`, appends only if the topic ends at that
-    /// offset.
+    /// Appends one record and returns its position. With `at`, appends only if the topic ends at
+    /// that offset, in whatever era.
     fn append(
         &self,
         topic: Topic,
         key: &str,
         value: &[u8],
-        at: Option<u64>,
-    ) -> impl Future<Output = Result<u64, StoreError>>;
+        at: Option<Position>,
+    ) -> impl Future<Output = Result<Position, StoreError>>;
 }
 
 /// Interface that accepts usage reports.
@@ -108,8 +109,8 @@
 pub struct NewestPage {
     /// Records in key order.
     pub records: Vec<KeyedRecord>,
-    /// End offset of the topic when the page was read.
-    pub end: u64,
+    /// End of the topic when the page was read.
+    pub end: Position,
     /// Whether there are further keys.
     pub has_more: bool,
 }
@@ -119,8 +120,8 @@
 pub struct ReadBatch {
     /// Records in offset order.
     pub records: Vec<KeyedRecord>,
-    /// Offset after the last record read.
-    pub next: u64,
+    /// Position after the last record read, in the era of the response.
+    pub next: Position,
 }
 
 /// Reason for which a store call failed.
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -8,6 +8,7 @@
 
 use nutmegbay_core::duty::WindowCounts;
 use nutmegbay_core::environment::MonotonicTime;
+use nutmegbay_core::position::Position;
 use nutmegbay_policy::UpstreamKey;
 use nutmegbay_policy::edge::attempts::Deadlines;
 use nutmegbay_policy::edge::budget::{RetryShare, SharedRetryBudget};
@@ -25,7 +26,7 @@
 use crate::members::{Members, member_hash};
 use crate::metrics::Metrics;
 use crate::model::DeploymentConfig;
-use crate::platform_api::WireCodec;
+use crate::platform_api::{Topic, WireCodec};
 use crate::routes::RouteTable;
 use crate::settings::{Bounds, EdgeSettings};
 
@@ -96,6 +97,9 @@
     /// Notified when a store call fails: a pending read may have lost its response and is
     /// restarted.
     pub store_call_failed: Notify,
+    /// Highest era of the store in any response. It rises each time that the store is restored from
+    /// a copy.
+    store_era: Cell<u64>,
     /// Whether the last read of the list of instances failed.
     is_store_unavailable: Cell<bool>,
     /// Notified when the list of instances can be read again.
@@ -153,6 +157,7 @@
             monotonic_clock,
             wall_clock: RefCell::new(wall_clock),
             store_call_failed: Notify::new(),
+            store_era: Cell::new(0),
             is_store_unavailable: Cell::new(false),
             store_recovered: Notify::new(),
             stop,
@@ -244,6 +249,34 @@
         fleet.share_limits(others, is_current, has_joined, now);
     }
 
+    /// Returns the highest era of the store in any response.
+    pub fn store_era(&self) -> u64 {
+        self.store_era.get()
+    }
+
+    /// Records the era of a response of the store to a call for `topic`.
+    pub fn observe_store_era(&self, era: u64, topic: Topic) {
+        let before = self.store_era.get();
+        if era <= before {
+            return;
+        }
+        self.store_era.set(era);
+        let known_records = self.known_records.borrow();
+        let offset = |next: Option<Position>| next.map(|next| next.offset);
+        let now = self.now();
+        tracing::info!(
+            target: LOG_TARGET,
+            event = "store_era",
+            era,
+            before,
+            topic = <&str>::from(topic),
+            config_next = offset(known_records.config_next),
+            config_age_ms = millis(known_records.config_age(now)),
+            instances_next = offset(known_records.instances_next),
+            instances_age_ms = millis(known_records.instances_age(now)),
+        );
+    }
+
     /// Records whether the last read of the list of instances succeeded.
     pub fn set_store_available(&self, is_available: bool) {
         if self.is_store_unavailable.replace(!is_available) && is_available {
