--- a/crates/edge-bin/tests/common/mod.rs
+++ b/crates/edge-bin/tests/common/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod body_end;
 pub mod proxy;
+pub mod relayed;
 pub mod store;
 pub mod worker;
 
@@ -238,6 +239,11 @@
         sleep(wait).await;
     }
 
+    /// Returns the first edge.
+    pub fn edge_mut(&mut self) -> &mut Edge {
+        &mut self.edge
+    }
+
     /// Sends a signal to the first edge.
     pub fn signal(&self, name: &str) {
         self.edge.signal(name);
@@ -267,6 +273,15 @@
         self.store.put("keyed.servers", &format!("i-{n}"), &entry);
     }
 
+    /// Lists worker `n` with a state and the number of its heartbeat. Its incarnation stays the
+    /// same.
+    pub fn list_heartbeat(&self, n: u16, state: &str, heartbeat: u64) {
+        let mut entry = instance(self.listed_address(n), state);
+        entry["born"] = json!(1_700_000_000_000_u64);
+        entry["seq"] = json!(heartbeat);
+        self.store.put("keyed.servers", &format!("i-{n}"), &entry);
+    }
+
     /// Lists worker `n` as draining.
     pub fn list_as_draining(&self, n: u16) {
         let entry = instance(self.listed_address(n), "draining");
@@ -384,6 +399,15 @@
         self.is_stopping.set(false);
     }
 
+    /// Kills the process and starts it again with additional lines in its settings.
+    pub fn restart_with(&mut self, settings: &str) {
+        let mut text = std::fs::read_to_string(self.settings.path()).unwrap();
+        text += settings;
+        std::fs::write(self.settings.path(), text).unwrap();
+        self.signal("KILL");
+        self.restart();
+    }
+
     /// Starts the process again if it has ended. Returns false if it has received a signal to end
     /// and still runs.
     pub fn restart_if_ended(&mut self) -> bool {
--- a/crates/edge-bin/tests/common/store.rs
+++ b/crates/edge-bin/tests/common/store.rs
@@ -7,8 +7,9 @@
 
 use axum::Router;
 use axum::body::Bytes;
-use axum::extract::{Query, State};
-use axum::http::StatusCode;
+use axum::extract::{Query, Request, State};
+use axum::http::{HeaderMap, HeaderValue, StatusCode};
+use axum::middleware::{self, Next};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use base64::Engine;
@@ -39,8 +40,25 @@
     /// Number of calls of [`Store::stall_waiting_reads`]. A read that started before the last of
     /// them gets no response.
     stalls: u32,
-    reports: Vec<Value>,
+    reports: Vec<UsageReport>,
     paging: Paging,
+    /// Number of restores.
+    era: u64,
+}
+
+/// An accepted usage report.
+#[derive(Debug, Clone, PartialEq)]
+pub struct UsageReport {
+    pub holder: String,
+    pub fencing: u64,
+    pub window: u64,
+    pub counts: Value,
+}
+
+/// Copy of the contents of a store.
+pub struct StoreCopy {
+    topics: HashMap<String, Vec<Record>>,
+    first_offsets: HashMap<String, usize>,
 }
 
 /// How lists are divided into pages.
@@ -75,6 +93,7 @@
             .route("/-/log-read", get(read))
             .route("/-/log-append", post(append))
             .route("/usage", post(usage))
+            .layer(middleware::from_fn_with_state(store.clone(), add_era))
             .with_state(store.clone());
         let listener = TcpListener::bind(addr).await.unwrap();
         tokio::spawn(async move { axum::serve(listener, router).await });
@@ -132,10 +151,28 @@
     }
 
     /// Returns the accepted usage reports.
-    pub fn reports(&self) -> Vec<Value> {
+    pub fn reports(&self) -> Vec<UsageReport> {
         self.lock().reports.clone()
     }
 
+    /// Returns a copy of the contents.
+    pub fn copy(&self) -> StoreCopy {
+        let inner = self.lock();
+        StoreCopy {
+            topics: inner.topics.clone(),
+            first_offsets: inner.first_offsets.clone(),
+        }
+    }
+
+    /// Replaces the contents by an earlier copy and begins a new era. Waiting reads get no response.
+    pub fn restore(&self, copy: &StoreCopy) {
+        let mut inner = self.lock();
+        inner.topics.clone_from(&copy.topics);
+        inner.first_offsets.clone_from(&copy.first_offsets);
+        inner.era += 1;
+        inner.stalls += 1;
+    }
+
     /// Returns the values of a topic in offset order. Skips values that are not JSON.
     pub fn values(&self, topic: &str) -> Vec<Value> {
         let inner = self.lock();
@@ -173,6 +210,15 @@
     }
 }
 
+/// Adds the era of the store to a response.
+async fn add_era(State(store): State<Store>, req: Request, next: Next) -> Response {
+    let mut res = next.run(req).await;
+    let era = store.lock().era;
+    res.headers_mut()
+        .insert("Store-Era", HeaderValue::from(era));
+    res
+}
+
 async fn newest(State(store): State<Store>, Query(params): Params) -> Response {
     if let Some(refusal) = store.apply_fault().await {
         return refusal;
@@ -232,7 +278,7 @@
                 records,
             )
         };
-        if from < first {
+        if from < first || from > records.len() {
             return (StatusCode::GONE, json!({"first": first}).to_string()).into_response();
         }
         if records.len() > from || Instant::now() >= deadline {
@@ -279,8 +325,15 @@
         .into_response()
 }
 
-async fn usage(State(store): State<Store>, body: Bytes) -> StatusCode {
-    let report = serde_json::from_slice(&body).unwrap();
+async fn usage(State(store): State<Store>, headers: HeaderMap, body: Bytes) -> StatusCode {
+    let body: Value = serde_json::from_slice(&body).unwrap();
+    let text = |name: &str| headers[name].to_str().unwrap();
+    let report = UsageReport {
+        holder: text("X-Duty-Holder").into(),
+        fencing: text("X-Fencing-Token").parse().unwrap(),
+        window: body["window-seq"].as_u64().unwrap(),
+        counts: body["counts"].clone(),
+    };
     store.lock().reports.push(report);
     StatusCode::OK
 }
--- a/crates/edge-bin/tests/soak.rs
+++ b/crates/edge-bin/tests/soak.rs
@@ -398,11 +398,10 @@
 fn check_reports(seed: u64, site: &Site) {
     let mut windows: HashMap<u64, Value> = HashMap::new();
     for report in site.store.reports() {
-        let window = report["window-seq"].as_u64().unwrap();
-        let counts = report["counts"].clone();
-        if let Some(before) = windows.insert(window, counts.clone()) {
+        let window = report.window;
+        if let Some(before) = windows.insert(window, report.counts.clone()) {
             assert_eq!(
-                before, counts,
+                before, report.counts,
                 "seed {seed}: window {window} has two different reports"
             );
         }
--- a/crates/edge-bin/tests/whole_path.rs
+++ b/crates/edge-bin/tests/whole_path.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use common::proxy::{LinkState, Proxy};
-use common::store::Fault;
+use common::store::{Fault, UsageReport};
 use common::worker::header;
 use common::{Site, config};
 use tokio::time::{sleep, timeout};
@@ -194,14 +194,14 @@
     }
     let sum = || {
         let reports = site.store.reports();
-        let count = |report: &serde_json::Value| report["counts"]["acme"].as_u64().unwrap_or(0);
+        let count = |report: &UsageReport| report.counts["acme"].as_u64().unwrap_or(0);
         (reports.iter().map(count).sum::<u64>(), reports)
     };
     // Requests that were refused before the first upstream was known are not counted.
     site.wait_until("all requests are reported", async || sum().0 >= 5)
         .await;
     let (_, reports) = sum();
-    let mut windows: Vec<_> = reports.iter().map(|report| &report["window-seq"]).collect();
+    let mut windows: Vec<_> = reports.iter().map(|report| report.window).collect();
     let reported = windows.len();
     windows.dedup();
     assert_eq!(windows.len(), reported, "a window was reported twice");
@@ -223,7 +223,7 @@
     proxy.set(LinkState::Dropping);
     let sum = || {
         let reports = site.store.reports();
-        let count = |report: &serde_json::Value| report["counts"]["acme"].as_u64().unwrap_or(0);
+        let count = |report: &UsageReport| report.counts["acme"].as_u64().unwrap_or(0);
         reports.iter().map(count).sum::<u64>()
     };
     let before = sum();
