Compare positions of records by the era of the store

Cause: an offset identifies a record only until the store is restored, and edges compared offsets of different eras. A follower asks its relay for changes after its own offset; that of the earlier era was the higher one, so the relay sent nothing, and the follower took the replies for proof that nothing had changed. Reads from the store itself missed the records that had taken the offsets up to theirs. An outdated configuration also replaced the newer one in what an edge passes on.

Why it works: a position is an era and an offset, and later eras come after all earlier ones. Reads start from a position of the current era or from the newest records; a response of an earlier era than the highest known one is refused. Edges tell each other the era with requests and replies of relays and peers. An outdated configuration leaves the newer one where it is.

--- a/crates/edge/src/crashes/store.rs
+++ b/crates/edge/src/crashes/store.rs
@@ -96,7 +96,7 @@
     state.metrics.count_store_call(Topic::Crashes);
     let node = &state.settings().node;
     let position = store.append(Topic::Crashes, node, &value, None).await?;
-    state.observe_store_era(position.era, Topic::Crashes);
+    state.observe_store_era(position.era, Topic::Crashes.into());
     Ok(())
 }
 
--- a/crates/edge/src/duty.rs
+++ b/crates/edge/src/duty.rs
@@ -225,7 +225,8 @@
             .await
         {
             Ok(position) => {
-                self.state.observe_store_era(position.era, Topic::Duty);
+                self.state
+                    .observe_store_era(position.era, Topic::Duty.into());
                 self.apply_read(Some(&value), position.next().offset);
                 Duration::ZERO
             }
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -13,7 +13,7 @@
 use crate::crashes;
 use crate::metrics::increment;
 use crate::model::KeyedRecord;
-use crate::platform_api::{CONFIG_KEY, Store, StoreError, Topic, WireCodec};
+use crate::platform_api::{CONFIG_KEY, ReadBatch, Store, StoreError, Topic, WireCodec};
 use crate::settings::Bounds;
 use crate::state::EdgeState;
 
@@ -96,7 +96,12 @@
         state.metrics.count_store_call(topic);
         let last = self.records.last().map(|record| &*record.key);
         let page = store.newest(topic, last).await?;
-        state.observe_store_era(page.end.era, topic);
+        state.check_store_era(page.end.era, topic)?;
+        if self.end.is_some_and(|end| end.era != page.end.era) {
+            // The pages before were read in an earlier era.
+            *self = Self::default();
+            return Err(StoreError::Expired);
+        }
         self.end.get_or_insert(page.end);
         let known = self.records.len();
         let has_more = page.has_more && !page.records.is_empty();
@@ -131,14 +136,30 @@
             Ok((newest.records, newest.end.unwrap_or_default()))
         }
         Some(from) => {
-            state.metrics.count_store_call(topic);
-            let batch = store.read(topic, from, wait).await?;
-            state.observe_store_era(batch.next.era, topic);
+            let batch = read_batch(state, store, topic, from, wait).await?;
             Ok((batch.records, batch.next))
         }
     }
 }
 
+/// Reads the records of a topic from `from` on. Fails with [`StoreError::Expired`] if the store was
+/// restored since that position was read.
+async fn read_batch<D: WireCodec, S: Store>(
+    state: &EdgeState<D>,
+    store: &S,
+    topic: Topic,
+    from: Position,
+    wait: Duration,
+) -> Result<ReadBatch, StoreError> {
+    state.metrics.count_store_call(topic);
+    let batch = store.read(topic, from, wait).await?;
+    state.check_store_era(batch.next.era, topic)?;
+    if batch.next.era != from.era {
+        return Err(StoreError::Expired);
+    }
+    Ok(batch)
+}
+
 /// Reads a topic as [`read_topic`] does and waits up to `wait` for a record. A read from an offset
 /// is restarted whenever another store call fails, since its own response may have been lost.
 pub async fn poll_topic<D: WireCodec, S: Store>(
@@ -149,6 +170,8 @@
     wait: Duration,
 ) -> Result<(Vec<KeyedRecord>, Position), StoreError> {
     loop {
+        // Offsets of an earlier era are assigned again.
+        let next = next.filter(|next| next.era == state.store_era());
         tokio::select! {
             read = read_topic(state, store, topic, next, wait) => return read,
             () = state.store_call_failed.notified(), if next.is_some() => {}
@@ -218,8 +241,22 @@
     };
     match state.codec.decode_config(value) {
         Ok(config) => {
+            let in_force = state.version();
+            // A store that was restored from a copy may return an earlier version.
+            let is_outdated = in_force.is_some_and(|in_force| config.version < in_force);
+            if is_outdated {
+                tracing::info!(
+                    event = "config_outdated",
+                    version = config.version,
+                    in_force,
+                    era = record.position.era,
+                    offset = record.position.offset,
+                    source,
+                );
+            }
             state.apply_config(config, source);
-            state.known_records.borrow_mut().keep_config(record);
+            let mut known_records = state.known_records.borrow_mut();
+            known_records.keep_config(record, is_outdated);
         }
         Err(error) => tracing::error!(
             event = "config_unreadable",
@@ -239,6 +276,7 @@
         state.wait_for_direct_reads().await;
         let began = state.now();
         let next = state.known_records.borrow().instances_next;
+        let next = next.filter(|next| next.era == state.store_era());
         let read = match next {
             Some(from) => read_instance_changes(&state, &store, &mut store_status, from).await,
             None => read_instance_list(&state, &store, &mut store_status, &mut newest).await,
@@ -274,9 +312,7 @@
     store_status: &mut DependencyStatus,
     from: Position,
 ) -> Result<Position, StoreError> {
-    state.metrics.count_store_call(Topic::Instances);
-    let batch = store.read(Topic::Instances, from, Duration::ZERO).await?;
-    state.observe_store_era(batch.next.era, Topic::Instances);
+    let batch = read_batch(state, store, Topic::Instances, from, Duration::ZERO).await?;
     let grace_until = record_instances_response(state, store_status);
     for record in batch.records {
         apply_instance_record(state, record, grace_until);
--- a/crates/edge/src/known_records.rs
+++ b/crates/edge/src/known_records.rs
@@ -44,21 +44,22 @@
 }
 
 impl KnownRecords {
-    /// Stores a configuration record unless a newer one is known.
-    pub fn keep_config(&mut self, record: &KeyedRecord) {
-        let is_newer = self
-            .config
+    /// Stores a configuration record. If it is outdated, which means that its version is lower than
+    /// the known one, only its position is stored: peers that know the topic up to there lack the
+    /// known version.
+    pub fn keep_config(&mut self, record: &KeyedRecord, is_outdated: bool) {
+        let known = self.config.take();
+        let position = known
             .as_ref()
-            .is_none_or(|known| known.position.offset < record.position.offset);
-        if is_newer {
-            self.config = Some(record.clone());
-        }
+            .map_or(record.position, |known| known.position.max(record.position));
+        let newest = known.filter(|_| is_outdated).unwrap_or(record.clone());
+        self.config = Some(KeyedRecord { position, ..newest });
     }
 
     /// Returns whether this record of the list, or a newer one with the same key, is already known.
     pub fn has_instance(&self, record: &KeyedRecord) -> bool {
         let known = self.instances.get(&record.key);
-        known.is_some_and(|known| known.record.position.offset >= record.position.offset)
+        known.is_some_and(|known| known.record.position >= record.position)
     }
 
     /// Stores a record of the list. `is_change` is false for a heartbeat.
@@ -79,7 +80,10 @@
     /// Records that the whole list was read up to `end`. Removals before the first such read
     /// are unknown.
     pub fn record_full_read(&mut self, end: Position) {
-        self.complete_from.get_or_insert(end);
+        let complete_from = self.complete_from.get_or_insert(end);
+        if complete_from.era < end.era {
+            *complete_from = end;
+        }
     }
 
     /// Returns the entries that a process lacks which knows the list up to `next`. The flag is true
@@ -90,12 +94,12 @@
     ) -> (bool, impl Iterator<Item = &KeyedRecord>) {
         let from = next.filter(|next| {
             let complete_from = self.complete_from;
-            complete_from.is_some_and(|complete_from| next.offset >= complete_from.offset)
+            complete_from.is_some_and(|complete_from| *next >= complete_from)
         });
         let records = self
             .instances
             .values()
-            .filter(move |entry| from.is_none_or(|from| entry.changed.offset >= from.offset))
+            .filter(move |entry| from.is_none_or(|from| entry.changed >= from))
             .map(|entry| &entry.record);
         (from.is_none(), records)
     }
--- a/crates/edge/src/members/mod.rs
+++ b/crates/edge/src/members/mod.rs
@@ -109,12 +109,16 @@
     /// the known one is ignored.
     pub fn record(&mut self, info: MemberInfo, now: MonotonicTime) {
         if let Some(known) = self.by_name.get_mut(&info.name) {
-            if known.position.offset < info.position.offset {
+            if known.position < info.position {
+                let known_era = known.position.era;
                 known.control = info.control;
                 known.domain = info.domain;
                 known.relay_capacity = info.relay_capacity;
                 known.position = info.position;
-                known.changed_at = now;
+                // A restored store returns records of processes that may have ended since.
+                if known_era == info.position.era {
+                    known.changed_at = now;
+                }
             }
             return;
         }
@@ -202,7 +206,7 @@
     pub fn changed_since(&self, position: Position) -> impl Iterator<Item = MemberInfo> {
         self.by_name
             .iter()
-            .filter(move |(_, member)| member.position.offset >= position.offset)
+            .filter(move |(_, member)| member.position >= position)
             .map(|(name, member)| MemberInfo {
                 name: name.clone(),
                 control: member.control,
--- a/crates/edge/src/members/publish.rs
+++ b/crates/edge/src/members/publish.rs
@@ -55,7 +55,7 @@
                 .await
             {
                 Ok(position) => {
-                    state.observe_store_era(position.era, Topic::Members);
+                    state.observe_store_era(position.era, Topic::Members.into());
                     store_status.record_success(state.now());
                     last = Some(value);
                     state.record_written_at.set(state.now());
--- a/crates/edge/src/peers/ask.rs
+++ b/crates/edge/src/peers/ask.rs
@@ -62,6 +62,7 @@
 
 /// Applies the records that a peer has read.
 fn apply_reply<D: WireCodec>(state: &Rc<EdgeState<D>>, reply: RecordsReply) {
+    state.observe_store_era(reply.store_era, "peer");
     if let Some(config) = reply.config {
         apply_config_record(state, &config.into_record(), "peer");
     }
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -49,6 +49,9 @@
 /// Request for changes. It states what the requesting process already knows.
 #[derive(Debug, Default, Serialize, Deserialize)]
 struct ChangesRequest {
+    /// Highest known era of the store.
+    #[serde(default)]
+    store_era: u64,
     /// Read counts in the last reply of the receiver.
     reads: ReadCounts,
     /// Position up to which the configuration is known.
@@ -62,6 +65,9 @@
 /// Store records that a process has read.
 #[derive(Debug, Serialize, Deserialize)]
 struct RecordsReply {
+    /// Highest known era of the store.
+    #[serde(default)]
+    store_era: u64,
     /// Number of reads that the process itself has completed.
     reads: ReadCounts,
     /// Age of the known list of instances, in milliseconds.
@@ -125,10 +131,11 @@
     let config = known_records
         .config
         .as_ref()
-        .filter(|config| config.position.offset >= known.offset);
+        .filter(|config| config.position >= known);
     let grace_until = state.expiry_grace.borrow().usable_until(now);
     let (is_whole, instances) = known_records.instances_since(request.instances_next);
     RecordsReply {
+        store_era: state.store_era(),
         reads: known_records.reads,
         instances_age_ms: millis(known_records.instances_age(now)),
         config_age_ms: millis(known_records.config_age(now)),
--- a/crates/edge/src/peers/relay.rs
+++ b/crates/edge/src/peers/relay.rs
@@ -100,6 +100,7 @@
 fn encode_request<D: WireCodec>(state: &EdgeState<D>) -> Vec<u8> {
     let known_records = state.known_records.borrow();
     let request = ChangesRequest {
+        store_era: state.store_era(),
         reads: state
             .relay_follower
             .borrow()
@@ -118,6 +119,7 @@
 /// Applies the records that the relay has read.
 fn apply_reply<D: WireCodec>(state: &Rc<EdgeState<D>>, relay: SocketAddr, reply: RecordsReply) {
     let now = state.now();
+    state.observe_store_era(reply.store_era, "relay");
     crashes::merge(state, &reply.crashes, ReportSource::Shared);
     if let Some(config) = reply.config {
         apply_config_record(state, &config.into_record(), "relay");
--- a/crates/edge/src/peers/serve.rs
+++ b/crates/edge/src/peers/serve.rs
@@ -115,8 +115,11 @@
                 Some(counts) => json_response(&counts),
                 None => (StatusCode::SERVICE_UNAVAILABLE, "text/plain", String::new()),
             },
-            CHANGES_PATH => match serde_json::from_slice(body) {
-                Ok(request) => changes_response(state, &request).await,
+            CHANGES_PATH => match serde_json::from_slice::<ChangesRequest>(body) {
+                Ok(request) => {
+                    state.observe_store_era(request.store_era, "follower");
+                    changes_response(state, &request).await
+                }
                 Err(error) => {
                     tracing::warn!(event = "changes_ask_unreadable", %error);
                     (StatusCode::BAD_REQUEST, "text/plain", String::new())
--- a/crates/edge/src/platform_api.rs
+++ b/crates/edge/src/platform_api.rs
@@ -135,6 +135,8 @@
     Refused(u16),
     /// The requested records are no longer stored.
     Expired,
+    /// The store was restored from a copy after the response.
+    Outdated,
     /// The topic does not end at the expected offset.
     Conflict,
 }
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -26,7 +26,7 @@
 use crate::members::{Members, member_hash};
 use crate::metrics::Metrics;
 use crate::model::DeploymentConfig;
-use crate::platform_api::{Topic, WireCodec};
+use crate::platform_api::{StoreError, Topic, WireCodec};
 use crate::routes::RouteTable;
 use crate::settings::{Bounds, EdgeSettings};
 
@@ -254,13 +254,25 @@
         self.store_era.get()
     }
 
-    /// Records the era of a response of the store to a call for `topic`.
-    pub fn observe_store_era(&self, era: u64, topic: Topic) {
+    /// Records the era of a response of the store to a call for `topic`. Fails if the store was
+    /// restored after the response, so that it no longer holds.
+    pub fn check_store_era(&self, era: u64, topic: Topic) -> Result<(), StoreError> {
+        if era < self.store_era() {
+            return Err(StoreError::Outdated);
+        }
+        self.observe_store_era(era, topic.into());
+        Ok(())
+    }
+
+    /// Records an era of the store. `source` names its origin in the log.
+    pub fn observe_store_era(&self, era: u64, source: &'static str) {
         let before = self.store_era.get();
         if era <= before {
             return;
         }
         self.store_era.set(era);
+        // Reads that wait for a record at an offset of the earlier era are restarted.
+        self.store_call_failed.notify_waiters();
         let known_records = self.known_records.borrow();
         let offset = |next: Option<Position>| next.map(|next| next.offset);
         let now = self.now();
@@ -269,7 +281,7 @@
             event = "store_era",
             era,
             before,
-            topic = <&str>::from(topic),
+            source,
             config_next = offset(known_records.config_next),
             config_age_ms = millis(known_records.config_age(now)),
             instances_next = offset(known_records.instances_next),
