Use upstreams for a while that a restored list lacks

The first list after a restore lacks each upstream that registered after the copy was made, and an edge removed it at once if the store had been away for less than 2 s. Its requests went to the rest of the service until it wrote its entry again.

Cause: only an outage in which entries can expire started the grace time.

Evidence: edge_expiry_grace::missing_after_restore; with the earlier code the list at 0.9 s after an outage of 0.3 s gives no grace time (edge_expiry_grace::no_outage asserts that).

Why it works: the first list of a later era starts the grace time whatever the length of the outage. Entries that are still missing after it are treated as gone, as the platform states.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -359,8 +359,12 @@
 ) -> Option<MonotonicTime> {
     let now = state.now();
     state.set_store_available(true);
+    let is_restored = state
+        .known_records
+        .borrow_mut()
+        .record_list_era(state.store_era());
     let mut expiry_grace = state.expiry_grace.borrow_mut();
-    expiry_grace.record_list(now, store_status.record_success(now));
+    expiry_grace.record_list(now, store_status.record_success(now), is_restored);
     expiry_grace.usable_until(now)
 }
 
--- a/crates/edge/src/known_records.rs
+++ b/crates/edge/src/known_records.rs
@@ -30,6 +30,8 @@
     pub instances_at: Option<MonotonicTime>,
     /// Position from which every removal is known.
     complete_from: Option<Position>,
+    /// Era of the store at the newest read of the list.
+    list_era: Option<u64>,
     /// Number of store reads that this process itself has completed.
     pub reads: ReadCounts,
 }
@@ -86,6 +88,13 @@
         }
     }
 
+    /// Records that the list is read in `era`. Returns whether an earlier list was read before the
+    /// store was restored.
+    pub fn record_list_era(&mut self, era: u64) -> bool {
+        let before = self.list_era.replace(era);
+        before.is_some_and(|before| before < era)
+    }
+
     /// Returns the entries that a process lacks which knows the list up to `next`. The flag is true
     /// if they are the whole list, and false if they are the changes since `next`.
     pub fn instances_since(
--- a/crates/policy/src/edge/expiry_grace.rs
+++ b/crates/policy/src/edge/expiry_grace.rs
@@ -30,9 +30,11 @@
 
 impl ExpiryGrace {
     /// Records that the list was read at `now`. `outage` is the time for which the store was
-    /// unavailable before, or `None` if the previous read succeeded.
-    pub fn record_list(&mut self, now: MonotonicTime, outage: Option<Duration>) {
-        self.is_first_list = outage.is_some_and(|outage| outage >= MIN_EXPIRING_OUTAGE);
+    /// unavailable before, or `None` if the previous read succeeded. `is_restored` is true for the
+    /// first list after the store was restored from a copy, which lacks newer entries.
+    pub fn record_list(&mut self, now: MonotonicTime, outage: Option<Duration>, is_restored: bool) {
+        let can_expire = outage.is_some_and(|outage| outage >= MIN_EXPIRING_OUTAGE);
+        self.is_first_list = can_expire || is_restored;
         if self.is_first_list {
             self.returned = Some(now);
         }
--- a/crates/policy/tests/edge_expiry_grace.rs
+++ b/crates/policy/tests/edge_expiry_grace.rs
@@ -15,9 +15,9 @@
 #[test]
 fn no_outage() {
     let mut expiry_grace = ExpiryGrace::default();
-    expiry_grace.record_list(at(0), None);
+    expiry_grace.record_list(at(0), None, false);
     assert_eq!(expiry_grace.usable_until(at(0)), None);
-    expiry_grace.record_list(at(900), Some(Duration::from_millis(300)));
+    expiry_grace.record_list(at(900), Some(Duration::from_millis(300)), false);
     assert_eq!(
         expiry_grace.usable_until(at(900)),
         None,
@@ -28,7 +28,7 @@
 #[test]
 fn expired_in_outage() {
     let mut expiry_grace = ExpiryGrace::default();
-    expiry_grace.record_list(at(11_000), Some(OUTAGE));
+    expiry_grace.record_list(at(11_000), Some(OUTAGE), false);
     assert_eq!(expiry_grace.usable_until(at(11_000)), Some(at(12_900)));
 }
 
@@ -37,13 +37,22 @@
 #[test]
 fn removed_after_return() {
     let mut expiry_grace = ExpiryGrace::default();
-    expiry_grace.record_list(at(11_770), Some(OUTAGE));
-    expiry_grace.record_list(at(12_680), None);
+    expiry_grace.record_list(at(11_770), Some(OUTAGE), false);
+    expiry_grace.record_list(at(12_680), None, false);
     let until = expiry_grace.usable_until(at(12_680)).unwrap();
     assert!(
         until <= at(11_806 + 1_700),
         "acknowledged at 11,806 ms, bound 2,000: {until:?}"
     );
-    expiry_grace.record_list(at(14_000), None);
+    expiry_grace.record_list(at(14_000), None, false);
     assert_eq!(expiry_grace.usable_until(at(14_000)), None);
 }
+
+/// The first list after a restore lacks an upstream that started after the copy was made.
+#[test]
+fn missing_after_restore() {
+    let mut expiry_grace = ExpiryGrace::default();
+    expiry_grace.record_list(at(0), None, false);
+    expiry_grace.record_list(at(900), Some(Duration::from_millis(300)), true);
+    assert_eq!(expiry_grace.usable_until(at(900)), Some(at(2_800)));
+}
