Claim duties under numbers that a restore can't bring back

A holder that kept running reported nothing any more.

Cause: the fencing number and the sealed windows are derived from the register alone, and the register goes back. A register that went back was also ignored by everyone who had read a later position.

Why it works: the era of the store is the upper half of a fencing number, so that numbers of different eras differ and rise, and within an era the register's condition holds. A record whose number is of an earlier era than the store's response is nobody's right to act, also if a late write put it there. The holder whose term still runs by its own clock claims again at once and keeps its sealed windows: the others wait a whole term after their first read in the era, so nobody else can have sealed one. Anyone else skips the windows that have ended by its claim, and the record says so to the holders after it. Skipped windows are not reported; that costs a duty each, where a wrong second report breaks a rule.

--- a/crates/core/src/duty/keeper.rs
+++ b/crates/core/src/duty/keeper.rs
@@ -6,11 +6,16 @@
 use crate::environment::MonotonicTime;
 use crate::ids::{Epoch, Incarnation};
 use crate::lease::LeaseTiming;
+use crate::position::Position;
 
 /// Maximum number of sealed windows in the record, which a new holder reports again with the same
 /// figures.
 const MAX_SEALED_WINDOWS: usize = 6;
 
+/// Number of fencing numbers in each era of the store. The number of a claim is not used again after
+/// the store was restored, since the era in which it was made is a part of it.
+const CLAIMS_PER_ERA: u64 = 1 << 32;
+
 /// Content of the register.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DutyRecord {
@@ -18,7 +23,7 @@
     pub holder: Box<str>,
     /// Incarnation of that process.
     pub incarnation: Incarnation,
-    /// Fencing number, incremented with each new holder.
+    /// Fencing number, which rises with each new holder. It contains the era of the store.
     pub fencing: Epoch,
     /// Holder before this one. It waits the whole term even after a release, so that two processes
     /// do not alternate within one term.
@@ -27,11 +32,29 @@
     /// Whether the holder has released the duties.
     #[serde(default)]
     pub released: bool,
+    /// Last window that may have been sealed in a record that the store has lost. It and all windows
+    /// before it are not sealed any more, except those in `sealed`.
+    #[serde(default)]
+    pub skipped_through: u64,
     /// Sealed windows, oldest first.
     #[serde(default)]
     pub sealed: Vec<SealedWindow>,
 }
 
+impl DutyRecord {
+    /// Returns the last window that is not to be sealed any more, or `None` if there is none.
+    pub fn last_closed_window(&self) -> Option<u64> {
+        let sealed = self.sealed.last().map(|sealed| sealed.window);
+        let skipped = (self.skipped_through > 0).then_some(self.skipped_through);
+        sealed.max(skipped)
+    }
+
+    /// Returns the era of the store in which the duties were claimed.
+    fn era(&self) -> u64 {
+        self.fencing.0 / CLAIMS_PER_ERA
+    }
+}
+
 /// Action that the embedder has to perform next.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum DutyStep {
@@ -39,7 +62,7 @@
     /// is to be called first.
     Write {
         /// Position at which the register must end.
-        position: u64,
+        position: Position,
         /// New content of the register.
         record: DutyRecord,
     },
@@ -51,17 +74,27 @@
 ///
 /// The holder counts its term from before it sent the accepted record, every other process from
 /// when it read that record, as with [`crate::lease::LeaseKeeper`].
+///
+/// A store that was restored from a copy may return an earlier record. Its era is then higher than
+/// that of the record, under which nobody acts. A process whose term still runs claims the duties
+/// again at once, and nobody can have sealed a window that it does not know. All others wait until
+/// any such term has ended, and skip the windows that have ended by then.
 #[derive(Debug)]
 pub struct DutyKeeper {
     instance: Box<str>,
     incarnation: Incarnation,
     timing: LeaseTiming,
+    /// Content of the register as read last.
     record: Option<DutyRecord>,
+    /// Last record under which this process held the duties.
+    held: Option<DutyRecord>,
+    /// Last window that has ended.
+    ended_window: u64,
     /// Position after the record, where the register must end for the next write.
-    end: u64,
+    end: Position,
     read_at: Option<MonotonicTime>,
     /// Write whose result is unknown: its position and when it was sent.
-    sent_write: Option<(u64, MonotonicTime)>,
+    sent_write: Option<(Position, MonotonicTime)>,
     term_end: Option<MonotonicTime>,
     renewed_at: MonotonicTime,
     is_stopping: bool,
@@ -75,7 +108,9 @@
             incarnation,
             timing,
             record: None,
-            end: 0,
+            held: None,
+            ended_window: 0,
+            end: Position::default(),
             read_at: None,
             sent_write: None,
             term_end: None,
@@ -85,27 +120,38 @@
     }
 
     /// Handles the content of the register as read at `now`: its record, if any, and its end.
-    pub fn on_read(&mut self, now: MonotonicTime, record: Option<DutyRecord>, end: u64) {
+    pub fn on_read(&mut self, now: MonotonicTime, record: Option<DutyRecord>, end: Position) {
         if self.read_at.is_some() && end <= self.end {
             return;
         }
-        let is_own = record
-            .as_ref()
-            .is_some_and(|record| self.is_own(record) && !record.released);
-        match self.sent_write.take_if(|(position, _)| *position < end) {
-            Some((position, sent_at)) if is_own && position + 1 == end => {
-                self.term_end = Some(sent_at.plus(self.timing.ttl));
-            }
-            _ if !is_own => self.term_end = None,
-            _ => {}
-        }
         self.record = record;
         self.end = end;
         self.read_at = Some(now);
+        let sent_write = self.sent_write.take_if(|(position, _)| *position < end);
+        let Some(current) = self.current_record() else {
+            // The own term goes on, although the register does not show it any more.
+            return;
+        };
+        if !self.is_own(current) || current.released {
+            self.term_end = None;
+            return;
+        }
+        let held = current.clone();
+        if let Some((position, sent_at)) = sent_write
+            && position.next() == end
+        {
+            self.term_end = Some(sent_at.plus(self.timing.ttl));
+        }
+        self.held = Some(held);
+    }
+
+    /// Records the number of the last window that has ended.
+    pub fn record_ended_window(&mut self, window: u64) {
+        self.ended_window = window;
     }
 
     /// Handles that a write at `position` is being sent at `now`.
-    pub fn on_write_sent(&mut self, now: MonotonicTime, position: u64) {
+    pub fn on_write_sent(&mut self, now: MonotonicTime, position: Position) {
         self.sent_write = Some((position, now));
         self.renewed_at = now;
     }
@@ -124,47 +170,79 @@
     /// `now`, `None` if it must not start.
     pub fn may_act(&self, now: MonotonicTime, budget: Duration) -> Option<Epoch> {
         let term_end = self.term_end?;
-        let record = self.record.as_ref()?;
+        let record = self.current_record()?;
         let may = now.plus(budget) <= term_end && self.is_own(record) && !record.released;
         may.then_some(record.fencing)
     }
 
+    /// Returns whether the term of this process still runs at `now`. If the register does not show
+    /// it, it may not act until it has claimed the duties again.
+    pub fn has_term(&self, now: MonotonicTime) -> bool {
+        self.term_end.is_some_and(|term_end| now < term_end)
+    }
+
     /// Returns the content of the register as read last.
     pub fn record(&self) -> Option<&DutyRecord> {
         self.record.as_ref()
     }
 
+    /// Returns the content of the register, or `None` if it is of an earlier era than the store.
+    fn current_record(&self) -> Option<&DutyRecord> {
+        let record = self.record.as_ref();
+        record.filter(|record| record.era() == self.end.era)
+    }
+
     /// Returns the action that is due at `now`.
     pub fn next_step(&self, now: MonotonicTime) -> DutyStep {
         let Some(read_at) = self.read_at else {
             return DutyStep::Wait(self.timing.renew_every);
         };
-        match &self.record {
+        let due = match self.current_record() {
             Some(record) if self.is_own(record) && !record.released => {
-                self.renewal_step(now, record)
+                return self.renewal_step(now, record);
             }
-            _ if self.is_stopping => DutyStep::Wait(self.timing.ttl),
-            Some(record) => {
-                let due = read_at.plus(self.claim_wait(record));
-                if now < due {
-                    return DutyStep::Wait(due.since(now));
-                }
-                self.write_step(DutyRecord {
-                    holder: self.instance.clone(),
-                    incarnation: self.incarnation,
-                    fencing: Epoch(record.fencing.0 + 1),
-                    previous_holder: record.holder.clone(),
-                    released: false,
-                    sealed: record.sealed.clone(),
-                })
-            }
-            None => self.write_step(DutyRecord {
-                holder: self.instance.clone(),
-                incarnation: self.incarnation,
-                fencing: Epoch(1),
-                ..DutyRecord::default()
-            }),
+            _ if self.is_stopping => return DutyStep::Wait(self.timing.ttl),
+            Some(record) => read_at.plus(self.claim_wait(record)),
+            None if self.has_term(now) || self.is_unused_register() => now,
+            None => read_at.plus(self.timing.candidate_wait(self.timing.ttl)),
+        };
+        if now < due {
+            return DutyStep::Wait(due.since(now));
         }
+        self.write_step(self.claim(now))
+    }
+
+    /// Returns the record that claims the duties.
+    fn claim(&self, now: MonotonicTime) -> DutyRecord {
+        let known = match self.current_record() {
+            Some(record) => Some(record),
+            // Nobody else can have sealed a window before the term has ended.
+            None => self.held.as_ref().filter(|_| self.has_term(now)),
+        };
+        let before = self.record.as_ref();
+        let number = before.map_or(0, |record| record.fencing.0);
+        DutyRecord {
+            holder: self.instance.clone(),
+            incarnation: self.incarnation,
+            fencing: Epoch(number.max(self.end.era.saturating_mul(CLAIMS_PER_ERA)) + 1),
+            previous_holder: before
+                .map(|record| record.holder.clone())
+                .unwrap_or_default(),
+            released: false,
+            skipped_through: match known {
+                Some(record) => record.skipped_through,
+                None if self.is_unused_register() => 0,
+                None => self.ended_window,
+            },
+            sealed: known
+                .map(|record| record.sealed.clone())
+                .unwrap_or_default(),
+        }
+    }
+
+    /// Returns whether no process has ever claimed the duties. After a restore that is unknown.
+    fn is_unused_register(&self) -> bool {
+        self.record.is_none() && self.end.era == 0
     }
 
     /// Returns the write that seals a window under the duties held at `now`, `None` if they are not
@@ -177,7 +255,10 @@
     ) -> Option<DutyStep> {
         self.may_act(now, budget)?;
         let mut record = self.record.clone()?;
-        if record.sealed.iter().any(|old| old.window >= window.window) {
+        if record
+            .last_closed_window()
+            .is_some_and(|closed| closed >= window.window)
+        {
             return None;
         }
         record.sealed.push(window);
--- a/crates/core/tests/duty_keeper.rs
+++ b/crates/core/tests/duty_keeper.rs
@@ -7,6 +7,7 @@
 use nutmegbay_core::environment::MonotonicTime;
 use nutmegbay_core::ids::{Epoch, Incarnation};
 use nutmegbay_core::lease::LeaseTiming;
+use nutmegbay_core::position::Position;
 
 const BUDGET: Duration = Duration::from_millis(500);
 
@@ -30,7 +31,7 @@
 #[derive(Default)]
 struct Register {
     record: Option<DutyRecord>,
-    end: u64,
+    end: Position,
 }
 
 impl Register {
@@ -41,7 +42,7 @@
         let is_written = position == self.end;
         if is_written {
             self.record = Some(record);
-            self.end += 1;
+            self.end = self.end.next();
         }
         is_written
     }
--- a/crates/edge/src/duty.rs
+++ b/crates/edge/src/duty.rs
@@ -119,7 +119,7 @@
                     if next != Some(end) {
                         self.apply_read(
                             records.last().and_then(|record| record.value.as_deref()),
-                            end.offset,
+                            end,
                         );
                     }
                     next = Some(end);
@@ -147,16 +147,17 @@
         pause.min(MAX_READ_PAUSE)
     }
 
+    /// Returns whether this process holds the duties, or may claim them again at once because the
+    /// store has lost its claim.
     fn is_holder(&self) -> bool {
-        let keeper = self.keeper.borrow();
-        keeper.may_act(self.state.now(), Duration::ZERO).is_some()
+        self.keeper.borrow().has_term(self.state.now())
     }
 
-    fn apply_read(&self, value: Option<&[u8]>, end: u64) {
+    fn apply_read(&self, value: Option<&[u8]>, end: Position) {
         let record: Option<DutyRecord> = match value.map(serde_json::from_slice).transpose() {
             Ok(record) => record,
             Err(error) => {
-                tracing::error!(event = "duty_record_unreadable", end, %error);
+                tracing::error!(event = "duty_record_unreadable", end = end.offset, %error);
                 return;
             }
         };
@@ -169,7 +170,9 @@
                 event = "duty_holder",
                 holder = %record.holder,
                 fencing = record.fencing.0,
-                offset = end,
+                era = end.era,
+                offset = end.offset,
+                skipped_through = record.skipped_through,
             );
         }
         keeper.on_read(self.state.now(), record, end);
@@ -189,6 +192,9 @@
             // The register is not read while a relay sends the changes.
             return MAX_STEP_INTERVAL;
         }
+        let now_ms = self.state.wall_clock.borrow().now_ms();
+        let ended_window = self.state.usage_window_at(now_ms).saturating_sub(1);
+        self.keeper.borrow_mut().record_ended_window(ended_window);
         let step = self.keeper.borrow().next_step(self.state.now());
         let mut wait = match step {
             DutyStep::Wait(wait) => wait,
@@ -211,29 +217,32 @@
     }
 
     /// Writes the register. Returns the time to wait before the next step.
-    async fn write_register(&self, at: u64, record: DutyRecord) -> Duration {
+    async fn write_register(&self, at: Position, record: DutyRecord) -> Duration {
+        if at.era != self.state.store_era() {
+            // The register must be read again first.
+            return MAX_STEP_INTERVAL;
+        }
         let Ok(value) = serde_json::to_vec(&record) else {
             tracing::error!(event = "duty_record_not_encoded");
             return MAX_STEP_INTERVAL;
         };
         self.keeper.borrow_mut().on_write_sent(self.state.now(), at);
         self.state.metrics.count_store_call(Topic::Duty);
-        let condition = Some(Position::new(self.state.store_era(), at));
         match self
             .store
-            .append(Topic::Duty, RECORD_KEY, &value, condition)
+            .append(Topic::Duty, RECORD_KEY, &value, Some(at))
             .await
         {
             Ok(position) => {
                 self.state
                     .observe_store_era(position.era, Topic::Duty.into());
-                self.apply_read(Some(&value), position.next().offset);
+                self.apply_read(Some(&value), position.next());
                 Duration::ZERO
             }
             // Another process wrote first, or an earlier write took effect. The next read shows
             // which.
             Err(error) => {
-                tracing::debug!(event = "duty_write_failed", at, ?error);
+                tracing::debug!(event = "duty_write_failed", at = at.offset, ?error);
                 MAX_STEP_INTERVAL
             }
         }
@@ -248,10 +257,10 @@
         // Reports of older windows are overdue, so those windows are skipped.
         let timing = self.seal_timing();
         let oldest = newest.saturating_sub(timing.max_delay_ms.div_ceil(timing.window_ms.max(1)));
-        let sealed = keeper.record()?.sealed.last().map(|last| last.window);
+        let closed = keeper.record()?.last_closed_window();
         // With nothing sealed, starting at the newest window would skip it: the start moves on with
         // each new window while the counts are incomplete.
-        let next = sealed.map_or(oldest, |sealed| (sealed + 1).max(oldest));
+        let next = closed.map_or(oldest, |closed| (closed + 1).max(oldest));
         (next <= newest).then_some(next)
     }
 
