Keep what is known of upstreams over entries of a restored list

What callers would see: requests sent to an upstream that is leaving or gone, later than the bound (DRAIN), and the errors that follow, because a restored list shows the upstream as it was before.

Cause: the list is a log, and the newest record of an upstream counted whatever it says.

Evidence: restored_store::left_upstreams. The test now sends nine requests at a time and first proves that all three upstreams get some: one request at a time always went to the same idle upstream, so that the earlier form asserted too little.

An upstream that still runs writes its next heartbeat and is used again.

--- a/crates/edge-bin/tests/restored_store.rs
+++ b/crates/edge-bin/tests/restored_store.rs
@@ -10,7 +10,7 @@
 use common::{Edge, Site, config};
 use futures::future::join_all;
 use serde_json::Value;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 /// Time after an outage of the store from which the operator's bounds hold again.
 const CONTACT: Duration = Duration::from_secs(3);
@@ -105,30 +105,40 @@
     }
     let copy = site.store.copy();
     sleep(BOUND).await;
+    assert_eq!(used_upstreams(&site).await, [0, 1, 2]);
     site.list_heartbeat(0, "draining", 9);
     site.store.remove("keyed.servers", "i-1");
     sleep(BOUND).await;
-    let late_calls = async || {
-        for worker in &site.workers {
-            worker.clear_requests();
-        }
-        for _ in 0..30 {
-            assert_eq!(site.call("GET", "/any/1", &[]).await.status, 200);
-            sleep(Duration::from_millis(100)).await;
-        }
-        let late = site.workers.iter().take(2);
-        late.map(|worker| worker.requests().len()).sum::<usize>()
-    };
-    assert_eq!(late_calls().await, 0);
+    assert_eq!(used_upstreams(&site).await, [2]);
     site.store.restore(&copy);
-    assert_eq!(late_calls().await, 0, "a leaving upstream is used again");
-    // An upstream that is still running writes its entry again.
+    assert_eq!(
+        used_upstreams(&site).await,
+        [2],
+        "a leaving upstream is used"
+    );
+    // An upstream that still runs writes its entry again.
     site.list_heartbeat(1, "ready", 10);
-    site.wait_until("the upstream is used again", async || {
-        site.call("GET", "/any/1", &[]).await;
-        !site.workers[1].requests().is_empty()
-    })
-    .await;
+    sleep(BOUND).await;
+    assert_eq!(used_upstreams(&site).await, [1, 2]);
+}
+
+/// Returns the upstreams that get requests within [`CONTACT`].
+async fn used_upstreams(site: &Site) -> Vec<usize> {
+    for worker in &site.workers {
+        worker.clear_requests();
+    }
+    let end = Instant::now() + CONTACT;
+    while Instant::now() < end {
+        // Requests at the same time are spread over the upstreams.
+        let calls = (0..9).map(|_| site.call("GET", "/any/1", &[]));
+        for response in join_all(calls).await {
+            assert_eq!(response.status, 200);
+        }
+        sleep(Duration::from_millis(100)).await;
+    }
+    let workers = site.workers.iter().enumerate();
+    let used = workers.filter(|(_, worker)| !worker.requests().is_empty());
+    used.map(|(n, _)| n).collect()
 }
 
 /// A holder and the next one report usage, and both end. The register is restored to the state
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -7,6 +7,7 @@
 
 use nutmegbay_core::environment::MonotonicTime;
 use nutmegbay_core::position::Position;
+use nutmegbay_policy::edge::entry_age::EntryAge;
 use tokio::time::sleep;
 
 use crate::clock::millis;
@@ -378,7 +379,7 @@
     crashes::record_ended_upstreams(state);
 }
 
-/// Applies a record of the list of instances. A removed entry may have expired because the store
+/// Applies a record of the list of instances unless it is outdated. A removed entry may have expired because the store
 /// was unavailable: if `grace_until` is given, its upstream is used until then.
 pub fn apply_instance_record<D: WireCodec>(
     state: &EdgeState<D>,
@@ -389,9 +390,24 @@
         return;
     }
     let mut fleet = state.fleet.borrow_mut();
+    let mut age = EntryAge::default();
     let is_change = match &record.value {
         Some(value) => match state.codec.decode_instance(value) {
-            Ok(report) => fleet.apply_report(&record.key, report),
+            Ok(entry) => {
+                age = entry.age();
+                if state.known_records.borrow_mut().is_outdated(&record, age) {
+                    tracing::info!(
+                        event = "instance_outdated",
+                        id = %record.key,
+                        ready = entry.report.is_ready,
+                        heartbeat = entry.heartbeat,
+                        era = record.position.era,
+                        offset = record.position.offset,
+                    );
+                    return;
+                }
+                fleet.apply_report(&record.key, entry.report)
+            }
             Err(error) => {
                 tracing::debug!(event = "instance_unreadable", id = %record.key, error = %error.0);
                 fleet.remove(&record.key, "unreadable entry")
@@ -410,7 +426,7 @@
     drop(fleet);
     let now = state.now();
     let mut known_records = state.known_records.borrow_mut();
-    known_records.keep_instance(record, is_change, now);
+    known_records.keep_instance(record, age, is_change, now);
 }
 
 /// Removes the upstreams that are not in `listed`, which is the whole list up to `end`.
--- a/crates/edge/src/known_records.rs
+++ b/crates/edge/src/known_records.rs
@@ -5,6 +5,7 @@
 
 use nutmegbay_core::environment::MonotonicTime;
 use nutmegbay_core::position::Position;
+use nutmegbay_policy::edge::entry_age::EntryAge;
 use nutmegbay_policy::edge::relay::ReadCounts;
 
 use crate::model::KeyedRecord;
@@ -40,6 +41,8 @@
 #[derive(Debug)]
 struct Entry {
     record: KeyedRecord,
+    /// Age of the entry, or of the last one before its removal.
+    age: EntryAge,
     /// Position of the last record that changed the entry; later records are heartbeats.
     changed: Position,
     received_at: MonotonicTime,
@@ -64,14 +67,41 @@
         known.is_some_and(|known| known.record.position >= record.position)
     }
 
-    /// Stores a record of the list. `is_change` is false for a heartbeat.
-    pub fn keep_instance(&mut self, record: KeyedRecord, is_change: bool, now: MonotonicTime) {
+    /// Returns whether a record of the list contains an outdated entry. The known one then takes its
+    /// position, so that peers which know the list up to there receive the known one.
+    pub fn is_outdated(&mut self, record: &KeyedRecord, age: EntryAge) -> bool {
+        let Some(known) = self.instances.get_mut(&record.key) else {
+            return false;
+        };
+        let is_restored = known.record.position.era < record.position.era;
+        let is_outdated = age.is_outdated(known.age, is_restored);
+        if is_outdated {
+            known.record.position = record.position;
+            known.changed = record.position;
+        }
+        is_outdated
+    }
+
+    /// Stores a record of the list, whose entry has the given age. `is_change` is false for a
+    /// heartbeat.
+    pub fn keep_instance(
+        &mut self,
+        record: KeyedRecord,
+        age: EntryAge,
+        is_change: bool,
+        now: MonotonicTime,
+    ) {
         let before = self.instances.get(&record.key);
+        let age = match (&record.value, before) {
+            (None, Some(before)) => before.age,
+            _ => age,
+        };
         let changed = match before {
             Some(before) if !is_change => before.changed,
             _ => record.position,
         };
         let entry = Entry {
+            age,
             changed,
             received_at: now,
             record,
--- a/crates/edge/src/model.rs
+++ b/crates/edge/src/model.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
 use nutmegbay_core::position::Position;
+use nutmegbay_policy::edge::entry_age::EntryAge;
 use strum::{Display, EnumString, IntoStaticStr};
 
 /// Complete configuration of a deployment, as published by an operator.
@@ -177,6 +178,25 @@
     pub started_ms: Option<u64>,
 }
 
+/// Decoded entry of the list of instances.
+#[derive(Debug, Clone, PartialEq)]
+pub struct InstanceEntry {
+    /// What the upstream reports about itself.
+    pub report: InstanceReport,
+    /// Number of the heartbeat that wrote the entry, if the entry contains it.
+    pub heartbeat: Option<u64>,
+}
+
+impl InstanceEntry {
+    /// Returns what the entry states about its age.
+    pub fn age(&self) -> EntryAge {
+        EntryAge {
+            started_ms: self.report.started_ms,
+            heartbeat: self.heartbeat,
+        }
+    }
+}
+
 /// Role of a model engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, EnumString, IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
--- a/crates/edge/src/platform_api.rs
+++ b/crates/edge/src/platform_api.rs
@@ -9,7 +9,7 @@
 use strum::{Display, IntoStaticStr};
 
 use crate::model::{
-    DeploymentConfig, InstanceReport, KeyedRecord, PrefillResult, RequestHead, ResponseHead,
+    DeploymentConfig, InstanceEntry, KeyedRecord, PrefillResult, RequestHead, ResponseHead,
     UpstreamRequestContext,
 };
 
@@ -37,7 +37,7 @@
     fn decode_config(&self, value: &[u8]) -> Result<DeploymentConfig, DecodeError>;
 
     /// Decodes an entry of the list of instances.
-    fn decode_instance(&self, value: &[u8]) -> Result<InstanceReport, DecodeError>;
+    fn decode_instance(&self, value: &[u8]) -> Result<InstanceEntry, DecodeError>;
 
     /// Returns whether a response header applies to a single connection, in addition to the
     /// standard hop-by-hop headers.
--- a/crates/policy/src/edge/mod.rs
+++ b/crates/policy/src/edge/mod.rs
@@ -5,6 +5,7 @@
 pub mod attempts;
 pub mod budget;
 pub mod crashes;
+pub mod entry_age;
 pub mod exchange;
 pub mod expiry_grace;
 pub mod health;
