Write again what a restored store has lost of an edge

What callers would see: prompts that crash upstreams are tried again by edges that start while no other one runs, since the store has lost the reports of crashed runs; and usage counts that a stopping edge takes for stored are lost.

Cause: an edge writes its report of crashed runs only when it differs from the one that it wrote last, whatever the store still has. Member records change with each window and come again by themselves.

Why it works: what was written is kept together with the era of the store that has it, and counts as written only in that era.

--- a/crates/edge-bin/tests/crashing_requests.rs
+++ b/crates/edge-bin/tests/crashing_requests.rs
@@ -8,10 +8,13 @@
 use common::store::Fault;
 use common::worker::{Action, Worker};
 use common::{Edge, Response, Site};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 const POISON: &str = "/once/poison";
 
+/// Time after an outage of the store from which the operator's bounds hold again.
+const CONTACT: Duration = Duration::from_secs(3);
+
 /// Time within which the edge reads the list of instances again.
 const LIST_READ: Duration = Duration::from_millis(1_200);
 
@@ -167,3 +170,25 @@
     assert_eq!(crashes(&site), crashed, "a refused request has run");
     assert_sound_served(&site, &[&started]).await;
 }
+
+/// The store loses the crashed runs, which serve edges that start while no other one runs.
+#[tokio::test(flavor = "multi_thread")]
+async fn restored_reports() {
+    let site = start_crashing_site(42).await;
+    let copy = site.store.copy();
+    let has_reports = async || !site.store.values("keyed.nutmegbay-crashes").is_empty();
+    site.wait_until("crashed runs are in the store", async || {
+        call_with_block(site.edge(), CRASHING_BLOCK).await;
+        has_reports().await
+    })
+    .await;
+    for _ in 0..2 {
+        site.store.restore(&copy);
+        assert!(!has_reports().await);
+        let rewritten = site.wait_until("they are written again", &has_reports);
+        assert!(
+            timeout(CONTACT, rewritten).await.is_ok(),
+            "crashed runs are not written again"
+        );
+    }
+}
--- a/crates/edge/src/crashes/store.rs
+++ b/crates/edge/src/crashes/store.rs
@@ -49,28 +49,34 @@
 pub async fn publish<D: WireCodec, S: Store>(state: Rc<EdgeState<D>>, store: S) {
     let mut store_status = DependencyStatus::new("store_crashes_write");
     let mut has_read = false;
-    let mut written = CrashReport::default();
+    // Written report, and the era of the store that has it.
+    let mut written: Option<(u64, CrashReport)> = None;
     loop {
         let report = state.crashes.borrow().own_report();
-        if report.is_empty() || report == written {
+        let era = state.store_era();
+        let is_stored = written
+            .as_ref()
+            .is_some_and(|(in_era, written)| *in_era == era && *written == report);
+        if report.is_empty() || is_stored {
             state.crashes_changed.notified().await;
+            if state.store_era() != era {
+                // All processes have lost their records at the same time.
+                sleep(write_spacing(&state).mul_f64(rand::random())).await;
+            }
             continue;
         }
         // The record replaces the one of the previous incarnation of this process.
         let call = if has_read {
-            write(&state, &store, &report).await
+            let era = write(&state, &store, &report).await;
+            era.map(|era| written = Some((era, report)))
         } else {
             read_all(&state, &store).await
         };
         match call {
             Ok(()) => {
                 store_status.record_success(state.now());
-                if has_read {
-                    written = report;
-                }
                 has_read = true;
-                let processes = u32::try_from(state.process_count()).unwrap_or(u32::MAX);
-                sleep(WRITE_SPACING_PER_PROCESS.saturating_mul(processes)).await;
+                sleep(write_spacing(&state)).await;
             }
             Err(error) => {
                 increment(&state.metrics.store_failures);
@@ -81,23 +87,30 @@
     }
 }
 
+/// Returns the minimum time between two writes of this process.
+fn write_spacing<D: WireCodec>(state: &EdgeState<D>) -> Duration {
+    let processes = u32::try_from(state.process_count()).unwrap_or(u32::MAX);
+    WRITE_SPACING_PER_PROCESS.saturating_mul(processes)
+}
+
+/// Writes the runs of this process. Returns the era of the store that has them.
 async fn write<D: WireCodec, S: Store>(
     state: &EdgeState<D>,
     store: &S,
     report: &CrashReport,
-) -> Result<(), StoreError> {
+) -> Result<u64, StoreError> {
     let value = match serde_json::to_vec(report) {
         Ok(value) => value,
         Err(error) => {
             tracing::error!(event = "crashes_not_encoded", %error);
-            return Ok(());
+            return Ok(state.store_era());
         }
     };
     state.metrics.count_store_call(Topic::Crashes);
     let node = &state.settings().node;
     let position = store.append(Topic::Crashes, node, &value, None).await?;
     state.observe_store_era(position.era, Topic::Crashes.into());
-    Ok(())
+    Ok(position.era)
 }
 
 async fn read_all<D: WireCodec, S: Store>(
--- a/crates/edge/src/members/publish.rs
+++ b/crates/edge/src/members/publish.rs
@@ -33,6 +33,7 @@
     let mut store_status = DependencyStatus::new("store_members_write");
     let earlier = read_earlier_counts(&state, &store).await;
     *state.previous_usage.borrow_mut() = Some(earlier);
+    // Written record, and the era of the store that has it.
     let mut last = None;
     while let Some(usage) = own_counts(&state) {
         let record = MemberRecord {
@@ -48,7 +49,7 @@
                 return;
             }
         };
-        if last.as_ref() != Some(&value) {
+        if last.as_ref() != Some(&(state.store_era(), value.clone())) {
             state.metrics.count_store_call(Topic::Members);
             match store
                 .append(Topic::Members, &state.settings().node, &value, None)
@@ -57,9 +58,9 @@
                 Ok(position) => {
                     state.observe_store_era(position.era, Topic::Members.into());
                     store_status.record_success(state.now());
-                    last = Some(value);
+                    last = Some((position.era, value));
                     state.record_written_at.set(state.now());
-                    *state.stored_usage.borrow_mut() = record.usage.counts;
+                    *state.stored_usage.borrow_mut() = (position.era, record.usage.counts);
                 }
                 Err(error) => {
                     increment(&state.metrics.store_failures);
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -61,13 +61,13 @@
     pub usage: RefCell<WindowCounts>,
     /// Usage counts of earlier incarnations. `None` until they have been read from the store.
     pub previous_usage: RefCell<Option<WindowCounts>>,
-    /// Usage counts as last written to the store.
-    pub stored_usage: RefCell<WindowCounts>,
+    /// Usage counts as last written to the store, and its era.
+    pub stored_usage: RefCell<(u64, WindowCounts)>,
     /// Notified when the usage counts must be written at once.
     pub flush_usage: Notify,
     /// Broken runs, and content that is refused because it crashes upstreams.
     pub crashes: RefCell<CrashHistory>,
-    /// Notified when `crashes` may have changed.
+    /// Notified when `crashes` may have changed, or the store may have lost what was written of them.
     pub crashes_changed: Notify,
     /// Upstreams to which a connection is being opened to find out whether they have ended.
     pub checked_upstreams: RefCell<HashSet<UpstreamKey>>,
@@ -273,6 +273,7 @@
         self.store_era.set(era);
         // Reads that wait for a record at an offset of the earlier era are restarted.
         self.store_call_failed.notify_waiters();
+        self.crashes_changed.notify_one();
         let known_records = self.known_records.borrow();
         let offset = |next: Option<Position>| next.map(|next| next.offset);
         let now = self.now();
@@ -390,7 +391,8 @@
 
     /// Returns whether the store has all usage counts of this process.
     pub fn is_usage_stored(&self) -> bool {
-        *self.usage.borrow() == *self.stored_usage.borrow()
+        let (era, stored) = &*self.stored_usage.borrow();
+        *era == self.store_era() && *stored == *self.usage.borrow()
     }
 
     /// Returns the number of the usage window that contains `ms`, in milliseconds since 1970.
