Skip only windows that an unread record may have sealed

Cause: the skip covered more than what can have been sealed unseen. A window that ends after a process first read the register in the era can only be sealed in a record of the era, and it reads them all.

Why it works: the keeper is given each record in order, remembers the newest claim of the era also if a late write replaces it, and notes which window had ended when it last read the register with a gap. duty_restored::lost_windows and late_claim assert both sides.

--- a/crates/core/src/duty/keeper.rs
+++ b/crates/core/src/duty/keeper.rs
@@ -78,7 +78,8 @@
 /// A store that was restored from a copy may return an earlier record. Its era is then higher than
 /// that of the record, under which nobody acts. A process whose term still runs claims the duties
 /// again at once, and nobody can have sealed a window that it does not know. All others wait until
-/// any such term has ended, and skip the windows that have ended by then.
+/// any such term has ended, and skip the windows that had ended when they first read the register
+/// in the new era: only those can have been sealed in a record that they have not read.
 #[derive(Debug)]
 pub struct DutyKeeper {
     instance: Box<str>,
@@ -88,8 +89,12 @@
     record: Option<DutyRecord>,
     /// Last record under which this process held the duties.
     held: Option<DutyRecord>,
+    /// Last record of this era that gave somebody the duties.
+    newest_claim: Option<DutyRecord>,
     /// Last window that has ended.
     ended_window: u64,
+    /// Last window that may have been sealed in a record that this process has not read.
+    unread_through: u64,
     /// Position after the record, where the register must end for the next write.
     end: Position,
     read_at: Option<MonotonicTime>,
@@ -109,7 +114,9 @@
             timing,
             record: None,
             held: None,
+            newest_claim: None,
             ended_window: 0,
+            unread_through: 0,
             end: Position::default(),
             read_at: None,
             sent_write: None,
@@ -119,11 +126,16 @@
         }
     }
 
-    /// Handles the content of the register as read at `now`: its record, if any, and its end.
+    /// Handles the content of the register as read at `now`: its record, if any, and its end. If
+    /// several records are read, each of them is to be handled, in order.
     pub fn on_read(&mut self, now: MonotonicTime, record: Option<DutyRecord>, end: Position) {
         if self.read_at.is_some() && end <= self.end {
             return;
         }
+        if end != self.end.next() {
+            self.unread_through = self.ended_window;
+            self.newest_claim = None;
+        }
         self.record = record;
         self.end = end;
         self.read_at = Some(now);
@@ -132,20 +144,22 @@
             // The own term goes on, although the register does not show it any more.
             return;
         };
-        if !self.is_own(current) || current.released {
+        let current = current.clone();
+        let is_held = self.is_own(&current) && !current.released;
+        self.newest_claim = Some(current.clone());
+        if !is_held {
             self.term_end = None;
             return;
         }
-        let held = current.clone();
         if let Some((position, sent_at)) = sent_write
             && position.next() == end
         {
             self.term_end = Some(sent_at.plus(self.timing.ttl));
         }
-        self.held = Some(held);
+        self.held = Some(current);
     }
 
-    /// Records the number of the last window that has ended.
+    /// Records the number of the last window that has ended. It must be recorded before each read.
     pub fn record_ended_window(&mut self, window: u64) {
         self.ended_window = window;
     }
@@ -214,11 +228,9 @@
 
     /// Returns the record that claims the duties.
     fn claim(&self, now: MonotonicTime) -> DutyRecord {
-        let known = match self.current_record() {
-            Some(record) => Some(record),
-            // Nobody else can have sealed a window before the term has ended.
-            None => self.held.as_ref().filter(|_| self.has_term(now)),
-        };
+        // Nobody else can have sealed a window before the own term has ended.
+        let own = self.held.as_ref().filter(|_| self.has_term(now));
+        let known = self.newest_claim.as_ref().or(own);
         let before = self.record.as_ref();
         let number = before.map_or(0, |record| record.fencing.0);
         DutyRecord {
@@ -232,7 +244,7 @@
             skipped_through: match known {
                 Some(record) => record.skipped_through,
                 None if self.is_unused_register() => 0,
-                None => self.ended_window,
+                None => self.unread_through,
             },
             sealed: known
                 .map(|record| record.sealed.clone())
--- a/crates/core/tests/duty_restored.rs
+++ b/crates/core/tests/duty_restored.rs
@@ -1,12 +1,13 @@
 //! Guards against fencing numbers and usage windows that are used twice because the register of the
 //! duties was restored from a copy.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use assert_matches::assert_matches;
 use nutmegbay_core::duty::{DutyKeeper, DutyRecord, DutyStep, SealedWindow};
 use nutmegbay_core::environment::MonotonicTime;
-use nutmegbay_core::ids::{Epoch, Incarnation};
+use nutmegbay_core::ids::Incarnation;
 use nutmegbay_core::lease::LeaseTiming;
 use nutmegbay_core::position::Position;
 
@@ -164,8 +165,9 @@
     assert!(register.seal(&mut b, at(claimed_ms), window(7, 70)));
     let mut restored = register.restored(1);
     let mut c = keeper("c");
-    restored.read_by(&mut c, at(claimed_ms + 100));
     c.record_ended_window(8);
+    restored.read_by(&mut c, at(claimed_ms + 100));
+    c.record_ended_window(9);
     let now_ms = restored.write_time(&mut c, claimed_ms + 100);
     for ended in [7, 8] {
         assert!(!restored.seal(&mut c, at(now_ms), window(ended, 1)));
@@ -202,22 +204,38 @@
 #[test]
 fn late_claim() {
     let (register, mut b, claimed_ms) = second_holder();
-    let mut late = keeper("c");
+    let (mut late, mut d) = (keeper("c"), keeper("d"));
     register.read_by(&mut late, at(claimed_ms));
-    let late_step = late.next_step(at(claimed_ms + 10_000));
+    let DutyStep::Write { position, record } = late.next_step(at(claimed_ms + 10_000)) else {
+        panic!("the claim is due");
+    };
+    // The offset fits after two records of the next era.
+    let position = Position::new(position.era, 3);
+    let late_step = DutyStep::Write { position, record };
     let mut restored = register.restored(1);
     let now = at(claimed_ms + 1_000);
     restored.read_by(&mut b, now);
     assert!(restored.perform_step(&mut b, now));
+    restored.read_by(&mut d, now);
+    assert!(restored.seal(&mut b, now, window(7, 70)));
+    restored.read_by(&mut d, now);
     assert!(restored.write(&mut late, late_step, now));
     assert_eq!(late.may_act(now, Duration::ZERO), None);
     restored.read_by(&mut b, now);
     assert_eq!(b.may_act(now, Duration::ZERO), None);
     assert!(restored.perform_step(&mut b, now));
     assert_matches!(b.may_act(now, BUDGET), Some(_));
-    let mut numbers: Vec<Epoch> = restored.records.iter().map(|r| r.fencing).collect();
-    numbers.dedup();
-    assert_eq!(numbers.len(), restored.records.len());
+    // The holder ends before it has claimed the duties again.
+    let mut lost = restored.clone();
+    lost.records.pop();
+    lost.read_by(&mut d, now);
+    let next_ms = lost.write_time(&mut d, claimed_ms + 1_000);
+    assert!(!lost.seal(&mut d, at(next_ms), window(7, 1)));
+    assert_eq!(d.record().unwrap().sealed, [window(7, 70)]);
+    let records = restored.records.iter();
+    let numbers: BTreeSet<_> = records.clone().map(|record| record.fencing).collect();
+    let claims: BTreeSet<_> = records.map(|r| (r.fencing, &*r.holder)).collect();
+    assert_eq!(claims.len(), numbers.len(), "two holders use one number");
 }
 
 /// The store is restored twice, the second time to before the first one.
--- a/crates/edge/src/duty.rs
+++ b/crates/edge/src/duty.rs
@@ -19,6 +19,7 @@
 use crate::follow::{DependencyStatus, poll_topic};
 use crate::members::{self, MemberRecord};
 use crate::metrics::increment;
+use crate::model::KeyedRecord;
 use crate::peers::{PeerError, request_usage};
 use crate::platform_api::{DutyError, Store, StoreError, Topic, UsageReporter, WireCodec};
 use crate::state::EdgeState;
@@ -116,12 +117,7 @@
             match poll_topic(&self.state, &self.store, Topic::Duty, next, MAX_READ_WAIT).await {
                 Ok((records, end)) => {
                     store_status.record_success(self.state.now());
-                    if next != Some(end) {
-                        self.apply_read(
-                            records.last().and_then(|record| record.value.as_deref()),
-                            end,
-                        );
-                    }
+                    self.apply_records(&records, next, end);
                     next = Some(end);
                     if !self.is_holder() {
                         sleep(self.read_pause()).await;
@@ -153,6 +149,20 @@
         self.keeper.borrow().has_term(self.state.now())
     }
 
+    /// Applies the records between `from` and `end`, or the newest one if `from` is `None`.
+    fn apply_records(&self, records: &[KeyedRecord], from: Option<Position>, end: Position) {
+        match records.split_last() {
+            Some((last, before)) => {
+                for record in before {
+                    self.apply_read(record.value.as_deref(), record.position.next());
+                }
+                self.apply_read(last.value.as_deref(), end);
+            }
+            None if from != Some(end) => self.apply_read(None, end),
+            None => {}
+        }
+    }
+
     fn apply_read(&self, value: Option<&[u8]>, end: Position) {
         let record: Option<DutyRecord> = match value.map(serde_json::from_slice).transpose() {
             Ok(record) => record,
@@ -162,6 +172,8 @@
             }
         };
         let mut keeper = self.keeper.borrow_mut();
+        let now_ms = self.state.wall_clock.borrow().now_ms();
+        keeper.record_ended_window(self.state.usage_window_at(now_ms).saturating_sub(1));
         let before = keeper.record().map(|record| record.fencing);
         if let Some(record) = &record
             && before != Some(record.fencing)
@@ -192,9 +204,6 @@
             // The register is not read while a relay sends the changes.
             return MAX_STEP_INTERVAL;
         }
-        let now_ms = self.state.wall_clock.borrow().now_ms();
-        let ended_window = self.state.usage_window_at(now_ms).saturating_sub(1);
-        self.keeper.borrow_mut().record_ended_window(ended_window);
         let step = self.keeper.borrow().next_step(self.state.now());
         let mut wait = match step {
             DutyStep::Wait(wait) => wait,
