Resume streams only with signed responses

Cause: the response that resumes a stream was taken for the rest of it if its status was a success. The first response must also be signed.

Evidence: resumed_answers::no_rest plays nine answers to the request that resumes a stream after two events. Before this commit it failed for a stream without a signature (five events in place of two). A 500, refusals with and without an id, an unsigned 200, the answer to another request, a plain signed 200, a truncated one and a closed connection left the stream broken off before as well, as they must.

Why it works: the same condition holds for both responses now.

--- a/crates/edge-bin/tests/common/worker.rs
+++ b/crates/edge-bin/tests/common/worker.rs
@@ -52,6 +52,13 @@
     UnframedBreakAfter(u32),
     /// Streams all events in a response without a length or chunks, which ends with its connection.
     UnframedStream,
+    /// States that it did not run the request, without the id of the request.
+    UnnamedRefusal,
+    /// Sends the last refusal on the connection once more, if there is one, and then serves the
+    /// request.
+    RepeatRefusal,
+    /// Streams the events that are missing, without a signature.
+    UnsignedStream,
     /// Sends a response that may end early: a stream of events, or a plain body on other routes.
     End(BodyEnd),
 }
@@ -205,6 +212,7 @@
     }
 
     async fn serve_connection(self, mut io: TcpStream) {
+        let mut last_refusal = None;
         while let Some(head) = read_request(&mut io).await {
             let action = {
                 let mut inner = self.0.lock().unwrap();
@@ -216,7 +224,7 @@
                     inner.calls += 1;
                     inner.arrivals.push(Instant::now());
                 }
-                if action != Action::NotRun {
+                if !matches!(action, Action::NotRun | Action::UnnamedRefusal) {
                     inner.requests.push(head.clone());
                     inner.total_runs += 1;
                 }
@@ -232,7 +240,7 @@
                 return;
             }
             let limit = self.0.lock().unwrap().limit_per_s;
-            let stays_open = respond(&mut io, action, &head, limit).await;
+            let stays_open = respond(&mut io, action, &head, limit, &mut last_refusal).await;
             if action == Action::Hang {
                 self.0.lock().unwrap().abandoned += 1;
             }
@@ -277,7 +285,13 @@
 }
 
 /// Performs an action and returns whether the connection stays open.
-async fn respond(io: &mut TcpStream, action: Action, head: &str, limit: Option<usize>) -> bool {
+async fn respond(
+    io: &mut TcpStream,
+    action: Action,
+    head: &str,
+    limit: Option<usize>,
+    last_refusal: &mut Option<String>,
+) -> bool {
     let id = header(head, "x-attempt-id").unwrap_or_default();
     let path = head.split(' ').nth(1).unwrap_or_default();
     let limit = limit.map_or_else(String::new, |limit| format!("Server-Limit: {limit}\r\n"));
@@ -302,7 +316,19 @@
             )
         }
         Action::Serve | Action::SlowPrefill => response("200 OK", id, signed, "done"),
-        Action::NotRun => response("503 Full", id, "X-Not-Executed: 1\r\n", ""),
+        Action::NotRun | Action::UnnamedRefusal => {
+            let named = response("503 Full", id, "X-Not-Executed: 1\r\n", "");
+            let refusal = match action {
+                Action::NotRun => named,
+                _ => named.replace(&format!("X-Attempt-Id: {id}\r\n"), ""),
+            };
+            *last_refusal = Some(refusal.clone());
+            refusal
+        }
+        Action::RepeatRefusal => {
+            let stray = last_refusal.take().unwrap_or_default();
+            stray + &response("200 OK", id, signed, "done")
+        }
         Action::Fail => response("500 Oops", id, signed, "oops"),
         Action::WrongId => response("200 OK", "another", signed, "not yours"),
         Action::Unsigned => response("200 OK", id, "", "done"),
@@ -326,7 +352,9 @@
         }
         Action::Endless(part) => return endless(io, part, id).await,
         Action::Trickle => return trickle(io, id).await,
-        Action::BreakAfter(_) | Action::Stream => return stream(io, action, head, &limit).await,
+        Action::BreakAfter(_) | Action::Stream | Action::UnsignedStream => {
+            return stream(io, action, head, &limit).await;
+        }
         Action::UnframedBreakAfter(_) | Action::UnframedStream => {
             return unframed_stream(io, action, head).await;
         }
@@ -391,6 +419,9 @@
         _ => EVENTS,
     };
     let mut text = stream_head(id).replacen("\r\n", &format!("\r\n{limit}"), 1);
+    if action == Action::UnsignedStream {
+        text = text.replace("X-Server-Seal: s1\r\n", "");
+    }
     for n in after + 1..=last {
         let event = event(n);
         write!(text, "{:x}\r\n{event}\r\n", event.len()).unwrap();
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -115,7 +115,11 @@
         let time_left = self.request.time_left(self.state.now());
         let sent = self.open(at, cost_ms, Stage::Whole, Some(after));
         match timeout(time_left, sent).await {
-            Ok(Ok(OpenedResponse { head, source, .. })) if head.status.is_success() => Some(source),
+            Ok(Ok(OpenedResponse { head, source, .. }))
+                if head.status.is_success() && head.is_signed =>
+            {
+                Some(source)
+            }
             _ => None,
         }
     }
