Believe a refusal only of the send that it answers

Cause: a worker that writes an earlier refusal once more on a kept connection. A response that names another request was recognised. One that names none was taken for the answer, and so was a refusal of an earlier send of the same request, which the edge may send to the same worker again.

Evidence: stray_refusals. Before: without_id 503 for a request that ran, of_the_same_request (503, one run) in place of (200, one run); of_another_request passed. All three pass now; worker_faults passes.

A connection on which a request was refused carries no other send of that request.

--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -336,7 +336,7 @@
         let mut is_reusable = true;
         let (mut connection, mut response) = (connection, response);
         let mut head = self.head(&response);
-        if self.is_foreign(&head) {
+        if self.is_foreign(&head, connection.has_carried_others()) {
             in_flight_send.record_outcome(Outcome::Faulty, self.state.now());
             let lost = match stage {
                 Stage::Prefill => SendOutcome::NotRun(FOREIGN_RESPONSE),
@@ -348,7 +348,7 @@
             (connection, response) = next;
             is_reusable = false;
             head = self.head(&response);
-            if self.is_foreign(&head) {
+            if self.is_foreign(&head, true) {
                 return Err(lost);
             }
         }
@@ -367,6 +367,9 @@
         }
         let delimiter = BodyDelimiter::of(&response);
         self.request.progress.borrow_mut().delimiter = Some(delimiter);
+        if head.is_not_run() {
+            connection.record_refusal(self.request.id_hash());
+        }
         let (parts, incoming) = response.into_parts();
         Ok(OpenedResponse {
             headers: parts.headers,
@@ -388,10 +391,13 @@
         codec.decode_response_head(response.status(), response.headers())
     }
 
-    /// Returns whether a response names another request.
-    fn is_foreign(&self, head: &ResponseHead) -> bool {
-        let id = head.id.as_deref();
-        id.is_some_and(|id| *id != *self.request.head.id)
+    /// Returns whether a response belongs to another request, or may do so: it names another one, or
+    /// none on a connection that has carried others.
+    fn is_foreign(&self, head: &ResponseHead, has_carried_others: bool) -> bool {
+        match head.id.as_deref() {
+            Some(id) => *id != *self.request.head.id,
+            None => has_carried_others,
+        }
     }
 
     /// Skips a response that was left over from an earlier request on the same connection. Returns
@@ -439,6 +445,7 @@
         };
         loop {
             let kept = self.state.fleet.borrow_mut().take_connection(at);
+            let kept = kept.filter(|connection| !connection.has_refused(self.request.id_hash()));
             let mut connection = match kept {
                 Some(connection) => connection,
                 None => {
--- a/crates/edge/src/forward/request.rs
+++ b/crates/edge/src/forward/request.rs
@@ -72,6 +72,11 @@
 }
 
 impl RoutedRequest {
+    /// Returns a hash of the request's id.
+    pub fn id_hash(&self) -> u64 {
+        xxh3_64(self.head.id.as_bytes())
+    }
+
     /// Returns the remaining time at `now`.
     pub fn time_left(&self, now: MonotonicTime) -> Duration {
         self.deadline_at.since(now)
--- a/crates/edge/src/http1.rs
+++ b/crates/edge/src/http1.rs
@@ -122,6 +122,10 @@
     driver: Driver,
     idle_until: Instant,
     is_reused: bool,
+    /// Number of requests sent on the connection.
+    sends: u32,
+    /// Hash of the id of the last request that the upstream refused on this connection.
+    refused: Option<u64>,
 }
 
 /// Task that moves the bytes of a connection; it is aborted on drop. Once no more requests are
@@ -173,6 +177,8 @@
             driver: Driver(driver),
             idle_until: Instant::now(),
             is_reused: false,
+            sends: 0,
+            refused: None,
         })
     }
 
@@ -182,6 +188,7 @@
         if self.sender.ready().await.is_err() {
             return Err(broken(Verdict::NotRun, Cause::Closed));
         }
+        self.sends += 1;
         self.sender.try_send_request(req).await.map_err(|mut e| {
             // `hyper` returns the request only if it has not been written.
             match e.take_message() {
@@ -222,6 +229,8 @@
             driver: Driver(driver),
             idle_until: Instant::now(),
             is_reused: false,
+            sends: 0,
+            refused: None,
         };
         let response = connection.send(req).await?;
         Ok((connection, response))
@@ -237,12 +246,28 @@
         self.is_reused = true;
     }
 
+    /// Records that the upstream refused the request with this id, given its hash.
+    pub fn record_refusal(&mut self, request: u64) {
+        self.refused = Some(request);
+    }
+
+    /// Returns whether the upstream refused the request with this id on the connection, given its
+    /// hash. A copy of that refusal could be taken for the response to another send of the request.
+    pub fn has_refused(&self, request: u64) -> bool {
+        self.refused == Some(request)
+    }
+
     /// Returns whether another request may be sent on the connection.
     pub fn is_usable(&self) -> bool {
         !self.sender.is_closed() && !self.driver.0.is_finished() && Instant::now() < self.idle_until
     }
 
-    /// Returns whether the connection has carried an earlier request.
+    /// Returns whether the connection has carried another request before the current one.
+    pub fn has_carried_others(&self) -> bool {
+        self.sends > 1
+    }
+
+    /// Returns whether the connection was idle before, so that the other end may have closed it.
     pub fn is_reused(&self) -> bool {
         self.is_reused
     }
