Restore the store in the soak

The soak restores the store to a copy of the last four seconds now and then, beside its other faults; the operator and the upstreams then write again what they had written. It also checks that no two edges report under one fencing number. Restores are drawn from a generator of their own, so that the other faults of a seed stay as they were.

--- a/crates/edge-bin/tests/common/store.rs
+++ b/crates/edge-bin/tests/common/store.rs
@@ -173,6 +173,21 @@
         inner.stalls += 1;
     }
 
+    /// Restores the store to `copy`. The operator and the upstreams then write again what they had
+    /// written since.
+    pub fn restore_and_rewrite(&self, copy: &StoreCopy) {
+        let lost = self.copy();
+        self.restore(copy);
+        for topic in ["keyed.op", "keyed.servers"] {
+            let records = lost.topics.get(topic).into_iter().flatten();
+            let newest: BTreeMap<_, _> =
+                records.map(|r| (r.key.clone(), r.value.clone())).collect();
+            for (key, value) in newest {
+                self.push(topic, &key, value);
+            }
+        }
+    }
+
     /// Returns the values of a topic in offset order. Skips values that are not JSON.
     pub fn values(&self, topic: &str) -> Vec<Value> {
         let inner = self.lock();
--- a/crates/edge-bin/tests/soak.rs
+++ b/crates/edge-bin/tests/soak.rs
@@ -1,7 +1,7 @@
 //! A soak test with random faults. Six edge processes run in front of scripted workers and a store,
 //! under overlapping external faults: signals, broken links to the store and to workers, a store
-//! that refuses calls, does not respond, loses responses and drops its history, workers that fail,
-//! restart and drain, and changes of the configuration. Checks what callers, workers and the
+//! that refuses calls, does not respond, loses responses, drops its history and is restored from a
+//! copy, workers that fail, restart and drain, and changes of the configuration. Checks what callers, workers and the
 //! platform see.
 //!
 //! `NUTMEGBAY_SOAK_SEEDS` (first..last, inclusive) and `NUTMEGBAY_SOAK_S` (seconds for each seed)
@@ -9,13 +9,13 @@
 
 mod common;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use common::proxy::{LinkState, Proxy};
-use common::store::Fault;
+use common::store::{Fault, StoreCopy};
 use common::worker::{Action, header};
 use common::{Edge, Site, config};
 use rand::rngs::StdRng;
@@ -56,6 +56,12 @@
 /// bound, which applies only once a process has had contact for 3 s.
 const MAX_CHANGE_TIME: Duration = Duration::from_secs(5);
 
+/// Probability of a restore of the store at each fault.
+const RESTORE_PROBABILITY: f64 = 0.06;
+
+/// Number of copies of the store, one for each fault. They cover about four seconds.
+const MAX_COPIES: usize = 14;
+
 /// Test number, which keeps the addresses distinct from those of other tests.
 const TEST_NUMBER: u8 = 100;
 
@@ -102,6 +108,8 @@
     version: u64,
     /// Active timed faults with their ends.
     active_faults: Vec<(TimedFault, Instant)>,
+    /// Copies of the store, oldest first.
+    copies: VecDeque<StoreCopy>,
 }
 
 /// A fault that lasts for a time. Contains the index of the edge or worker.
@@ -126,10 +134,12 @@
         })
         .collect();
     let mut rng = StdRng::seed_from_u64(seed);
+    let mut restore_rng = StdRng::seed_from_u64(!seed);
     while Instant::now() < end {
         deployment.end_expired_faults(Instant::now());
         deployment.restart_ended_edges();
         deployment.inject_fault(&mut rng);
+        deployment.restore_sometimes(&mut restore_rng);
         sleep(Duration::from_millis(rng.random_range(50..500))).await;
     }
     for caller in callers {
@@ -156,6 +166,21 @@
             worker_proxies,
             version: 2,
             active_faults: Vec::new(),
+            copies: VecDeque::new(),
+        }
+    }
+
+    /// Copies the store, and sometimes restores it to an earlier copy.
+    fn restore_sometimes(&mut self, rng: &mut StdRng) {
+        self.copies.push_back(self.site.store.copy());
+        if self.copies.len() > MAX_COPIES {
+            self.copies.pop_front();
+        }
+        if rng.random_bool(RESTORE_PROBABILITY) {
+            let at = rng.random_range(0..self.copies.len());
+            self.site.store.restore_and_rewrite(&self.copies[at]);
+            // Later copies are of a history that is lost.
+            self.copies.truncate(at + 1);
         }
     }
 
@@ -393,11 +418,20 @@
     }
 }
 
-/// Checks that all reports of a window are equal, and that no more requests are billed than have
-/// run.
+/// Checks that all reports of a window are equal, that no two edges use one fencing number, and that
+/// no more requests are billed than have run.
 fn check_reports(seed: u64, site: &Site) {
     let mut windows: HashMap<u64, Value> = HashMap::new();
+    let mut holders: HashMap<u64, String> = HashMap::new();
     for report in site.store.reports() {
+        let holder = holders
+            .entry(report.fencing)
+            .or_insert(report.holder.clone());
+        assert_eq!(
+            *holder, report.holder,
+            "seed {seed}: two edges use fencing number {}",
+            report.fencing
+        );
         let window = report.window;
         if let Some(before) = windows.insert(window, report.counts.clone()) {
             assert_eq!(
