Heed what upstreams state of further requests

An upstream that leaves says so in its responses, and one that refuses a request may state for how long it wants none from this machine.

What callers saw: requests sent to an upstream that was leaving, as long as the list of instances showed it as ready or the store was away; and requests sent in vain to upstreams that had said when they have room again, which cost each of them an attempt.

Why it works: both are decided in policy::edge::notices and checked where every send passes, in Forwarder::open, and in placement. Leaving ends with the incarnation, also over an entry that expires and returns; a pause ends by time, 5 minutes at most, and unusable values are logged and ignored. Where all upstreams of a service are paused, callers are refused at once and told the shortest time.

--- a/crates/edge-bin/tests/common/worker.rs
+++ b/crates/edge-bin/tests/common/worker.rs
@@ -105,12 +105,33 @@
     calls: usize,
     /// Limit that the worker states in its responses, in requests per second.
     limit_per_s: Option<usize>,
+    /// Whether the worker states in its responses that it leaves.
+    is_leaving: bool,
+    /// Value of `Retry-After` with which the worker refuses all requests.
+    pause: Option<String>,
     /// Arrival times of its requests since the limit was set.
     arrivals: Vec<Instant>,
     /// Number of hung requests whose connection the edge closed.
     abandoned: usize,
 }
 
+impl WorkerState {
+    /// Returns the headers that state what the worker wants of further requests.
+    fn notice_headers(&self) -> String {
+        let mut headers = String::new();
+        if let Some(limit) = self.limit_per_s {
+            write!(headers, "Server-Limit: {limit}\r\n").unwrap();
+        }
+        if self.is_leaving {
+            headers += "Server-Leaving: 1\r\n";
+        }
+        if let Some(pause) = &self.pause {
+            write!(headers, "Retry-After: {pause}\r\n").unwrap();
+        }
+        headers
+    }
+}
+
 /// A scripted upstream. Clones share its state.
 #[derive(Debug, Clone, Default)]
 pub struct Worker(Arc<Mutex<WorkerState>>);
@@ -196,6 +217,16 @@
         inner.arrivals.clear();
     }
 
+    /// Makes the worker state in its responses that it leaves, or no longer state it.
+    pub fn set_leaving(&self, is_leaving: bool) {
+        self.0.lock().unwrap().is_leaving = is_leaving;
+    }
+
+    /// Makes the worker refuse all requests with this `Retry-After`, or serve them again.
+    pub fn set_pause(&self, pause: Option<&str>) {
+        self.0.lock().unwrap().pause = pause.map(Into::into);
+    }
+
     /// Returns the arrival times of requests since the limit was set.
     pub fn arrivals(&self) -> Vec<Instant> {
         self.0.lock().unwrap().arrivals.clone()
@@ -217,8 +248,12 @@
             let action = {
                 let mut inner = self.0.lock().unwrap();
                 let shared = inner.shared_script.lock().unwrap().pop_front();
-                let own = || inner.script.pop_front();
-                let action = shared.or_else(own).unwrap_or(Action::Serve);
+                let action = match inner.pause {
+                    Some(_) => Action::NotRun,
+                    None => shared
+                        .or_else(|| inner.script.pop_front())
+                        .unwrap_or(Action::Serve),
+                };
                 // The release of a prefill result is no call of a request.
                 if !head.starts_with("DELETE") {
                     inner.calls += 1;
@@ -239,8 +274,8 @@
                 inner.crash.cancel();
                 return;
             }
-            let limit = self.0.lock().unwrap().limit_per_s;
-            let stays_open = respond(&mut io, action, &head, limit, &mut last_refusal).await;
+            let notices = self.0.lock().unwrap().notice_headers();
+            let stays_open = respond(&mut io, action, &head, &notices, &mut last_refusal).await;
             if action == Action::Hang {
                 self.0.lock().unwrap().abandoned += 1;
             }
@@ -289,16 +324,15 @@
     io: &mut TcpStream,
     action: Action,
     head: &str,
-    limit: Option<usize>,
+    notices: &str,
     last_refusal: &mut Option<String>,
 ) -> bool {
     let id = header(head, "x-attempt-id").unwrap_or_default();
     let path = head.split(' ').nth(1).unwrap_or_default();
-    let limit = limit.map_or_else(String::new, |limit| format!("Server-Limit: {limit}\r\n"));
     let response = |status: &str, id: &str, extra: &str, body: &str| {
         let len = body.len();
         format!(
-            "HTTP/1.1 {status}\r\nX-Attempt-Id: {id}\r\nX-Echo: {path}\r\n{extra}{limit}\
+            "HTTP/1.1 {status}\r\nX-Attempt-Id: {id}\r\nX-Echo: {path}\r\n{extra}{notices}\
              Content-Length: {len}\r\n\r\n{body}"
         )
     };
@@ -353,7 +387,7 @@
         Action::Endless(part) => return endless(io, part, id).await,
         Action::Trickle => return trickle(io, id).await,
         Action::BreakAfter(_) | Action::Stream | Action::UnsignedStream => {
-            return stream(io, action, head, &limit).await;
+            return stream(io, action, head, notices).await;
         }
         Action::UnframedBreakAfter(_) | Action::UnframedStream => {
             return unframed_stream(io, action, head).await;
@@ -411,14 +445,14 @@
     )
 }
 
-async fn stream(io: &mut TcpStream, action: Action, head: &str, limit: &str) -> bool {
+async fn stream(io: &mut TcpStream, action: Action, head: &str, notices: &str) -> bool {
     let id = header(head, "x-attempt-id").unwrap_or_default();
     let after: u32 = header(head, "last-event-id").map_or(0, |id| id.parse().unwrap());
     let last = match action {
         Action::BreakAfter(last) => last,
         _ => EVENTS,
     };
-    let mut text = stream_head(id).replacen("\r\n", &format!("\r\n{limit}"), 1);
+    let mut text = stream_head(id).replacen("\r\n", &format!("\r\n{notices}"), 1);
     if action == Action::UnsignedStream {
         text = text.replace("X-Server-Seal: s1\r\n", "");
     }
--- a/crates/edge/src/fleet/in_flight.rs
+++ b/crates/edge/src/fleet/in_flight.rs
@@ -12,7 +12,7 @@
 use super::Fleet;
 use super::costs::costs_mut;
 use crate::clock::MonotonicClock;
-use crate::model::Service;
+use crate::model::{ResponseHead, Service};
 
 /// An admitted request that waits for its prefill. Counts in the service's pending work until it is
 /// dropped.
@@ -191,6 +191,12 @@
         fleet.record_limit(self.key, per_s, self.sent_at, now);
     }
 
+    /// Records what the response states about further requests.
+    pub fn record_notices(&self, head: &ResponseHead, now: MonotonicTime) {
+        let mut fleet = self.fleet.borrow_mut();
+        fleet.record_notices(self.key, head.is_leaving, head.pause, now);
+    }
+
     /// Records the number of requests that the response reports.
     pub fn record_reported_load(&self, requests: u32, now: MonotonicTime) {
         let is_typical_sample = self.demand.needs_prefill && !self.demand.is_long;
--- a/crates/edge/src/fleet/limits.rs
+++ b/crates/edge/src/fleet/limits.rs
@@ -1,4 +1,4 @@
-//! Limits that upstreams state on their requests.
+//! Limits that upstreams state on their requests, and whether they want any.
 
 use std::time::Duration;
 
@@ -8,6 +8,18 @@
 use nutmegbay_policy::edge::upstream_limit::LimitNews;
 
 use super::{Fleet, Upstream};
+use crate::clock::millis;
+
+/// Cause of a request that is refused because all upstreams that accept requests state limits, and
+/// this instance has used up its shares.
+const UPSTREAM_LIMIT: &str = "upstream_limit";
+
+/// Cause of a request that is refused because all upstreams that accept requests want none from this
+/// instance for some time.
+const UPSTREAM_PAUSED: &str = "upstream_paused";
+
+/// Cause of a request that is not sent because the upstream has stated that it leaves.
+const UPSTREAM_LEAVING: &str = "upstream_leaving";
 
 /// Maximum number of limits in one datagram.
 const MAX_LIMIT_NEWS: usize = 100;
@@ -74,27 +86,72 @@
         upstreams.filter_map(take).take(MAX_LIMIT_NEWS).collect()
     }
 
-    /// Counts a request that is being sent to an upstream. Returns false if this instance has used
-    /// up its share of the upstream's limit.
-    pub fn try_send(&mut self, key: UpstreamKey, now: MonotonicTime) -> bool {
-        let upstream = self.upstreams.get_mut(key);
-        upstream.is_none_or(|upstream| upstream.limit.try_send(now))
+    /// Counts a request that is being sent to an upstream. Returns the cause if it must not be sent:
+    /// the upstream leaves or wants none now, or this instance has used up its share of its limit.
+    pub fn try_send(&mut self, key: UpstreamKey, now: MonotonicTime) -> Result<(), &'static str> {
+        let Some(upstream) = self.upstreams.get_mut(key) else {
+            return Ok(());
+        };
+        match upstream.notices {
+            notices if notices.is_leaving() => Err(UPSTREAM_LEAVING),
+            notices if !notices.pause_left(now).is_zero() => Err(UPSTREAM_PAUSED),
+            _ if !upstream.limit.try_send(now) => Err(UPSTREAM_LIMIT),
+            _ => Ok(()),
+        }
+    }
+
+    /// Records what a response states about further requests to its upstream.
+    pub fn record_notices(
+        &mut self,
+        key: UpstreamKey,
+        is_leaving: bool,
+        pause: Option<Duration>,
+        now: MonotonicTime,
+    ) {
+        let Some(upstream) = self.upstreams.get_mut(key) else {
+            return;
+        };
+        let id = &upstream.id;
+        let in_flight = upstream.load.in_flight();
+        if is_leaving && upstream.notices.record_leaving() {
+            tracing::info!(event = "upstream_leaving", upstream = %id, in_flight);
+        }
+        if let Some(pause) = pause
+            && upstream.notices.record_pause(pause, now)
+        {
+            let pause_ms = millis(upstream.notices.pause_left(now));
+            tracing::info!(event = "upstream_paused", upstream = %id, pause_ms, in_flight);
+        }
     }
 
-    /// Returns whether an upstream of `service` that accepts requests gets none because of its
-    /// limit.
-    pub fn has_limited(&self, service: &str, now: MonotonicTime) -> bool {
-        self.service_keys(service)
-            .any(|key| self.is_ready(key, now) && !self.takes_work(key, now))
+    /// Returns the time until this instance may send a request to an upstream, or `None` if it has
+    /// no share of its limit.
+    pub fn send_wait(&self, key: UpstreamKey, now: MonotonicTime) -> Option<Duration> {
+        let upstream = self.upstreams.get(key)?;
+        let wait = upstream.limit.wait(now)?;
+        Some(wait.max(upstream.notices.pause_left(now)))
     }
 
-    /// Returns the time until this instance may send a request to one of the upstreams of `service`
-    /// that accept requests, or `None` if it has no share of their limits.
-    pub fn limit_wait(&self, service: &str, now: MonotonicTime) -> Option<Duration> {
-        self.service_keys(service)
-            .filter(|key| self.is_ready(*key, now))
-            .filter_map(|key| self.upstreams[key].limit.wait(now))
-            .min()
+    /// Returns why no upstream of `service` gets requests now although some accept them, and the time
+    /// until one of them does, if that is known. Returns `None` if none accepts requests at all.
+    pub fn busy_cause(
+        &self,
+        service: &str,
+        now: MonotonicTime,
+    ) -> Option<(&'static str, Option<Duration>)> {
+        let keys = || {
+            self.service_keys(service)
+                .filter(|key| self.is_ready(*key, now) && !self.takes_work(*key, now))
+        };
+        keys().next()?;
+        let is_paused = |key| !self.upstreams[key].notices.pause_left(now).is_zero();
+        let cause = if keys().all(is_paused) {
+            UPSTREAM_PAUSED
+        } else {
+            UPSTREAM_LIMIT
+        };
+        let wait = keys().filter_map(|key| self.send_wait(key, now)).min();
+        Some((cause, wait))
     }
 }
 
--- a/crates/edge/src/fleet/mod.rs
+++ b/crates/edge/src/fleet/mod.rs
@@ -18,6 +18,7 @@
 use nutmegbay_policy::edge::limit_owners::LimitOwners;
 use nutmegbay_policy::edge::link::LinkQueue;
 use nutmegbay_policy::edge::load::{QueueAhead, UpstreamLoad};
+use nutmegbay_policy::edge::notices::{KeptNotices, Notices};
 use nutmegbay_policy::edge::placement::EnginePhase;
 use nutmegbay_policy::edge::prefill_rate::PrefillRate;
 use nutmegbay_policy::edge::prefixes::PrefixLocations;
@@ -57,6 +58,8 @@
     streams: u32,
     /// Limit that it states on its requests.
     limit: UpstreamLimit,
+    /// What it has stated about further requests.
+    notices: Notices,
     /// Idle connections.
     idle: IdleConnections,
     /// Hash of the id, for rankings on which all instances agree.
@@ -110,6 +113,8 @@
     other_instances: usize,
     /// Instances among which the limits of upstreams are divided.
     limit_owners: LimitOwners,
+    /// Notices of upstreams that were removed.
+    kept_notices: KeptNotices,
     /// Notified when this process's load has changed and a digest should be sent.
     pub load_changed: Rc<Notify>,
 }
@@ -132,12 +137,13 @@
             exchange: LoadExchange::default(),
             other_instances: 0,
             limit_owners: LimitOwners::new(member_hash(node)),
+            kept_notices: KeptNotices::default(),
             load_changed: Rc::default(),
         }
     }
 
     /// Applies an entry of the list of instances. Returns whether it is more than a heartbeat.
-    pub fn apply_report(&mut self, id: &str, report: InstanceReport) -> bool {
+    pub fn apply_report(&mut self, id: &str, report: InstanceReport, now: MonotonicTime) -> bool {
         if let Some(key) = self.by_id.get(id).copied()
             && let Some(upstream) = self.upstreams.get_mut(key)
         {
@@ -162,7 +168,7 @@
                 upstream.report = report;
                 return is_change;
             }
-            self.remove(id, "restarted");
+            self.remove(id, "restarted", now);
         }
         tracing::info!(
             event = "upstream_added",
@@ -182,6 +188,7 @@
             health: Health::default(),
             streams: 0,
             limit: UpstreamLimit::default(),
+            notices: self.kept_notices.take(id, report.started_ms),
             idle: IdleConnections::new(MAX_IDLE_CONNECTIONS),
             expiry_grace_until: None,
             report,
@@ -193,7 +200,7 @@
     }
 
     /// Removes an upstream whose entry is gone. Returns whether the upstream was known.
-    pub fn remove(&mut self, id: &str, reason: &'static str) -> bool {
+    pub fn remove(&mut self, id: &str, reason: &'static str, now: MonotonicTime) -> bool {
         let Some(key) = self.by_id.remove(id) else {
             return false;
         };
@@ -203,6 +210,8 @@
         };
         self.by_tag.remove(&upstream.tag());
         self.ended_incarnations.push(upstream.incarnation());
+        self.kept_notices
+            .keep(id, upstream.report.started_ms, upstream.notices, now);
         if let Some(keys) = self.by_service.get_mut(&upstream.report.service) {
             keys.retain(|other| *other != key);
         }
@@ -242,7 +251,7 @@
             .map(|upstream| upstream.id.clone())
             .collect();
         for id in expired {
-            self.remove(&id, "not back after the store's return");
+            self.remove(&id, "not back after the store's return", now);
         }
         for upstream in self.upstreams.values_mut() {
             upstream.idle.sweep();
--- a/crates/edge/src/fleet/placement.rs
+++ b/crates/edge/src/fleet/placement.rs
@@ -11,7 +11,7 @@
 use nutmegbay_policy::edge::prefixes::{EvidenceSource, rendezvous_weight, top_two_ranks};
 use nutmegbay_policy::edge::urgency::Urgency;
 
-use super::{Fleet, Upstream, is_long};
+use super::{Fleet, is_long};
 use crate::model::{EngineSpec, ModelWork, Service};
 
 /// Weight of a prefill engine when engines are ranked for a prefix block. A decode engine, which
@@ -175,20 +175,19 @@
         place_plain(&upstreams, self.own_domain, self.mean_ms(&service.name))
     }
 
-    /// Returns whether this instance may send a new request to an upstream: the upstream is ready,
-    /// and this instance has not used up its share of the upstream's limit.
+    /// Returns whether this instance may send a new request to an upstream now: the upstream is
+    /// ready and wants requests, and this instance has not used up its share of its limit.
     pub fn takes_work(&self, key: UpstreamKey, now: MonotonicTime) -> bool {
-        let is_within_limit =
-            |upstream: &Upstream| upstream.limit.wait(now) == Some(Duration::ZERO);
-        self.is_ready(key, now) && self.upstreams.get(key).is_some_and(is_within_limit)
+        self.is_ready(key, now) && self.send_wait(key, now) == Some(Duration::ZERO)
     }
 
-    /// Returns whether an upstream accepts new requests: it is listed as ready, and its grace
-    /// period is not over.
+    /// Returns whether an upstream accepts new requests: it is listed as ready and has not stated
+    /// that it leaves, and its grace period is not over.
     pub fn is_ready(&self, key: UpstreamKey, now: MonotonicTime) -> bool {
         self.upstreams.get(key).is_some_and(|upstream| {
             let expiry_grace_until = upstream.expiry_grace_until;
-            upstream.report.is_ready && expiry_grace_until.is_none_or(|until| now < until)
+            let is_staying = upstream.report.is_ready && !upstream.notices.is_leaving();
+            is_staying && expiry_grace_until.is_none_or(|until| now < until)
         })
     }
 
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -391,6 +391,7 @@
     }
     let mut fleet = state.fleet.borrow_mut();
     let mut age = EntryAge::default();
+    let now = state.now();
     let is_change = match &record.value {
         Some(value) => match state.codec.decode_instance(value) {
             Ok(entry) => {
@@ -406,25 +407,24 @@
                     );
                     return;
                 }
-                fleet.apply_report(&record.key, entry.report)
+                fleet.apply_report(&record.key, entry.report, now)
             }
             Err(error) => {
                 tracing::debug!(event = "instance_unreadable", id = %record.key, error = %error.0);
-                fleet.remove(&record.key, "unreadable entry")
+                fleet.remove(&record.key, "unreadable entry", now)
             }
         },
         None => {
             match grace_until {
                 Some(until) => fleet.start_expiry_grace(&record.key, until),
                 None => {
-                    fleet.remove(&record.key, "entry removed");
+                    fleet.remove(&record.key, "entry removed", now);
                 }
             }
             true
         }
     };
     drop(fleet);
-    let now = state.now();
     let mut known_records = state.known_records.borrow_mut();
     known_records.keep_instance(record, age, is_change, now);
 }
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -12,9 +12,7 @@
 use nutmegbay_policy::edge::health::Outcome;
 use tokio::time::timeout;
 
-use super::{
-    CONNECTION_HEADERS, CRASHES_UPSTREAMS, Forwarder, UPSTREAM_LIMIT, upstream_id, upstream_outcome,
-};
+use super::{CONNECTION_HEADERS, CRASHES_UPSTREAMS, Forwarder, upstream_id, upstream_outcome};
 use crate::crashes;
 use crate::fleet::{Demand, InFlightSend};
 use crate::http1::{BodyDelimiter, CallError, Cause, Connection};
@@ -289,9 +287,7 @@
             return Err(CRASHES_UPSTREAMS);
         }
         let mut fleet = self.state.fleet.borrow_mut();
-        if !fleet.try_send(at, self.state.now()) {
-            return Err(UPSTREAM_LIMIT);
-        }
+        fleet.try_send(at, self.state.now())?;
         if stage != Stage::Prefill {
             crashes::record_sent(self.state, self.request);
         }
@@ -357,6 +353,7 @@
         if head.limit_per_s.is_some() || is_genuine {
             in_flight_send.record_limit(head.limit_per_s, self.state.now());
         }
+        in_flight_send.record_notices(&head, self.state.now());
         if let Some(load) = head.load {
             in_flight_send.record_reported_load(load.running + load.waiting, self.state.now());
         }
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -48,10 +48,6 @@
 /// Cause of a request that is refused because its content crashes upstreams.
 const CRASHES_UPSTREAMS: &str = "crashes_upstreams";
 
-/// Cause of a request that is refused because all upstreams that accept requests state limits, and
-/// this instance has used up its shares.
-const UPSTREAM_LIMIT: &str = "upstream_limit";
-
 /// Response headers that apply to a single connection.
 const CONNECTION_HEADERS: [http::HeaderName; 5] = [
     http::header::CONNECTION,
@@ -146,8 +142,8 @@
     last_error_response: Option<UpstreamResponse>,
     /// Time for which the request is refused because it crashes upstreams.
     refused_for: Option<Duration>,
-    /// Time until this instance may send a request to an upstream within its limit.
-    limit_wait: Option<Duration>,
+    /// Time until an upstream accepts a request from this instance again.
+    busy_wait: Option<Duration>,
     /// Counts the request as pending work until its first result.
     prefill_wait: Option<PrefillWait>,
     /// Whether an engine has run a separate prefill.
@@ -165,7 +161,7 @@
             verdict: Verdict::NotRun,
             last_error_response: None,
             refused_for: None,
-            limit_wait: None,
+            busy_wait: None,
             prefill_wait: None,
             has_prefill: false,
             cause: "no_upstream",
@@ -180,7 +176,7 @@
                 break;
             }
             let Some(mut placement) = self.place() else {
-                self.record_limit_wait();
+                self.record_busy_cause();
                 break;
             };
             if round == 0 {
@@ -456,14 +452,14 @@
         }
     }
 
-    /// Records why no upstream was found, if it is their limits.
-    fn record_limit_wait(&mut self) {
+    /// Records why no upstream was found, if it is what they state about further requests.
+    fn record_busy_cause(&mut self) {
         let now = self.state.now();
         let fleet = self.state.fleet.borrow();
         let service = &self.request.service.name;
-        if fleet.has_limited(service, now) {
-            self.cause = UPSTREAM_LIMIT;
-            self.limit_wait = Some(fleet.limit_wait(service, now).unwrap_or_default());
+        if let Some((cause, wait)) = fleet.busy_cause(service, now) {
+            self.cause = cause;
+            self.busy_wait = Some(wait.unwrap_or_default());
         }
     }
 
@@ -474,7 +470,7 @@
             _ if is_late => StatusCode::GATEWAY_TIMEOUT,
             _ => StatusCode::BAD_GATEWAY,
         };
-        let retry_ms = match self.limit_wait {
+        let retry_ms = match self.busy_wait {
             Some(wait) => overload_retry_ms(wait.as_secs_f64() * 1e3),
             None if self.cause == "no_upstream" => NO_UPSTREAM_RETRY_MS,
             None => REFUSED_RETRY_MS,
--- a/crates/edge/src/model.rs
+++ b/crates/edge/src/model.rs
@@ -298,6 +298,11 @@
     /// Number of requests per second that the upstream accepts from all instances together, if it
     /// states one.
     pub limit_per_s: Option<f64>,
+    /// Whether the upstream states that it leaves.
+    pub is_leaving: bool,
+    /// Time for which the upstream wants no requests from this instance, if it refused the request
+    /// and states one.
+    pub pause: Option<Duration>,
     /// Time for which an idle connection stays usable, if given.
     pub keep_alive: Option<Duration>,
     /// Whether the upstream closes the connection after this response.
--- a/crates/policy/src/edge/mod.rs
+++ b/crates/policy/src/edge/mod.rs
@@ -12,6 +12,7 @@
 pub mod limit_owners;
 pub mod link;
 pub mod load;
+pub mod notices;
 pub mod pending_work;
 pub mod placement;
 pub mod prefill_rate;
