Let each edge of a test learn of the requests before its own

busy_worker asserted that an edge sends nothing to a busy worker, right after another edge had sent three requests to the idle one. Until the digest that tells their end arrives, those requests count at the idle worker, both look equally busy, and the choice between them is free. No bound promises that time to be zero; the test gave it 100 ms, but only before the first of the other edges.

The assertion is unchanged, and so is the time that an edge has to learn.

--- a/crates/edge-bin/tests/shared_loads.rs
+++ b/crates/edge-bin/tests/shared_loads.rs
@@ -9,6 +9,9 @@
 use common::worker::Action;
 use tokio::time::sleep;
 
+/// Time within which an edge has told the others which of its requests run and which have ended.
+const DIGEST_TIME: Duration = Duration::from_millis(100);
+
 /// Metric with the number of edges that an edge considers running.
 const MEMBERS: &str = "nutmegbay_members ";
 
@@ -46,9 +49,10 @@
             for worker in &site.workers {
                 worker.script(&[]);
             }
-            sleep(Duration::from_millis(100)).await;
             let busy = site.workers.iter().find(is_busy).unwrap();
             for other in edges.iter().skip(n + 1) {
+                // Until then, the requests of the edge before count at the idle worker.
+                sleep(DIGEST_TIME).await;
                 for _ in 0..3 {
                     assert_eq!(other.call("POST", "/once/1", &[]).await.status, 200);
                 }
