--- a/crates/gateway/tests/crash_suspects.rs
+++ b/crates/gateway/tests/crash_suspects.rs
@@ -49,6 +49,31 @@
     assert_eq!(crashes, 2);
 }
 
+/// Prompts that begin alike and go on differently crash every upstream. Each is quarantined by
+/// itself, so that each of them costs upstreams.
+#[tokio::test]
+async fn shared_beginning() {
+    const PROMPTS: usize = 12;
+    /// The operators' limit: three beyond the fifth.
+    const MAX_CRASHES: usize = 8;
+    let engines =
+        join_all(["e1", "e2", "e3"].map(|name| real_sidecar::engine(name, config()))).await;
+    let listed = engines.iter().map(|(_, b)| b.instance.clone()).collect();
+    let gateway = TestGateway::start_listing(listed).await;
+    let caller = gateway.caller();
+    for n in 0..PROMPTS {
+        let prompt = format!("{CRASHING_PROMPT} and go on with verse {n}");
+        let refused = caller.chat(KEY, &prompt).await;
+        assert_ne!(refused.status, 200);
+        wait_until(async || caller.chat(KEY, "verse").await.status == 200).await;
+    }
+    let crashes: usize = engines
+        .iter()
+        .map(|(e, _)| e.seen().crash_batches.len())
+        .sum();
+    assert!(crashes <= MAX_CRASHES, "{crashes} crashes");
+}
+
 #[tokio::test]
 async fn harmless_requests() {
     let engines =
