--- a/crates/edge-bin/tests/soak.rs
+++ b/crates/edge-bin/tests/soak.rs
@@ -1,8 +1,8 @@
 //! A soak test with random faults. Six edge processes run in front of scripted workers and a store,
 //! under overlapping external faults: signals, broken links to the store and to workers, a store
 //! that refuses calls, does not respond, loses responses, drops its history and is restored from a
-//! copy, workers that fail, restart and drain, and changes of the configuration. Checks what callers, workers and the
-//! platform see.
+//! copy, workers that fail, restart and drain, and changes of the configuration. Checks what
+//! callers, workers and the platform see.
 //!
 //! `NUTMEGBAY_SOAK_SEEDS` (first..last, inclusive) and `NUTMEGBAY_SOAK_S` (seconds for each seed)
 //! set longer runs.
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -379,8 +379,8 @@
     crashes::record_ended_upstreams(state);
 }
 
-/// Applies a record of the list of instances unless it is outdated. A removed entry may have expired because the store
-/// was unavailable: if `grace_until` is given, its upstream is used until then.
+/// Applies a record of the list of instances unless it is outdated. A removed entry may have expired
+/// because the store was unavailable: if `grace_until` is given, its upstream is used until then.
 pub fn apply_instance_record<D: WireCodec>(
     state: &EdgeState<D>,
     record: KeyedRecord,
