Wait for an address of a test that was just closed

Cause: tests of one file run in parallel, and start edges. A process that is being started has copies of all file descriptors until it executes its program, so the listener that the row before has closed stays open for that moment.

--- a/crates/edge-bin/tests/common/mod.rs
+++ b/crates/edge-bin/tests/common/mod.rs
@@ -10,6 +10,7 @@
 
 use std::cell::Cell;
 use std::fmt::Write;
+use std::io::ErrorKind;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
@@ -19,7 +20,7 @@
 use store::Store;
 use tempfile::NamedTempFile;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
 use worker::Worker;
 
@@ -469,6 +470,24 @@
     }
 }
 
+/// Opens a listener at `addr`, at which another one may just have been closed. A process that another
+/// test is starting holds a copy of that one until it has executed its program.
+pub async fn listen(addr: SocketAddr) -> TcpListener {
+    let open = async {
+        loop {
+            match TcpListener::bind(addr).await {
+                Err(error) if error.kind() == ErrorKind::AddrInUse => {
+                    sleep(Duration::from_millis(5)).await;
+                }
+                opened => return opened.unwrap(),
+            }
+        }
+    };
+    timeout(WAIT_TIMEOUT, open)
+        .await
+        .expect("the address stays in use")
+}
+
 /// Returns the head of a request with the usual headers, a new id and the `extra` headers.
 fn head(method: &str, path: &str, extra: &[(&str, &str)]) -> String {
     let id: u64 = rand::random();
--- a/crates/edge-bin/tests/common/proxy.rs
+++ b/crates/edge-bin/tests/common/proxy.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::sleep;
 
@@ -34,7 +34,7 @@
     /// Starts to forward connections from `listen` to `target`.
     pub async fn start(listen: SocketAddr, target: SocketAddr) -> Self {
         let (link, state) = watch::channel(LinkState::Open);
-        let listener = TcpListener::bind(listen).await.unwrap();
+        let listener = super::listen(listen).await;
         tokio::spawn(async move {
             while let Ok((io, _)) = listener.accept().await {
                 tokio::spawn(serve_connection(io, target, state.clone()));
--- a/crates/edge-bin/tests/common/store.rs
+++ b/crates/edge-bin/tests/common/store.rs
@@ -15,7 +15,6 @@
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use serde_json::{Value, json};
-use tokio::net::TcpListener;
 use tokio::time::{Instant, sleep};
 
 /// Fault of the store.
@@ -95,7 +94,7 @@
             .route("/usage", post(usage))
             .layer(middleware::from_fn_with_state(store.clone(), add_era))
             .with_state(store.clone());
-        let listener = TcpListener::bind(addr).await.unwrap();
+        let listener = super::listen(addr).await;
         tokio::spawn(async move { axum::serve(listener, router).await });
         store
     }
--- a/crates/edge-bin/tests/common/worker.rs
+++ b/crates/edge-bin/tests/common/worker.rs
@@ -140,14 +140,14 @@
     /// Starts a worker that listens at `addr`.
     pub async fn start(addr: SocketAddr) -> Self {
         let worker = Self::default();
-        let listener = TcpListener::bind(addr).await.unwrap();
+        let listener = super::listen(addr).await;
         let acceptor = worker.clone();
         tokio::spawn(async move {
             acceptor.accept_until_crash(listener).await;
             loop {
                 sleep(DOWN_TIME).await;
                 acceptor.0.lock().unwrap().crash = CancellationToken::new();
-                let listener = TcpListener::bind(addr).await.unwrap();
+                let listener = super::listen(addr).await;
                 acceptor.accept_until_crash(listener).await;
             }
         });
