Measure how late the edge itself is

Streams were ended and the store was called lost on an edge whose upstreams and store were sound.

Added: the lateness of a timer of 0.1 s on the runtime's clock, and the bytes received by callers' connections, upstreams, the store, peers, control addresses and digests against `limits.link-mbps`. Both are gauges, and `instance_late` is logged from 0.1 s or 0.8 of the link on, at most once a second. `request` lines have `body_ms` and `body_bytes`, those of rejected requests too. A task that asks before an overdue sample is taken sees its lateness as well.

--- a/crates/edge-bin/src/main.rs
+++ b/crates/edge-bin/src/main.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+use nutmegbay_edge::own_delay::DelayMonitor;
 use nutmegbay_edge::{Adapter, cli, reload, run};
 use nutmegbay_platform::settings::{self, LoadedSettings};
 use nutmegbay_platform::{PlatformCodec, PlatformStore, PlatformUsageReporter};
@@ -58,10 +59,13 @@
             return Exit::Failure.into();
         }
     };
+    let delay_monitor = DelayMonitor::new(settings.link_mbps);
+    let reporter = |addr| PlatformUsageReporter::new(addr, &delay_monitor);
     let adapter = Adapter {
         codec: PlatformCodec,
-        store: PlatformStore::new(settings.store),
-        reports: settings.reports.map(PlatformUsageReporter::new),
+        store: PlatformStore::new(settings.store, &delay_monitor),
+        reports: settings.reports.map(reporter),
+        delay_monitor: delay_monitor.clone(),
     };
     let (tx, changes) = tokio::sync::watch::channel(settings);
     let decode = |text: &str| settings::decode(text).map(|loaded| loaded.settings);
--- a/crates/edge/src/crashes/mod.rs
+++ b/crates/edge/src/crashes/mod.rs
@@ -129,7 +129,7 @@
     let state = Rc::clone(state);
     tokio::task::spawn_local(async move {
         increment(&state.metrics.connections_opened);
-        match Connection::open(addr).await {
+        match Connection::open(addr, &state.delay_monitor).await {
             Ok(mut connection) => {
                 connection.mark_idle(None);
                 state.fleet.borrow_mut().keep_connection(key, connection);
--- a/crates/edge/src/duty.rs
+++ b/crates/edge/src/duty.rs
@@ -352,7 +352,7 @@
         let Some(control) = record.control else {
             return false;
         };
-        let answer = request_usage(control).await;
+        let answer = request_usage(control, &self.state.delay_monitor).await;
         let error = answer.as_ref().err().map(tracing::field::display);
         tracing::info!(
             event = "usage_asked",
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -83,6 +83,7 @@
     loop {
         match socket.recv_from(&mut buf).await {
             Ok((len, from)) => {
+                state.delay_monitor.record_received(len);
                 if let Err(error) = receive_digest(state, from, &buf[..len]) {
                     tracing::debug!(event = "digest_unreadable", %from, %error);
                 }
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -447,7 +447,7 @@
                 Some(connection) => connection,
                 None => {
                     increment(&self.state.metrics.connections_opened);
-                    let opened = Connection::open(addr).await;
+                    let opened = Connection::open(addr, &self.state.delay_monitor).await;
                     opened.inspect_err(|error| {
                         crashes::record_connect_error(self.state, at, error);
                     })?
--- a/crates/edge/src/forward/prefill.rs
+++ b/crates/edge/src/forward/prefill.rs
@@ -47,7 +47,7 @@
         }
         let source = self.source;
         let mut req = self.state.codec.prefill_release_request(&self.name);
-        let caller = BufferedClient::new(source);
+        let caller = BufferedClient::new(source, &self.state.delay_monitor);
         if let Ok(host) = caller.host().parse() {
             req.headers_mut().insert(HOST, host);
         }
--- a/crates/edge/src/forward/request.rs
+++ b/crates/edge/src/forward/request.rs
@@ -29,6 +29,8 @@
     pub target: Box<str>,
     /// Complete body.
     pub body: Bytes,
+    /// Time from the arrival of the head to that of the whole body.
+    pub body_time: Duration,
     /// Arrival time of the head.
     pub arrived: MonotonicTime,
     /// Earlier of the caller's deadline and the route's timeout.
--- a/crates/edge/src/http1.rs
+++ b/crates/edge/src/http1.rs
@@ -24,6 +24,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout};
 
+use crate::own_delay::{CountedIo, DelayMonitor};
 use crate::platform_api::{OutboundRequest, UnreadResponse};
 
 /// Maximum time to open a connection. Network paths take a few milliseconds, and TCP repeats a lost
@@ -131,7 +132,7 @@
 /// Task that moves the bytes of a connection; it is aborted on drop. Once no more requests are
 /// sent, it returns the connection and the bytes read beyond the last response.
 #[derive(Debug)]
-struct Driver(JoinHandle<Option<(TcpStream, Bytes)>>);
+struct Driver(JoinHandle<Option<(CountedIo<TcpStream>, Bytes)>>);
 
 impl Drop for Driver {
     fn drop(&mut self) {
@@ -153,8 +154,8 @@
 }
 
 impl Connection {
-    /// Opens a connection within [`CONNECT_TIMEOUT`].
-    pub async fn open(addr: SocketAddr) -> Result<Self, CallError> {
+    /// Opens a connection within [`CONNECT_TIMEOUT`]. `monitor` counts the bytes that it receives.
+    pub async fn open(addr: SocketAddr, monitor: &DelayMonitor) -> Result<Self, CallError> {
         let failed = |cause| CallError {
             verdict: Verdict::NotRun,
             cause,
@@ -165,7 +166,7 @@
             Ok(Err(_)) | Err(_) => return Err(failed(Cause::Connect)),
         };
         let (sender, connection) = Builder::new()
-            .handshake(TokioIo::new(io))
+            .handshake(TokioIo::new(CountedIo::new(io, monitor)))
             .await
             .map_err(|_| failed(Cause::Connect))?;
         let driver = tokio::task::spawn_local(async move {
@@ -277,7 +278,7 @@
 /// and reads stay pending until then. `hyper` treats response bytes that arrive before the request
 /// is written as an error.
 struct AlreadyWritten {
-    io: TcpStream,
+    io: CountedIo<TcpStream>,
     /// Bytes read from the connection before, which are returned first.
     read_ahead: Bytes,
     is_written: bool,
@@ -285,7 +286,7 @@
 }
 
 impl AlreadyWritten {
-    fn new(io: TcpStream, read_ahead: Bytes) -> Self {
+    fn new(io: CountedIo<TcpStream>, read_ahead: Bytes) -> Self {
         Self {
             io,
             read_ahead,
@@ -412,14 +413,17 @@
 #[derive(Debug, Clone)]
 pub struct BufferedClient {
     addr: SocketAddr,
+    monitor: DelayMonitor,
     idle: Rc<RefCell<IdleConnections>>,
 }
 
 impl BufferedClient {
-    /// Creates a client for `addr`. Connections are opened when needed.
-    pub fn new(addr: SocketAddr) -> Self {
+    /// Creates a client for `addr`. Connections are opened when needed. `monitor` counts the bytes
+    /// that they receive.
+    pub fn new(addr: SocketAddr, monitor: &DelayMonitor) -> Self {
         Self {
             addr,
+            monitor: monitor.clone(),
             idle: Rc::new(RefCell::new(IdleConnections::new(MAX_IDLE_CONNECTIONS))),
         }
     }
@@ -454,7 +458,7 @@
         let kept = self.idle.borrow_mut().take();
         let mut connection = match kept {
             Some(connection) => connection,
-            None => Connection::open(self.addr).await?,
+            None => Connection::open(self.addr, &self.monitor).await?,
         };
         let response = connection.send(req).await?;
         let (head, body) = response.into_parts();
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -26,6 +26,7 @@
 };
 use crate::http1::enable_dead_peer_detection;
 use crate::model::{CallerLimits, RequestHead};
+use crate::own_delay::CountedIo;
 use crate::platform_api::{WireCodec, origin_form};
 use crate::routes::RouteError;
 use crate::state::EdgeState;
@@ -76,6 +77,7 @@
     let service = service_fn(|req| respond(Rc::clone(&state), req));
     // `hyper` counts the time for a head from the end of the previous request, so this timeout
     // bounds the idle time too.
+    let io = CountedIo::new(io, &state.delay_monitor);
     let served = Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_time + limits.header_time)
@@ -138,6 +140,10 @@
 struct RejectedRequest {
     id: Box<str>,
     failure: Failure,
+    /// Time for which the body was read.
+    body_time: Option<Duration>,
+    /// Declared size of the body in bytes.
+    body_bytes: u64,
 }
 
 impl RejectedRequest {
@@ -150,6 +156,8 @@
                 cause,
                 retry_after: None,
             },
+            body_time: None,
+            body_bytes: 0,
         }
     }
 
@@ -162,6 +170,8 @@
             status = status.as_u16(),
             cause,
             config = state.version(),
+            body_ms = self.body_time.map(millis),
+            body_bytes = self.body_bytes,
             total_ms = millis(state.now().since(arrived)),
         );
     }
@@ -175,12 +185,19 @@
     in_flight: InFlightGuard,
 ) -> Result<Rc<RoutedRequest>, RejectedRequest> {
     let (parts, body) = req.into_parts();
+    let body_bytes = body.size_hint().lower();
     let head = state
         .codec
         .decode_request_head(&parts.headers)
-        .map_err(|bad| RejectedRequest::new("", StatusCode::BAD_REQUEST, bad.0))?;
+        .map_err(|bad| RejectedRequest {
+            body_bytes,
+            ..RejectedRequest::new("", StatusCode::BAD_REQUEST, bad.0)
+        })?;
     let id = head.id.clone();
-    let reject = |status, cause| RejectedRequest::new(&id, status, cause);
+    let reject = |status, cause| RejectedRequest {
+        body_bytes,
+        ..RejectedRequest::new(&id, status, cause)
+    };
     let Some(table) = state.routes.borrow().clone() else {
         let mut rejected = reject(StatusCode::SERVICE_UNAVAILABLE, "no_config");
         rejected.failure.retry_after = Some(retry_after(NO_CONFIG_RETRY_MS, rand::random()));
@@ -208,6 +225,8 @@
         .ok_or_else(|| RejectedRequest {
             id: id.clone(),
             failure: unknown_service(&route.name),
+            body_time: None,
+            body_bytes,
         })?;
     state.count_first_request(&service.name);
     if service.engine.is_some() {
@@ -219,7 +238,10 @@
     let limit = table.config().limits.body_bytes;
     let body = read_body(body, limit, time_limit)
         .await
-        .map_err(|(status, cause)| reject(status, cause))?;
+        .map_err(|(status, cause)| RejectedRequest {
+            body_time: Some(state.now().since(arrived)),
+            ..reject(status, cause)
+        })?;
     Ok(Rc::new(RoutedRequest {
         elapsed: state.time_since_first_attempt(&route.name, deadline),
         deadline_at: arrived.plus(time_limit),
@@ -231,6 +253,7 @@
         rank: table.rank(route, account.as_deref()),
         account,
         body,
+        body_time: state.now().since(arrived),
         arrived,
         _in_flight: in_flight,
         progress: RequestProgress::default().into(),
@@ -313,6 +336,8 @@
             predicted_ms = progress.predicted_ms.round(),
             elapsed_ms = millis(self.elapsed),
             config = state.version(),
+            body_ms = millis(self.body_time),
+            body_bytes = self.body.len(),
             total_ms = millis(state.now().since(self.arrived)),
         );
     }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -24,6 +24,7 @@
 mod members;
 mod metrics;
 pub mod model;
+pub mod own_delay;
 mod peers;
 pub mod platform_api;
 pub mod reload;
--- /dev/null
+++ b/crates/edge/src/own_delay.rs
@@ -0,0 +1,138 @@
+//! Measures the delay that the process itself adds: the lateness of its timers, and the bytes that
+//! it receives.
+
+use std::cell::{Cell, RefCell};
+use std::io::{IoSlice, Result};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use nutmegbay_core::environment::MonotonicTime;
+use nutmegbay_policy::edge::own_delay::{Measurement, OwnDelay, SAMPLE_INTERVAL};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::time::{Instant, sleep_until};
+
+use crate::clock::{MonotonicClock, millis};
+
+/// Minimum time between two log lines about a late instance.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Measurements shared by the connections and tasks of one process.
+#[derive(Debug, Clone)]
+pub struct DelayMonitor {
+    clock: MonotonicClock,
+    received_bytes: Rc<Cell<u64>>,
+    own_delay: Rc<RefCell<OwnDelay>>,
+}
+
+impl DelayMonitor {
+    /// Creates the monitor of a process with a network link of `link_mbps` megabits per second.
+    pub fn new(link_mbps: Option<f64>) -> Self {
+        Self {
+            clock: MonotonicClock::new(),
+            received_bytes: Rc::default(),
+            own_delay: Rc::new(OwnDelay::new(link_mbps).into()),
+        }
+    }
+
+    /// Returns the clock of the process.
+    pub fn clock(&self) -> MonotonicClock {
+        self.clock
+    }
+
+    /// Counts received bytes.
+    pub fn record_received(&self, bytes: usize) {
+        let total = self.received_bytes.get() + bytes as u64;
+        self.received_bytes.set(total);
+    }
+
+    /// Returns the current state of the process.
+    pub fn measure(&self) -> Measurement {
+        self.own_delay.borrow().measure(self.clock.now())
+    }
+
+    /// Takes samples for as long as the process runs. Logs when the process is late.
+    pub async fn run(self) {
+        let mut logged_at: Option<MonotonicTime> = None;
+        loop {
+            let due = Instant::now() + SAMPLE_INTERVAL;
+            sleep_until(due).await;
+            let now = self.clock.now();
+            self.own_delay
+                .borrow_mut()
+                .record(now, due.elapsed(), self.received_bytes.get());
+            let measured = self.measure();
+            if measured.is_late() && logged_at.is_none_or(|at| now.since(at) >= LOG_INTERVAL) {
+                logged_at = Some(now);
+                tracing::warn!(
+                    event = "instance_late",
+                    timer_late_ms = millis(measured.timer_lateness),
+                    received_per_s = measured.received_per_s.round(),
+                    link_share = measured.link_share,
+                    age_ms = millis(measured.age),
+                );
+            }
+        }
+    }
+}
+
+/// Connection whose received bytes are counted.
+#[derive(Debug)]
+pub struct CountedIo<T> {
+    io: T,
+    monitor: DelayMonitor,
+}
+
+impl<T> CountedIo<T> {
+    /// Counts the bytes that `io` receives.
+    pub fn new(io: T, monitor: &DelayMonitor) -> Self {
+        Self {
+            io,
+            monitor: monitor.clone(),
+        }
+    }
+}
+
+impl<T: AsyncRead + Unpin> AsyncRead for CountedIo<T> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<Result<()>> {
+        let before = buf.filled().len();
+        let poll = Pin::new(&mut self.io).poll_read(cx, buf);
+        self.monitor.record_received(buf.filled().len() - before);
+        poll
+    }
+}
+
+impl<T: AsyncWrite + Unpin> AsyncWrite for CountedIo<T> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<Result<usize>> {
+        Pin::new(&mut self.io).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<Result<usize>> {
+        Pin::new(&mut self.io).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.io.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
+        Pin::new(&mut self.io).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
+        Pin::new(&mut self.io).poll_shutdown(cx)
+    }
+}
--- a/crates/edge/src/peers/ask.rs
+++ b/crates/edge/src/peers/ask.rs
@@ -41,7 +41,7 @@
         }
         for peer in sample_peers(&state) {
             match fetch(
-                &BufferedClient::new(peer),
+                &BufferedClient::new(peer, &state.delay_monitor),
                 KNOWN_RECORDS_PATH,
                 Vec::new(),
                 PEER_TIMEOUT,
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -25,6 +25,7 @@
 use crate::http1::BufferedClient;
 use crate::members::MemberInfo;
 use crate::model::KeyedRecord;
+use crate::own_delay::DelayMonitor;
 use crate::platform_api::WireCodec;
 use crate::state::EdgeState;
 
@@ -184,9 +185,12 @@
 }
 
 /// Requests the usage counts of a process.
-pub async fn request_usage(peer: SocketAddr) -> Result<MemberCounts, PeerError> {
+pub async fn request_usage(
+    peer: SocketAddr,
+    monitor: &DelayMonitor,
+) -> Result<MemberCounts, PeerError> {
     fetch(
-        &BufferedClient::new(peer),
+        &BufferedClient::new(peer, monitor),
         USAGE_PATH,
         Vec::new(),
         PEER_TIMEOUT,
--- a/crates/edge/src/peers/relay.rs
+++ b/crates/edge/src/peers/relay.rs
@@ -37,7 +37,7 @@
         };
         let (_, client) = match client.take() {
             Some(kept) if kept.0 == relay => client.insert(kept),
-            _ => client.insert((relay, BufferedClient::new(relay))),
+            _ => client.insert((relay, BufferedClient::new(relay, &state.delay_monitor))),
         };
         match fetch(
             client,
--- a/crates/edge/src/peers/serve.rs
+++ b/crates/edge/src/peers/serve.rs
@@ -21,6 +21,7 @@
 };
 use crate::clock::millis;
 use crate::members::own_counts;
+use crate::own_delay::{CountedIo, DelayMonitor};
 use crate::platform_api::WireCodec;
 use crate::state::EdgeState;
 
@@ -45,10 +46,14 @@
 }
 
 /// Accepts connections and serves their requests with `handler`, for as long as the process runs.
-pub async fn listen<A: RequestHandler + 'static>(listener: TcpListener, handler: Rc<A>) {
+pub async fn listen<A: RequestHandler + 'static>(
+    listener: TcpListener,
+    handler: Rc<A>,
+    monitor: DelayMonitor,
+) {
     loop {
         let io = match listener.accept().await {
-            Ok((io, _)) => io,
+            Ok((io, _)) => CountedIo::new(io, &monitor),
             Err(error) => {
                 tracing::warn!(event = "accept_failed", %error);
                 sleep(ACCEPT_ERROR_PAUSE).await;
@@ -131,8 +136,9 @@
 }
 
 /// Returns the names and values of the gauges.
-fn gauges<D: WireCodec>(state: &EdgeState<D>) -> [(&'static str, u64); 8] {
+fn gauges<D: WireCodec>(state: &EdgeState<D>) -> [(&'static str, u64); 11] {
     let now = state.now();
+    let measured = state.delay_monitor.measure();
     let known_records = state.known_records.borrow();
     [
         ("config_version", state.version().unwrap_or(0)),
@@ -146,6 +152,12 @@
             "quarantined_contents",
             state.crashes.borrow().quarantines().len() as u64,
         ),
+        ("timer_late_ms", millis(measured.timer_lateness)),
+        ("received_bytes_per_second", measured.received_per_s as u64),
+        (
+            "link_share_percent",
+            (measured.link_share.unwrap_or(0.0) * 100.0) as u64,
+        ),
     ]
 }
 
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -12,6 +12,7 @@
 
 use crate::clock::SmoothedWallClock;
 use crate::duty::UsageDuty;
+use crate::own_delay::DelayMonitor;
 use crate::peers::{ControlHandler, ReadinessHandler};
 use crate::platform_api::{Store, UsageReporter, WireCodec};
 use crate::settings::EdgeSettings;
@@ -39,6 +40,8 @@
     pub store: S,
     /// Client for usage reports, if the deployment requires them.
     pub reports: Option<R>,
+    /// Monitor that counts the bytes received by the clients above.
+    pub delay_monitor: DelayMonitor,
 }
 
 /// Error for a process that cannot start.
@@ -89,13 +92,16 @@
         codec,
         store,
         reports,
+        delay_monitor,
     } = adapter;
     let state = Rc::new(EdgeState::new(
         codec,
         settings,
         SmoothedWallClock::system(),
+        delay_monitor.clone(),
         stop.clone(),
     ));
+    spawn_local(delay_monitor.clone().run());
     spawn_local(follow::follow_config(Rc::clone(&state), store.clone()));
     spawn_local(follow::follow_instances(Rc::clone(&state), store.clone()));
     spawn_local(members::watch(Rc::clone(&state), store.clone()));
@@ -105,17 +111,12 @@
     spawn_local(exchange::run(Rc::clone(&state)));
     spawn_local(crashes::follow(Rc::clone(&state), store.clone()));
     spawn_local(crashes::publish(Rc::clone(&state), store.clone()));
-    let reloading_state = Rc::clone(&state);
-    spawn_local(async move {
-        while changes.changed().await.is_ok() {
-            reloading_state.reload(changes.borrow_and_update().clone());
-        }
-    });
+    spawn_local(follow_settings(Rc::clone(&state), changes));
     let handler = Rc::new(ReadinessHandler(Rc::clone(&state)));
-    spawn_local(peers::listen(readiness, handler));
+    spawn_local(peers::listen(readiness, handler, delay_monitor.clone()));
     if let Some(control) = control {
         let handler = Rc::new(ControlHandler(Rc::clone(&state)));
-        spawn_local(peers::listen(control, handler));
+        spawn_local(peers::listen(control, handler, delay_monitor));
     }
     let duty = reports.map(|reports| Rc::new(UsageDuty::new(Rc::clone(&state), store, reports)));
     if let Some(duty) = &duty {
@@ -153,6 +154,16 @@
     Ok(())
 }
 
+/// Puts changed settings in force for as long as they are watched.
+async fn follow_settings<D: WireCodec>(
+    state: Rc<EdgeState<D>>,
+    mut changes: watch::Receiver<EdgeSettings>,
+) {
+    while changes.changed().await.is_ok() {
+        state.reload(changes.borrow_and_update().clone());
+    }
+}
+
 fn bind(addr: std::net::SocketAddr) -> Result<TcpListener, Report<StartError>> {
     let socket = if addr.is_ipv4() {
         TcpSocket::new_v4()
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -26,6 +26,7 @@
 use crate::members::{Members, member_hash};
 use crate::metrics::Metrics;
 use crate::model::DeploymentConfig;
+use crate::own_delay::DelayMonitor;
 use crate::platform_api::{StoreError, Topic, WireCodec};
 use crate::routes::RouteTable;
 use crate::settings::{Bounds, EdgeSettings};
@@ -92,6 +93,8 @@
     pub read_done: Notify,
     /// Monotonic clock.
     pub monotonic_clock: MonotonicClock,
+    /// Delay that this process itself adds.
+    pub delay_monitor: DelayMonitor,
     /// Wall clock that ignores short jumps.
     pub wall_clock: RefCell<SmoothedWallClock>,
     /// Notified when a store call fails: a pending read may have lost its response and is
@@ -120,6 +123,7 @@
         codec: D,
         settings: EdgeSettings,
         wall_clock: SmoothedWallClock,
+        delay_monitor: DelayMonitor,
         stop: CancellationToken,
     ) -> Self {
         let fleet = Rc::new(RefCell::new(Fleet::new(
@@ -127,7 +131,7 @@
             &settings.domain,
             settings.link_mbps,
         )));
-        let monotonic_clock = MonotonicClock::new();
+        let monotonic_clock = delay_monitor.clock();
         let starting = settings.bounds.contact.mul_f64(STARTUP_RELAY_FRACTION);
         let now = monotonic_clock.now();
         let starting_until = now.plus(starting);
@@ -155,6 +159,7 @@
             relay_lost: Notify::new(),
             read_done: Notify::new(),
             monotonic_clock,
+            delay_monitor,
             wall_clock: RefCell::new(wall_clock),
             store_call_failed: Notify::new(),
             store_era: Cell::new(0),
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -354,6 +354,7 @@
             longest_gap_ms = millis(self.longest_gap),
             gap_end_ms = millis(self.longest_gap_end.since(self.request.arrived)),
             total_ms = millis(now.since(self.request.arrived)),
+            body_ms = millis(self.request.body_time),
             body_bytes = self.request.body.len(),
             bytes = self.sent_bytes,
         );
--- a/crates/policy/src/edge/mod.rs
+++ b/crates/policy/src/edge/mod.rs
@@ -13,6 +13,7 @@
 pub mod link;
 pub mod load;
 pub mod notices;
+pub mod own_delay;
 pub mod pending_work;
 pub mod placement;
 pub mod prefill_rate;
