Show that a silent upstream ends a sound stream

A caller's resumable stream is broken off although its upstream goes on: it sends two of five events, is silent for 1.2 s and sends the rest, which a sound server may do. The edge drops it after 0.6 s and looks for another place afterwards. The edge runs as a process before scripted workers; the route has 3 s.

only_upstream, other_refuses, other_hangs, other_breaks: left: "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n" right: "id: 1\ndata: piece 1\n\nid: 2\n ... id: 5\ndata: piece 5\n\n" test result: FAILED. 2 passed; 4 failed

other_takes_it and endless_silence pass: another upstream that takes the stream gets it, the silent one is dropped within the 0.4 s for which two may work on it. They guard this against the fix.

--- a/crates/edge-bin/tests/common/mod.rs
+++ b/crates/edge-bin/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a subset")]
 
 pub mod body_end;
+pub mod pause;
 pub mod proxy;
 pub mod relayed;
 pub mod store;
--- a/crates/edge-bin/tests/common/worker.rs
+++ b/crates/edge-bin/tests/common/worker.rs
@@ -1,6 +1,7 @@
 //! A stand-in for an upstream, which responds with scripted bytes.
 
 use super::body_end::{self, BodyEnd};
+use super::pause;
 use std::collections::VecDeque;
 use std::fmt::Write;
 use std::net::SocketAddr;
@@ -59,6 +60,10 @@
     RepeatRefusal,
     /// Streams the events that are missing, without a signature.
     UnsignedStream,
+    /// Streams events up to this number and the others after [`pause::PAUSE`].
+    PauseAfter(u32),
+    /// Streams events up to this number, then nothing more. The connection stays open.
+    SilentAfter(u32),
     /// Sends a response that may end early: a stream of events, or a plain body on other routes.
     End(BodyEnd),
 }
@@ -113,6 +118,8 @@
     arrivals: Vec<Instant>,
     /// Number of hung requests whose connection the edge closed.
     abandoned: usize,
+    /// Times at which the edge closed the connection of a silent stream.
+    silent_ends: Vec<Instant>,
 }
 
 impl WorkerState {
@@ -237,6 +244,11 @@
         self.0.lock().unwrap().abandoned
     }
 
+    /// Returns the times at which the edge closed the connection of a silent stream.
+    pub fn silent_ends(&self) -> Vec<Instant> {
+        self.0.lock().unwrap().silent_ends.clone()
+    }
+
     /// Clears the list of requests.
     pub fn clear_requests(&self) {
         self.0.lock().unwrap().requests.clear();
@@ -279,6 +291,9 @@
             if action == Action::Hang {
                 self.0.lock().unwrap().abandoned += 1;
             }
+            if matches!(action, Action::PauseAfter(_) | Action::SilentAfter(_)) && !stays_open {
+                self.0.lock().unwrap().silent_ends.push(Instant::now());
+            }
             if !stays_open {
                 return;
             }
@@ -392,6 +407,9 @@
         Action::UnframedBreakAfter(_) | Action::UnframedStream => {
             return unframed_stream(io, action, head).await;
         }
+        Action::PauseAfter(last) | Action::SilentAfter(last) => {
+            return pause::respond(io, action, last, head).await;
+        }
         Action::End(end) => return body_end::respond(io, end, head).await,
     };
     io.write_all(text.as_bytes()).await.is_ok() && action != Action::Truncate
--- /dev/null
+++ b/crates/edge-bin/tests/silent_streams.rs
@@ -0,0 +1,92 @@
+//! Guards against streams that are broken off because their upstream is silent for a while, although
+//! it goes on.
+
+mod common;
+
+use std::time::Duration;
+
+use common::worker::{Action, EVENTS, Worker, events};
+use common::{Response, Site, config, decode_chunked};
+
+/// Number of events before the silence.
+const EVENTS_BEFORE: u32 = 2;
+
+/// Maximum time for which two upstreams may work on one stream.
+const MAX_OVERLAP: Duration = Duration::from_millis(400);
+
+/// Starts a site with `workers` workers and time for a silence within a stream.
+async fn start(test: u8, workers: u16) -> Site {
+    let site = Site::start_without_config(test, workers).await;
+    let mut config = config(1, &["k1"]);
+    config["routes"][2]["timeout-ms"] = 3_000.into();
+    site.store.put("keyed.op", "config", &config);
+    site.wait_until_ready().await;
+    site
+}
+
+/// Calls the site with the next requests getting `actions`, whichever worker they reach.
+async fn call(site: &Site, actions: &[Action]) -> Response {
+    Worker::share_script(&site.workers, actions);
+    site.call("POST", "/stream/1", &[]).await
+}
+
+fn assert_whole(response: &Response) {
+    assert_eq!(response.status, 200);
+    assert_eq!(decode_chunked(&response.body), events(1, EVENTS));
+    assert!(response.body.ends_with(b"0\r\n\r\n"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn only_upstream() {
+    let site = start(121, 1).await;
+    let response = call(&site, &[Action::PauseAfter(EVENTS_BEFORE)]).await;
+    assert_whole(&response);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn other_refuses() {
+    let site = start(122, 2).await;
+    let actions = [Action::PauseAfter(EVENTS_BEFORE), Action::NotRun];
+    assert_whole(&call(&site, &actions).await);
+}
+
+/// The silent upstream must not work on the stream while the other one does.
+#[tokio::test(flavor = "multi_thread")]
+async fn other_takes_it() {
+    let site = start(123, 2).await;
+    let actions = [Action::PauseAfter(EVENTS_BEFORE), Action::Stream];
+    assert_whole(&call(&site, &actions).await);
+    let silent_ends = |worker: &Worker| worker.silent_ends();
+    site.wait_until("the silent upstream is dropped", async || {
+        site.workers.iter().any(|up| !silent_ends(up).is_empty())
+    })
+    .await;
+    let ended = site.workers.iter().flat_map(silent_ends).next().unwrap();
+    let arrivals = site.workers.iter().flat_map(Worker::arrivals);
+    let resumed = arrivals.max().unwrap();
+    assert!(ended.saturating_duration_since(resumed) < MAX_OVERLAP);
+}
+
+/// A response that has not begun is no reason to drop the one that has.
+#[tokio::test(flavor = "multi_thread")]
+async fn other_hangs() {
+    let site = start(124, 2).await;
+    let actions = [Action::PauseAfter(EVENTS_BEFORE), Action::Hang];
+    assert_whole(&call(&site, &actions).await);
+}
+
+/// The other upstream is lost before it answers.
+#[tokio::test(flavor = "multi_thread")]
+async fn other_breaks() {
+    let site = start(125, 2).await;
+    let actions = [Action::PauseAfter(EVENTS_BEFORE), Action::Close];
+    assert_whole(&call(&site, &actions).await);
+}
+
+/// An upstream that sends nothing more must not keep the stream if another one can go on.
+#[tokio::test(flavor = "multi_thread")]
+async fn endless_silence() {
+    let site = start(126, 2).await;
+    let actions = [Action::SilentAfter(EVENTS_BEFORE), Action::Stream];
+    assert_whole(&call(&site, &actions).await);
+}
