Keep a silent upstream until another has answered

Callers got a stream broken off (cause=upstream, stream_resumed resumed=false) although its upstream went on, or had already finished it.

Cause: after 0.6 s without a whole event the edge dropped the upstream and looked for another place afterwards. Where there was none, or the other one refused, failed or did not answer, nothing was left.

Change: the upstream stays open and is read until another one has answered with a usable head; only that replaces it, and drops it at once. An event that comes before ends the other request. So does 0.3 s without an answer, since two upstreams may work on a stream for 0.4 s. After a refusal or no place, another try follows a whole event timeout later, within the retry budget and the attempts of the route. The decision is in policy::edge::silence, without I/O. A stream that breaks is handled as before; an answer that is on its way is used for it.

What it costs: a stream whose upstream has ended without a reset, before another one that needs over 0.3 s for the head of its answer, stays with the first one until the connection breaks or the deadline.

--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -25,7 +25,7 @@
 use crate::model::{Refusal, RequestKind, Stage};
 use crate::platform_api::WireCodec;
 use crate::state::EdgeState;
-use crate::stream::{Framing, ResponseBodyError, ResponseSource, response_body};
+use crate::stream::{Framing, ResponseBodyError, ResponseSource, ResumeCause, response_body};
 
 use attempt::{ResponseBody, SendOutcome, UpstreamResponse};
 pub use request::{Failure, InFlightGuard, RequestProgress, RoutedRequest};
@@ -96,22 +96,27 @@
 }
 
 /// Sends a stream's request to another upstream, which continues after the event `after`. The
-/// upstream `failed` is not tried again.
+/// upstream `former` is tried again only if the stream broke there and there is no other one.
 pub async fn resume<D: WireCodec>(
     state: &Rc<EdgeState<D>>,
     request: &Rc<RoutedRequest>,
-    failed: UpstreamKey,
+    cause: ResumeCause,
+    former: UpstreamKey,
     after: &str,
 ) -> Option<ResponseSource> {
     let mut forwarder = Forwarder::new(state, request);
-    forwarder.tried.push(failed);
+    forwarder.tried.push(former);
     forwarder.sends = request.progress.borrow().sends;
-    if crashes::refused_for(state, request).is_some() || !forwarder.may_send_again() {
+    if crashes::refused_for(state, request).is_some() {
         return None;
     }
     let Placement::Whole { at, cost_ms, .. } = forwarder.place_unsplit()? else {
         return None;
     };
+    // A retry is taken from the budget only if there is a place for it.
+    if (cause == ResumeCause::Silent && at == former) || !forwarder.may_send_again() {
+        return None;
+    }
     forwarder.send_resumed(at, cost_ms, after).await
 }
 
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -1,6 +1,8 @@
 //! Streams response bodies to callers: event streams in whole events, other bodies as the bytes
 //! arrive.
 
+use std::future::{Future, pending};
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,9 +13,10 @@
 use hyper::body::Incoming;
 use nutmegbay_core::environment::MonotonicTime;
 use nutmegbay_policy::edge::health::Outcome;
+use nutmegbay_policy::edge::silence::{Silence, Step, event_timeout};
 use strum::IntoStaticStr;
 use tokio::task::yield_now;
-use tokio::time::timeout;
+use tokio::time::sleep;
 
 use crate::clock::millis;
 use crate::crashes;
@@ -25,19 +28,11 @@
 use crate::sse::EventSplitter;
 use crate::state::EdgeState;
 
-/// Minimum time without a whole event after which a resumable stream is resumed at another
-/// upstream.
-const MIN_EVENT_TIMEOUT: Duration = Duration::from_millis(600);
-
 /// Time after the deadline of a request for which bytes that have already arrived are still
 /// forwarded. Without this limit, an upstream that never stops sending would keep the request open
 /// forever.
 const MAX_DEADLINE_OVERRUN: Duration = Duration::from_millis(250);
 
-/// Time without a whole event after which an upstream is considered failed, as a multiple of the
-/// maximum gap between events.
-const EVENT_TIMEOUT_FACTOR: u32 = 4;
-
 /// Error for a response that cannot be completed. The connection to the caller is closed, so that
 /// the response does not look complete.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, IntoStaticStr)]
@@ -135,6 +130,16 @@
     }
 }
 
+/// Reason for which another upstream is asked to go on with a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum ResumeCause {
+    /// The upstream is silent and may go on.
+    Silent,
+    /// The upstream has broken the stream off.
+    Broken,
+}
+
 /// Units in which a response body is forwarded.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Framing {
@@ -158,8 +163,7 @@
     longest_gap_end: MonotonicTime,
     /// Time at which the last piece was forwarded.
     last_sent_at: MonotonicTime,
-    /// Time at which the upstream last sent a piece that was forwarded, or took over the stream.
-    last_received_at: MonotonicTime,
+    silence: Silence,
     first_result_at: MonotonicTime,
     status: u16,
     end: Option<&'static str>,
@@ -187,7 +191,7 @@
         longest_gap: Duration::ZERO,
         longest_gap_end: first_result_at,
         last_sent_at: first_result_at,
-        last_received_at: first_result_at,
+        silence: Silence::new(first_result_at),
         first_result_at,
         status,
         end: None,
@@ -216,7 +220,7 @@
                     self.longest_gap_end = now;
                 }
                 self.last_sent_at = now;
-                self.last_received_at = now;
+                self.silence = Silence::new(now);
                 self.sent_bytes += bytes.len();
             }
             Some(Err(broken)) => {
@@ -230,7 +234,10 @@
         next
     }
 
+    /// Returns the next piece of the body, or `None` at its end. A silent upstream is kept until
+    /// another one has answered; an event that it sends before ends the request to the other one.
     async fn read_next(&mut self) -> Option<Result<Bytes, ResponseBodyError>> {
+        let mut other = None;
         loop {
             let now = self.state.now();
             if now.since(self.request.deadline_at) > MAX_DEADLINE_OVERRUN {
@@ -238,90 +245,208 @@
             }
             let time_left = self.request.time_left(now);
             // Bytes of an incomplete event do not extend the wait.
-            let max_wait = self.event_timeout().map_or(time_left, |event_timeout| {
-                let rest = event_timeout.saturating_sub(now.since(self.last_received_at));
-                rest.min(time_left)
-            });
+            let max_wait = match self.silence.step(now, self.event_timeout()) {
+                Step::Wait(until) => until.map_or(time_left, |until| until.since(now)),
+                Step::Ask => {
+                    other = self.resumption(ResumeCause::Silent).map(Box::pin);
+                    self.silence.record_asked(now);
+                    continue;
+                }
+                Step::KeepSilent => {
+                    other = None;
+                    self.record_not_resumed("no_answer");
+                    continue;
+                }
+            };
             let source = self.source.as_mut()?;
-            let read = match timeout(max_wait, source.next_bytes()).await {
-                Err(_) if self.request.time_left(self.state.now()).is_zero() => {
+            let input = next_input(source, other.as_mut(), max_wait.min(time_left)).await;
+            match self.classify(input) {
+                Next::Wait if self.request.time_left(self.state.now()).is_zero() => {
                     return Some(Err(ResponseBodyError::Deadline));
                 }
-                Err(_) | Ok(Some(Err(_))) => ReadOutcome::Failed,
-                // A response without a length or chunks ends with its connection, also when the
-                // upstream fails.
-                Ok(None) if !self.events.is_between_events() => ReadOutcome::Failed,
-                Ok(None) => ReadOutcome::End,
-                Ok(Some(Ok(bytes))) => ReadOutcome::Bytes(bytes),
-            };
-            match read {
-                ReadOutcome::Bytes(bytes) if self.framing == Framing::Bytes => {
-                    return Some(Ok(bytes));
+                Next::Wait => {}
+                Next::Piece(piece) => {
+                    if other.is_some() {
+                        self.record_not_resumed("event");
+                    }
+                    return Some(Ok(piece));
                 }
-                ReadOutcome::Bytes(bytes) => match self.events.push(&bytes) {
-                    Ok(Some(whole)) => return Some(Ok(whole)),
-                    Ok(None) => {}
-                    Err(_) => return Some(Err(ResponseBodyError::Upstream)),
-                },
-                ReadOutcome::End => {
+                Next::End => {
                     if let Some(source) = self.source.take() {
                         crashes::record_complete_response(&self.state, &self.request);
                         source.finish(&self.state);
                     }
                     return None;
                 }
-                ReadOutcome::Failed => {
-                    if !self.resume_elsewhere().await {
+                Next::Unusable => return Some(Err(ResponseBodyError::Upstream)),
+                Next::Resumed(source) => {
+                    other = None;
+                    self.replace_source(ResumeCause::Silent, source);
+                }
+                Next::NotResumed => {
+                    other = None;
+                    self.record_not_resumed("not_taken");
+                }
+                Next::Broken => {
+                    let resumption = self.resumption(ResumeCause::Broken);
+                    self.drop_source();
+                    let Some(source) = either(other.take(), resumption).await else {
+                        self.record_not_resumed("broken");
                         return Some(Err(ResponseBodyError::Upstream));
-                    }
-                    self.last_received_at = self.state.now();
+                    };
+                    self.replace_source(ResumeCause::Broken, source);
                 }
             }
         }
     }
 
-    /// Resumes the stream at another upstream after the last event that was forwarded. Returns
-    /// whether it did.
-    async fn resume_elsewhere(&mut self) -> bool {
-        let lost = self.source.take().map(|mut source| {
+    fn classify(&mut self, input: Input) -> Next {
+        match input {
+            Input::Due => Next::Wait,
+            Input::Other(Some(source)) => Next::Resumed(source),
+            Input::Other(None) => Next::NotResumed,
+            Input::Read(Some(Err(_))) => Next::Broken,
+            // A response without a length or chunks ends with its connection, also when the
+            // upstream fails.
+            Input::Read(None) if !self.events.is_between_events() => Next::Broken,
+            Input::Read(None) => Next::End,
+            Input::Read(Some(Ok(bytes))) if self.framing == Framing::Bytes => Next::Piece(bytes),
+            Input::Read(Some(Ok(bytes))) => match self.events.push(&bytes) {
+                Ok(Some(whole)) => Next::Piece(whole),
+                Ok(None) => Next::Wait,
+                Err(_) => Next::Unusable,
+            },
+        }
+    }
+
+    /// Returns the request to another upstream to go on after the last event that was forwarded,
+    /// or `None` if none may.
+    fn resumption(
+        &self,
+        cause: ResumeCause,
+    ) -> Option<impl Future<Output = Option<ResponseSource>> + use<D>> {
+        let former = self.source.as_ref()?.in_flight_send.key();
+        let id: Box<str> = self.resumable_after()?.into();
+        let (state, request) = (Rc::clone(&self.state), Rc::clone(&self.request));
+        Some(async move { resume(&state, &request, cause, former, &id).await })
+    }
+
+    /// Drops the upstream of the stream and the part of an event that it has sent. Dropping its
+    /// connection tells it to stop.
+    fn drop_source(&mut self) {
+        if let Some(mut source) = self.source.take() {
             source.record_failure(&self.state, &self.request);
-            source.in_flight_send.key()
-        });
-        // Dropping the connection above tells the failed upstream to stop.
+        }
         self.events.take_rest();
-        let may_resume = self.framing == Framing::Events && self.request.route.is_resumable;
-        let (true, Some(lost), Some(id)) = (may_resume, lost, self.events.last_id()) else {
-            return false;
-        };
-        let id: Box<str> = id.into();
-        self.source = resume(&self.state, &self.request, lost, &id).await;
-        let resumed = self.source.is_some();
-        if resumed {
-            increment(&self.state.metrics.streams_resumed);
+    }
+
+    /// Replaces the upstream of the stream, which is silent or has broken off.
+    fn replace_source(&mut self, cause: ResumeCause, source: ResponseSource) {
+        self.drop_source();
+        self.source = Some(source);
+        let now = self.state.now();
+        increment(&self.state.metrics.streams_resumed);
+        self.log_resumption(cause.into(), true, now);
+        self.silence = Silence::new(now);
+    }
+
+    /// Records that the stream is not resumed elsewhere for now.
+    fn record_not_resumed(&mut self, cause: &'static str) {
+        let now = self.state.now();
+        if self.resumable_after().is_some() {
+            self.log_resumption(cause, false, now);
         }
+        self.silence.record_not_taken(now);
+    }
+
+    fn log_resumption(&self, cause: &'static str, resumed: bool, now: MonotonicTime) {
         tracing::info!(
             event = "stream_resumed",
             id = %self.request.head.id,
-            after = %id,
+            after = self.events.last_id(),
             resumed,
+            cause,
+            silent_ms = millis(now.since(self.last_sent_at)),
         );
-        resumed
     }
 
-    /// Returns the time without a whole event after which the upstream is considered failed, or
-    /// `None` if the stream cannot be resumed elsewhere.
+    /// Returns the id of the last event that was forwarded, if another upstream may go on after it.
+    fn resumable_after(&self) -> Option<&str> {
+        let may_resume = self.framing == Framing::Events && self.request.route.is_resumable;
+        self.events.last_id().filter(|_| may_resume)
+    }
+
+    /// Returns the time without a whole event after which another upstream is asked to go on, or
+    /// `None` if none may.
     fn event_timeout(&self) -> Option<Duration> {
         let gap = self.request.route.event_gap?;
-        let resumable = self.framing == Framing::Events && self.request.route.is_resumable;
-        (resumable && self.events.last_id().is_some())
-            .then(|| (gap * EVENT_TIMEOUT_FACTOR).max(MIN_EVENT_TIMEOUT))
+        self.resumable_after().map(|_| event_timeout(gap))
     }
 }
 
-enum ReadOutcome {
-    Bytes(Bytes),
+/// Waits up to `max_wait` for bytes of `source` or the answer of `other`.
+async fn next_input(
+    source: &mut ResponseSource,
+    other: Option<&mut Pin<Box<impl Future<Output = Option<ResponseSource>>>>>,
+    max_wait: Duration,
+) -> Input {
+    let answer = async {
+        match other {
+            Some(other) => other.await,
+            None => pending().await,
+        }
+    };
+    tokio::select! {
+        biased;
+        read = source.next_bytes() => Input::Read(read),
+        source = answer => Input::Other(source),
+        () = sleep(max_wait) => Input::Due,
+    }
+}
+
+/// Returns the answer to the request that was sent first, or that of `next` if it has none.
+async fn either<F: Future<Output = Option<ResponseSource>>>(
+    sent: Option<Pin<Box<F>>>,
+    next: Option<F>,
+) -> Option<ResponseSource> {
+    let answer = match sent {
+        Some(sent) => sent.await,
+        None => None,
+    };
+    match (answer, next) {
+        (None, Some(next)) => next.await,
+        (answer, _) => answer,
+    }
+}
+
+/// What a stream has waited for.
+#[allow(
+    clippy::large_enum_variant,
+    reason = "one value exists for each request in flight"
+)]
+enum Input {
+    /// Bytes of the upstream, or the end of its body.
+    Read(Option<Result<Bytes, BrokenBody>>),
+    /// The end of the request to another upstream, with its response if that goes on.
+    Other(Option<ResponseSource>),
+    /// The end of the wait.
+    Due,
+}
+
+/// What follows from an [`Input`].
+#[allow(
+    clippy::large_enum_variant,
+    reason = "one value exists for each request in flight"
+)]
+enum Next {
+    Wait,
+    Piece(Bytes),
     End,
-    Failed,
+    Broken,
+    /// The upstream sends what cannot be forwarded.
+    Unusable,
+    Resumed(ResponseSource),
+    NotResumed,
 }
 
 impl<D: WireCodec> Drop for BodyStream<D> {
--- a/crates/policy/src/edge/mod.rs
+++ b/crates/policy/src/edge/mod.rs
@@ -20,5 +20,6 @@
 pub mod prefixes;
 pub mod presence;
 pub mod relay;
+pub mod silence;
 pub mod upstream_limit;
 pub mod urgency;
--- /dev/null
+++ b/crates/policy/tests/edge_silence.rs
@@ -0,0 +1,97 @@
+//! Guards against a stream that is given up because its upstream is silent, and against two
+//! upstreams that work on it for long.
+
+use std::time::Duration;
+
+use nutmegbay_core::environment::MonotonicTime;
+use nutmegbay_policy::edge::silence::{Silence, Step, event_timeout};
+
+const TIMEOUT: Duration = Duration::from_millis(600);
+/// Maximum time for which two upstreams may work on one stream.
+const ALLOWED_OVERLAP_MS: u64 = 400;
+
+fn at(ms: u64) -> MonotonicTime {
+    MonotonicTime(Duration::from_millis(ms))
+}
+
+/// Returns the times at which another upstream is asked and dropped within `ms` of silence, if it
+/// refuses after `refused_after_ms`.
+fn play(ms: u64, refused_after_ms: Option<u64>) -> (Vec<u64>, Vec<u64>) {
+    let mut silence = Silence::new(at(0));
+    let (mut asked, mut dropped) = (Vec::new(), Vec::new());
+    for now in 0..=ms {
+        match silence.step(at(now), Some(TIMEOUT)) {
+            Step::Wait(_) => {}
+            Step::Ask => {
+                silence.record_asked(at(now));
+                asked.push(now);
+            }
+            Step::KeepSilent => {
+                silence.record_not_taken(at(now));
+                dropped.push(now);
+            }
+        }
+        if let (Some(last), Some(after)) = (asked.last(), refused_after_ms)
+            && now == last + after
+        {
+            silence.record_not_taken(at(now));
+        }
+    }
+    (asked, dropped)
+}
+
+#[test]
+fn short_silence() {
+    assert_eq!(play(599, None), (Vec::new(), Vec::new()));
+}
+
+/// The request to an upstream that does not answer ends in time, and another one follows after a
+/// whole timeout.
+#[test]
+fn no_answer() {
+    let (asked, dropped) = play(3_000, None);
+    assert_eq!(asked[0], 600);
+    for (n, end) in dropped.iter().enumerate() {
+        assert!(end - asked[n] < ALLOWED_OVERLAP_MS);
+        assert!(asked.get(n + 1).is_none_or(|next| *next == end + 600));
+    }
+    assert!(!dropped.is_empty());
+}
+
+#[test]
+fn refusal() {
+    let (asked, dropped) = play(2_000, Some(5));
+    assert_eq!(asked, [600, 1_205, 1_810]);
+    assert!(dropped.is_empty());
+}
+
+/// An event ends the request to the other upstream, and the next silence counts from it.
+#[test]
+fn late_event() {
+    let mut silence = Silence::new(at(0));
+    silence.record_asked(at(600));
+    assert_eq!(
+        silence.step(at(700), Some(TIMEOUT)),
+        Step::Wait(Some(at(900)))
+    );
+    silence = Silence::new(at(700));
+    assert_eq!(
+        silence.step(at(1_299), Some(TIMEOUT)),
+        Step::Wait(Some(at(1_300)))
+    );
+    assert_eq!(silence.step(at(1_300), Some(TIMEOUT)), Step::Ask);
+}
+
+/// A stream that no other upstream can go on with is waited for without limit.
+#[test]
+fn not_resumable() {
+    let silence = Silence::new(at(0));
+    assert_eq!(silence.step(at(100_000), None), Step::Wait(None));
+}
+
+#[test]
+fn wide_gaps() {
+    assert_eq!(event_timeout(Duration::from_millis(100)), TIMEOUT);
+    let wide = Duration::from_millis(500);
+    assert_eq!(event_timeout(wide), wide * 4);
+}
