Blame no upstream while the edge itself is late

Cause: the end of the edge's own wait for a first result or a connection counted as Outcome::Unreachable, although the answers waited behind callers' bodies.

Change: while timers are late or the link is full (policy::edge::own_delay), a timeout of a first result, a prefill or a connection, and the silence of a stream, record no outcome; `timeout_ignored` tells the upstream and the measurements. Refused and broken connections count as before. An upstream that has ended without a reset is then avoided only from its first timeout after the edge is on time again, or when its entry goes.

--- a/crates/edge/src/crashes/mod.rs
+++ b/crates/edge/src/crashes/mod.rs
@@ -135,9 +135,12 @@
                 state.fleet.borrow_mut().keep_connection(key, connection);
             }
             Err(error) => {
-                let mut fleet = state.fleet.borrow_mut();
-                fleet.record_outcome(key, Outcome::Unreachable, state.now());
-                drop(fleet);
+                let id = upstream_id(&state, key);
+                let is_timeout = error.cause == Cause::Connect;
+                if !(is_timeout && state.delay_monitor.excuses(&id)) {
+                    let mut fleet = state.fleet.borrow_mut();
+                    fleet.record_outcome(key, Outcome::Unreachable, state.now());
+                }
                 record_connect_error(&state, key, &error);
             }
         }
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -122,14 +122,15 @@
         }
     }
 
-    /// Records that an upstream is unresponsive and returns the cause. The dropped connection
-    /// already tells the upstream to stop.
+    /// Records that an upstream is unresponsive, unless the edge itself is late, and returns the
+    /// cause. The dropped connection already tells the upstream to stop.
     pub fn record_unresponsive(&self, at: UpstreamKey) -> &'static str {
         let now = self.state.now();
-        self.state
-            .fleet
-            .borrow_mut()
-            .record_outcome(at, Outcome::Unreachable, now);
+        let id = upstream_id(self.state, at);
+        if !self.state.delay_monitor.excuses(&id) {
+            let mut fleet = self.state.fleet.borrow_mut();
+            fleet.record_outcome(at, Outcome::Unreachable, now);
+        }
         if self.request.time_left(now).is_zero() {
             "deadline"
         } else {
@@ -316,18 +317,7 @@
         let req = self.build_request(&id, stage, after);
         let (connection, response) = match self.deliver(at, req.clone()).await {
             Ok(sent) => sent,
-            Err(CallError { verdict, cause }) => {
-                if verdict != Verdict::NotRun {
-                    crashes::record_broken_send(self.state, self.request, &in_flight_send);
-                }
-                in_flight_send.record_outcome(Outcome::Unreachable, self.state.now());
-                return Err(match verdict {
-                    Verdict::NotRun => SendOutcome::NotRun("connect"),
-                    // A prefill does not run the request.
-                    _ if stage == Stage::Prefill => SendOutcome::NotRun(cause.into()),
-                    _ => SendOutcome::NoResponse(cause.into()),
-                });
-            }
+            Err(error) => return Err(self.record_failed_send(error, stage, in_flight_send)),
         };
         let mut is_reusable = true;
         let (mut connection, mut response) = (connection, response);
@@ -383,6 +373,29 @@
         })
     }
 
+    /// Records a send that got no response, and returns its outcome.
+    fn record_failed_send(
+        &self,
+        CallError { verdict, cause }: CallError,
+        stage: Stage<'_>,
+        mut in_flight_send: InFlightSend,
+    ) -> SendOutcome {
+        if verdict != Verdict::NotRun {
+            crashes::record_broken_send(self.state, self.request, &in_flight_send);
+        }
+        let id = upstream_id(self.state, in_flight_send.key());
+        let is_timeout = cause == Cause::Connect;
+        if !(is_timeout && self.state.delay_monitor.excuses(&id)) {
+            in_flight_send.record_outcome(Outcome::Unreachable, self.state.now());
+        }
+        match verdict {
+            Verdict::NotRun => SendOutcome::NotRun("connect"),
+            // A prefill does not run the request.
+            _ if stage == Stage::Prefill => SendOutcome::NotRun(cause.into()),
+            _ => SendOutcome::NoResponse(cause.into()),
+        }
+    }
+
     fn head(&self, response: &UnreadResponse) -> ResponseHead {
         let codec = &self.state.codec;
         codec.decode_response_head(response.status(), response.headers())
--- a/crates/edge/src/own_delay.rs
+++ b/crates/edge/src/own_delay.rs
@@ -52,6 +52,22 @@
         self.own_delay.borrow().measure(self.clock.now())
     }
 
+    /// Returns whether a wait of this process that has just ended may have ended for its own delay
+    /// alone. If so, it shows nothing about `upstream`, which is logged.
+    pub fn excuses(&self, upstream: &str) -> bool {
+        let measured = self.measure();
+        if measured.is_late() {
+            tracing::info!(
+                event = "timeout_ignored",
+                upstream,
+                timer_late_ms = millis(measured.timer_lateness),
+                link_share = measured.link_share,
+                age_ms = millis(measured.age),
+            );
+        }
+        measured.is_late()
+    }
+
     /// Takes samples for as long as the process runs. Logs when the process is late.
     pub async fn run(self) {
         let mut logged_at: Option<MonotonicTime> = None;
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -21,7 +21,7 @@
 use crate::clock::millis;
 use crate::crashes;
 use crate::fleet::InFlightSend;
-use crate::forward::{RoutedRequest, resume};
+use crate::forward::{RoutedRequest, resume, upstream_id};
 use crate::http1::{BodyDelimiter, Connection};
 use crate::metrics::increment;
 use crate::platform_api::WireCodec;
@@ -289,7 +289,7 @@
                 }
                 Next::Broken => {
                     let resumption = self.resumption(ResumeCause::Broken);
-                    self.drop_source();
+                    self.drop_source(ResumeCause::Broken);
                     let Some(source) = either(other.take(), resumption).await else {
                         self.record_not_resumed("broken");
                         return Some(Err(ResponseBodyError::Upstream));
@@ -333,16 +333,19 @@
 
     /// Drops the upstream of the stream and the part of an event that it has sent. Dropping its
     /// connection tells it to stop.
-    fn drop_source(&mut self) {
+    fn drop_source(&mut self, cause: ResumeCause) {
         if let Some(mut source) = self.source.take() {
-            source.record_failure(&self.state, &self.request);
+            let id = upstream_id(&self.state, source.in_flight_send.key());
+            if cause == ResumeCause::Broken || !self.state.delay_monitor.excuses(&id) {
+                source.record_failure(&self.state, &self.request);
+            }
         }
         self.events.take_rest();
     }
 
     /// Replaces the upstream of the stream, which is silent or has broken off.
     fn replace_source(&mut self, cause: ResumeCause, source: ResponseSource) {
-        self.drop_source();
+        self.drop_source(cause);
         self.source = Some(source);
         let now = self.state.now();
         increment(&self.state.metrics.streams_resumed);
