--- a/crates/policy/src/edge/mod.rs
+++ b/crates/policy/src/edge/mod.rs
@@ -19,5 +19,7 @@
 pub mod prefixes;
 pub mod presence;
 pub mod relay;
+pub mod software_versions;
+pub mod stream_origins;
 pub mod upstream_limit;
 pub mod urgency;
