--- a/crates/edge/src/fleet/mod.rs
+++ b/crates/edge/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 mod in_flight;
 mod limits;
 mod placement;
+mod versions;
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -34,6 +34,7 @@
 mod sse;
 mod state;
 mod stream;
+mod versions;
 
 pub use routes::{RouteError, RouteTable};
 pub use run::{Adapter, run};
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -16,6 +16,7 @@
 use nutmegbay_policy::edge::expiry_grace::ExpiryGrace;
 use nutmegbay_policy::edge::presence::Presence;
 use nutmegbay_policy::edge::relay::RelayFollower;
+use nutmegbay_policy::edge::stream_origins::StreamOrigins;
 use tokio::sync::Notify;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
@@ -110,6 +111,8 @@
     pub close_idle: CancellationToken,
     /// Number of requests being served.
     pub in_flight: Rc<Cell<usize>>,
+    /// Versions with which streams began.
+    pub origins: RefCell<StreamOrigins>,
     /// Deadlines sent by callers, by route.
     deadlines: RefCell<HashMap<Box<str>, Deadlines>>,
 }
@@ -163,6 +166,7 @@
             stop,
             close_idle: CancellationToken::new(),
             in_flight: Rc::default(),
+            origins: RefCell::default(),
             deadlines: RefCell::default(),
         }
     }
