Remember the software versions that may have begun streams

Cause: nothing that continues a stream knows which version began it.

Each instance now keeps, per service with resumable routes, the versions that were in use within the drain bound and two timeouts, and the versions with which the streams that it carries began. While several versions are possible, it tells the others with the load digests, through the relays, and asks three peers (100 ms at most, 32 questions at a time) about a stream that it does not know. The versions of a service are in the new topic keyed.nutmegbay-versions, written under a condition by instances that read the store themselves.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -7,6 +7,7 @@
 
 use nutmegbay_policy::edge::crashes::{CrashReport, ReportSource};
 use nutmegbay_policy::edge::exchange::{Digest, Role, spacing};
+use nutmegbay_policy::edge::stream_origins::OriginNews;
 use nutmegbay_policy::edge::upstream_limit::LimitNews;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -16,6 +17,7 @@
 use crate::metrics::increment;
 use crate::platform_api::WireCodec;
 use crate::state::EdgeState;
+use crate::versions;
 
 /// Time after which a digest is sent even if nothing has changed, so that receivers do not discard
 /// the last one as too old.
@@ -95,8 +97,8 @@
     }
 }
 
-/// News that follow the digest in a datagram. Earlier versions send the digest alone and ignore
-/// what follows it.
+/// News that follow the digest in a datagram. The origins of streams follow them as a list.
+/// Earlier versions send less and ignore what follows.
 #[derive(Debug, Serialize, Deserialize)]
 struct News {
     crashes: CrashReport,
@@ -120,11 +122,14 @@
     if news.is_empty() {
         return Ok(());
     }
-    let News {
-        crashes: report,
-        limits,
-        announced,
-    } = postcard::from_bytes(news)?;
+    let (
+        News {
+            crashes: report,
+            limits,
+            announced,
+        },
+        origins,
+    ) = postcard::take_from_bytes(news)?;
     let source = if is_relay {
         ReportSource::Unshared
     } else {
@@ -139,8 +144,14 @@
             .borrow_mut()
             .record_announcement(instance, now);
     }
-    let mut fleet = state.fleet.borrow_mut();
-    fleet.merge_limits(&limits, is_relay, state.now());
+    state
+        .fleet
+        .borrow_mut()
+        .merge_limits(&limits, is_relay, now);
+    if !origins.is_empty() {
+        let origins: Vec<OriginNews> = postcard::from_bytes(origins)?;
+        versions::merge(state, &origins, is_relay);
+    }
     Ok(())
 }
 
@@ -201,10 +212,15 @@
         limits: state.fleet.borrow_mut().take_limit_news(now),
         announced: state.presence.borrow_mut().take(record_age, now),
     };
-    if news.crashes.is_empty() && news.limits.is_empty() && news.announced.is_empty() {
+    let origins = state.versions.borrow_mut().take_news(now);
+    let is_empty = news.crashes.is_empty()
+        && news.limits.is_empty()
+        && news.announced.is_empty()
+        && origins.is_empty();
+    if is_empty {
         return Vec::new();
     }
-    postcard::to_stdvec(&news).unwrap_or_else(|error| {
+    postcard::to_stdvec(&(news, origins)).unwrap_or_else(|error| {
         tracing::error!(event = "news_not_encoded", %error);
         Vec::new()
     })
--- a/crates/edge/src/fleet/versions.rs
+++ b/crates/edge/src/fleet/versions.rs
@@ -1,25 +1,21 @@
-#![allow(
-    dead_code,
-    clippy::unused_self,
-    reason = "entries are decoded without their version so far"
-)]
-
 use nutmegbay_policy::edge::software_versions::VersionTag;
 
 use super::{Fleet, Upstream};
 
 impl Fleet {
-    /// Returns the software versions of all known upstreams, by service.
-    pub fn listed_versions(&self) -> impl Iterator<Item = (&str, Vec<VersionTag>)> {
-        self.by_service.iter().map(|(service, keys)| {
-            let upstreams = keys.iter().filter_map(|key| self.upstreams.get(*key));
-            (&**service, upstreams.map(Upstream::version).collect())
-        })
+    /// Returns the software versions of the known upstreams of a service.
+    pub fn listed_versions(&self, service: &str) -> impl Iterator<Item = VersionTag> {
+        self.service_keys(service)
+            .map(|key| self.upstreams[key].version())
     }
 }
 
 impl Upstream {
     /// Returns the tag of its software version.
+    #[expect(
+        clippy::unused_self,
+        reason = "entries are decoded without their version so far"
+    )]
     pub fn version(&self) -> VersionTag {
         VersionTag(0)
     }
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -17,6 +17,7 @@
 use crate::platform_api::{CONFIG_KEY, ReadBatch, Store, StoreError, Topic, WireCodec};
 use crate::settings::Bounds;
 use crate::state::EdgeState;
+use crate::versions;
 
 /// Maximum wait of one read of the configuration, as a fraction of [`Bounds::apply`]. A waiting
 /// read may never get its response although all other calls succeed, which shows only when the wait
@@ -377,6 +378,7 @@
     state.fleet.borrow_mut().sweep(now);
     state.known_records.borrow_mut().sweep(now);
     crashes::record_ended_upstreams(state);
+    versions::record_listed(state);
 }
 
 /// Applies a record of the list of instances unless it is outdated. A removed entry may have expired
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -195,7 +195,7 @@
 }
 
 /// Sends a request to a peer and decodes its response. Waits up to `limit`.
-async fn fetch<T: DeserializeOwned>(
+pub async fn fetch<T: DeserializeOwned>(
     client: &BufferedClient,
     path: &str,
     body: Vec<u8>,
--- a/crates/edge/src/peers/serve.rs
+++ b/crates/edge/src/peers/serve.rs
@@ -23,6 +23,7 @@
 use crate::members::own_counts;
 use crate::platform_api::WireCodec;
 use crate::state::EdgeState;
+use crate::versions::{self, ORIGIN_PATH};
 
 /// Pause after a failed accept, for example if no file descriptor is free.
 const ACCEPT_ERROR_PAUSE: Duration = Duration::from_millis(500);
@@ -125,6 +126,13 @@
                     (StatusCode::BAD_REQUEST, "text/plain", String::new())
                 }
             },
+            ORIGIN_PATH => match serde_json::from_slice(body) {
+                Ok(question) => json_response(&versions::answer(state, &question)),
+                Err(error) => {
+                    tracing::warn!(event = "origin_question_unreadable", %error);
+                    (StatusCode::BAD_REQUEST, "text/plain", String::new())
+                }
+            },
             _ => (StatusCode::NOT_FOUND, "text/plain", String::new()),
         }
     }
--- a/crates/edge/src/platform_api.rs
+++ b/crates/edge/src/platform_api.rs
@@ -99,6 +99,8 @@
     Duty,
     /// One record per edge process with its runs that are evidence against some content.
     Crashes,
+    /// One record per service with the software versions that may have begun its streams.
+    Versions,
 }
 
 /// Key of the configuration record in [`Topic::Config`].
--- a/crates/edge/src/routes.rs
+++ b/crates/edge/src/routes.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::Duration;
 
 use nutmegbay_policy::edge::urgency::PriorityRanks;
 
@@ -14,6 +15,8 @@
     by_host: HashMap<Box<str>, HashMap<Box<str>, Rc<Route>>>,
     by_key: HashMap<Box<str>, Rc<Account>>,
     ranks: PriorityRanks,
+    /// Longest timeout of the resumable routes of each service that has any.
+    stream_timeouts: HashMap<Box<str>, Duration>,
 }
 
 /// Reason for which no route accepts a request.
@@ -46,14 +49,34 @@
             })
             .collect();
         let ranks = PriorityRanks::new(priorities(&config));
+        let mut stream_timeouts: HashMap<Box<str>, Duration> = HashMap::new();
+        for route in config.routes.iter().filter(|route| route.is_resumable) {
+            for target in &route.targets {
+                let longest = stream_timeouts.entry(target.service.clone()).or_default();
+                *longest = route.timeout.max(*longest);
+            }
+        }
         Self {
             config,
             by_host,
             by_key,
             ranks,
+            stream_timeouts,
         }
     }
 
+    /// Returns the services whose streams may be taken up, with the longest time for which such a
+    /// stream lasts.
+    pub fn stream_timeouts(&self) -> impl Iterator<Item = (&str, Duration)> {
+        let timeouts = self.stream_timeouts.iter();
+        timeouts.map(|(service, timeout)| (&**service, *timeout))
+    }
+
+    /// Returns the longest time for which a stream of `service` lasts that may be taken up.
+    pub fn stream_timeout(&self, service: &str) -> Option<Duration> {
+        self.stream_timeouts.get(service).copied()
+    }
+
     /// Returns the rank of a request within the deployment. 0 is the most urgent.
     pub fn rank(&self, route: &Route, account: Option<&Account>) -> u8 {
         let own = account.and_then(|account| account.priority);
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -16,7 +16,7 @@
 use crate::platform_api::{Store, UsageReporter, WireCodec};
 use crate::settings::EdgeSettings;
 use crate::state::EdgeState;
-use crate::{crashes, exchange, follow, ingress, members, peers};
+use crate::{crashes, exchange, follow, ingress, members, peers, versions};
 
 /// Maximum number of connections that wait to be accepted.
 const LISTEN_BACKLOG: u32 = 1_024;
@@ -105,6 +105,7 @@
     spawn_local(exchange::run(Rc::clone(&state)));
     spawn_local(crashes::follow(Rc::clone(&state), store.clone()));
     spawn_local(crashes::publish(Rc::clone(&state), store.clone()));
+    spawn_local(versions::run(Rc::clone(&state), store.clone()));
     let reloading_state = Rc::clone(&state);
     spawn_local(async move {
         while changes.changed().await.is_ok() {
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -16,7 +16,6 @@
 use nutmegbay_policy::edge::expiry_grace::ExpiryGrace;
 use nutmegbay_policy::edge::presence::Presence;
 use nutmegbay_policy::edge::relay::RelayFollower;
-use nutmegbay_policy::edge::stream_origins::StreamOrigins;
 use tokio::sync::Notify;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
@@ -30,6 +29,7 @@
 use crate::platform_api::{StoreError, Topic, WireCodec};
 use crate::routes::RouteTable;
 use crate::settings::{Bounds, EdgeSettings};
+use crate::versions::Versions;
 
 /// Target of this module's log lines: its former path, which log filters of operators may name.
 const LOG_TARGET: &str = "nutmegbay_edge::site";
@@ -111,8 +111,8 @@
     pub close_idle: CancellationToken,
     /// Number of requests being served.
     pub in_flight: Rc<Cell<usize>>,
-    /// Versions with which streams began.
-    pub origins: RefCell<StreamOrigins>,
+    /// Software versions, and origins of streams.
+    pub versions: RefCell<Versions>,
     /// Deadlines sent by callers, by route.
     deadlines: RefCell<HashMap<Box<str>, Deadlines>>,
 }
@@ -166,7 +166,7 @@
             stop,
             close_idle: CancellationToken::new(),
             in_flight: Rc::default(),
-            origins: RefCell::default(),
+            versions: RefCell::default(),
             deadlines: RefCell::default(),
         }
     }
@@ -278,6 +278,7 @@
         // Reads that wait for a record at an offset of the earlier era are restarted.
         self.store_call_failed.notify_waiters();
         self.crashes_changed.notify_one();
+        self.versions.borrow().changed().notify_one();
         let known_records = self.known_records.borrow();
         let offset = |next: Option<Position>| next.map(|next| next.offset);
         let now = self.now();
--- /dev/null
+++ b/crates/edge/src/versions/ask.rs
@@ -0,0 +1,97 @@
+//! Asks peers with which version a stream began.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use nutmegbay_policy::edge::software_versions::VersionTag;
+use nutmegbay_policy::edge::stream_origins::AttemptTag;
+use rand::seq::SliceRandom;
+use serde::{Deserialize, Serialize};
+
+use crate::http1::BufferedClient;
+use crate::peers::{fetch, known_peers};
+use crate::platform_api::WireCodec;
+use crate::state::EdgeState;
+
+/// Path that returns the version with which a stream began.
+pub const ORIGIN_PATH: &str = "/origin";
+
+/// Maximum number of peers asked about one stream.
+const MAX_PEERS: usize = 3;
+
+/// Maximum wait for the answer of a peer that knows the version.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Asks with which version a stream began.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct OriginQuestion {
+    attempt: u64,
+}
+
+/// Version with which a stream began, if the peer knows it.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct OriginReply {
+    version: Option<VersionTag>,
+}
+
+/// Returns the version with which the stream of an attempt began, if a peer knows it. Returns `None`
+/// at once if too many questions are open.
+pub async fn ask<D: WireCodec>(state: &EdgeState<D>, attempt: AttemptTag) -> Option<VersionTag> {
+    let questions = state.versions.borrow().questions.clone();
+    let _permit = questions.try_acquire().ok()?;
+    let body = serde_json::to_vec(&OriginQuestion { attempt: attempt.0 }).ok()?;
+    let mut replies: FuturesUnordered<_> = peers(state)
+        .into_iter()
+        .map(|peer| {
+            let body = body.clone();
+            async move {
+                let client = BufferedClient::new(peer);
+                fetch::<OriginReply>(&client, ORIGIN_PATH, body, ANSWER_TIMEOUT).await
+            }
+        })
+        .collect();
+    while let Some(reply) = replies.next().await {
+        match reply {
+            Ok(OriginReply {
+                version: Some(version),
+            }) => return Some(version),
+            Ok(OriginReply { version: None }) => {}
+            Err(error) => tracing::debug!(event = "origin_not_answered", %error),
+        }
+    }
+    None
+}
+
+/// Returns what this process knows about the stream of a peer's question.
+pub fn answer<D: WireCodec>(state: &EdgeState<D>, question: &OriginQuestion) -> OriginReply {
+    let versions = state.versions.borrow();
+    let known = versions
+        .origins
+        .origin(AttemptTag(question.attempt), state.now());
+    OriginReply {
+        version: known.map(|known| known.version),
+    }
+}
+
+/// Returns the peers to ask: the relay of this process, other relays, then any others. Relays
+/// receive the news of all.
+fn peers<D: WireCodec>(state: &EdgeState<D>) -> Vec<SocketAddr> {
+    let own_relay = state.relay_follower.borrow().relay();
+    let mut relays: Vec<_> = {
+        let members = state.members.borrow();
+        let relays = members.relays(&state.settings().node, state.now());
+        relays.others.iter().map(|relay| relay.key).collect()
+    };
+    let mut others = known_peers(state);
+    relays.shuffle(&mut rand::rng());
+    others.shuffle(&mut rand::rng());
+    let mut peers: Vec<SocketAddr> = Vec::with_capacity(MAX_PEERS);
+    for peer in own_relay.into_iter().chain(relays).chain(others) {
+        if peers.len() < MAX_PEERS && !peers.contains(&peer) {
+            peers.push(peer);
+        }
+    }
+    peers
+}
--- a/crates/edge/src/versions/mod.rs
+++ b/crates/edge/src/versions/mod.rs
@@ -1,49 +1,320 @@
 //! Software versions with which streams began. A stream is only continued at the version that began
 //! it.
-#![allow(dead_code)]
+//!
+//! An instance knows the origins of the streams that it carries, and those that others tell it with
+//! their load digests while several versions may be in use. While only one can have begun a stream,
+//! nothing else is needed; otherwise peers are asked.
 
+#![allow(
+    dead_code,
+    reason = "the requests that take up streams do not use it yet"
+)]
+
+mod ask;
+mod store;
+
+use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::Duration;
 
-use nutmegbay_policy::edge::software_versions::VersionTag;
-use nutmegbay_policy::edge::stream_origins::StreamOrigin;
+use nutmegbay_core::environment::MonotonicTime;
+use nutmegbay_policy::edge::software_versions::{VersionHistory, VersionTag};
+use nutmegbay_policy::edge::stream_origins::{
+    AttemptTag, Origin, OriginNews, ServiceTag, StreamOrigins,
+};
+use strum::IntoStaticStr;
+use tokio::sync::{Notify, Semaphore};
+use tokio::time::sleep;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::clock::millis;
 use crate::model::Service;
-use crate::platform_api::WireCodec;
+use crate::platform_api::{Store, WireCodec};
+use crate::settings::Bounds;
 use crate::state::EdgeState;
 
+pub use ask::{ORIGIN_PATH, answer};
+
+/// Age from which the list of instances is out of date: other instances may use upstreams that it
+/// lacks.
+const MAX_LIST_AGE: Duration = Duration::from_secs(4);
+
+/// Time between two checks for versions that are no longer in use and for a list that is out of
+/// date.
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Maximum number of streams about which peers are asked at the same time.
+const MAX_QUESTIONS: usize = 32;
+
+/// Software versions and origins of streams known to this process.
+pub struct Versions {
+    by_service: BTreeMap<Box<str>, ServiceVersions>,
+    origins: StreamOrigins,
+    /// Whether the whole list of instances was received once.
+    has_list: bool,
+    /// Notified when the versions may have to be read from the store or written to it.
+    changed: Rc<Notify>,
+    questions: Rc<Semaphore>,
+}
+
+impl Default for Versions {
+    fn default() -> Self {
+        Self {
+            by_service: BTreeMap::new(),
+            origins: StreamOrigins::default(),
+            has_list: false,
+            changed: Rc::default(),
+            questions: Rc::new(Semaphore::new(MAX_QUESTIONS)),
+        }
+    }
+}
+
+impl Versions {
+    /// Returns the notification that is sent when the versions may have to be read from the store
+    /// or written to it.
+    pub fn changed(&self) -> Rc<Notify> {
+        Rc::clone(&self.changed)
+    }
+
+    /// Returns the origins that are due to be sent to the peers.
+    pub fn take_news(&mut self, now: MonotonicTime) -> Vec<OriginNews> {
+        self.origins.take_news(now)
+    }
+
+    fn tagged(&mut self, service: ServiceTag) -> Option<&mut ServiceVersions> {
+        self.by_service.values_mut().find(|s| s.tag == service)
+    }
+
+    /// Applies `change` to the history of a service. If another version is in use from then on, or
+    /// may be, the streams of this process are told to the peers. Returns whether that holds after
+    /// the change.
+    fn update(
+        &mut self,
+        service: ServiceTag,
+        now: MonotonicTime,
+        change: impl FnOnce(&mut ServiceVersions) -> bool,
+    ) -> bool {
+        let Some(known) = self.tagged(service) else {
+            return true;
+        };
+        let was_mixed = known.history.is_mixed();
+        let has_new = change(known);
+        let is_mixed = known.history.is_mixed();
+        if was_mixed != is_mixed || has_new {
+            tracing::info!(
+                event = "software_versions",
+                service = %known.name,
+                versions = known.history.len(),
+                complete = known.history.is_complete(),
+                mixed = is_mixed,
+                observed_ms = millis(known.history.observed_for(now)),
+            );
+        }
+        if is_mixed && (!was_mixed || has_new) {
+            self.origins.tell_all(service, now);
+        }
+        is_mixed
+    }
+}
+
+/// Software versions of one service.
+struct ServiceVersions {
+    name: Box<str>,
+    tag: ServiceTag,
+    history: VersionHistory,
+    /// Longest retention since the service is known: a stream may have begun before a change of the
+    /// configuration.
+    retention: Duration,
+}
+
 /// Returns the tag of a version's name.
 pub fn version_tag(name: &str) -> VersionTag {
     VersionTag(xxh3_64(name.as_bytes()) as u32)
 }
 
+fn service_tag(name: &str) -> ServiceTag {
+    ServiceTag(xxh3_64(name.as_bytes()) as u32)
+}
+
+fn attempt_tag(id: &str) -> AttemptTag {
+    AttemptTag(xxh3_64(id.as_bytes()))
+}
+
+/// Returns the time after the last listing of an upstream until a stream that it began can no
+/// longer be taken up. The upstream still gets requests for [`Bounds::drain`], its streams last for
+/// `timeout`, and so does the attempt that takes them up.
+fn retention(bounds: &Bounds, timeout: Duration) -> Duration {
+    bounds.drain + timeout * 2
+}
+
 /// Records that a stream of this process began with `attempt`, or that its caller took it up.
 pub fn record_origin<D: WireCodec>(
     state: &EdgeState<D>,
-    _service: &str,
+    service: &str,
     attempt: &str,
     version: VersionTag,
 ) {
-    let origin = StreamOrigin {
-        attempt: xxh3_64(attempt.as_bytes()),
+    let now = state.now();
+    let origin = Origin {
+        service: service_tag(service),
         version,
     };
+    let mut versions = state.versions.borrow_mut();
+    let is_mixed = versions.update(origin.service, now, |known| {
+        known.history.record_used(version, now)
+    });
+    let attempt = attempt_tag(attempt);
+    versions.origins.record_own(attempt, origin, is_mixed, now);
+    if is_mixed {
+        state.fleet.borrow().load_changed.notify_one();
+    }
+}
+
+/// Records the versions of the known upstreams, and drops what is no longer needed. To be called
+/// after each update of the list of instances.
+pub fn record_listed<D: WireCodec>(state: &EdgeState<D>) {
+    let Some(table) = state.routes.borrow().clone() else {
+        return;
+    };
     let now = state.now();
-    state.origins.borrow_mut().record_own(origin, true, now);
+    let bounds = state.settings().bounds;
+    let list_age = {
+        let known_records = state.known_records.borrow();
+        let has_read = known_records.reads.instances > 0;
+        let mut versions = state.versions.borrow_mut();
+        versions.has_list |= has_read || state.is_relayed();
+        versions.has_list.then(|| known_records.instances_age(now))
+    };
+    let is_current = list_age.is_some_and(|age| age < MAX_LIST_AGE);
+    let fleet = state.fleet.borrow();
+    let mut versions = state.versions.borrow_mut();
+    versions
+        .by_service
+        .retain(|service, _| table.stream_timeout(service).is_some());
+    for (service, timeout) in table.stream_timeouts() {
+        let tag = service_tag(service);
+        if !versions.by_service.contains_key(service) {
+            let known = ServiceVersions {
+                name: service.into(),
+                tag,
+                history: VersionHistory::default(),
+                retention: Duration::ZERO,
+            };
+            versions.by_service.insert(service.into(), known);
+        }
+        versions.update(tag, now, |known| {
+            known.retention = known.retention.max(retention(&bounds, timeout));
+            let listed = fleet.listed_versions(service);
+            let has_new = known.history.record_listed(listed, is_current, now);
+            known.history.sweep(known.retention, now);
+            has_new
+        });
+    }
+    let retentions = versions.by_service.values().map(|known| known.retention);
+    let longest = retentions.max().unwrap_or_default();
+    versions.origins.sweep(longest, now);
+    versions.changed.notify_one();
 }
 
-/// Records the versions of the known upstreams. To be called after each update of the list of
-/// instances.
-pub fn record_listed<D: WireCodec>(_state: &EdgeState<D>) {}
+/// Keeps the versions up to date, also while the list is not updated, for as long as the process
+/// runs.
+pub async fn run<D: WireCodec, S: Store>(state: Rc<EdgeState<D>>, store: S) {
+    let check = async {
+        loop {
+            sleep(CHECK_INTERVAL).await;
+            record_listed(&state);
+        }
+    };
+    tokio::join!(check, store::synchronize(Rc::clone(&state), store));
+}
+
+/// Applies the origins that a peer has sent. `is_relay` states whether this process passes them on.
+pub fn merge<D: WireCodec>(state: &EdgeState<D>, news: &[OriginNews], is_relay: bool) {
+    let now = state.now();
+    let mut versions = state.versions.borrow_mut();
+    for origins in news {
+        if !versions.origins.merge(origins, is_relay, now) {
+            continue;
+        }
+        let Origin { service, version } = origins.origin;
+        versions.update(service, now, |known| {
+            known.history.record_used(version, now)
+        });
+        if is_relay {
+            state.fleet.borrow().load_changed.notify_one();
+        }
+    }
+}
+
+/// How this process knows the version that began a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+enum Source {
+    /// It carried the stream.
+    Own,
+    /// The instance that carried the stream told the others.
+    News,
+    /// No other version can have begun it.
+    Only,
+    /// A peer answered a question.
+    Peer,
+    /// It does not know the version.
+    Unknown,
+}
 
 /// Returns the version at which the stream that began with `attempt` may be continued, or `None` if
 /// it is not known.
-#[expect(clippy::unused_async, reason = "peers will be asked")]
 pub async fn version_to_continue<D: WireCodec>(
     state: &Rc<EdgeState<D>>,
-    _service: &Service,
+    service: &Service,
     attempt: Option<&str>,
 ) -> Option<VersionTag> {
-    let attempt = xxh3_64(attempt?.as_bytes());
-    state.origins.borrow().version(attempt)
+    let began = state.now();
+    let tag = attempt.map(attempt_tag);
+    let (mut source, mut version, mut age) = known_version(state, service, tag);
+    if version.is_none()
+        && let Some(tag) = tag
+        && let Some(reply) = ask::ask(state, tag).await
+    {
+        (source, version) = (Source::Peer, Some(reply));
+        age = state.now().since(began);
+    }
+    let versions = state.versions.borrow();
+    let known = versions.by_service.get(&service.name);
+    tracing::info!(
+        event = "stream_taken_up",
+        attempt = attempt.unwrap_or_default(),
+        service = %service.name,
+        version = version.map(|version| version.0),
+        source = <&str>::from(source),
+        versions = known.map(|known| known.history.len()),
+        complete = known.is_some_and(|known| known.history.is_complete()),
+        age_ms = millis(age),
+    );
+    version
+}
+
+/// Returns the version that began a stream as far as this process knows, and the age of that
+/// knowledge.
+fn known_version<D: WireCodec>(
+    state: &EdgeState<D>,
+    service: &Service,
+    attempt: Option<AttemptTag>,
+) -> (Source, Option<VersionTag>, Duration) {
+    let now = state.now();
+    let versions = state.versions.borrow();
+    if let Some(known) = attempt.and_then(|attempt| versions.origins.origin(attempt, now)) {
+        let source = if known.is_own {
+            Source::Own
+        } else {
+            Source::News
+        };
+        return (source, Some(known.version), known.age);
+    }
+    let known = versions.by_service.get(&service.name);
+    let observed = known.map_or(Duration::ZERO, |known| known.history.observed_for(now));
+    match known.and_then(|known| known.history.only()) {
+        Some(only) => (Source::Only, Some(only), observed),
+        None => (Source::Unknown, None, observed),
+    }
 }
--- /dev/null
+++ b/crates/edge/src/versions/store.rs
@@ -0,0 +1,191 @@
+//! Keeps the versions of each service in the store: all processes may end at once.
+//!
+//! Writes are conditional, since one without a response may take effect later.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use nutmegbay_core::position::Position;
+use nutmegbay_policy::edge::software_versions::StoredVersion;
+use serde::{Deserialize, Serialize};
+use tokio::time::sleep;
+
+use super::Versions;
+use crate::follow::{DependencyStatus, NewestRecords};
+use crate::metrics::increment;
+use crate::platform_api::{Store, StoreError, Topic, WireCodec};
+use crate::state::EdgeState;
+
+/// Time between two reads while the store may have lost versions in a restore that others still
+/// know.
+const CONFIRM_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Maximum pause after a write that another process has preceded, per running process.
+const CONFLICT_PAUSE_PER_PROCESS: Duration = Duration::from_millis(10);
+
+/// Versions of one service as stored.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+struct StoredSet {
+    /// Era of the store in which the set was written.
+    era: u64,
+    versions: Vec<StoredVersion>,
+}
+
+/// Contents of the topic as last read, with the writes of this process since.
+#[derive(Debug, Default)]
+struct StoredSets {
+    by_service: HashMap<Box<str>, StoredSet>,
+    end: Position,
+}
+
+/// Set that has to be written.
+struct NextWrite {
+    service: Box<str>,
+    set: StoredSet,
+}
+
+/// Reads the versions when this process lacks those of before its start, and writes them when they
+/// change, for as long as the process runs.
+pub async fn synchronize<D: WireCodec, S: Store>(state: Rc<EdgeState<D>>, store: S) {
+    let mut store_status = DependencyStatus::new("store_versions");
+    let mut sets: Option<StoredSets> = None;
+    let changed = state.versions.borrow().changed();
+    loop {
+        let known = sets
+            .as_ref()
+            .filter(|known| known.end.era == state.store_era());
+        let write = known.and_then(|known| next_write(&state, known));
+        let call = if needs_read(&state, known.is_some()) {
+            read(&state, &store).await.map(|read| sets = Some(read))
+        } else if let (Some(NextWrite { service, set }), Some(known)) = (write, &mut sets) {
+            let written = append(&state, &store, &service, &set, known.end).await;
+            written.map(|end| {
+                known.end = end;
+                known.by_service.insert(service, set);
+            })
+        } else {
+            changed.notified().await;
+            continue;
+        };
+        match call {
+            Ok(()) => {
+                store_status.record_success(state.now());
+                if needs_earlier(&state) {
+                    sleep(CONFIRM_INTERVAL).await;
+                }
+            }
+            Err(error) => {
+                // The call may still take effect, or another process has written.
+                sets = None;
+                if error == StoreError::Conflict {
+                    sleep(conflict_pause(&state).mul_f64(rand::random())).await;
+                    continue;
+                }
+                increment(&state.metrics.store_failures);
+                let pause = store_status.record_failure(state.now(), &error);
+                state.store_backoff(pause).await;
+            }
+        }
+    }
+}
+
+/// Returns the maximum pause after another process has written. The processes see a change of the
+/// list at about the same time.
+fn conflict_pause<D: WireCodec>(state: &EdgeState<D>) -> Duration {
+    let processes = u32::try_from(state.process_count()).unwrap_or(u32::MAX);
+    CONFLICT_PAUSE_PER_PROCESS.saturating_mul(processes)
+}
+
+fn needs_earlier<D: WireCodec>(state: &EdgeState<D>) -> bool {
+    let versions = state.versions.borrow();
+    let mut known = versions.by_service.values();
+    known.any(|known| known.history.needs_earlier())
+}
+
+/// Returns whether the topic has to be read: for the versions of before the start, or for its end,
+/// which the writes of this process depend on.
+fn needs_read<D: WireCodec>(state: &EdgeState<D>, is_known: bool) -> bool {
+    let has_services = !state.versions.borrow().by_service.is_empty();
+    needs_earlier(state) || (!is_known && has_services && !state.is_relayed())
+}
+
+/// Returns a set that has to be written, unless another process reads the store for this one.
+fn next_write<D: WireCodec>(state: &EdgeState<D>, sets: &StoredSets) -> Option<NextWrite> {
+    if state.is_relayed() {
+        return None;
+    }
+    let now = state.now();
+    let era = state.store_era();
+    let versions = state.versions.borrow();
+    versions.by_service.values().find_map(|known| {
+        let stored = sets.by_service.get(&known.name);
+        let stored = stored.filter(|stored| stored.era == era);
+        let stored = stored.map_or(&[][..], |stored| &stored.versions);
+        let versions = known.history.replacement(stored, known.retention, now)?;
+        Some(NextWrite {
+            service: known.name.clone(),
+            set: StoredSet { era, versions },
+        })
+    })
+}
+
+/// Reads all sets, and records the versions of before the start of this process.
+async fn read<D: WireCodec, S: Store>(
+    state: &EdgeState<D>,
+    store: &S,
+) -> Result<StoredSets, StoreError> {
+    let as_of = state.now();
+    let newest = NewestRecords::read(state, store, Topic::Versions).await?;
+    let end = newest.end.unwrap_or_default();
+    let mut by_service = HashMap::new();
+    for record in newest.records {
+        let Some(value) = &record.value else { continue };
+        match serde_json::from_slice::<StoredSet>(value) {
+            Ok(set) => {
+                by_service.insert(record.key, set);
+            }
+            Err(error) => {
+                tracing::warn!(event = "versions_unreadable", service = %record.key, %error);
+            }
+        }
+    }
+    let now = state.now();
+    let mut versions = state.versions.borrow_mut();
+    let Versions {
+        by_service: known, ..
+    } = &mut *versions;
+    for known in known.values_mut() {
+        let unwritten = StoredSet::default();
+        let set = by_service.get(&known.name).unwrap_or(&unwritten);
+        // A set of an earlier era may lack what was written after the store was copied.
+        let is_complete = set.era == end.era;
+        let history = &mut known.history;
+        history.record_earlier(&set.versions, is_complete, as_of, now);
+        history.sweep(known.retention, now);
+    }
+    Ok(StoredSets { by_service, end })
+}
+
+/// Writes a set if the topic still ends at `end`. Returns the new end.
+async fn append<D: WireCodec, S: Store>(
+    state: &EdgeState<D>,
+    store: &S,
+    service: &str,
+    set: &StoredSet,
+    end: Position,
+) -> Result<Position, StoreError> {
+    let value = match serde_json::to_vec(set) {
+        Ok(value) => value,
+        Err(error) => {
+            tracing::error!(event = "versions_not_encoded", %error);
+            return Ok(end);
+        }
+    };
+    state.metrics.count_store_call(Topic::Versions);
+    let at = store
+        .append(Topic::Versions, service, &value, Some(end))
+        .await?;
+    state.observe_store_era(at.era, Topic::Versions.into());
+    Ok(at.next())
+}
--- a/crates/policy/src/edge/software_versions.rs
+++ b/crates/policy/src/edge/software_versions.rs
@@ -11,21 +11,38 @@
 use nutmegbay_core::environment::MonotonicTime;
 use serde::{Deserialize, Serialize};
 
-/// Maximum number of versions of one service that are remembered. Beyond it, the oldest one is
-/// dropped, and the history counts as incomplete.
+/// Maximum number of versions of one service that are remembered. Beyond it, the one that has been
+/// out of use for the longest time is dropped: it would be dropped before the others anyway.
 const MAX_VERSIONS: usize = 16;
 
+/// Number of steps in which the age of a version that is out of use is written to the store.
+const AGE_STEPS: u32 = 2;
+
+/// Maximum difference between the times at which two instances see a change of the list.
+const MAX_LIST_LAG: Duration = Duration::from_secs(4);
+
 /// Version of an upstream's software. It is only compared.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct VersionTag(pub u32);
 
+/// Version of a service's software as written to the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoredVersion {
+    /// Version.
+    pub version: VersionTag,
+    /// Time for which it had been out of use when it was written, in milliseconds.
+    pub unused_ms: u64,
+}
+
 /// Versions of one service's software that were in use recently.
 #[derive(Debug, Clone, Default)]
 pub struct VersionHistory {
     versions: Vec<Known>,
-    /// Time from which on every version in use is known.
-    complete_from: Option<MonotonicTime>,
+    /// Versions that have been out of use for long enough, to be removed from the store.
+    dropped: Vec<Known>,
+    /// Time from which on the list of upstreams has been current without a gap.
+    current_from: Option<MonotonicTime>,
     /// Whether the versions from before that time are known too.
     knows_earlier: bool,
 }
@@ -33,52 +50,93 @@
 #[derive(Debug, Clone, Copy)]
 struct Known {
     version: VersionTag,
-    /// Time at which an upstream of the version was last listed, or the version was read from the
-    /// store.
-    seen_at: MonotonicTime,
+    at: MonotonicTime,
+    /// Time for which the version had been out of use at `at`.
+    unused: Duration,
+}
+
+impl Known {
+    fn unused(&self, now: MonotonicTime) -> Duration {
+        self.unused.saturating_add(now.since(self.at))
+    }
 }
 
 impl VersionHistory {
-    /// Records the versions of all upstreams in the current list. Returns whether one is new.
+    /// Records the versions of all upstreams that this instance may use. `is_current` states
+    /// whether the list of upstreams is current; other instances may use upstreams that a list
+    /// lacks which is not. Returns whether one of the versions is new.
     pub fn record_listed(
         &mut self,
         listed: impl IntoIterator<Item = VersionTag>,
+        is_current: bool,
         now: MonotonicTime,
     ) -> bool {
-        self.complete_from.get_or_insert(now);
+        if is_current {
+            self.current_from.get_or_insert(now);
+        } else {
+            self.current_from = None;
+            self.knows_earlier = false;
+        }
         let mut has_new = false;
         for version in listed {
-            has_new |= self.record(version, now);
+            has_new |= self.record_used(version, now);
         }
         has_new
     }
 
-    /// Records the versions that may have been in use before this instance read its first list,
-    /// according to the store.
-    pub fn record_earlier(&mut self, earlier: &[VersionTag], now: MonotonicTime) {
-        for version in earlier {
-            self.record(*version, now);
+    /// Records that a stream began or went on at an upstream of this version, here or at another
+    /// instance. Returns whether the version is new.
+    pub fn record_used(&mut self, version: VersionTag, now: MonotonicTime) -> bool {
+        self.record(Known {
+            version,
+            at: now,
+            unused: Duration::ZERO,
+        })
+    }
+
+    /// Records the versions in the store, as read at `as_of` or later. `is_complete` is false if
+    /// the store may have lost some, so that they hold but others may be missing. Has no effect
+    /// if the earlier versions are known.
+    pub fn record_earlier(
+        &mut self,
+        earlier: &[StoredVersion],
+        is_complete: bool,
+        as_of: MonotonicTime,
+        now: MonotonicTime,
+    ) {
+        if self.knows_earlier {
+            return;
         }
-        self.knows_earlier = true;
+        for stored in earlier {
+            if self.find(stored.version).is_none() {
+                self.record(Known {
+                    version: stored.version,
+                    at: now,
+                    unused: Duration::from_millis(stored.unused_ms),
+                });
+            }
+        }
+        self.knows_earlier = is_complete && self.current_from.is_some_and(|from| from <= as_of);
     }
 
-    /// Drops versions that no listed upstream has had for `retention`: the longest time from the
-    /// last request to an upstream of a version until its stream can no longer be taken up.
+    /// Drops versions that have been out of use for `retention`: the longest time from the last
+    /// listing of an upstream of a version until the streams that it began can no longer be taken
+    /// up.
     pub fn sweep(&mut self, retention: Duration, now: MonotonicTime) {
-        self.versions
-            .retain(|known| now.since(known.seen_at) < retention);
-        if self.observed_for(now) >= retention {
+        self.dropped
+            .retain(|known| known.unused(now) < retention * 2);
+        let dropped = self
+            .versions
+            .extract_if(.., |known| known.unused(now) >= retention);
+        self.dropped.extend(dropped);
+        if self
+            .current_from
+            .is_some_and(|from| now.since(from) >= retention)
+        {
             self.knows_earlier = true;
         }
     }
 
-    /// Returns the versions with which a stream that can still be taken up may have begun, in order.
-    pub fn possible(&self) -> Vec<VersionTag> {
-        let mut versions: Vec<_> = self.versions.iter().map(|known| known.version).collect();
-        versions.sort_unstable();
-        versions
-    }
-
     /// Returns the version with which every stream began that can still be taken up, or `None` if
     /// there may be several.
     pub fn only(&self) -> Option<VersionTag> {
@@ -90,7 +148,12 @@
 
     /// Returns whether all versions are known with which such a stream may have begun.
     pub fn is_complete(&self) -> bool {
-        self.complete_from.is_some() && self.knows_earlier
+        self.current_from.is_some() && self.knows_earlier
+    }
+
+    /// Returns whether the earlier versions have to be read from the store.
+    pub fn needs_earlier(&self) -> bool {
+        self.current_from.is_some() && !self.knows_earlier
     }
 
     /// Returns whether it matters with which version a stream begins: another one is in use, or may
@@ -99,31 +162,83 @@
         self.only().is_none()
     }
 
-    /// Returns the time for which this instance has known the list of upstreams.
+    /// Number of known versions with which such a stream may have begun.
+    pub fn len(&self) -> usize {
+        self.versions.len()
+    }
+
+    /// Whether no version is known.
+    pub fn is_empty(&self) -> bool {
+        self.versions.is_empty()
+    }
+
+    /// Returns the time for which the list of upstreams has been current.
     pub fn observed_for(&self, now: MonotonicTime) -> Duration {
-        self.complete_from
+        self.current_from
             .map_or(Duration::ZERO, |from| now.since(from))
     }
 
-    /// Returns whether the version was not known.
-    fn record(&mut self, version: VersionTag, now: MonotonicTime) -> bool {
-        let known = self
+    /// Returns the versions to be written to the store in place of `stored`, or `None` if it need
+    /// not be replaced. Versions that only others know yet are kept. An instance that has restarted learns from them for how long a version has
+    /// been out of use, so that instances which restart one after another do not keep it forever.
+    pub fn replacement(
+        &self,
+        stored: &[StoredVersion],
+        retention: Duration,
+        now: MonotonicTime,
+    ) -> Option<Vec<StoredVersion>> {
+        if !self.is_complete() {
+            return None;
+        }
+        let step = retention / AGE_STEPS;
+        let lag = MAX_LIST_LAG.min(step);
+        let is_covered = |known: &Known| {
+            let stored = stored.iter().find(|s| s.version == known.version);
+            // One that is missing may have just been dropped by another instance.
+            let stored = stored.map_or(retention, |s| Duration::from_millis(s.unused_ms));
+            let unused = known.unused(now);
+            unused.saturating_add(lag) > stored && unused < stored.saturating_add(step)
+        };
+        let is_dropped =
+            |s: &&StoredVersion| self.dropped.iter().any(|known| known.version == s.version);
+        if self.versions.iter().all(is_covered) && !stored.iter().any(|s| is_dropped(&s)) {
+            return None;
+        }
+        let of_others = stored
+            .iter()
+            .filter(|s| self.find(s.version).is_none() && !is_dropped(s));
+        let mut versions: Vec<_> = self
             .versions
-            .iter_mut()
-            .find(|known| known.version == version);
-        if let Some(known) = known {
-            known.seen_at = known.seen_at.max(now);
+            .iter()
+            .map(|known| StoredVersion {
+                version: known.version,
+                unused_ms: u64::try_from(known.unused(now).as_millis()).unwrap_or(u64::MAX),
+            })
+            .chain(of_others.copied())
+            .collect();
+        versions.sort_unstable_by_key(|stored| stored.version);
+        Some(versions)
+    }
+
+    fn find(&self, version: VersionTag) -> Option<&Known> {
+        self.versions.iter().find(|known| known.version == version)
+    }
+
+    /// Returns whether the version was not known.
+    fn record(&mut self, new: Known) -> bool {
+        self.dropped.retain(|known| known.version != new.version);
+        let mut versions = self.versions.iter_mut();
+        if let Some(known) = versions.find(|known| known.version == new.version) {
+            *known = new;
             return false;
         }
-        if self.versions.len() >= MAX_VERSIONS {
-            self.versions.remove(0);
-            self.knows_earlier = false;
-            self.complete_from = Some(now);
+        self.versions.push(new);
+        if self.versions.len() > MAX_VERSIONS {
+            let unused = |at: &usize| self.versions[*at].unused(new.at);
+            if let Some(oldest) = (0..self.versions.len()).max_by_key(unused) {
+                self.versions.remove(oldest);
+            }
         }
-        self.versions.push(Known {
-            version,
-            seen_at: now,
-        });
         true
     }
 }
--- a/crates/policy/src/edge/stream_origins.rs
+++ b/crates/policy/src/edge/stream_origins.rs
@@ -6,7 +6,7 @@
 //! use. What it carries itself, it remembers at all times, since a second version may appear while
 //! the stream is open.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
 
 use nutmegbay_core::environment::MonotonicTime;
@@ -25,39 +25,73 @@
 /// for what they lack.
 const MAX_WAITING: usize = 4 * 1024;
 
-/// Time after its arrival at which a piece of news is sent again, since datagrams may be lost.
+/// Time after which a piece of news is sent again, since datagrams may be lost.
 const REPEAT_AFTER: Duration = Duration::from_millis(40);
 
-/// Attempt whose stream began, as sent between instances.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct StreamOrigin {
-    /// Hash of the id of the caller's attempt that brought the first event.
-    pub attempt: u64,
-    /// Version that began the stream.
+/// Time from which an attempt that is told again counts as news: its stream was taken up. Until
+/// then it is a repeat, and not forwarded.
+const REFRESH_AFTER: Duration = Duration::from_secs(1);
+
+/// Service, given by a hash of its name.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ServiceTag(pub u32);
+
+/// Attempt of a caller that brought the first event of a stream, given by a hash of its id.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AttemptTag(pub u64);
+
+/// What began a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Origin {
+    /// Service of the upstream.
+    pub service: ServiceTag,
+    /// Version of the upstream.
     pub version: VersionTag,
 }
 
+/// Streams with one origin, as sent between instances.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OriginNews {
+    /// What began them.
+    pub origin: Origin,
+    /// Attempts whose streams they are, as bytes, which take less space than random integers.
+    attempts: Vec<[u8; 8]>,
+}
+
 /// Versions with which streams began.
 #[derive(Debug, Default)]
 pub struct StreamOrigins {
-    by_attempt: HashMap<u64, Known>,
+    by_attempt: HashMap<AttemptTag, Known>,
     /// Attempts in the order in which they were recorded. One that was recorded again stands there
     /// more than once.
-    order: VecDeque<(MonotonicTime, u64)>,
+    order: VecDeque<(MonotonicTime, AttemptTag)>,
     waiting: VecDeque<Waiting>,
 }
 
 #[derive(Debug, Clone, Copy)]
 struct Known {
-    version: VersionTag,
+    origin: Origin,
     at: MonotonicTime,
     /// Whether this instance carried the stream.
     is_own: bool,
 }
 
+/// Origin known to this instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct KnownOrigin {
+    /// Version that began the stream.
+    pub version: VersionTag,
+    /// Whether this instance carried the stream.
+    pub is_own: bool,
+    /// Time since this was recorded.
+    pub age: Duration,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Waiting {
-    origin: StreamOrigin,
+    attempt: AttemptTag,
+    origin: Origin,
     since: MonotonicTime,
     is_repeat: bool,
 }
@@ -65,78 +99,97 @@
 impl StreamOrigins {
     /// Records that a stream of this instance began, or was taken up by its caller. It is told to
     /// the others if `is_mixed`, that is, while several versions may be in use.
-    pub fn record_own(&mut self, origin: StreamOrigin, is_mixed: bool, now: MonotonicTime) {
-        self.record(origin, true, now);
+    pub fn record_own(
+        &mut self,
+        attempt: AttemptTag,
+        origin: Origin,
+        is_mixed: bool,
+        now: MonotonicTime,
+    ) {
+        let origin = self.record(attempt, origin, true, now);
         if is_mixed {
-            self.tell(origin, now);
+            self.tell(attempt, origin, now);
         }
     }
 
-    /// Tells the others of all streams that this instance has carried. To be called when a second
-    /// version appears.
-    pub fn tell_all(&mut self, now: MonotonicTime) {
-        let own: Vec<_> = self
-            .by_attempt
-            .iter()
-            .filter(|(_, known)| known.is_own)
-            .map(|(attempt, known)| StreamOrigin {
-                attempt: *attempt,
-                version: known.version,
-            })
-            .collect();
-        for origin in own {
-            self.tell(origin, now);
+    /// Tells the others of all streams of `service` that this instance has carried, the latest ones
+    /// last. To be called when a second version appears.
+    pub fn tell_all(&mut self, service: ServiceTag, now: MonotonicTime) {
+        let is_told = |(at, attempt): &(MonotonicTime, AttemptTag)| {
+            let known = self.by_attempt.get(attempt)?;
+            let is_told = known.is_own && known.at == *at && known.origin.service == service;
+            is_told.then_some((*attempt, known.origin))
+        };
+        let own: Vec<_> = self.order.iter().filter_map(is_told).collect();
+        for (attempt, origin) in own {
+            self.tell(attempt, origin, now);
         }
     }
 
-    /// Records what another instance tells. `is_forwarded` states whether this instance passes it
-    /// on.
-    pub fn merge(&mut self, news: &[StreamOrigin], is_forwarded: bool, now: MonotonicTime) {
-        for origin in news {
-            let is_known = self.by_attempt.contains_key(&origin.attempt);
-            if !is_known {
-                self.record(*origin, false, now);
+    /// Records what another instance tells: streams that began, or that were taken up again.
+    /// `is_forwarded` states whether this instance passes it on. Returns whether it was news.
+    pub fn merge(&mut self, news: &OriginNews, is_forwarded: bool, now: MonotonicTime) -> bool {
+        let mut has_new = false;
+        for attempt in &news.attempts {
+            let attempt = AttemptTag(u64::from_le_bytes(*attempt));
+            let known = self.by_attempt.get(&attempt);
+            if known.is_some_and(|known| now.since(known.at) < REFRESH_AFTER) {
+                continue;
             }
-            if is_forwarded && !is_known {
-                self.tell(*origin, now);
+            has_new = true;
+            let origin = self.record(attempt, news.origin, false, now);
+            if is_forwarded {
+                self.tell(attempt, origin, now);
             }
         }
+        has_new
     }
 
-    /// Returns the version that began the stream of an attempt, or `None` if it is not known.
-    pub fn version(&self, attempt: u64) -> Option<VersionTag> {
-        self.by_attempt.get(&attempt).map(|known| known.version)
+    /// Returns what is known of the stream of an attempt.
+    pub fn origin(&self, attempt: AttemptTag, now: MonotonicTime) -> Option<KnownOrigin> {
+        let known = self.by_attempt.get(&attempt)?;
+        Some(KnownOrigin {
+            version: known.origin.version,
+            is_own: known.is_own,
+            age: now.since(known.at),
+        })
     }
 
     /// Drops attempts whose streams can no longer be taken up: those recorded `retention` ago.
     pub fn sweep(&mut self, retention: Duration, now: MonotonicTime) {
         while let Some((at, _)) = self.order.front()
-            && (now.since(*at) >= retention || self.order.len() > MAX_ATTEMPTS)
+            && now.since(*at) >= retention
         {
             self.drop_oldest();
         }
     }
 
     /// Returns the news that are due, at most as many as fit into a datagram.
-    pub fn take_news(&mut self, now: MonotonicTime) -> Vec<StreamOrigin> {
-        let mut news = Vec::new();
+    pub fn take_news(&mut self, now: MonotonicTime) -> Vec<OriginNews> {
+        let mut news: BTreeMap<Origin, Vec<[u8; 8]>> = BTreeMap::new();
+        let mut taken = 0;
         let mut kept = VecDeque::new();
         for waiting in std::mem::take(&mut self.waiting) {
             let is_due = !waiting.is_repeat || now.since(waiting.since) >= REPEAT_AFTER;
-            if !is_due || news.len() >= MAX_NEWS {
+            if !is_due || taken >= MAX_NEWS {
                 kept.push_back(waiting);
                 continue;
             }
-            news.push(waiting.origin);
+            taken += 1;
+            let attempts = news.entry(waiting.origin).or_default();
+            attempts.push(waiting.attempt.0.to_le_bytes());
             if !waiting.is_repeat {
                 kept.push_back(Waiting {
                     is_repeat: true,
+                    since: now,
                     ..waiting
                 });
             }
         }
         self.waiting = kept;
-        news
+        news.into_iter()
+            .map(|(origin, attempts)| OriginNews { origin, attempts })
+            .collect()
     }
 
     /// Number of attempts that are remembered.
@@ -149,50 +202,48 @@
         self.by_attempt.is_empty()
     }
 
-    fn tell(&mut self, origin: StreamOrigin, now: MonotonicTime) {
+    fn tell(&mut self, attempt: AttemptTag, origin: Origin, now: MonotonicTime) {
         if self.waiting.len() >= MAX_WAITING {
             self.waiting.pop_front();
         }
         self.waiting.push_back(Waiting {
+            attempt,
             origin,
             since: now,
             is_repeat: false,
         });
     }
 
-    fn record(&mut self, origin: StreamOrigin, is_own: bool, now: MonotonicTime) {
+    /// Records an attempt. Returns its origin, which is the first one that was recorded.
+    fn record(
+        &mut self,
+        attempt: AttemptTag,
+        origin: Origin,
+        is_own: bool,
+        now: MonotonicTime,
+    ) -> Origin {
         if self.order.len() >= MAX_ATTEMPTS {
             self.drop_oldest();
         }
-        let known = self.by_attempt.entry(origin.attempt).or_insert(Known {
-            version: origin.version,
+        let known = self.by_attempt.entry(attempt).or_insert(Known {
+            origin,
             at: now,
             is_own,
         });
         known.at = now;
         known.is_own |= is_own;
-        self.order.push_back((now, origin.attempt));
+        let origin = known.origin;
+        self.order.push_back((now, attempt));
+        origin
     }
 
     fn drop_oldest(&mut self) {
         let Some((at, attempt)) = self.order.pop_front() else {
             return;
         };
-        if self
-            .by_attempt
-            .get(&attempt)
-            .is_some_and(|known| known.at <= at)
-        {
+        let known = self.by_attempt.get(&attempt);
+        if known.is_some_and(|known| known.at <= at) {
             self.by_attempt.remove(&attempt);
         }
     }
 }
-
-/// Returns the version at which a stream may be continued that began with `origin`, if that is
-/// known, while `only` is the one version with which it can have begun otherwise.
-pub fn version_to_continue(
-    origin: Option<VersionTag>,
-    only: Option<VersionTag>,
-) -> Option<VersionTag> {
-    origin.or(only)
-}
