--- a/crates/edge/src/fleet/mod.rs
+++ b/crates/edge/src/fleet/mod.rs
@@ -87,10 +87,11 @@
 
     /// Returns a hash that identifies this incarnation of the upstream.
     pub fn incarnation(&self) -> u64 {
-        xxh3_64_with_seed(
+        let start = xxh3_64_with_seed(
             self.id.as_bytes(),
             self.report.started_ms.unwrap_or_default(),
-        )
+        );
+        xxh3_64_with_seed(self.report.version.as_bytes(), start)
     }
 }
 
@@ -150,7 +151,8 @@
         {
             let is_same = upstream.report.started_ms == report.started_ms
                 && upstream.report.addr == report.addr
-                && upstream.report.service == report.service;
+                && upstream.report.service == report.service
+                && upstream.report.version == report.version;
             if is_same {
                 let is_change = upstream.report != report || upstream.expiry_grace_until.is_some();
                 if upstream.report.is_ready != report.is_ready
@@ -178,6 +180,7 @@
             addr = %report.addr,
             ready = report.is_ready,
             role = report.role.map(<&str>::from),
+            version = %report.version,
         );
         let domain = self.domain(&report.domain);
         let service = report.service.clone();
--- a/crates/edge/src/model.rs
+++ b/crates/edge/src/model.rs
@@ -176,6 +176,8 @@
     pub role: Option<EngineRole>,
     /// Start of this incarnation in milliseconds since 1970, if the entry contains it.
     pub started_ms: Option<u64>,
+    /// Version of the upstream's software. It is only compared.
+    pub version: Box<str>,
 }
 
 /// Decoded entry of the list of instances.
@@ -218,6 +220,11 @@
     pub deadline: Option<Duration>,
     /// Work requested from a model. `None` for a plain call.
     pub work: Option<ModelWork>,
+    /// Id of the caller's attempt that brought the first event of the stream to be continued, if
+    /// given.
+    pub resumes: Option<Box<str>>,
+    /// Id of the last event that the caller has of the stream to be continued, if given.
+    pub resume_after: Option<Box<str>>,
     /// Headers that are forwarded to the upstream unchanged.
     pub forwarded: HeaderMap,
 }
