Show that streams go on at another software version

The stand-in of an upstream can be listed with a software version, which it names in each event, so that a test reads from the caller's bytes which version wrote what. Callers take streams up with Resumes and Last-Event-Id, as often as a caller may.

--- a/crates/edge-bin/tests/common/mod.rs
+++ b/crates/edge-bin/tests/common/mod.rs
@@ -6,6 +6,7 @@
 pub mod proxy;
 pub mod relayed;
 pub mod store;
+pub mod versioned;
 pub mod worker;
 
 use std::cell::Cell;
@@ -13,7 +14,7 @@
 use std::io::ErrorKind;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::process::{Child, Command, Stdio};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use proxy::Proxy;
 use serde_json::{Value, json};
@@ -289,6 +290,16 @@
         self.store.put("keyed.servers", &format!("i-{n}"), &entry);
     }
 
+    /// Lists worker `n` as just started with a software version, which it names in its events.
+    pub fn list_version(&self, n: u16, version: &str) {
+        let mut entry = instance(self.listed_address(n), "ready");
+        entry["version"] = json!(version);
+        let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+        entry["born"] = json!(u64::try_from(started.as_millis()).unwrap());
+        self.store.put("keyed.servers", &format!("i-{n}"), &entry);
+        self.workers[usize::from(n)].set_version(version);
+    }
+
     fn listed_address(&self, n: u16) -> SocketAddr {
         let offset = if self.has_proxies {
             PROXY_PORT_OFFSET
--- /dev/null
+++ b/crates/edge-bin/tests/common/versioned.rs
@@ -0,0 +1,180 @@
+//! Streams whose events name the software version that wrote them, and a caller that keeps the
+//! events of a stream over its tries.
+
+use std::collections::BTreeSet;
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use super::body_end::{Close, EVENTS_BEFORE_CUT};
+use super::worker::{Action, EVENTS, header, stream_head};
+
+/// Time without a byte after which a caller leaves.
+const CALLER_IDLE_TIME: Duration = Duration::from_secs(4);
+
+/// Returns the event with number `n`.
+pub fn event(version: &str, n: u32) -> String {
+    format!("id: {n}\ndata: piece {n} of {version}\n\n")
+}
+
+/// Returns a stream's response to an action of a worker with a software version, or `None` if the
+/// version makes no difference.
+pub fn response(version: &str, action: Action, head: &str) -> Option<(String, Close)> {
+    let is_stream = head.split(' ').nth(1)?.starts_with("/stream/");
+    let (last, close) = match action {
+        _ if !is_stream || header(head, "x-serving-stage").is_some() => return None,
+        Action::Serve | Action::Stream => (EVENTS, Close::Fin),
+        Action::BreakAfter(last) => (last, Close::Fin),
+        Action::End(end) if end.close == Close::Silence => (EVENTS_BEFORE_CUT, Close::Silence),
+        _ => return None,
+    };
+    let after: u32 = header(head, "last-event-id").map_or(0, |id| id.parse().unwrap());
+    let mut text = stream_head(header(head, "x-attempt-id").unwrap_or_default());
+    for n in after + 1..=last {
+        let event = event(version, n);
+        write!(text, "{:x}\r\n{event}\r\n", event.len()).unwrap();
+    }
+    text += match close {
+        Close::Silence => "",
+        _ if last == EVENTS => "0\r\n\r\n",
+        _ => "5\r\nid: 9\r\n",
+    };
+    Some((text, close))
+}
+
+/// How an attempt of a caller ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// The stream ended with its last event.
+    Complete,
+    /// The response ended early, or there was none.
+    BrokenOff,
+    /// The response has this status, and no events.
+    Refused(u16),
+    /// The caller left because it had all the events that it wanted.
+    Left,
+}
+
+/// What a caller has of a stream.
+#[derive(Debug)]
+pub struct HeldStream {
+    /// Id of the only block of the prompt.
+    prompt: u32,
+    /// Id of the attempt that brought the first event.
+    origin: Option<String>,
+    /// Number and text of each event.
+    events: Vec<(u32, String)>,
+}
+
+impl HeldStream {
+    /// Returns a stream that has not begun, with a prompt of its own.
+    pub fn new() -> Self {
+        Self {
+            prompt: rand::random(),
+            origin: None,
+            events: Vec::new(),
+        }
+    }
+
+    /// Sends an attempt, which takes the stream up if there are events of it. Leaves once there are
+    /// `wanted` events, or reads until the end of the response.
+    pub async fn attempt(&mut self, at: SocketAddr, path: &str, wanted: Option<u32>) -> Outcome {
+        let id = format!("{:016x}", rand::random::<u64>());
+        let Ok(mut io) = TcpStream::connect(at).await else {
+            return Outcome::BrokenOff;
+        };
+        if io.write_all(self.head(path, &id).as_bytes()).await.is_err() {
+            return Outcome::BrokenOff;
+        }
+        let held = self.events.len();
+        let mut bytes = Vec::new();
+        loop {
+            let is_open = matches!(
+                timeout(CALLER_IDLE_TIME, io.read_buf(&mut bytes)).await,
+                Ok(Ok(1..))
+            );
+            let (status, text, is_complete) = parse(&bytes);
+            self.events.truncate(held);
+            self.events.extend(parse_events(&text));
+            if self.events.len() > held {
+                self.origin.get_or_insert(id.clone());
+            }
+            match status {
+                Some(200) if is_complete => return Outcome::Complete,
+                Some(status) if status != 200 => return Outcome::Refused(status),
+                _ if wanted.is_some_and(|n| self.last() >= n) => return Outcome::Left,
+                _ if !is_open => return Outcome::BrokenOff,
+                _ => {}
+            }
+        }
+    }
+
+    fn head(&self, path: &str, id: &str) -> String {
+        let taken_up = match &self.origin {
+            Some(origin) => format!("Resumes: {origin}\r\nLast-Event-Id: {}\r\n", self.last()),
+            None => String::new(),
+        };
+        let prompt = self.prompt;
+        format!(
+            "POST {path} HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: {id}\r\n\
+             X-Deadline-Ms: 3000\r\nX-Api-Key: k1\r\nX-Token-Counts: 60,5\r\n\
+             X-Prompt-Prefix: {prompt:x}:60\r\n{taken_up}Content-Length: 0\r\n\r\n"
+        )
+    }
+
+    fn last(&self) -> u32 {
+        self.events.last().map_or(0, |(n, _)| *n)
+    }
+
+    /// Returns the software versions that wrote the events.
+    pub fn versions(&self) -> BTreeSet<&str> {
+        let names = self.events.iter();
+        names
+            .filter_map(|(_, text)| text.rsplit_once(" of "))
+            .map(|(_, version)| version)
+            .collect()
+    }
+
+    /// Returns the numbers of the events.
+    pub fn numbers(&self) -> Vec<u32> {
+        self.events.iter().map(|(n, _)| *n).collect()
+    }
+}
+
+/// Returns the status, the body without its framing and whether the response is complete.
+fn parse(bytes: &[u8]) -> (Option<u16>, String, bool) {
+    let Some(end) = bytes.windows(4).position(|window| window == b"\r\n\r\n") else {
+        return (None, String::new(), false);
+    };
+    let head = std::str::from_utf8(&bytes[..end]).unwrap();
+    let status = head.split(' ').nth(1).unwrap().parse().ok();
+    let mut rest = &bytes[end + 4..];
+    let mut text = String::new();
+    while let Some(at) = rest.windows(2).position(|window| window == b"\r\n") {
+        let len = std::str::from_utf8(&rest[..at]).unwrap();
+        let len = usize::from_str_radix(len, 16).unwrap_or(usize::MAX);
+        match rest.get(at + 2..(at + 4).saturating_add(len)) {
+            Some(_) if len == 0 => return (status, text, true),
+            Some(chunk) => text += std::str::from_utf8(&chunk[..len]).unwrap(),
+            None => break,
+        }
+        rest = &rest[at + 4 + len..];
+    }
+    (status, text, false)
+}
+
+fn parse_events(text: &str) -> Vec<(u32, String)> {
+    let (whole, _) = text.rsplit_once("\n\n").unwrap_or_default();
+    let events = whole.split("\n\n").filter(|event| !event.is_empty());
+    events
+        .map(|event| {
+            let (id, data) = event.split_once('\n').unwrap();
+            let n = id.strip_prefix("id: ").unwrap().parse().unwrap();
+            (n, data.into())
+        })
+        .collect()
+}
--- a/crates/edge-bin/tests/common/worker.rs
+++ b/crates/edge-bin/tests/common/worker.rs
@@ -1,6 +1,7 @@
 //! A stand-in for an upstream, which responds with scripted bytes.
 
-use super::body_end::{self, BodyEnd};
+use super::body_end::{self, BodyEnd, Close};
+use super::versioned;
 use std::collections::VecDeque;
 use std::fmt::Write;
 use std::net::SocketAddr;
@@ -109,6 +110,8 @@
     is_leaving: bool,
     /// Value of `Retry-After` with which the worker refuses all requests.
     pause: Option<String>,
+    /// Software version that the worker names in the events of its streams.
+    version: Option<Box<str>>,
     /// Arrival times of its requests since the limit was set.
     arrivals: Vec<Instant>,
     /// Number of hung requests whose connection the edge closed.
@@ -227,6 +230,11 @@
         self.0.lock().unwrap().pause = pause.map(Into::into);
     }
 
+    /// Sets the software version that the worker names in the events of its streams.
+    pub fn set_version(&self, version: &str) {
+        self.0.lock().unwrap().version = Some(version.into());
+    }
+
     /// Returns the arrival times of requests since the limit was set.
     pub fn arrivals(&self) -> Vec<Instant> {
         self.0.lock().unwrap().arrivals.clone()
@@ -274,6 +282,19 @@
                 inner.crash.cancel();
                 return;
             }
+            let version = self.0.lock().unwrap().version.clone();
+            let stream = version.and_then(|name| versioned::response(&name, action, &head));
+            if let Some((text, close)) = stream {
+                let sent = io.write_all(text.as_bytes()).await;
+                if close == Close::Silence {
+                    // Returns when the edge closes the connection.
+                    let _ = io.read_u8().await;
+                }
+                if sent.is_err() || !text.ends_with("0\r\n\r\n") {
+                    return;
+                }
+                continue;
+            }
             let notices = self.0.lock().unwrap().notice_headers();
             let stays_open = respond(&mut io, action, &head, &notices, &mut last_refusal).await;
             if action == Action::Hang {
