Continue streams only at the version that began them

Callers got streams with events of two software versions, within one response and over several attempts, because nothing that chooses an upstream for the rest of a stream looked at its version.

The version now belongs to the stream. It is known from the first event on, and before any send for a caller that takes a stream up. Placement takes it as a filter ahead of its fallbacks, and every send checks it once more, also after the connection is open. Before its first event, a new stream may still be sent anywhere. Prefill and decode of one request take place at one version. A stream that cannot go on is refused at once, not run, with Retry-After.

--- a/crates/edge/src/fleet/in_flight.rs
+++ b/crates/edge/src/fleet/in_flight.rs
@@ -7,6 +7,7 @@
 use nutmegbay_core::environment::MonotonicTime;
 use nutmegbay_policy::UpstreamKey;
 use nutmegbay_policy::edge::health::Outcome;
+use nutmegbay_policy::edge::software_versions::VersionTag;
 use nutmegbay_policy::edge::urgency::Urgency;
 
 use super::Fleet;
@@ -81,6 +82,7 @@
     fleet: Rc<RefCell<Fleet>>,
     key: UpstreamKey,
     incarnation: u64,
+    version: Option<VersionTag>,
     demand: Demand,
     sent_at: MonotonicTime,
     predicted_ms: f64,
@@ -98,7 +100,7 @@
         now: MonotonicTime,
     ) -> Self {
         let mut predicted_ms = demand.cost_ms;
-        let (ahead, incarnation) = {
+        let (ahead, incarnation, version) = {
             let fleet = fleet.borrow();
             let upstream = fleet.get(key);
             upstream.map_or_else(Default::default, |up| {
@@ -106,6 +108,7 @@
                 (
                     fleet.ahead(up, demand.urgency, typical_requests, now),
                     up.incarnation(),
+                    Some(up.version()),
                 )
             })
         };
@@ -121,6 +124,7 @@
             fleet: Rc::clone(fleet),
             key,
             incarnation,
+            version,
             demand,
             sent_at: now,
             predicted_ms,
@@ -135,6 +139,11 @@
         self.incarnation
     }
 
+    /// Returns the version of that upstream, or `None` if the upstream was not known any more.
+    pub fn version(&self) -> Option<VersionTag> {
+        self.version
+    }
+
     /// Returns the time at which the request was sent.
     pub fn sent_at(&self) -> MonotonicTime {
         self.sent_at
--- a/crates/edge/src/fleet/limits.rs
+++ b/crates/edge/src/fleet/limits.rs
@@ -5,6 +5,7 @@
 use nutmegbay_core::environment::MonotonicTime;
 use nutmegbay_policy::UpstreamKey;
 use nutmegbay_policy::edge::limit_owners::LimitOwners;
+use nutmegbay_policy::edge::software_versions::VersionTag;
 use nutmegbay_policy::edge::upstream_limit::LimitNews;
 
 use super::{Fleet, Upstream};
@@ -132,15 +133,17 @@
         Some(wait.max(upstream.notices.pause_left(now)))
     }
 
-    /// Returns why no upstream of `service` gets requests now although some accept them, and the time
-    /// until one of them does, if that is known. Returns `None` if none accepts requests at all.
+    /// Returns why no upstream of `service`, and of `version` if it is given, gets requests now
+    /// although some accept them, and the time until one of them does, if that is known. Returns
+    /// `None` if none accepts requests at all.
     pub fn busy_cause(
         &self,
         service: &str,
+        version: Option<VersionTag>,
         now: MonotonicTime,
     ) -> Option<(&'static str, Option<Duration>)> {
         let keys = || {
-            self.service_keys(service)
+            self.keys_of_version(service, version)
                 .filter(|key| self.is_ready(*key, now) && !self.takes_work(*key, now))
         };
         keys().next()?;
--- a/crates/edge/src/fleet/mod.rs
+++ b/crates/edge/src/fleet/mod.rs
@@ -23,6 +23,7 @@
 use nutmegbay_policy::edge::placement::EnginePhase;
 use nutmegbay_policy::edge::prefill_rate::PrefillRate;
 use nutmegbay_policy::edge::prefixes::PrefixLocations;
+use nutmegbay_policy::edge::software_versions::VersionTag;
 use nutmegbay_policy::edge::upstream_limit::UpstreamLimit;
 use nutmegbay_policy::edge::urgency::Urgency;
 use slotmap::SlotMap;
@@ -32,6 +33,7 @@
 use crate::http1::{Connection, IdleConnections};
 use crate::members::member_hash;
 use crate::model::{EngineRole, InstanceReport, ModelWork};
+use crate::versions::version_tag;
 
 use costs::{INITIAL_MEAN_MS, ServiceCosts, costs_mut};
 pub use in_flight::{Demand, InFlightSend, PrefillWait};
@@ -51,6 +53,8 @@
     pub id: Box<str>,
     /// Its entry in the list of instances.
     pub report: InstanceReport,
+    /// Version of its software.
+    version: VersionTag,
     /// Estimate of the work queued at the upstream.
     pub load: UpstreamLoad,
     /// Health, as observed by this process's requests.
@@ -186,6 +190,7 @@
         let service = report.service.clone();
         let key = self.upstreams.insert(Upstream {
             id: id.into(),
+            version: version_tag(&report.version),
             hash: xxh3_64(id.as_bytes()),
             domain,
             load: UpstreamLoad::new(INITIAL_MEAN_MS),
--- a/crates/edge/src/fleet/placement.rs
+++ b/crates/edge/src/fleet/placement.rs
@@ -9,6 +9,7 @@
     place_plain, stream_host_count,
 };
 use nutmegbay_policy::edge::prefixes::{EvidenceSource, rendezvous_weight, top_two_ranks};
+use nutmegbay_policy::edge::software_versions::VersionTag;
 use nutmegbay_policy::edge::urgency::Urgency;
 
 use super::{Fleet, is_long};
@@ -33,6 +34,8 @@
     pub body_bytes: usize,
     /// Upstreams to which the request was sent before.
     pub tried: &'a [UpstreamKey],
+    /// Version of the only upstreams that may run the request. `None` if any may.
+    pub version: Option<VersionTag>,
 }
 
 impl Fleet {
@@ -52,6 +55,7 @@
             objective,
             body_bytes,
             tried,
+            version,
         } = req;
         let shared = work.shared_blocks();
         let shared_tokens: u32 = shared.iter().map(|block| block.tokens).sum();
@@ -82,7 +86,7 @@
             whole_lateness_ms: lateness_ms(false),
             split_lateness_ms: lateness_ms(true),
         };
-        let candidates = self.candidates(&service.name, tried, now);
+        let candidates = self.candidates(&service.name, tried, version, now);
         let stream_hosts = self.stream_hosts(service, engine, &candidates, instances);
         let ranked = self.prefix_ranks(
             &candidates,
@@ -109,6 +113,7 @@
                 Engine {
                     key: *key,
                     phase: upstream.phase(),
+                    version: upstream.version(),
                     domain: upstream.domain,
                     backlog_ms: ahead.backlog_ms,
                     requests: ahead.requests,
@@ -151,15 +156,17 @@
         decoding
     }
 
-    /// Chooses an upstream of a plain service. Returns it with the predicted wait in milliseconds.
+    /// Chooses an upstream of a plain service, of `version` if it is given. Returns it with the
+    /// predicted wait in milliseconds.
     pub fn place_plain(
         &self,
         service: &Service,
         tried: &[UpstreamKey],
+        version: Option<VersionTag>,
         now: MonotonicTime,
     ) -> Option<(UpstreamKey, f64)> {
         let upstreams: Vec<_> = self
-            .candidates(&service.name, tried, now)
+            .candidates(&service.name, tried, version, now)
             .into_iter()
             .map(|key| {
                 let upstream = &self.upstreams[key];
@@ -191,16 +198,17 @@
         })
     }
 
-    /// Returns the upstreams that accept new requests. Upstreams that were tried, or are avoided
-    /// for failures, are left out unless no decode engine would remain.
+    /// Returns the upstreams that accept new requests, of `version` if it is given. Upstreams that
+    /// were tried, or are avoided for failures, are left out unless no decode engine would remain.
     fn candidates(
         &self,
         service: &str,
         tried: &[UpstreamKey],
+        version: Option<VersionTag>,
         now: MonotonicTime,
     ) -> Vec<UpstreamKey> {
         let ready: Vec<_> = self
-            .service_keys(service)
+            .keys_of_version(service, version)
             .filter(|key| self.takes_work(*key, now))
             .collect();
         let untried: Vec<_> = ready
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -225,6 +225,7 @@
                     source.in_flight_send.record_first_result(self.state.now());
                     self.count_usage_once();
                     self.record_prefix_use_at(source.in_flight_send.key());
+                    self.record_stream_version(&source.in_flight_send);
                     return SendOutcome::Response(UpstreamResponse {
                         head,
                         headers,
@@ -286,6 +287,7 @@
         if crashes::refused_for(self.state, self.request).is_some() {
             return Err(CRASHES_UPSTREAMS);
         }
+        self.check_version(at)?;
         let mut fleet = self.state.fleet.borrow_mut();
         fleet.try_send(at, self.state.now())?;
         if stage != Stage::Prefill {
@@ -453,6 +455,11 @@
                     })?
                 }
             };
+            // The list may have changed while the connection was opened.
+            self.check_version(at).map_err(|_| CallError {
+                verdict: Verdict::NotRun,
+                cause: Cause::Connect,
+            })?;
             self.sends += 1;
             self.request.progress.borrow_mut().sends += 1;
             {
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -1,6 +1,8 @@
 //! Forwards one request to upstreams until it has a response or must not be sent again.
 
+mod admit;
 mod attempt;
+mod continuation;
 mod prefill;
 mod request;
 
@@ -14,20 +16,20 @@
 use http_body_util::{Either, Full};
 use nutmegbay_core::verdict::Verdict;
 use nutmegbay_policy::UpstreamKey;
-use nutmegbay_policy::edge::admission::{
-    AdmissionRequest, Decision, decide, overload_retry_ms, retry_after,
-};
+use nutmegbay_policy::edge::admission::{overload_retry_ms, retry_after};
 use nutmegbay_policy::edge::health::Outcome;
 use nutmegbay_policy::edge::placement::Placement;
+use nutmegbay_policy::edge::software_versions::VersionTag;
 
 use crate::crashes;
-use crate::fleet::{Demand, ModelRequest, PrefillWait};
-use crate::model::{Refusal, RequestKind, Stage};
+use crate::fleet::{ModelRequest, PrefillWait};
+use crate::model::{Refusal, Stage};
 use crate::platform_api::WireCodec;
 use crate::state::EdgeState;
 use crate::stream::{Framing, ResponseBodyError, ResponseSource, response_body};
 
 use attempt::{ResponseBody, SendOutcome, UpstreamResponse};
+use continuation::NO_UPSTREAM_OF_VERSION;
 pub use request::{Failure, InFlightGuard, RequestProgress, RoutedRequest};
 
 /// Maximum number of placements of one request. Sends that an upstream refused, or whose connection
@@ -45,6 +47,9 @@
 /// another upstream.
 const FIRST_RESULT_TIMEOUT_FACTOR: f64 = 4.0;
 
+/// Cause of a request for which no upstream is known that accepts requests.
+const NO_UPSTREAM: &str = "no_upstream";
+
 /// Cause of a request that is refused because its content crashes upstreams.
 const CRASHES_UPSTREAMS: &str = "crashes_upstreams";
 
@@ -148,6 +153,8 @@
     prefill_wait: Option<PrefillWait>,
     /// Whether an engine has run a separate prefill.
     has_prefill: bool,
+    /// Version of the engine that holds the prefill result which is to be decoded.
+    prefill_version: Option<VersionTag>,
     cause: &'static str,
 }
 
@@ -164,19 +171,22 @@
             busy_wait: None,
             prefill_wait: None,
             has_prefill: false,
-            cause: "no_upstream",
+            prefill_version: None,
+            cause: NO_UPSTREAM,
         }
     }
 
     async fn run(mut self) -> Result<UpstreamResponse, Failure> {
+        self.find_version().await?;
         for round in 0..MAX_PLACEMENTS {
+            self.prefill_version = None;
             self.refused_for = crashes::refused_for(self.state, self.request);
             if self.refused_for.is_some() {
                 self.cause = CRASHES_UPSTREAMS;
                 break;
             }
             let Some(mut placement) = self.place() else {
-                self.record_busy_cause();
+                self.record_placement_cause();
                 break;
             };
             if round == 0 {
@@ -223,68 +233,6 @@
         }
     }
 
-    /// Refuses the request immediately if its first result cannot be on time.
-    fn admit(&mut self, placement: &Placement) -> Result<(), Failure> {
-        let now = self.state.now();
-        let needs_prefill = self.request.needs_prefill();
-        let demand = Demand {
-            urgency: self.request.urgency(),
-            cost_ms: placement.cost_ms(),
-            is_long: self.request.is_long(),
-            needs_prefill,
-        };
-        let mut predicted_ms = placement.first_result_ms();
-        {
-            let mut progress = self.request.progress.borrow_mut();
-            progress.is_split = matches!(placement, Placement::Split { .. });
-            let fleet = self.state.fleet.borrow();
-            let service = &self.request.service.name;
-            progress.summed_ms = predicted_ms
-                - fleet.lateness_ms(service, progress.is_split, self.request.urgency(), now);
-            if needs_prefill {
-                predicted_ms = predicted_ms.max(fleet.pending_wait_ms(
-                    service,
-                    demand,
-                    self.state.process_count(),
-                    now,
-                ));
-            }
-            progress.predicted_ms = predicted_ms;
-            progress.cost_ms = demand.cost_ms;
-        }
-        let objective = match self.request.route.kind {
-            RequestKind::Streaming => self.request.route.objective,
-            // A plain call is short, so it is served late rather than refused.
-            RequestKind::Idempotent | RequestKind::NonIdempotent => self.request.route.timeout,
-        };
-        let admission_request = AdmissionRequest {
-            first_result_ms: predicted_ms,
-            cost_ms: demand.cost_ms,
-            objective,
-            elapsed: self.request.elapsed + now.since(self.request.arrived),
-            remaining: self.request.time_left(now),
-        };
-        match decide(admission_request, rand::random()) {
-            Decision::Admit => {
-                self.prefill_wait = needs_prefill.then(|| {
-                    let EdgeState {
-                        fleet,
-                        monotonic_clock,
-                        ..
-                    } = &**self.state;
-                    PrefillWait::new(fleet, &self.request.service, demand, *monotonic_clock)
-                });
-                Ok(())
-            }
-            Decision::Refuse { retry_after } => Err(Failure {
-                status: StatusCode::SERVICE_UNAVAILABLE,
-                verdict: Verdict::NotRun,
-                cause: "no_room_in_time",
-                retry_after: Some(retry_after),
-            }),
-        }
-    }
-
     fn place(&self) -> Option<Placement> {
         let now = self.state.now();
         let fleet = self.state.fleet.borrow();
@@ -299,11 +247,12 @@
                     objective: self.request.route.objective,
                     body_bytes: self.request.body.len(),
                     tried: &self.tried,
+                    version: self.version(),
                 };
                 fleet.place_model(&req, self.state.process_count(), now)
             }
             _ => {
-                let (at, wait_ms) = fleet.place_plain(service, &self.tried, now)?;
+                let (at, wait_ms) = fleet.place_plain(service, &self.tried, self.version(), now)?;
                 let cost_ms = fleet.mean_ms(&service.name);
                 Some(Placement::Whole {
                     at,
@@ -387,20 +336,21 @@
             first_result_ms,
         } = placement
         else {
-            return SendOutcome::NotRun("no_upstream");
+            return SendOutcome::NotRun(NO_UPSTREAM);
         };
         let max_wait = self.prefill_timeout(first_result_ms);
         let handle = match self.prefill(prefill, cost_ms, max_wait).await {
             Ok(handle) => handle,
             Err(send) => return send,
         };
+        self.prefill_version = Some(handle.version);
         let stage = Stage::Decode {
             source: handle.source,
             handle: &handle.name,
         };
         let max_wait = self.first_result_timeout(first_result_ms);
         let Some(decode) = self.decode_engine(decode) else {
-            return SendOutcome::NotRun("no_upstream");
+            return SendOutcome::NotRun(NO_UPSTREAM);
         };
         let outcome = self.send(decode, transfer_ms, stage, max_wait).await;
         if matches!(&outcome, SendOutcome::Response(response) if !response.head.is_not_run()) {
@@ -410,7 +360,7 @@
     }
 
     /// Returns the engine that decodes after a prefill: the one `chosen` together with the prefill
-    /// engine, or another one if `chosen` accepts no new requests any more.
+    /// engine, or another one of the same version if `chosen` accepts no new requests any more.
     fn decode_engine(&self, chosen: UpstreamKey) -> Option<UpstreamKey> {
         let now = self.state.now();
         if self.state.fleet.borrow().takes_work(chosen, now) {
@@ -452,14 +402,19 @@
         }
     }
 
-    /// Records why no upstream was found, if it is what they state about further requests.
-    fn record_busy_cause(&mut self) {
+    /// Records why no upstream was found, if it is what they state about further requests, or their
+    /// version.
+    fn record_placement_cause(&mut self) {
         let now = self.state.now();
         let fleet = self.state.fleet.borrow();
         let service = &self.request.service.name;
-        if let Some((cause, wait)) = fleet.busy_cause(service, now) {
-            self.cause = cause;
-            self.busy_wait = Some(wait.unwrap_or_default());
+        match fleet.busy_cause(service, self.version(), now) {
+            Some((cause, wait)) => {
+                self.cause = cause;
+                self.busy_wait = Some(wait.unwrap_or_default());
+            }
+            None if self.version().is_some() => self.cause = NO_UPSTREAM_OF_VERSION,
+            None => {}
         }
     }
 
@@ -472,7 +427,9 @@
         };
         let retry_ms = match self.busy_wait {
             Some(wait) => overload_retry_ms(wait.as_secs_f64() * 1e3),
-            None if self.cause == "no_upstream" => NO_UPSTREAM_RETRY_MS,
+            None if [NO_UPSTREAM, NO_UPSTREAM_OF_VERSION].contains(&self.cause) => {
+                NO_UPSTREAM_RETRY_MS
+            }
             None => REFUSED_RETRY_MS,
         };
         Failure {
--- a/crates/edge/src/forward/prefill.rs
+++ b/crates/edge/src/forward/prefill.rs
@@ -8,6 +8,7 @@
 use http::header::HOST;
 use nutmegbay_policy::UpstreamKey;
 use nutmegbay_policy::edge::health::Outcome;
+use nutmegbay_policy::edge::software_versions::VersionTag;
 use tokio::time::timeout;
 
 use super::attempt::{
@@ -29,6 +30,8 @@
     pub source: SocketAddr,
     /// Name of the result at that engine.
     pub name: Box<str>,
+    /// Version of that engine. Only an engine of the same version decodes from the result.
+    pub version: VersionTag,
     state: Rc<EdgeState<D>>,
     is_transferred: bool,
 }
@@ -102,11 +105,14 @@
             Err(_) => return Err(SendOutcome::NotRun(self.record_unresponsive(at))),
         };
         let prefilled = self.state.codec.decode_prefill_result(&body);
-        let address = {
+        let engine = {
             let fleet = self.state.fleet.borrow();
-            fleet.get(at).map(|upstream| upstream.report.addr)
+            fleet
+                .get(at)
+                .map(|upstream| (upstream.report.addr, upstream.version()))
         };
-        let (true, Some(prefilled), Some(source)) = (head.status.is_success(), prefilled, address)
+        let (true, Some(prefilled), Some((source, version))) =
+            (head.status.is_success(), prefilled, engine)
         else {
             return Err(SendOutcome::Response(UpstreamResponse {
                 head: ResponseHead {
@@ -128,6 +134,7 @@
         Ok(PrefillHandle {
             source,
             name: prefilled.handle,
+            version,
             state: Rc::clone(self.state),
             is_transferred: false,
         })
--- a/crates/edge/src/forward/request.rs
+++ b/crates/edge/src/forward/request.rs
@@ -7,12 +7,13 @@
 use nutmegbay_core::environment::MonotonicTime;
 use nutmegbay_core::verdict::Verdict;
 use nutmegbay_policy::edge::crashes::ContentId;
+use nutmegbay_policy::edge::software_versions::VersionTag;
 use nutmegbay_policy::edge::urgency::Urgency;
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 use crate::crashes::block_content;
 use crate::http1::BodyDelimiter;
-use crate::model::{Account, ModelWork, RequestHead, Route, Service};
+use crate::model::{Account, ModelWork, RequestHead, RequestKind, Route, Service};
 
 /// A caller's request with its route, service and client account.
 pub struct RoutedRequest {
@@ -69,6 +70,8 @@
     pub is_streaming: bool,
     /// Whether the request was counted for its client account.
     pub is_counted: bool,
+    /// Version at which the stream must be continued. `None` before its first event.
+    pub version: Option<VersionTag>,
 }
 
 impl RoutedRequest {
@@ -93,6 +96,12 @@
         self.head.work.is_some() && !self.is_long()
     }
 
+    /// Returns whether the caller takes up a stream that broke off.
+    pub fn is_taken_up(&self) -> bool {
+        let has_begun = self.head.resumes.is_some() || self.head.resume_after.is_some();
+        has_begun && self.route.kind == RequestKind::Streaming
+    }
+
     /// Returns the class of urgency.
     pub fn urgency(&self) -> Urgency {
         Urgency::of_rank(self.rank)
--- a/crates/edge/src/versions/mod.rs
+++ b/crates/edge/src/versions/mod.rs
@@ -5,11 +5,6 @@
 //! their load digests while several versions may be in use. While only one can have begun a stream,
 //! nothing else is needed; otherwise peers are asked.
 
-#![allow(
-    dead_code,
-    reason = "the requests that take up streams do not use it yet"
-)]
-
 mod ask;
 mod store;
 
--- a/crates/policy/src/edge/placement.rs
+++ b/crates/policy/src/edge/placement.rs
@@ -10,6 +10,7 @@
 //! few decode engines as have the slots for them, here called stream hosts, and prompts are
 //! prefilled on the others.
 
+use super::software_versions::VersionTag;
 use crate::UpstreamKey;
 
 /// Prefill rate of a decode engine as a fraction of a prefill engine's rate.
@@ -89,6 +90,8 @@
     pub key: UpstreamKey,
     /// Phase that it is meant for.
     pub phase: EnginePhase,
+    /// Version of its software. An engine decodes only from prefills of its own version.
+    pub version: VersionTag,
     /// Failure domain, as a number that is only compared.
     pub domain: u32,
     /// Work ahead of the request, in milliseconds.
@@ -228,9 +231,37 @@
         cost_ms,
         first_result_ms,
     };
-    let split = engines
-        .iter()
-        .filter(|engine| engine.phase == EnginePhase::Prefill)
+    let mut versions: Vec<_> = prefill_engines(engines)
+        .map(|engine| engine.version)
+        .collect();
+    versions.sort_unstable();
+    versions.dedup();
+    let split = versions
+        .into_iter()
+        .filter_map(|version| best_split(engines, version, request, estimates, weight))
+        .min_by(|a, b| a.1.total_cmp(&b.1));
+    match split {
+        Some((split, split_ms)) if split_ms < score_ms => Some(split),
+        _ => Some(whole),
+    }
+}
+
+fn prefill_engines(engines: &[Engine]) -> impl Iterator<Item = &Engine> {
+    let is_prefill = |engine: &&Engine| engine.phase == EnginePhase::Prefill;
+    engines.iter().filter(is_prefill)
+}
+
+/// Chooses the prefill engine with the lowest score among those of `version`, and a decode engine
+/// for it. Returns the placement and its score, in milliseconds.
+fn best_split(
+    engines: &[Engine],
+    version: VersionTag,
+    request: PlacementRequest,
+    estimates: CostEstimates,
+    weight: f64,
+) -> Option<(Placement, f64)> {
+    prefill_engines(engines)
+        .filter(|engine| engine.version == version)
         .map(|engine| {
             let cost_ms = prefill_ms(engine, request, estimates);
             let prefilled_ms = estimates.send_ms
@@ -250,16 +281,12 @@
             let (split, split_ms) =
                 split(engines, request, estimates, (engine, cost_ms, prefilled_ms))?;
             Some((split, split_ms + score_ms - prefilled_ms))
-        });
-    match split {
-        Some((split, split_ms)) if split_ms < score_ms => Some(split),
-        _ => Some(whole),
-    }
+        })
 }
 
-/// Adds the decode engine with the lowest score to a prefill engine, which is given with the time
-/// of the prefill and the time until it is complete. Returns the placement and its score, in
-/// milliseconds.
+/// Adds the decode engine of the same version with the lowest score to a prefill engine, which is
+/// given with the time of the prefill and the time until it is complete. Returns the placement and
+/// its score, in milliseconds.
 fn split(
     engines: &[Engine],
     request: PlacementRequest,
@@ -269,7 +296,7 @@
     let tokens = f64::from(request.shared_tokens + request.suffix_tokens);
     engines
         .iter()
-        .filter(|engine| engine.phase == EnginePhase::Decode)
+        .filter(|engine| engine.phase == EnginePhase::Decode && engine.version == prefill.version)
         .map(|engine| {
             let factor = if engine.domain == prefill.domain {
                 1.0
--- a/crates/policy/tests/edge_placement.rs
+++ b/crates/policy/tests/edge_placement.rs
@@ -6,6 +6,7 @@
     CostEstimates, Engine, EnginePhase, Placement, PlacementRequest, PlainUpstream, place,
     place_plain, stream_host_count,
 };
+use nutmegbay_policy::edge::software_versions::VersionTag;
 use slotmap::SlotMap;
 
 const ESTIMATES: CostEstimates = CostEstimates {
@@ -26,6 +27,7 @@
         .map(|phase| Engine {
             key: arena.insert(()),
             phase: *phase,
+            version: VersionTag(1),
             domain: 0,
             backlog_ms: 0.0,
             requests: 0.0,
@@ -237,3 +239,24 @@
     let placement = place(&engines, request(100, false), ESTIMATES).unwrap();
     assert_matches!(placement, Placement::Whole { at, .. } if at == engines[1].key);
 }
+
+/// The prefill engine with the lowest score may be of a version that no decode engine has.
+#[test]
+fn prefill_of_other_version() {
+    let mut engines = engines(&[
+        EnginePhase::Prefill,
+        EnginePhase::Prefill,
+        EnginePhase::Decode,
+    ]);
+    engines[0].version = VersionTag(2);
+    engines[1].backlog_ms = 20.0;
+    let placement = place(&engines, request(39_600, false), ESTIMATES);
+    assert_matches!(
+        placement,
+        Some(Placement::Split { prefill, decode, .. })
+            if prefill == engines[1].key && decode == engines[2].key
+    );
+    engines.remove(1);
+    let placement = place(&engines, request(39_600, false), ESTIMATES);
+    assert_matches!(placement, Some(Placement::Whole { at, .. }) if at == engines[1].key);
+}
