Let streams that callers take up go first

A caller that takes a stream up comes late by nature: its objective for the first event counts from its first attempt, so the stream was refused (no_room_in_time) where new ones began, and what the caller had of it was lost.

Such a stream gets the most urgent rank at the engine, and is refused only if its next event cannot come before the deadline.

taken_up_stream shows both decisions on one request, whose first event is predicted in 600 ms with 2 s left: decide refuses it.

--- a/crates/edge/src/forward/admit.rs
+++ b/crates/edge/src/forward/admit.rs
@@ -2,7 +2,7 @@
 
 use http::StatusCode;
 use nutmegbay_core::verdict::Verdict;
-use nutmegbay_policy::edge::admission::{AdmissionRequest, Decision, decide};
+use nutmegbay_policy::edge::admission::{AdmissionRequest, Decision, decide, decide_taken_up};
 use nutmegbay_policy::edge::placement::Placement;
 
 use super::{Failure, Forwarder};
@@ -12,7 +12,8 @@
 use crate::state::EdgeState;
 
 impl<D: WireCodec> Forwarder<'_, D> {
-    /// Refuses the request immediately if its first result cannot be on time.
+    /// Refuses the request immediately if its first result cannot be on time. A stream that its
+    /// caller takes up is refused only if it cannot go on before the deadline.
     pub fn admit(&mut self, placement: &Placement) -> Result<(), Failure> {
         let now = self.state.now();
         let needs_prefill = self.request.needs_prefill();
@@ -53,6 +54,11 @@
             elapsed: self.request.elapsed + now.since(self.request.arrived),
             remaining: self.request.time_left(now),
         };
+        let decide = if self.request.is_taken_up() {
+            decide_taken_up
+        } else {
+            decide
+        };
         match decide(admission_request, rand::random()) {
             Decision::Admit => {
                 self.prefill_wait = needs_prefill.then(|| {
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -499,7 +499,7 @@
                 instance,
                 deadline: Some(request.time_left(self.state.now())),
                 account: request.account.as_ref().map(|account| &*account.name),
-                priority: is_model.then(|| request.rank),
+                priority: is_model.then(|| request.rank()),
                 stage,
                 resume_after: after,
             },
--- a/crates/edge/src/forward/request.rs
+++ b/crates/edge/src/forward/request.rs
@@ -8,7 +8,7 @@
 use nutmegbay_core::verdict::Verdict;
 use nutmegbay_policy::edge::crashes::ContentId;
 use nutmegbay_policy::edge::software_versions::VersionTag;
-use nutmegbay_policy::edge::urgency::Urgency;
+use nutmegbay_policy::edge::urgency::{MOST_URGENT_RANK, Urgency};
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 use crate::crashes::block_content;
@@ -22,8 +22,8 @@
     pub service: Rc<Service>,
     /// Client account. `None` on anonymous routes.
     pub account: Option<Rc<Account>>,
-    /// Rank within the deployment. 0 is the most urgent.
-    pub rank: u8,
+    /// Rank of new requests like this one within the deployment. 0 is the most urgent.
+    pub route_rank: u8,
     pub head: RequestHead,
     pub method: Method,
     /// Path and query as received.
@@ -102,9 +102,19 @@
         has_begun && self.route.kind == RequestKind::Streaming
     }
 
+    /// Returns the rank within the deployment, where 0 is the most urgent. Streams that are taken up
+    /// precede new requests.
+    pub fn rank(&self) -> u8 {
+        if self.is_taken_up() {
+            MOST_URGENT_RANK
+        } else {
+            self.route_rank
+        }
+    }
+
     /// Returns the class of urgency.
     pub fn urgency(&self) -> Urgency {
-        Urgency::of_rank(self.rank)
+        Urgency::of_rank(self.rank())
     }
 
     /// Returns the identities of the content that may crash an upstream: the whole request, then
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -228,7 +228,7 @@
         head: without_key(head),
         route: Rc::clone(route),
         service: Rc::clone(service),
-        rank: table.rank(route, account.as_deref()),
+        route_rank: table.rank(route, account.as_deref()),
         account,
         body,
         arrived,
--- a/crates/policy/src/edge/admission.rs
+++ b/crates/policy/src/edge/admission.rs
@@ -84,6 +84,19 @@
     }
 }
 
+/// Decides on a stream that its caller takes up after it broke off. What the caller has of it would
+/// be lost with a refusal, so the objective for the first result does not apply: it is refused only
+/// if it cannot go on before the deadline. `jitter` is a random number from 0 to 1.
+pub fn decide_taken_up(request: AdmissionRequest, jitter: f64) -> Decision {
+    let late_ms = request.first_result_ms - millis(request.remaining);
+    if late_ms <= 0.0 {
+        return Decision::Admit;
+    }
+    Decision::Refuse {
+        retry_after: retry_after(overload_retry_ms(late_ms), jitter),
+    }
+}
+
 /// Returns the time until capacity is expected after a refusal for lack of capacity, in
 /// milliseconds, where `capacity_ms` is the time until the capacity for one request.
 pub fn overload_retry_ms(capacity_ms: f64) -> f64 {
--- a/crates/policy/src/edge/urgency.rs
+++ b/crates/policy/src/edge/urgency.rs
@@ -26,6 +26,9 @@
     }
 }
 
+/// Most urgent rank.
+pub const MOST_URGENT_RANK: u8 = 0;
+
 /// Least urgent rank that upstreams distinguish.
 const LAST_RANK: u8 = 9;
 
--- a/crates/policy/tests/edge_admission.rs
+++ b/crates/policy/tests/edge_admission.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use assert_matches::assert_matches;
-use nutmegbay_policy::edge::admission::{AdmissionRequest, Decision, decide};
+use nutmegbay_policy::edge::admission::{AdmissionRequest, Decision, decide, decide_taken_up};
 
 fn request(first_result_ms: f64, elapsed_ms: u64) -> AdmissionRequest {
     AdmissionRequest {
@@ -48,6 +48,17 @@
     assert_matches!(decide(request(150.0, 700), 0.5), Decision::Refuse { .. });
 }
 
+/// The objective of a stream that its caller takes up has often passed: held to it, the stream would
+/// be refused while new ones begin.
+#[test]
+fn taken_up_stream() {
+    let late = request(600.0, 700);
+    assert_matches!(decide(late, 0.5), Decision::Refuse { .. });
+    assert_eq!(decide_taken_up(late, 0.5), Decision::Admit);
+    let hopeless = request(2_100.0, 700);
+    assert_matches!(decide_taken_up(hopeless, 0.5), Decision::Refuse { .. });
+}
+
 /// The prediction exceeds the limit by 20 ms only, but a burst lasts for seconds: three in four of
 /// the callers that returned within 0.1 s were refused again.
 #[test]
