--- a/crates/edge-bin/tests/common/mod.rs
+++ b/crates/edge-bin/tests/common/mod.rs
@@ -7,6 +7,7 @@
 pub mod proxy;
 pub mod relayed;
 pub mod store;
+pub mod versioned;
 pub mod worker;
 
 use std::cell::Cell;
@@ -14,7 +15,7 @@
 use std::io::ErrorKind;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::process::{Child, Command, Stdio};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use proxy::Proxy;
 use serde_json::{Value, json};
@@ -290,6 +291,25 @@
         self.store.put("keyed.servers", &format!("i-{n}"), &entry);
     }
 
+    /// Lists worker `n` as just started with a software version, which it names in its events.
+    pub fn list_version(&self, n: u16, version: &str) {
+        self.list_entry_with_version(n, version, instance(self.listed_address(n), "ready"));
+    }
+
+    /// Lists engine `n` as just started with a software version, which it names in its events.
+    pub fn list_engine_version(&self, n: u16, version: &str) {
+        let entry = engine_instance(self.listed_address(n), "ready");
+        self.list_entry_with_version(n, version, entry);
+    }
+
+    fn list_entry_with_version(&self, n: u16, version: &str, mut entry: Value) {
+        entry["version"] = json!(version);
+        let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+        entry["born"] = json!(u64::try_from(started.as_millis()).unwrap());
+        self.store.put("keyed.servers", &format!("i-{n}"), &entry);
+        self.workers[usize::from(n)].set_version(version);
+    }
+
     fn listed_address(&self, n: u16) -> SocketAddr {
         let offset = if self.has_proxies {
             PROXY_PORT_OFFSET
--- /dev/null
+++ b/crates/edge-bin/tests/mixed_versions.rs
@@ -0,0 +1,282 @@
+//! Guards against streams that hold events of two software versions.
+
+mod common;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use common::body_end::{BodyEnd, Close, Cut, EVENTS_BEFORE_CUT, Framing};
+use common::versioned::{HeldStream, Outcome};
+use common::worker::{Action, EVENTS, Worker, header};
+use common::{Edge, Site};
+use futures::future::join_all;
+use serde_json::json;
+use tokio::time::sleep;
+
+/// Two upstreams of each version, so that one is left when another one breaks off.
+const VERSIONS: [&str; 4] = ["v1", "v2", "v1", "v2"];
+
+/// Number of streams of each version.
+const STREAMS: usize = 4;
+
+/// Number of attempts of a caller to take a stream up.
+const TAKE_UPS: usize = 8;
+
+/// Pause of a caller between its attempts.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// Time within which each edge has read the list of instances.
+const LIST_TIME: Duration = Duration::from_secs(1);
+
+/// Upstreams send some events and then nothing, until the edge closes the connection.
+const SILENCE: Action = Action::End(BodyEnd {
+    framing: Framing::Chunks,
+    cut: Cut::BetweenEvents,
+    close: Close::Silence,
+});
+
+async fn start(test: u8, versions: &[&str]) -> Site {
+    let site = Site::start(test, u16::try_from(versions.len()).unwrap()).await;
+    list(&site, versions).await;
+    site
+}
+
+/// Lists all upstreams as just started with these versions.
+async fn list(site: &Site, versions: &[&str]) {
+    for (n, version) in (0..).zip(versions) {
+        site.list_version(n, version);
+    }
+    sleep(LIST_TIME).await;
+}
+
+/// Begins streams of each version at `edge`, whose callers leave after some events. All upstreams
+/// are listed before and afterwards.
+async fn begin_streams(site: &Site, edge: &Edge, versions: &[&str]) -> Vec<HeldStream> {
+    let mut streams = Vec::new();
+    for begun_at in BTreeSet::from_iter(versions) {
+        for (id, _) in (0..).zip(versions).filter(|(_, v)| *v != begun_at) {
+            site.store.remove("keyed.servers", &format!("i-{id}"));
+        }
+        sleep(LIST_TIME).await;
+        Worker::share_script(&site.workers, &[SILENCE; STREAMS]);
+        for _ in 0..STREAMS {
+            let mut stream = HeldStream::new();
+            let wanted = Some(EVENTS_BEFORE_CUT);
+            let outcome = stream.attempt(edge.ingress(), "/stream/1", wanted).await;
+            assert_eq!(outcome, Outcome::Left);
+            streams.push(stream);
+        }
+        list(site, versions).await;
+    }
+    streams
+}
+
+/// Takes each stream up at `edge` and returns the number of those that are complete then.
+async fn take_up(streams: &mut [HeldStream], edge: &Edge) -> usize {
+    let mut completed = 0;
+    for stream in streams {
+        for _ in 0..TAKE_UPS {
+            if stream.attempt(edge.ingress(), "/stream/1", None).await == Outcome::Complete {
+                completed += 1;
+                break;
+            }
+            sleep(RETRY_PAUSE).await;
+        }
+    }
+    completed
+}
+
+fn check_versions(streams: &[HeldStream]) {
+    let mixed: Vec<_> = streams.iter().filter(|s| s.versions().len() > 1).collect();
+    assert!(
+        mixed.is_empty(),
+        "{} of {} streams hold events of two versions: {:#?}",
+        mixed.len(),
+        streams.len(),
+        mixed[0]
+    );
+}
+
+/// The upstream breaks off, and the edge sends the rest within the same response.
+#[tokio::test(flavor = "multi_thread")]
+async fn resumed_in_response() {
+    let site = start(107, &VERSIONS).await;
+    let mut streams = Vec::new();
+    for _ in 0..2 * STREAMS {
+        Worker::share_script(&site.workers, &[Action::BreakAfter(EVENTS_BEFORE_CUT)]);
+        let mut stream = HeldStream::new();
+        let outcome = stream.attempt(site.edge().ingress(), "/stream/1", None);
+        assert_eq!(outcome.await, Outcome::Complete);
+        assert!(stream.numbers().into_iter().eq(1..=EVENTS), "{stream:?}");
+        streams.push(stream);
+    }
+    check_versions(&streams);
+}
+
+/// The caller leaves and goes to an edge that did not carry the stream.
+#[tokio::test(flavor = "multi_thread")]
+async fn taken_up_elsewhere() {
+    let site = start(108, &VERSIONS).await;
+    let other = site.start_edge(109, site.store_address()).await;
+    let mut streams = begin_streams(&site, site.edge(), &VERSIONS).await;
+    let completed = take_up(&mut streams, &other).await;
+    check_versions(&streams);
+    assert_eq!(completed, streams.len(), "streams do not go on");
+}
+
+/// All edges are killed at once, and nobody is left who carried the stream.
+#[tokio::test(flavor = "multi_thread")]
+async fn killed_together() {
+    let mut site = start(110, &VERSIONS).await;
+    let mut other = site.start_edge(111, site.store_address()).await;
+    let mut streams = begin_streams(&site, site.edge(), &VERSIONS).await;
+    site.signal("KILL");
+    other.signal("KILL");
+    site.edge_mut().restart();
+    other.restart();
+    site.wait_until("they serve again", async || {
+        let calls = [site.edge(), &other].map(|edge| edge.call("GET", "/any/1", &[]));
+        let responses = join_all(calls).await;
+        responses.iter().all(|response| response.status == 200)
+    })
+    .await;
+    take_up(&mut streams, &other).await;
+    check_versions(&streams);
+}
+
+/// All edges are killed while one version alone is in use, so that a stream can go on anywhere.
+#[tokio::test(flavor = "multi_thread")]
+async fn killed_with_one_version() {
+    let mut site = start(112, &["v1", "v1"]).await;
+    let mut streams = begin_streams(&site, site.edge(), &["v1", "v1"]).await;
+    site.signal("KILL");
+    site.edge_mut().restart();
+    site.wait_until_ready().await;
+    let completed = take_up(&mut streams, site.edge()).await;
+    check_versions(&streams);
+    assert_eq!(completed, streams.len(), "streams do not go on");
+}
+
+/// The upstreams of the stream's version refuse it at first. Those of the other version must not be
+/// tried instead.
+#[tokio::test(flavor = "multi_thread")]
+async fn refused_at_first() {
+    let site = start(113, &VERSIONS).await;
+    let mut streams = begin_streams(&site, site.edge(), &VERSIONS).await;
+    for stream in &mut streams {
+        Worker::share_script(&site.workers, &[Action::NotRun; 3]);
+        let stream = std::slice::from_mut(stream);
+        assert_eq!(take_up(stream, site.edge()).await, 1);
+    }
+    check_versions(&streams);
+}
+
+/// The edge that carried the streams is killed. It knows nothing of them afterwards, but the other
+/// edge does.
+#[tokio::test(flavor = "multi_thread")]
+async fn restarted_edge() {
+    let mut site = start(114, &VERSIONS).await;
+    let other = site.start_edge(115, site.store_address()).await;
+    site.set_seed(&other);
+    let mut streams = begin_streams(&site, site.edge(), &VERSIONS).await;
+    site.signal("KILL");
+    site.edge_mut().restart();
+    site.wait_until_ready().await;
+    let completed = take_up(&mut streams, site.edge()).await;
+    check_versions(&streams);
+    assert_eq!(completed, streams.len(), "streams do not go on");
+    drop(other);
+}
+
+/// All upstreams of the version have left. The caller gets a refusal at once, and no upstream of the
+/// other version runs its request.
+#[tokio::test(flavor = "multi_thread")]
+async fn version_gone() {
+    let site = start(116, &VERSIONS).await;
+    let streams = begin_streams(&site, site.edge(), &VERSIONS).await;
+    for n in [0, 2] {
+        site.store.remove("keyed.servers", &format!("i-{n}"));
+    }
+    sleep(LIST_TIME).await;
+    for mut stream in streams {
+        let is_left = stream.versions().contains("v1");
+        let runs = site.total_runs();
+        let outcome = stream.attempt(site.edge().ingress(), "/stream/1", None);
+        if is_left {
+            assert_eq!(outcome.await, Outcome::Refused(503));
+            assert_eq!(site.total_runs(), runs);
+        } else {
+            assert_eq!(outcome.await, Outcome::Complete);
+        }
+    }
+}
+
+/// The only decode engine of the version that ran the prefill starts to drain during the prefill.
+#[tokio::test(flavor = "multi_thread")]
+async fn prefill_of_other_version() {
+    let site = Site::start_engines_with(117, 2, true, 1_000).await;
+    for (n, version) in (0..).zip(["v1", "v2", "v1", "v2"]) {
+        site.list_engine_version(n, version);
+    }
+    sleep(LIST_TIME).await;
+    for worker in &site.workers {
+        worker.script(&[Action::SlowPrefill]);
+    }
+    let prompt = [
+        ("X-Token-Counts", "20000,100"),
+        ("X-Prompt-Prefix", "a:10,b:19990"),
+    ];
+    let leave = async {
+        site.wait_until("the prefill has started", async || site.runs() > 0)
+            .await;
+        let first = (0..)
+            .zip(&site.workers)
+            .find(|(_, w)| !w.requests().is_empty());
+        site.list_engine_as_draining(2 + first.unwrap().0);
+    };
+    let (response, ()) = tokio::join!(site.call("POST", "/stream/1", &prompt), leave);
+    let mut prefills = site.workers[..2].iter().flat_map(Worker::requests);
+    assert!(prefills.next().is_some(), "{response:?}");
+    for (n, worker) in site.workers.iter().enumerate().skip(2) {
+        let own_source = format!(":{}/", 8_500 + n - 2);
+        for head in worker.requests() {
+            let source = header(&head, "x-kv-source");
+            assert!(source.is_none_or(|at| at.contains(&own_source)), "{head}");
+        }
+    }
+}
+
+/// Streams that callers take up wait behind new requests of more urgent routes.
+#[tokio::test(flavor = "multi_thread")]
+async fn urgent_take_up() {
+    let site = Site::start_engines_with(118, 1, true, 1_000).await;
+    site.list_engine_version(2, "v1");
+    let mut config = common::config(2, &["k1"]);
+    config["services"][0]["engine"] = json!({"slots": 8, "kv-capacity": 900_000,
+        "kv-token-bytes": 163_840, "link-mbps": 4_600_000.0});
+    config["routes"][2]["resumable"] = json!(true);
+    config["routes"][2]["priority"] = json!(4);
+    site.store.put("keyed.op", "config", &config);
+    site.wait_until("the priority is in force", async || {
+        let mut stream = HeldStream::new();
+        stream
+            .attempt(site.edge().ingress(), "/stream/1", None)
+            .await;
+        priorities(&site).last() == Some(&"1".into())
+    })
+    .await;
+    let mut stream = HeldStream::new();
+    site.workers[2].script(&[SILENCE]);
+    let left = stream.attempt(site.edge().ingress(), "/stream/1", Some(EVENTS_BEFORE_CUT));
+    assert_eq!(left.await, Outcome::Left);
+    let complete = stream.attempt(site.edge().ingress(), "/stream/1", None);
+    assert_eq!(complete.await, Outcome::Complete);
+    assert_eq!(priorities(&site).last(), Some(&"0".into()));
+}
+
+/// Returns the ranks of the requests at the decode engine.
+fn priorities(site: &Site) -> Vec<String> {
+    let heads = site.workers[2].requests();
+    let rank = |head: &String| Some(header(head, "x-request-priority")?.to_owned());
+    heads.iter().filter_map(rank).collect()
+}
--- a/crates/edge/src/forward/request.rs
+++ b/crates/edge/src/forward/request.rs
@@ -7,12 +7,13 @@
 use nutmegbay_core::environment::MonotonicTime;
 use nutmegbay_core::verdict::Verdict;
 use nutmegbay_policy::edge::crashes::ContentId;
-use nutmegbay_policy::edge::urgency::Urgency;
+use nutmegbay_policy::edge::software_versions::VersionTag;
+use nutmegbay_policy::edge::urgency::{MOST_URGENT_RANK, Urgency};
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 use crate::crashes::block_content;
 use crate::http1::BodyDelimiter;
-use crate::model::{Account, ModelWork, RequestHead, Route, Service};
+use crate::model::{Account, ModelWork, RequestHead, RequestKind, Route, Service};
 
 /// A caller's request with its route, service and client account.
 pub struct RoutedRequest {
@@ -21,8 +22,8 @@
     pub service: Rc<Service>,
     /// Client account. `None` on anonymous routes.
     pub account: Option<Rc<Account>>,
-    /// Rank within the deployment. 0 is the most urgent.
-    pub rank: u8,
+    /// Rank of new requests like this one within the deployment. 0 is the most urgent.
+    pub route_rank: u8,
     pub head: RequestHead,
     pub method: Method,
     /// Path and query as received.
@@ -71,6 +72,8 @@
     pub is_streaming: bool,
     /// Whether the request was counted for its client account.
     pub is_counted: bool,
+    /// Version at which the stream must be continued. `None` before its first event.
+    pub version: Option<VersionTag>,
 }
 
 impl RoutedRequest {
@@ -95,9 +98,25 @@
         self.head.work.is_some() && !self.is_long()
     }
 
+    /// Returns whether the caller takes up a stream that broke off.
+    pub fn is_taken_up(&self) -> bool {
+        let has_begun = self.head.resumes.is_some() || self.head.resume_after.is_some();
+        has_begun && self.route.kind == RequestKind::Streaming
+    }
+
+    /// Returns the rank within the deployment, where 0 is the most urgent. Streams that are taken up
+    /// precede new requests.
+    pub fn rank(&self) -> u8 {
+        if self.is_taken_up() {
+            MOST_URGENT_RANK
+        } else {
+            self.route_rank
+        }
+    }
+
     /// Returns the class of urgency.
     pub fn urgency(&self) -> Urgency {
-        Urgency::of_rank(self.rank)
+        Urgency::of_rank(self.rank())
     }
 
     /// Returns the identities of the content that may crash an upstream: the whole request, then
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -17,7 +17,7 @@
 use crate::platform_api::{Store, UsageReporter, WireCodec};
 use crate::settings::EdgeSettings;
 use crate::state::EdgeState;
-use crate::{crashes, exchange, follow, ingress, members, peers};
+use crate::{crashes, exchange, follow, ingress, members, peers, versions};
 
 /// Maximum number of connections that wait to be accepted.
 const LISTEN_BACKLOG: u32 = 1_024;
@@ -111,6 +111,7 @@
     spawn_local(exchange::run(Rc::clone(&state)));
     spawn_local(crashes::follow(Rc::clone(&state), store.clone()));
     spawn_local(crashes::publish(Rc::clone(&state), store.clone()));
+    spawn_local(versions::run(Rc::clone(&state), store.clone()));
     spawn_local(follow_settings(Rc::clone(&state), changes));
     let handler = Rc::new(ReadinessHandler(Rc::clone(&state)));
     spawn_local(peers::listen(readiness, handler, delay_monitor.clone()));
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -30,6 +30,7 @@
 use crate::platform_api::{StoreError, Topic, WireCodec};
 use crate::routes::RouteTable;
 use crate::settings::{Bounds, EdgeSettings};
+use crate::versions::Versions;
 
 /// Target of this module's log lines: its former path, which log filters of operators may name.
 const LOG_TARGET: &str = "nutmegbay_edge::site";
@@ -113,6 +114,8 @@
     pub close_idle: CancellationToken,
     /// Number of requests being served.
     pub in_flight: Rc<Cell<usize>>,
+    /// Software versions, and origins of streams.
+    pub versions: RefCell<Versions>,
     /// Deadlines sent by callers, by route.
     deadlines: RefCell<HashMap<Box<str>, Deadlines>>,
 }
@@ -168,6 +171,7 @@
             stop,
             close_idle: CancellationToken::new(),
             in_flight: Rc::default(),
+            versions: RefCell::default(),
             deadlines: RefCell::default(),
         }
     }
@@ -279,6 +283,7 @@
         // Reads that wait for a record at an offset of the earlier era are restarted.
         self.store_call_failed.notify_waiters();
         self.crashes_changed.notify_one();
+        self.versions.borrow().changed().notify_one();
         let known_records = self.known_records.borrow();
         let offset = |next: Option<Position>| next.map(|next| next.offset);
         let now = self.now();
--- a/crates/policy/src/edge/mod.rs
+++ b/crates/policy/src/edge/mod.rs
@@ -21,5 +21,7 @@
 pub mod presence;
 pub mod relay;
 pub mod silence;
+pub mod software_versions;
+pub mod stream_origins;
 pub mod upstream_limit;
 pub mod urgency;
