Wait longer while the edge itself is late

Cause: each wait of the edge (1 s for the store, 0.4 s for a connection, the reply of a relay, the first result) ran while the bytes it waited for were queued behind callers' bodies, or after the process had not run, and a new call began at the end of the queue.

Change: Measurement::extension in policy::edge::own_delay decides at the end of each wait. A full link extends it by the usual wait, a late timer by its lateness, up to four times the usual wait in all; a send of a request waits no longer than its deadline. It holds for connections, all calls of BufferedClient (store, relays, peers, usage reports, freed prefill results), first results, prefills, and the event timeout of a stream.

Not changed: nothing reads the store before callers. The runtime polls what is readable, and the queue is in the link before the edge.

--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -87,7 +87,8 @@
 }
 
 impl<D: WireCodec> Forwarder<'_, D> {
-    /// Sends the request to `at` and waits up to `max_wait` for its first result.
+    /// Sends the request to `at` and waits up to `max_wait` for its first result, or longer while the
+    /// edge is late.
     pub async fn send(
         &mut self,
         at: UpstreamKey,
@@ -95,8 +96,10 @@
         stage: Stage<'_>,
         max_wait: Duration,
     ) -> SendOutcome {
+        let monitor = &self.state.delay_monitor;
+        let time_left = self.request.time_left(self.state.now());
         let response = self.send_and_read(at, cost_ms, stage);
-        match timeout(max_wait, response).await {
+        match monitor.timeout_within(max_wait, time_left, response).await {
             Ok(send) => send,
             Err(_) => SendOutcome::NoResponse(self.record_unresponsive(at)),
         }
--- a/crates/edge/src/forward/prefill.rs
+++ b/crates/edge/src/forward/prefill.rs
@@ -8,7 +8,6 @@
 use http::header::HOST;
 use nutmegbay_policy::UpstreamKey;
 use nutmegbay_policy::edge::health::Outcome;
-use tokio::time::timeout;
 
 use super::attempt::{
     MAX_BUFFERED_BODY, OpenedResponse, ResponseBody, SendOutcome, UpstreamResponse, read_up_to,
@@ -73,6 +72,8 @@
     ) -> Result<PrefillHandle<D>, SendOutcome> {
         let sends_before = self.sends;
         let began = self.state.now();
+        let monitor = &self.state.delay_monitor;
+        let time_left = self.request.time_left(began);
         let read = async {
             let OpenedResponse {
                 head,
@@ -97,7 +98,8 @@
             }
             Ok((head, headers, body))
         };
-        let (head, headers, body) = match timeout(max_wait, read).await {
+        let read = monitor.timeout_within(max_wait, time_left, read).await;
+        let (head, headers, body) = match read {
             Ok(read) => read?,
             Err(_) => return Err(SendOutcome::NotRun(self.record_unresponsive(at))),
         };
--- a/crates/edge/src/http1.rs
+++ b/crates/edge/src/http1.rs
@@ -22,7 +22,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, timeout};
+use tokio::time::Instant;
 
 use crate::own_delay::{CountedIo, DelayMonitor};
 use crate::platform_api::{OutboundRequest, UnreadResponse};
@@ -154,13 +154,14 @@
 }
 
 impl Connection {
-    /// Opens a connection within [`CONNECT_TIMEOUT`]. `monitor` counts the bytes that it receives.
+    /// Opens a connection within [`CONNECT_TIMEOUT`], or longer while this process is late. `monitor`
+    /// counts the bytes that it receives.
     pub async fn open(addr: SocketAddr, monitor: &DelayMonitor) -> Result<Self, CallError> {
         let failed = |cause| CallError {
             verdict: Verdict::NotRun,
             cause,
         };
-        let io = match timeout(CONNECT_TIMEOUT, connect(addr)).await {
+        let io = match monitor.timeout(CONNECT_TIMEOUT, connect(addr)).await {
             Ok(Ok(io)) => io,
             Ok(Err(error)) if is_refused(&error) => return Err(failed(Cause::Refused)),
             Ok(Err(_)) | Err(_) => return Err(failed(Cause::Connect)),
@@ -433,14 +434,16 @@
         self.addr.to_string()
     }
 
-    /// Sends a request and reads the whole response within `limit`. A call that gets no response
+    /// Sends a request and reads the whole response within `limit`, or longer while this process is
+    /// late. A call that gets no response
     /// closes its connection; one that times out also closes all idle connections.
     pub async fn call(
         &self,
         req: OutboundRequest,
         limit: Duration,
     ) -> Result<Response<Bytes>, CallError> {
-        let response = timeout(limit, self.call_without_timeout(req)).await;
+        let call = self.call_without_timeout(req);
+        let response = self.monitor.timeout(limit, call).await;
         response.unwrap_or_else(|_| {
             // The cause of the timeout probably affects the other connections to this address too.
             self.idle.borrow_mut().clear();
--- a/crates/edge/src/own_delay.rs
+++ b/crates/edge/src/own_delay.rs
@@ -3,7 +3,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::io::{IoSlice, Result};
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -11,7 +11,8 @@
 use nutmegbay_core::environment::MonotonicTime;
 use nutmegbay_policy::edge::own_delay::{Measurement, OwnDelay, SAMPLE_INTERVAL};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::time::{Instant, sleep_until};
+use tokio::time::error::Elapsed;
+use tokio::time::{Instant, sleep_until, timeout};
 
 use crate::clock::{MonotonicClock, millis};
 
@@ -23,6 +24,7 @@
 pub struct DelayMonitor {
     clock: MonotonicClock,
     received_bytes: Rc<Cell<u64>>,
+    waits_extended: Rc<Cell<u64>>,
     own_delay: Rc<RefCell<OwnDelay>>,
 }
 
@@ -32,6 +34,7 @@
         Self {
             clock: MonotonicClock::new(),
             received_bytes: Rc::default(),
+            waits_extended: Rc::default(),
             own_delay: Rc::new(OwnDelay::new(link_mbps).into()),
         }
     }
@@ -52,6 +55,49 @@
         self.own_delay.borrow().measure(self.clock.now())
     }
 
+    /// Returns the number of extensions of waits.
+    pub fn waits_extended(&self) -> u64 {
+        self.waits_extended.get()
+    }
+
+    /// Waits up to `usual` for `f`, and longer while the process is late.
+    pub async fn timeout<F: Future>(
+        &self,
+        usual: Duration,
+        f: F,
+    ) -> std::result::Result<F::Output, Elapsed> {
+        self.timeout_within(usual, Duration::MAX, f).await
+    }
+
+    /// Waits up to `usual` for `f`, and longer while the process is late, but at most `max`.
+    pub async fn timeout_within<F: Future>(
+        &self,
+        usual: Duration,
+        max: Duration,
+        f: F,
+    ) -> std::result::Result<F::Output, Elapsed> {
+        let began = self.clock.now();
+        let mut f = pin!(f);
+        let (mut wait, mut extended) = (usual.min(max), Duration::ZERO);
+        loop {
+            let elapsed = match timeout(wait, f.as_mut()).await {
+                Ok(output) => return Ok(output),
+                Err(elapsed) => elapsed,
+            };
+            let max_rest = max.saturating_sub(self.clock.now().since(began));
+            let Some(extension) = self
+                .measure()
+                .extension(usual, extended)
+                .filter(|_| !max_rest.is_zero())
+            else {
+                return Err(elapsed);
+            };
+            self.waits_extended.set(self.waits_extended.get() + 1);
+            extended += extension;
+            wait = extension.min(max_rest);
+        }
+    }
+
     /// Returns whether a wait of this process that has just ended may have ended for its own delay
     /// alone. If so, it shows nothing about `upstream`, which is logged.
     pub fn excuses(&self, upstream: &str) -> bool {
@@ -87,6 +133,7 @@
                     received_per_s = measured.received_per_s.round(),
                     link_share = measured.link_share,
                     age_ms = millis(measured.age),
+                    waits_extended = self.waits_extended(),
                 );
             }
         }
--- a/crates/edge/src/peers/serve.rs
+++ b/crates/edge/src/peers/serve.rs
@@ -136,7 +136,7 @@
 }
 
 /// Returns the names and values of the gauges.
-fn gauges<D: WireCodec>(state: &EdgeState<D>) -> [(&'static str, u64); 11] {
+fn gauges<D: WireCodec>(state: &EdgeState<D>) -> [(&'static str, u64); 12] {
     let now = state.now();
     let measured = state.delay_monitor.measure();
     let known_records = state.known_records.borrow();
@@ -153,6 +153,7 @@
             state.crashes.borrow().quarantines().len() as u64,
         ),
         ("timer_late_ms", millis(measured.timer_lateness)),
+        ("waits_extended_total", state.delay_monitor.waits_extended()),
         ("received_bytes_per_second", measured.received_per_s as u64),
         (
             "link_share_percent",
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -245,7 +245,9 @@
             }
             let time_left = self.request.time_left(now);
             // Bytes of an incomplete event do not extend the wait.
-            let max_wait = match self.silence.step(now, self.event_timeout()) {
+            let measured = self.state.delay_monitor.measure();
+            let event_timeout = self.event_timeout();
+            let max_wait = match self.silence.step(now, event_timeout, &measured) {
                 Step::Wait(until) => until.map_or(time_left, |until| until.since(now)),
                 Step::Ask => {
                     other = self.resumption(ResumeCause::Silent).map(Box::pin);
--- a/crates/policy/src/edge/own_delay.rs
+++ b/crates/policy/src/edge/own_delay.rs
@@ -21,6 +21,9 @@
 /// Received fraction of the link's rate from which the link is considered full.
 pub const MAX_LINK_SHARE: f64 = 0.8;
 
+/// Maximum extension of a wait on a late instance, as a multiple of the usual wait.
+const MAX_EXTENSION_FACTOR: u32 = 3;
+
 /// State of the instance at one time.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Measurement {
@@ -37,8 +40,29 @@
 impl Measurement {
     /// Returns whether timers are late or the link is full.
     pub fn is_late(&self) -> bool {
+        self.is_timer_late() || self.is_link_full()
+    }
+
+    /// Returns by how much to extend a wait that is over and takes `usual` on an instance that is
+    /// on time. `extended` is the sum of its extensions so far. A late timer extends it by its
+    /// lateness, since an answer that has come meanwhile may be unread; on a full link, an answer
+    /// waits for an unknown time. Returns `None` if the wait has ended.
+    pub fn extension(&self, usual: Duration, extended: Duration) -> Option<Duration> {
+        let rest = (usual * MAX_EXTENSION_FACTOR).saturating_sub(extended);
+        match () {
+            () if rest.is_zero() => None,
+            () if self.is_link_full() => Some(usual.min(rest)),
+            () if self.is_timer_late() => Some(self.timer_lateness.min(rest)),
+            () => None,
+        }
+    }
+
+    fn is_timer_late(&self) -> bool {
         self.timer_lateness >= MAX_TIMER_LATENESS
-            || self.link_share.is_some_and(|share| share >= MAX_LINK_SHARE)
+    }
+
+    fn is_link_full(&self) -> bool {
+        self.link_share.is_some_and(|share| share >= MAX_LINK_SHARE)
     }
 }
 
--- a/crates/policy/src/edge/silence.rs
+++ b/crates/policy/src/edge/silence.rs
@@ -7,6 +7,8 @@
 
 use nutmegbay_core::environment::MonotonicTime;
 
+use super::own_delay::Measurement;
+
 /// Minimum time without a whole event after which another upstream is asked to go on.
 const MIN_EVENT_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -43,6 +45,10 @@
     since: MonotonicTime,
     /// Time of the request to another upstream that has no answer yet.
     asked_at: Option<MonotonicTime>,
+    /// End of the extended wait, if it was extended because the instance is late.
+    extended_until: Option<MonotonicTime>,
+    /// Sum of the extensions of the wait.
+    extended: Duration,
 }
 
 impl Silence {
@@ -51,6 +57,8 @@
         Self {
             since: now,
             asked_at: None,
+            extended_until: None,
+            extended: Duration::ZERO,
         }
     }
 
@@ -65,17 +73,30 @@
         *self = Self::new(now);
     }
 
-    /// Returns what to do at `now`. `event_timeout` is `None` if no other upstream can go on.
-    pub fn step(&self, now: MonotonicTime, event_timeout: Option<Duration>) -> Step {
-        let (due, action) = match (self.asked_at, event_timeout) {
-            (Some(asked_at), _) => (asked_at.plus(MAX_OVERLAP), Step::KeepSilent),
-            (None, Some(timeout)) => (self.since.plus(timeout), Step::Ask),
+    /// Returns what to do at `now`. `event_timeout` is `None` if no other upstream can go on. On an
+    /// instance that is late by `measured`, the wait for an event is extended.
+    pub fn step(
+        &mut self,
+        now: MonotonicTime,
+        event_timeout: Option<Duration>,
+        measured: &Measurement,
+    ) -> Step {
+        let (due, action, usual) = match (self.asked_at, event_timeout) {
+            (Some(asked_at), _) => (asked_at.plus(MAX_OVERLAP), Step::KeepSilent, Duration::ZERO),
+            (None, Some(timeout)) => {
+                let due = self.since.plus(timeout);
+                (self.extended_until.unwrap_or(due), Step::Ask, timeout)
+            }
             (None, None) => return Step::Wait(None),
         };
-        if now < due {
-            Step::Wait(Some(due))
-        } else {
-            action
+        match measured.extension(usual, self.extended) {
+            _ if now < due => Step::Wait(Some(due)),
+            Some(extension) => {
+                self.extended += extension;
+                self.extended_until = Some(now.plus(extension));
+                Step::Wait(self.extended_until)
+            }
+            None => action,
         }
     }
 }
--- a/crates/policy/tests/edge_own_delay.rs
+++ b/crates/policy/tests/edge_own_delay.rs
@@ -69,3 +69,26 @@
     }
     assert!(!own_delay.measure(now).is_late());
 }
+
+/// Waits on an instance that is on time stay as they are, and none is extended without limit.
+#[test]
+fn extended_waits() {
+    let usual = Duration::from_secs(1);
+    let (own_delay, now) = sampled(20, 0);
+    let on_time = own_delay.measure(now);
+    assert_eq!(on_time.extension(usual, Duration::ZERO), None);
+
+    let (own_delay, now) = sampled(20, LINK_BYTES);
+    let full = own_delay.measure(now);
+    let mut extended = Duration::ZERO;
+    while let Some(extension) = full.extension(usual, extended) {
+        assert!(!extension.is_zero());
+        extended += extension;
+    }
+    assert_eq!(extended, usual * 3);
+
+    let (own_delay, now) = sampled(20, 0);
+    let lateness = Duration::from_millis(200);
+    let late = own_delay.measure(now.plus(SAMPLE_INTERVAL + lateness));
+    assert_eq!(late.extension(usual, Duration::ZERO), Some(lateness));
+}
--- a/crates/policy/tests/edge_silence.rs
+++ b/crates/policy/tests/edge_silence.rs
@@ -4,12 +4,24 @@
 use std::time::Duration;
 
 use nutmegbay_core::environment::MonotonicTime;
+use nutmegbay_policy::edge::own_delay::Measurement;
 use nutmegbay_policy::edge::silence::{Silence, Step, event_timeout};
 
 const TIMEOUT: Duration = Duration::from_millis(600);
 /// Maximum time for which two upstreams may work on one stream.
 const ALLOWED_OVERLAP_MS: u64 = 400;
 
+const ON_TIME: Measurement = Measurement {
+    timer_lateness: Duration::ZERO,
+    received_per_s: 0.0,
+    link_share: Some(0.0),
+    age: Duration::ZERO,
+};
+const FULL_LINK: Measurement = Measurement {
+    link_share: Some(1.0),
+    ..ON_TIME
+};
+
 fn at(ms: u64) -> MonotonicTime {
     MonotonicTime(Duration::from_millis(ms))
 }
@@ -20,7 +32,7 @@
     let mut silence = Silence::new(at(0));
     let (mut asked, mut dropped) = (Vec::new(), Vec::new());
     for now in 0..=ms {
-        match silence.step(at(now), Some(TIMEOUT)) {
+        match silence.step(at(now), Some(TIMEOUT), &ON_TIME) {
             Step::Wait(_) => {}
             Step::Ask => {
                 silence.record_asked(at(now));
@@ -71,22 +83,25 @@
     let mut silence = Silence::new(at(0));
     silence.record_asked(at(600));
     assert_eq!(
-        silence.step(at(700), Some(TIMEOUT)),
+        silence.step(at(700), Some(TIMEOUT), &ON_TIME),
         Step::Wait(Some(at(900)))
     );
     silence = Silence::new(at(700));
     assert_eq!(
-        silence.step(at(1_299), Some(TIMEOUT)),
+        silence.step(at(1_299), Some(TIMEOUT), &ON_TIME),
         Step::Wait(Some(at(1_300)))
     );
-    assert_eq!(silence.step(at(1_300), Some(TIMEOUT)), Step::Ask);
+    assert_eq!(silence.step(at(1_300), Some(TIMEOUT), &ON_TIME), Step::Ask);
 }
 
 /// A stream that no other upstream can go on with is waited for without limit.
 #[test]
 fn not_resumable() {
-    let silence = Silence::new(at(0));
-    assert_eq!(silence.step(at(100_000), None), Step::Wait(None));
+    let mut silence = Silence::new(at(0));
+    assert_eq!(
+        silence.step(at(100_000), None, &FULL_LINK),
+        Step::Wait(None)
+    );
 }
 
 #[test]
@@ -95,3 +110,27 @@
     let wide = Duration::from_millis(500);
     assert_eq!(event_timeout(wide), wide * 4);
 }
+
+/// While the link is full, the silence is the instance's own. A stream is not kept without limit, nor
+/// two upstreams for longer.
+#[test]
+fn own_silence() {
+    let mut silence = Silence::new(at(0));
+    for ms in 0..2_400 {
+        let step = silence.step(at(ms), Some(TIMEOUT), &FULL_LINK);
+        assert!(matches!(step, Step::Wait(Some(_))), "{ms}: {step:?}");
+    }
+    assert_eq!(
+        silence.step(at(2_400), Some(TIMEOUT), &FULL_LINK),
+        Step::Ask
+    );
+    silence.record_asked(at(2_400));
+    assert_eq!(
+        silence.step(at(2_700), Some(TIMEOUT), &FULL_LINK),
+        Step::KeepSilent
+    );
+
+    let mut silence = Silence::new(at(0));
+    silence.step(at(600), Some(TIMEOUT), &FULL_LINK);
+    assert_eq!(silence.step(at(1_200), Some(TIMEOUT), &ON_TIME), Step::Ask);
+}
