--- a/crates/edge/src/forward/prefill.rs
+++ b/crates/edge/src/forward/prefill.rs
@@ -9,7 +9,6 @@
 use nutmegbay_policy::UpstreamKey;
 use nutmegbay_policy::edge::health::Outcome;
 use nutmegbay_policy::edge::software_versions::VersionTag;
-use tokio::time::timeout;
 
 use super::attempt::{
     MAX_BUFFERED_BODY, OpenedResponse, ResponseBody, SendOutcome, UpstreamResponse, read_up_to,
@@ -76,6 +75,8 @@
     ) -> Result<PrefillHandle<D>, SendOutcome> {
         let sends_before = self.sends;
         let began = self.state.now();
+        let monitor = &self.state.delay_monitor;
+        let time_left = self.request.time_left(began);
         let read = async {
             let OpenedResponse {
                 head,
@@ -100,7 +101,8 @@
             }
             Ok((head, headers, body))
         };
-        let (head, headers, body) = match timeout(max_wait, read).await {
+        let read = monitor.timeout_within(max_wait, time_left, read).await;
+        let (head, headers, body) = match read {
             Ok(read) => read?,
             Err(_) => return Err(SendOutcome::NotRun(self.record_unresponsive(at))),
         };
