Take a topic that was never written as complete

A missing set is now only in doubt if the topic has sets of an earlier era.

Evidence: before the change, stored_versions::unwritten_topic fails with "not written in time: []" after 3 s; lost_set passed before and after.

--- a/crates/edge/src/versions/store.rs
+++ b/crates/edge/src/versions/store.rs
@@ -155,13 +155,16 @@
     let Versions {
         by_service: known, ..
     } = &mut *versions;
+    // A set of an earlier era may lack what was written after the store was copied, and so may the
+    // topic.
+    let is_current = |set: &StoredSet| set.era == end.era;
+    let is_topic_current = by_service.values().all(is_current);
     for known in known.values_mut() {
-        let unwritten = StoredSet::default();
-        let set = by_service.get(&known.name).unwrap_or(&unwritten);
-        // A set of an earlier era may lack what was written after the store was copied.
-        let is_complete = set.era == end.era;
+        let set = by_service.get(&known.name);
+        let is_complete = set.map_or(is_topic_current, is_current);
+        let earlier = set.map_or(&[][..], |set| &set.versions);
         let history = &mut known.history;
-        history.record_earlier(&set.versions, is_complete, as_of, now);
+        history.record_earlier(earlier, is_complete, as_of, now);
         history.sweep(known.retention, now);
     }
     Ok(StoredSets { by_service, end })
