Read on after a page of a list that cannot be decoded

An edge did not know the workers whose entries came after such a page, and removed those that it had known when it read the whole list again (a lost history, a restored store).

Cause: the next page was named by the last decoded record, and a page without one ended the list, which counted as whole. One unreadable item (a lone surrogate in its key, for example) made the whole page unreadable.

Fix: items are decoded one by one, the next page is named by the last readable key, and a list whose page names no new key is read no further and does not count as whole, so that nothing is removed for it.

--- a/crates/edge-bin/tests/common/store.rs
+++ b/crates/edge-bin/tests/common/store.rs
@@ -43,6 +43,8 @@
     paging: Paging,
     /// Number of restores.
     era: u64,
+    /// Items of lists that are replaced, by their key.
+    odd_items: HashMap<String, Value>,
 }
 
 /// An accepted usage report.
@@ -133,6 +135,16 @@
         paging.first_page_calls.clear();
     }
 
+    /// Makes lists contain `item` in place of the record of `key`.
+    pub fn replace_item(&self, key: &str, item: &Value) {
+        self.lock().odd_items.insert(key.into(), item.clone());
+    }
+
+    /// Appends a record with any value.
+    pub fn put_bytes(&self, topic: &str, key: &str, value: &[u8]) {
+        self.push(topic, key, value.into());
+    }
+
     /// Returns the number of calls for the first page of a topic since [`Store::paginate_lists`].
     pub fn first_page_calls(&self, topic: &str) -> u32 {
         let inner = self.lock();
@@ -260,8 +272,11 @@
         .filter(|(key, (_, record))| {
             !record.value.is_empty() && after.is_none_or(|after| **key > after)
         })
-        .map(|(_, (offset, record))| {
-            json!({"key": record.key, "value": STANDARD.encode(&record.value), "offset": offset})
+        .map(|(key, (offset, record))| match inner.odd_items.get(*key) {
+            Some(item) => item.clone(),
+            None => {
+                json!({"key": record.key, "value": STANDARD.encode(&record.value), "offset": offset})
+            }
         });
     let items: Vec<_> = rest.by_ref().take(page).collect();
     let body = json!({"items": items, "has-more": rest.next().is_some(), "end": records.len()});
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -84,6 +84,10 @@
     /// End of the topic when the first page was read. Later pages may contain newer records;
     /// reading on from this position repeats them.
     pub end: Option<Position>,
+    /// Key after which the next page is read.
+    after: Option<Box<str>>,
+    /// Whether a page named no key after which the next one could be read.
+    is_cut: bool,
 }
 
 impl NewestRecords {
@@ -95,8 +99,7 @@
         topic: Topic,
     ) -> Result<(&[KeyedRecord], bool), StoreError> {
         state.metrics.count_store_call(topic);
-        let last = self.records.last().map(|record| &*record.key);
-        let page = store.newest(topic, last).await?;
+        let page = store.newest(topic, self.after.as_deref()).await?;
         state.check_store_era(page.end.era, topic)?;
         if self.end.is_some_and(|end| end.era != page.end.era) {
             // The pages before were read in an earlier era.
@@ -104,10 +107,21 @@
             return Err(StoreError::Expired);
         }
         self.end.get_or_insert(page.end);
+        let has_next = page.last_key.is_some() && self.has_not_read(page.last_key.as_deref());
+        if page.has_more && !has_next {
+            tracing::warn!(event = "list_cut", %topic, after = self.after.as_deref());
+            self.is_cut = true;
+        }
+        self.after = page.last_key;
         let known = self.records.len();
-        let has_more = page.has_more && !page.records.is_empty();
         self.records.extend(page.records);
-        Ok((&self.records[known..], has_more))
+        Ok((&self.records[known..], page.has_more && has_next))
+    }
+
+    /// Returns whether no page before ended with or contained `key`.
+    fn has_not_read(&self, key: Option<&str>) -> bool {
+        let mut keys = self.records.iter().map(|record| Some(&*record.key));
+        self.after.as_deref() != key && keys.all(|known| known != key)
     }
 
     /// Reads all pages.
@@ -347,8 +361,10 @@
     }
     let newest = std::mem::take(newest);
     let end = newest.end.unwrap_or_default();
-    remove_unlisted(state, &newest.records, end, grace_until);
-    state.known_records.borrow_mut().record_full_read(end);
+    if !newest.is_cut {
+        remove_unlisted(state, &newest.records, end, grace_until);
+        state.known_records.borrow_mut().record_full_read(end);
+    }
     Ok(end)
 }
 
--- a/crates/edge/src/platform_api.rs
+++ b/crates/edge/src/platform_api.rs
@@ -107,8 +107,11 @@
 /// One page of the newest records of a topic.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct NewestPage {
-    /// Records in key order.
+    /// Records in key order, without those that cannot be decoded.
     pub records: Vec<KeyedRecord>,
+    /// Last readable key on the page, after which the next page is read. Its record may be one that
+    /// cannot be decoded.
+    pub last_key: Option<Box<str>>,
     /// End of the topic when the page was read.
     pub end: Position,
     /// Whether there are further keys.
