Answer the requests that a planned stop cannot finish

Connections that waited in the listener's queue when it closed were reset.

Cause: nothing compared what a request may still need with the time until the exit, the listener was dropped with its queue, and the process exited without a word to the requests in flight.

Fix: policy::edge::planned_stop decides, when the head has come and again when the body has, whether the request can be finished before the exit: by its limit, or by what recent requests on its route took (nine tenths of them; 99 in 100 where they may run only once). If not, it is refused at once (503, not run, Retry-After, Connection: close). The queue is read empty before the listener closes, and connections without a first request get 0.25 s for it. What still runs 0.1 s before the exit gets 502 if it was sent to an upstream, else 503; a stream ends without its end. The process waits until responses are written. The grace time is the one in force at SIGTERM, not at the start.

--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -1,7 +1,8 @@
 //! Accepts callers' connections and requests, and writes the responses.
 
-use std::cell::OnceCell;
+use std::cell::{Cell, OnceCell};
 use std::convert::Infallible;
+use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -29,6 +30,7 @@
 use crate::platform_api::{WireCodec, origin_form};
 use crate::routes::RouteError;
 use crate::state::EdgeState;
+use crate::stopping::{PlannedStop, STOPPING};
 use crate::stream::ResponseBodyError;
 
 /// Minimum buffer size for the head of a request that `hyper` accepts, in bytes.
@@ -44,14 +46,27 @@
 /// asked to retry after about this time.
 const NO_CONFIG_RETRY_MS: f64 = 500.0;
 
-/// Accepts callers' connections until [`EdgeState::close_idle`] is cancelled.
+/// Expected time until a caller whose request is refused because of a planned stop reaches another
+/// process, in milliseconds.
+const STOPPING_RETRY_MS: f64 = 100.0;
+
+/// Time for which a connection that is still to bring its first request is kept open when idle
+/// connections are closed.
+const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(250);
+
+/// Time for which other idle connections are kept open then, for a request that has already
+/// arrived.
+const LAST_REQUEST_WAIT: Duration = Duration::from_millis(20);
+
+/// Accepts callers' connections until [`EdgeState::close_idle`] is cancelled, and those that wait
+/// to be accepted at that time.
 pub async fn listen<D: WireCodec>(state: Rc<EdgeState<D>>, listener: TcpListener) {
     loop {
         tokio::select! {
-            () = state.close_idle.cancelled() => return,
+            () = state.close_idle.cancelled() => return accept_waiting(&state, listener),
             accepted = listener.accept() => match accepted {
                 Ok((io, _)) => {
-                    tokio::task::spawn_local(serve_caller(Rc::clone(&state), io));
+                    spawn_caller(&state, io);
                 }
                 Err(error) => {
                     tracing::warn!(event = "accept_failed", %error);
@@ -62,6 +77,38 @@
     }
 }
 
+/// Accepts the connections that wait, and closes the listener.
+fn accept_waiting<D: WireCodec>(state: &Rc<EdgeState<D>>, listener: TcpListener) {
+    let accept = |listener: &std::net::TcpListener| {
+        let (io, _) = listener.accept()?;
+        io.set_nonblocking(true)?;
+        TcpStream::from_std(io)
+    };
+    let Ok(listener) = listener.into_std() else {
+        return;
+    };
+    loop {
+        match accept(&listener) {
+            Ok(io) => spawn_caller(state, io),
+            Err(error) if error.kind() == ErrorKind::ConnectionAborted => {}
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return,
+            Err(error) => {
+                tracing::warn!(event = "accept_failed", %error);
+                return;
+            }
+        }
+    }
+}
+
+fn spawn_caller<D: WireCodec>(state: &Rc<EdgeState<D>>, io: TcpStream) {
+    let open = InFlightGuard::new(&state.planned_stop.connections);
+    let served = serve_caller(Rc::clone(state), io);
+    tokio::task::spawn_local(async move {
+        served.await;
+        drop(open);
+    });
+}
+
 async fn serve_caller<D: WireCodec>(state: Rc<EdgeState<D>>, io: TcpStream) {
     if let Err(error) = io.set_nodelay(true) {
         tracing::debug!(event = "socket_option_refused", %error);
@@ -73,7 +120,11 @@
             .as_ref()
             .map_or_else(CallerLimits::default, |table| table.config().limits)
     };
-    let service = service_fn(|req| respond(Rc::clone(&state), req));
+    let has_brought_any = Cell::new(false);
+    let service = service_fn(|req| {
+        has_brought_any.set(true);
+        respond(Rc::clone(&state), req)
+    });
     // `hyper` counts the time for a head from the end of the previous request, so this timeout
     // bounds the idle time too.
     let served = Builder::new()
@@ -84,10 +135,17 @@
         .serve_connection(TokioIo::new(io), service);
     let mut served = std::pin::pin!(served);
     let result = tokio::select! {
+        biased;
         result = &mut served => result,
         () = state.close_idle.cancelled() => {
-            served.as_mut().graceful_shutdown();
-            served.await
+            let wait = if has_brought_any.get() { LAST_REQUEST_WAIT } else { FIRST_REQUEST_WAIT };
+            match timeout(wait, &mut served).await {
+                Ok(result) => result,
+                Err(_) => {
+                    served.as_mut().graceful_shutdown();
+                    served.await
+                }
+            }
         }
     };
     if let Err(error) = result {
@@ -102,13 +160,17 @@
     let arrived = state.now();
     let in_flight = InFlightGuard::new(&state.in_flight);
     let mut res = match route_request(&state, req, arrived, in_flight).await {
-        Ok(request) => match serve(&state, &request).await {
+        Ok(request) => match serve_until_exit(&state, &request).await {
             Ok(res) => {
                 request.log(&state, res.status(), "answered", Verdict::Ran);
+                request.record_duration(&state);
                 res.map(Either::Right)
             }
             Err(failure) => {
                 request.log(&state, failure.status, failure.cause, failure.verdict);
+                if failure.verdict != Verdict::NotRun {
+                    request.record_duration(&state);
+                }
                 refusal_response(&failure).map(Either::Left)
             }
         },
@@ -124,6 +186,44 @@
     Ok(res.map(unify_body))
 }
 
+/// Forwards a request and returns the response, unless it cannot be finished before the process
+/// exits.
+async fn serve_until_exit<D: WireCodec>(
+    state: &Rc<EdgeState<D>>,
+    request: &Rc<RoutedRequest>,
+) -> Result<Response<impl Body<Data = Bytes, Error = ResponseBodyError> + use<D>>, Failure> {
+    let PlannedStop { ended, .. } = &state.planned_stop;
+    if !state
+        .planned_stop
+        .can_finish(&request.route, request.deadline_at, state.now())
+    {
+        return Err(stopping(Verdict::NotRun));
+    }
+    tokio::select! {
+        biased;
+        response = serve(state, request) => response,
+        () = ended.cancelled() => Err(stopping(match request.progress.borrow().sends {
+            0 => Verdict::NotRun,
+            _ => Verdict::MayHaveRun,
+        })),
+    }
+}
+
+/// Returns the failure of a request that a planned stop refuses or ends.
+fn stopping(verdict: Verdict) -> Failure {
+    let is_refused = verdict == Verdict::NotRun;
+    Failure {
+        status: if is_refused {
+            StatusCode::SERVICE_UNAVAILABLE
+        } else {
+            StatusCode::BAD_GATEWAY
+        },
+        verdict,
+        cause: STOPPING,
+        retry_after: is_refused.then(|| retry_after(STOPPING_RETRY_MS, rand::random())),
+    }
+}
+
 /// Converts whole and streamed response bodies into one body type.
 pub fn unify_body<B>(
     body: Either<Full<Bytes>, B>,
@@ -217,12 +317,24 @@
     let deadline = head.deadline.unwrap_or(DEFAULT_DEADLINE);
     let time_limit = deadline.min(route.timeout);
     let limit = table.config().limits.body_bytes;
-    let body = read_body(body, limit, time_limit)
-        .await
-        .map_err(|(status, cause)| reject(status, cause))?;
+    let refuse = || RejectedRequest {
+        id: id.clone(),
+        failure: stopping(Verdict::NotRun),
+    };
+    let deadline_at = arrived.plus(time_limit);
+    if !state.planned_stop.can_finish(route, deadline_at, arrived) {
+        return Err(refuse());
+    }
+    let body = tokio::select! {
+        biased;
+        body = read_body(body, limit, time_limit) => {
+            body.map_err(|(status, cause)| reject(status, cause))?
+        }
+        () = state.planned_stop.ended.cancelled() => return Err(refuse()),
+    };
     Ok(Rc::new(RoutedRequest {
         elapsed: state.time_since_first_attempt(&route.name, deadline),
-        deadline_at: arrived.plus(time_limit),
+        deadline_at,
         target: target.into(),
         method: parts.method,
         head: without_key(head),
@@ -282,6 +394,16 @@
 }
 
 impl RoutedRequest {
+    /// Records the duration of a request whose response is complete.
+    fn record_duration<D: WireCodec>(&self, state: &EdgeState<D>) {
+        if !self.progress.borrow().is_streaming {
+            let now = state.now();
+            let took = now.since(self.arrived);
+            let stop = &state.planned_stop;
+            stop.record_duration(&self.route.name, took, now);
+        }
+    }
+
     fn log<D: WireCodec>(
         &self,
         state: &EdgeState<D>,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod settings;
 mod sse;
 mod state;
+mod stopping;
 mod stream;
 
 pub use routes::{RouteError, RouteTable};
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use error_stack::{Report, ResultExt};
+use nutmegbay_core::environment::MonotonicTime;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::watch;
 use tokio::task::{LocalSet, spawn_local};
@@ -28,6 +29,10 @@
 /// Time before SIGKILL at which the process exits even if requests are open.
 const SIGKILL_MARGIN: Duration = Duration::from_millis(400);
 
+/// Time before the exit at which the requests in flight are given up, so that their callers still
+/// get a response.
+const LAST_RESPONSE_MARGIN: Duration = Duration::from_millis(100);
+
 /// Time between two checks for whether the last request has ended.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -76,7 +81,6 @@
     let ingress = bind(settings.ingress)?;
     let readiness = bind(settings.readiness)?;
     let control = settings.control.map(bind).transpose()?;
-    let grace = settings.bounds.grace;
     tracing::info!(
         event = "start",
         version = env!("CARGO_PKG_VERSION"),
@@ -127,20 +131,39 @@
 
     stop.cancelled().await;
     let stop_began = Instant::now();
+    let until_exit = state.settings().bounds.grace.saturating_sub(SIGKILL_MARGIN);
+    let until_last_responses = until_exit.saturating_sub(LAST_RESPONSE_MARGIN);
+    let last_responses_at = state.now().plus(until_last_responses);
+    state.planned_stop.begin(last_responses_at);
     tracing::info!(event = "stopping", in_flight = state.in_flight.get());
     if let Some(duty) = &duty {
         duty.release().await;
     }
-    sleep_until(stop_began + ACCEPT_AFTER_SIGTERM).await;
+    sleep_until(stop_began + ACCEPT_AFTER_SIGTERM.min(until_last_responses)).await;
     state.close_idle.cancel();
-    accepting.abort();
-    let exit_at = stop_began + grace.saturating_sub(SIGKILL_MARGIN);
+    if let Err(error) = accepting.await {
+        tracing::error!(event = "accepting_ended", %error);
+    }
+    finish(&state, last_responses_at, stop_began + until_exit).await;
+    Ok(())
+}
+
+/// Waits until all responses are written and all counts are in the store, until `exit_at` at most.
+/// The requests that are in flight at `last_responses_at` are given up.
+async fn finish<D: WireCodec>(
+    state: &EdgeState<D>,
+    last_responses_at: MonotonicTime,
+    exit_at: Instant,
+) {
     // Counts that are not in the store when the process exits are lost, and so is the usage report
     // that depends on them.
-    while (state.in_flight.get() > 0 || !state.is_usage_stored()) && Instant::now() < exit_at {
+    while is_in_use(state) && Instant::now() < exit_at {
         if state.in_flight.get() == 0 {
             state.flush_usage.notify_one();
         }
+        if state.now() >= last_responses_at {
+            state.planned_stop.ended.cancel();
+        }
         sleep(DRAIN_POLL_INTERVAL).await;
     }
     if !state.is_usage_stored() {
@@ -150,7 +173,13 @@
         );
     }
     tracing::info!(event = "stopped", in_flight = state.in_flight.get());
-    Ok(())
+}
+
+/// Returns whether a response is not written whole, or counts are not in the store.
+fn is_in_use<D: WireCodec>(state: &EdgeState<D>) -> bool {
+    state.in_flight.get() > 0
+        || state.planned_stop.connections.get() > 0
+        || !state.is_usage_stored()
 }
 
 fn bind(addr: std::net::SocketAddr) -> Result<TcpListener, Report<StartError>> {
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -29,6 +29,7 @@
 use crate::platform_api::{StoreError, Topic, WireCodec};
 use crate::routes::RouteTable;
 use crate::settings::{Bounds, EdgeSettings};
+use crate::stopping::PlannedStop;
 
 /// Target of this module's log lines: its former path, which log filters of operators may name.
 const LOG_TARGET: &str = "nutmegbay_edge::site";
@@ -108,6 +109,8 @@
     pub stop: CancellationToken,
     /// Cancelled when idle connections must be closed.
     pub close_idle: CancellationToken,
+    /// Decisions on requests during a planned stop.
+    pub planned_stop: PlannedStop,
     /// Number of requests being served.
     pub in_flight: Rc<Cell<usize>>,
     /// Deadlines sent by callers, by route.
@@ -162,6 +165,7 @@
             store_recovered: Notify::new(),
             stop,
             close_idle: CancellationToken::new(),
+            planned_stop: PlannedStop::default(),
             in_flight: Rc::default(),
             deadlines: RefCell::default(),
         }
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -24,6 +24,7 @@
 use crate::platform_api::WireCodec;
 use crate::sse::EventSplitter;
 use crate::state::EdgeState;
+use crate::stopping::STOPPING;
 
 /// Minimum time without a whole event after which a resumable stream is resumed at another
 /// upstream.
@@ -326,11 +327,20 @@
 
 impl<D: WireCodec> Drop for BodyStream<D> {
     fn drop(&mut self) {
-        let end = self.end.unwrap_or("caller_left");
-        if self.end.is_none() {
-            increment(&self.state.metrics.callers_left);
-        }
+        let end = match self.end {
+            Some(end) => end,
+            None if self.state.planned_stop.ended.is_cancelled() => STOPPING,
+            None => {
+                increment(&self.state.metrics.callers_left);
+                "caller_left"
+            }
+        };
         let now = self.state.now();
+        if self.end.is_some() {
+            let took = now.since(self.request.arrived);
+            let route = &self.request.route.name;
+            self.state.planned_stop.record_duration(route, took, now);
+        }
         let progress = self.request.progress.borrow();
         tracing::info!(
             event = "request",
--- a/crates/policy/src/edge/mod.rs
+++ b/crates/policy/src/edge/mod.rs
@@ -15,6 +15,7 @@
 pub mod notices;
 pub mod pending_work;
 pub mod placement;
+pub mod planned_stop;
 pub mod prefill_rate;
 pub mod prefixes;
 pub mod presence;
