--- a/crates/edge-bin/tests/common/mod.rs
+++ b/crates/edge-bin/tests/common/mod.rs
@@ -334,6 +334,8 @@
     ip: IpAddr,
     child: Child,
     settings: NamedTempFile,
+    /// What the process writes to its standard error.
+    errors: NamedTempFile,
     /// Whether the process was sent a signal to end since its start.
     is_stopping: Cell<bool>,
 }
@@ -342,11 +344,13 @@
     fn start(node: &str, ip: IpAddr, store: SocketAddr, seed: IpAddr) -> Self {
         let settings = NamedTempFile::new().unwrap();
         std::fs::write(settings.path(), settings_text(node, ip, store, seed)).unwrap();
-        let child = spawn_edge(&settings);
+        let errors = NamedTempFile::new().unwrap();
+        let child = spawn_edge(&settings, &errors);
         Self {
             ip,
             child,
             settings,
+            errors,
             is_stopping: Cell::new(false),
         }
     }
@@ -396,7 +400,7 @@
     /// Waits for the process to end and starts it again.
     pub fn restart(&mut self) {
         self.child.wait().unwrap();
-        self.child = spawn_edge(&self.settings);
+        self.child = spawn_edge(&self.settings, &self.errors);
         self.is_stopping.set(false);
     }
 
@@ -431,10 +435,17 @@
         // Fails only if the process has already ended.
         let _ = self.child.kill();
         let _ = self.child.wait();
+        // A task that panicked ends silently: whatever it followed is not followed any more.
+        let errors = std::fs::read_to_string(self.errors.path()).unwrap_or_default();
+        eprint!("{errors}");
+        assert!(
+            std::thread::panicking() || !errors.contains("panicked at"),
+            "a task of the edge panicked"
+        );
     }
 }
 
-fn spawn_edge(settings: &NamedTempFile) -> Child {
+fn spawn_edge(settings: &NamedTempFile, errors: &NamedTempFile) -> Child {
     let log = match std::env::var_os(LOG_VARIABLE) {
         Some(_) => Stdio::inherit(),
         None => Stdio::null(),
@@ -442,6 +453,7 @@
     Command::new(env!("CARGO_BIN_EXE_nutmegbay-edge"))
         .env("NUTMEGBAY_BOOT", settings.path())
         .stdout(log)
+        .stderr(errors.reopen().unwrap())
         .spawn()
         .unwrap()
 }
--- a/crates/edge/src/routes.rs
+++ b/crates/edge/src/routes.rs
@@ -94,8 +94,8 @@
     /// Returns the service for a request on `route`. `sample`, between 0 and 1, selects among the
     /// weights of a split route.
     pub fn service(&self, route: &Route, sample: f64) -> Option<&Rc<Service>> {
-        let total: u32 = route.targets.iter().map(|target| target.weight).sum();
-        let mut rest = sample * f64::from(total);
+        let weights = route.targets.iter().map(|target| f64::from(target.weight));
+        let mut rest = sample * weights.sum::<f64>();
         let target = route.targets.iter().find(|target| {
             rest -= f64::from(target.weight);
             rest < 0.0
