Go on with the duties after a foreign record in their register

What callers saw: nothing; the operator would get no usage report any more.

Cause: a record of the duties that cannot be decoded was skipped, and with it the new end of the register. Every process then wrote under the condition that the register ends before that record, which is refused for good. A record of another key was taken for the register's content. A number that belongs to no era of the store overflowed with the next claim.

Evidence before the fix: odd_entries::duty: "timed out: a report after it" (20 s; windows of 1 s) duty_keeper::foreign_number: "attempt to add with overflow" duty_keeper::foreign_at_start, with the end moved only: FAILED, the number 1 of the holder was used again

Fix: DutyKeeper::on_foreign_record moves the end and leaves the record before it in force; the holder replaces the foreign one at once. Who knows no other record waits a whole term, as after a restore, and claims a number above the offset of the end: there cannot have been more claims than offsets.

--- a/crates/core/src/duty/keeper.rs
+++ b/crates/core/src/duty/keeper.rs
@@ -98,6 +98,8 @@
     /// Position after the record, where the register must end for the next write.
     end: Position,
     read_at: Option<MonotonicTime>,
+    /// Whether the register ends with a record that none of the processes has written.
+    is_foreign: bool,
     /// Write whose result is unknown: its position and when it was sent.
     sent_write: Option<(Position, MonotonicTime)>,
     term_end: Option<MonotonicTime>,
@@ -119,6 +121,7 @@
             unread_through: 0,
             end: Position::default(),
             read_at: None,
+            is_foreign: false,
             sent_write: None,
             term_end: None,
             renewed_at: MonotonicTime::default(),
@@ -132,14 +135,9 @@
         if self.read_at.is_some() && end <= self.end {
             return;
         }
-        if end != self.end.next() {
-            self.unread_through = self.ended_window;
-            self.newest_claim = None;
-        }
+        let sent_write = self.advance(now, end);
+        self.is_foreign &= record.is_none();
         self.record = record;
-        self.end = end;
-        self.read_at = Some(now);
-        let sent_write = self.sent_write.take_if(|(position, _)| *position < end);
         let Some(current) = self.current_record() else {
             // The own term goes on, although the register does not show it any more.
             return;
@@ -159,6 +157,27 @@
         self.held = Some(current);
     }
 
+    /// Handles that the register ends at `end` with a record that none of the processes has written,
+    /// as read at `now`. The record before it stays in force.
+    pub fn on_foreign_record(&mut self, now: MonotonicTime, end: Position) {
+        if self.read_at.is_none() || end > self.end {
+            self.advance(now, end);
+            self.is_foreign = true;
+        }
+    }
+
+    /// Moves the known end of the register. Returns the write before that end whose result was
+    /// unknown.
+    fn advance(&mut self, now: MonotonicTime, end: Position) -> Option<(Position, MonotonicTime)> {
+        if end != self.end.next() {
+            self.unread_through = self.ended_window;
+            self.newest_claim = None;
+        }
+        self.end = end;
+        self.read_at = Some(now);
+        self.sent_write.take_if(|(position, _)| *position < end)
+    }
+
     /// Records the number of the last window that has ended. It must be recorded before each read.
     pub fn record_ended_window(&mut self, window: u64) {
         self.ended_window = window;
@@ -232,11 +251,10 @@
         let own = self.held.as_ref().filter(|_| self.has_term(now));
         let known = self.newest_claim.as_ref().or(own);
         let before = self.record.as_ref();
-        let number = before.map_or(0, |record| record.fencing.0);
         DutyRecord {
             holder: self.instance.clone(),
             incarnation: self.incarnation,
-            fencing: Epoch(number.max(self.end.era.saturating_mul(CLAIMS_PER_ERA)) + 1),
+            fencing: Epoch(self.highest_number().saturating_add(1)),
             previous_holder: before
                 .map(|record| record.holder.clone())
                 .unwrap_or_default(),
@@ -252,9 +270,22 @@
         }
     }
 
+    /// Returns a fencing number that is not lower than any used in the era of the store.
+    fn highest_number(&self) -> u64 {
+        let base = self.end.era.saturating_mul(CLAIMS_PER_ERA);
+        match &self.record {
+            Some(record) if record.era() <= self.end.era && !self.is_foreign => {
+                record.fencing.0.max(base)
+            }
+            None if !self.is_foreign => base,
+            // Each claim has an offset of its own, so there were no more claims than offsets.
+            _ => base.saturating_add(self.end.offset),
+        }
+    }
+
     /// Returns whether no process has ever claimed the duties. After a restore that is unknown.
     fn is_unused_register(&self) -> bool {
-        self.record.is_none() && self.end.era == 0
+        self.record.is_none() && self.end.era == 0 && !self.is_foreign
     }
 
     /// Returns the write that seals a window under the duties held at `now`, `None` if they are not
@@ -287,7 +318,7 @@
             });
         }
         let due = self.renewed_at.plus(self.timing.renew_every);
-        if self.term_end.is_some() && now < due {
+        if self.term_end.is_some() && now < due && !self.is_foreign {
             return DutyStep::Wait(due.since(now));
         }
         self.write_step(record.clone())
--- a/crates/core/tests/duty_keeper.rs
+++ b/crates/core/tests/duty_keeper.rs
@@ -64,6 +64,15 @@
     }
 }
 
+impl Register {
+    /// Performs the due action of `keeper`, which cannot read the register. Returns whether a write
+    /// succeeded.
+    fn perform_foreign_step(&mut self, keeper: &mut DutyKeeper, now: MonotonicTime) -> bool {
+        let step = keeper.next_step(now);
+        self.write(step)
+    }
+}
+
 fn holder() -> (Register, DutyKeeper) {
     let (mut register, mut a) = (Register::default(), keeper("a"));
     register.read_by(&mut a, at(0));
@@ -202,3 +211,62 @@
     register.perform_step(&mut b, at(9_000));
     assert_eq!(b.record().unwrap().sealed.last(), Some(&window(10)));
 }
+
+/// The register of a holder was replaced by a record that nobody can read. The duties were never
+/// claimed again, since every process still expected the end before that record.
+#[test]
+fn foreign_record() {
+    let (mut register, mut a) = holder();
+    register.record = None;
+    register.end = register.end.next();
+    a.on_foreign_record(at(100), register.end);
+    assert_eq!(a.may_act(at(100), BUDGET), Some(Epoch(1)));
+    let step = a.next_step(at(100));
+    assert_matches!(step, DutyStep::Write { .. }, "it is replaced at once");
+    assert!(register.perform_step(&mut a, at(100)));
+    let record = register.record.as_ref().unwrap();
+    assert_eq!(record.fencing, Epoch(1));
+    assert_matches!(a.next_step(at(200)), DutyStep::Wait(_));
+}
+
+/// A process that has read nothing but a foreign record must neither act beside the holder nor use
+/// its number again.
+#[test]
+fn foreign_at_start() {
+    let (mut register, a) = holder();
+    register.record = None;
+    register.end = register.end.next();
+    let mut b = keeper("b");
+    b.on_foreign_record(at(100), register.end);
+    assert_matches!(b.next_step(at(6_000)), DutyStep::Wait(_));
+    assert_eq!(a.may_act(at(6_000), BUDGET), None);
+    let mut now = 6_000;
+    while !register.perform_foreign_step(&mut b, at(now)) {
+        now += 500;
+        assert!(now < 30_000);
+    }
+    let record = register.record.as_ref().unwrap();
+    assert!(record.fencing > Epoch(1), "{:?}", record.fencing);
+    assert_eq!(&*record.holder, "b");
+}
+
+/// A record whose number belongs to a later era must not make the next number overflow.
+#[test]
+fn foreign_number() {
+    let mut b = keeper("b");
+    let mut register = Register {
+        record: Some(DutyRecord {
+            fencing: Epoch(u64::MAX),
+            released: true,
+            ..DutyRecord::default()
+        }),
+        end: Position::new(0, 5),
+    };
+    register.read_by(&mut b, at(0));
+    let mut now = 0;
+    while !register.perform_step(&mut b, at(now)) {
+        now += 500;
+        assert!(now < 30_000);
+    }
+    assert_eq!(register.record.unwrap().fencing, Epoch(6));
+}
--- a/crates/edge-bin/tests/odd_entries.rs
+++ b/crates/edge-bin/tests/odd_entries.rs
@@ -155,6 +155,42 @@
     assert_eq!(site.exit_code(), None);
 }
 
+/// An odd record of the duties ended the usage reports for good.
+#[tokio::test(flavor = "multi_thread")]
+async fn duty() {
+    let mut site = Site::start(151, 2).await;
+    site.wait_until("a report", async || !site.store.reports().is_empty())
+        .await;
+    let reports = site.store.reports().len();
+    let fencing = site.store.reports()[0].fencing;
+    site.store
+        .put_bytes("keyed.nutmegbay-duty", "usage", nested("[", "]").as_bytes());
+    site.call("POST", "/once/1", &[]).await;
+    site.wait_until("a report after it", async || {
+        site.store.reports().len() > reports
+    })
+    .await;
+    site.store.put("keyed.nutmegbay-duty", "another", &json!(7));
+    let reports = site.store.reports().len();
+    site.wait_until("a report after another key", async || {
+        site.store.reports().len() > reports
+    })
+    .await;
+    // A process that knows none of the records before it.
+    site.edge_mut().signal("KILL");
+    site.store
+        .put_bytes("keyed.nutmegbay-duty", "usage", b"\xff");
+    let reports = site.store.reports().len();
+    site.edge_mut().restart();
+    site.wait_until("a report of the next one", async || {
+        site.store.reports().len() > reports
+    })
+    .await;
+    let last = site.store.reports().last().unwrap().fencing;
+    assert!(last > fencing, "{last} after {fencing}");
+    assert_eq!(site.exit_code(), None);
+}
+
 /// Odd fields of a readable record of the duties.
 #[tokio::test(flavor = "multi_thread")]
 async fn duty_fields() {
--- a/crates/edge/src/duty.rs
+++ b/crates/edge/src/duty.rs
@@ -151,29 +151,45 @@
 
     /// Applies the records between `from` and `end`, or the newest one if `from` is `None`.
     fn apply_records(&self, records: &[KeyedRecord], from: Option<Position>, end: Position) {
-        match records.split_last() {
+        let own = |record: &&KeyedRecord| *record.key == *RECORD_KEY;
+        let own: Vec<_> = records.iter().filter(own).collect();
+        match own.split_last() {
             Some((last, before)) => {
                 for record in before {
                     self.apply_read(record.value.as_deref(), record.position.next());
                 }
                 self.apply_read(last.value.as_deref(), end);
             }
-            None if from != Some(end) => self.apply_read(None, end),
-            None => {}
+            None if from == Some(end) => {}
+            None if from.is_none() && records.is_empty() => self.apply_read(None, end),
+            None => self.apply_foreign_record(end),
         }
     }
 
+    /// Applies a read of which the last record is of another key or cannot be decoded.
+    fn apply_foreign_record(&self, end: Position) {
+        self.record_ended_window();
+        let mut keeper = self.keeper.borrow_mut();
+        keeper.on_foreign_record(self.state.now(), end);
+    }
+
+    fn record_ended_window(&self) {
+        let now_ms = self.state.wall_clock.borrow().now_ms();
+        let ended = self.state.usage_window_at(now_ms).saturating_sub(1);
+        self.keeper.borrow_mut().record_ended_window(ended);
+    }
+
     fn apply_read(&self, value: Option<&[u8]>, end: Position) {
         let record: Option<DutyRecord> = match value.map(serde_json::from_slice).transpose() {
             Ok(record) => record,
             Err(error) => {
                 tracing::error!(event = "duty_record_unreadable", end = end.offset, %error);
+                self.apply_foreign_record(end);
                 return;
             }
         };
+        self.record_ended_window();
         let mut keeper = self.keeper.borrow_mut();
-        let now_ms = self.state.wall_clock.borrow().now_ms();
-        keeper.record_ended_window(self.state.usage_window_at(now_ms).saturating_sub(1));
         let before = keeper.record().map(|record| record.fencing);
         if let Some(record) = &record
             && before != Some(record.fencing)
@@ -269,7 +285,7 @@
         let closed = keeper.record()?.last_closed_window();
         // With nothing sealed, starting at the newest window would skip it: the start moves on with
         // each new window while the counts are incomplete.
-        let next = closed.map_or(oldest, |closed| (closed + 1).max(oldest));
+        let next = closed.map_or(oldest, |closed| closed.saturating_add(1).max(oldest));
         (next <= newest).then_some(next)
     }
 
