--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod settings;
 mod sse;
 mod state;
+mod stopping;
 mod stream;
 mod versions;
 
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -30,6 +30,7 @@
 use crate::platform_api::{StoreError, Topic, WireCodec};
 use crate::routes::RouteTable;
 use crate::settings::{Bounds, EdgeSettings};
+use crate::stopping::PlannedStop;
 use crate::versions::Versions;
 
 /// Target of this module's log lines: its former path, which log filters of operators may name.
@@ -112,6 +113,8 @@
     pub stop: CancellationToken,
     /// Cancelled when idle connections must be closed.
     pub close_idle: CancellationToken,
+    /// Decisions on requests during a planned stop.
+    pub planned_stop: PlannedStop,
     /// Number of requests being served.
     pub in_flight: Rc<Cell<usize>>,
     /// Software versions, and origins of streams.
@@ -170,6 +173,7 @@
             store_recovered: Notify::new(),
             stop,
             close_idle: CancellationToken::new(),
+            planned_stop: PlannedStop::default(),
             in_flight: Rc::default(),
             versions: RefCell::default(),
             deadlines: RefCell::default(),
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -27,6 +27,7 @@
 use crate::platform_api::WireCodec;
 use crate::sse::EventSplitter;
 use crate::state::EdgeState;
+use crate::stopping::STOPPING;
 
 /// Time after the deadline of a request for which bytes that have already arrived are still
 /// forwarded. Without this limit, an upstream that never stops sending would keep the request open
@@ -456,11 +457,20 @@
 
 impl<D: WireCodec> Drop for BodyStream<D> {
     fn drop(&mut self) {
-        let end = self.end.unwrap_or("caller_left");
-        if self.end.is_none() {
-            increment(&self.state.metrics.callers_left);
-        }
+        let end = match self.end {
+            Some(end) => end,
+            None if self.state.planned_stop.ended.is_cancelled() => STOPPING,
+            None => {
+                increment(&self.state.metrics.callers_left);
+                "caller_left"
+            }
+        };
         let now = self.state.now();
+        if self.end.is_some() {
+            let took = now.since(self.request.arrived);
+            let route = &self.request.route.name;
+            self.state.planned_stop.record_duration(route, took, now);
+        }
         let progress = self.request.progress.borrow();
         tracing::info!(
             event = "request",
--- a/crates/policy/src/edge/mod.rs
+++ b/crates/policy/src/edge/mod.rs
@@ -16,6 +16,7 @@
 pub mod own_delay;
 pub mod pending_work;
 pub mod placement;
+pub mod planned_stop;
 pub mod prefill_rate;
 pub mod prefixes;
 pub mod presence;
