Play releases of several software versions in the soak

random_releases adds a service of streams to the deployment and faults of random_faults. Its upstreams are of three versions; releases replace them within streams, with and without a report, and some start again with another version under their id or at their address. Upstreams break streams off and fall silent for about a second. All edges are killed at times, also twice in a row. Callers leave, or are cut off, and take their streams up at any edge with Resumes and Last-Event-Id. Checked from what callers and upstreams see: streams hold events of one version, none missing or twice; no edge in order ends a stream because its upstream is silent; and of 12 or more streams that are taken up at edges in touch while two upstreams of their version serve, the share that goes on is at least half of the share of new streams that begin.

--- a/crates/edge-bin/tests/common/mod.rs
+++ b/crates/edge-bin/tests/common/mod.rs
@@ -393,6 +393,11 @@
         assert!(status.unwrap().success());
     }
 
+    /// Returns whether the process was sent a signal to end since its start.
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping.get()
+    }
+
     /// Returns the peak memory of the process in KiB.
     pub fn peak_memory(&self) -> u64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
@@ -440,7 +445,7 @@
         if self.child.try_wait().unwrap().is_some() {
             self.restart();
         }
-        !self.is_stopping.get()
+        !self.is_stopping()
     }
 
     /// Sends a request to the process. A call without a response returns status 0.
--- a/crates/edge-bin/tests/common/versioned.rs
+++ b/crates/edge-bin/tests/common/versioned.rs
@@ -2,7 +2,7 @@
 //! events of a stream over its tries.
 
 use std::collections::BTreeSet;
-use std::fmt::Write;
+use std::fmt::{self, Debug, Formatter, Write};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -13,8 +13,9 @@
 use super::body_end::{Close, EVENTS_BEFORE_CUT};
 use super::worker::{Action, EVENTS, header, stream_head};
 
-/// Time without a byte after which a caller leaves.
-const CALLER_IDLE_TIME: Duration = Duration::from_secs(4);
+/// Time without a byte after which a caller leaves: the platform's time for routes with a short
+/// objective and short pauses.
+const CALLER_IDLE_TIME: Duration = Duration::from_secs(2);
 
 /// Returns the event with number `n`.
 pub fn event(version: &str, n: u32) -> String {
@@ -57,15 +58,18 @@
     Refused(u16),
     /// The caller left because it had all the events that it wanted.
     Left,
+    /// The caller left because nothing came for too long.
+    TimedOut,
 }
 
 /// What a caller has of a stream.
-#[derive(Debug)]
 pub struct HeldStream {
     /// Id of the only block of the prompt.
     prompt: u32,
     /// Id of the attempt that brought the first event.
     origin: Option<String>,
+    /// Id of the last attempt.
+    last_attempt: String,
     /// Number and text of each event.
     events: Vec<(u32, String)>,
 }
@@ -76,6 +80,7 @@
         Self {
             prompt: rand::random(),
             origin: None,
+            last_attempt: String::new(),
             events: Vec::new(),
         }
     }
@@ -84,6 +89,7 @@
     /// `wanted` events, or reads until the end of the response.
     pub async fn attempt(&mut self, at: SocketAddr, path: &str, wanted: Option<u32>) -> Outcome {
         let id = format!("{:016x}", rand::random::<u64>());
+        self.last_attempt.clone_from(&id);
         let Ok(mut io) = TcpStream::connect(at).await else {
             return Outcome::BrokenOff;
         };
@@ -93,10 +99,7 @@
         let held = self.events.len();
         let mut bytes = Vec::new();
         loop {
-            let is_open = matches!(
-                timeout(CALLER_IDLE_TIME, io.read_buf(&mut bytes)).await,
-                Ok(Ok(1..))
-            );
+            let read = timeout(CALLER_IDLE_TIME, io.read_buf(&mut bytes)).await;
             let (status, text, is_complete) = parse(&bytes);
             self.events.truncate(held);
             self.events.extend(parse_events(&text));
@@ -107,9 +110,13 @@
                 Some(200) if is_complete => return Outcome::Complete,
                 Some(status) if status != 200 => return Outcome::Refused(status),
                 _ if wanted.is_some_and(|n| self.last() >= n) => return Outcome::Left,
-                _ if !is_open => return Outcome::BrokenOff,
                 _ => {}
             }
+            match read {
+                Err(_) => return Outcome::TimedOut,
+                Ok(Ok(1..)) => {}
+                Ok(_) => return Outcome::BrokenOff,
+            }
         }
     }
 
@@ -126,17 +133,19 @@
         )
     }
 
-    fn last(&self) -> u32 {
+    /// Returns the number of the last event, or 0.
+    pub fn last(&self) -> u32 {
         self.events.last().map_or(0, |(n, _)| *n)
     }
 
+    /// Returns the id of the last attempt.
+    pub fn last_attempt(&self) -> &str {
+        &self.last_attempt
+    }
+
     /// Returns the software versions that wrote the events.
     pub fn versions(&self) -> BTreeSet<&str> {
-        let names = self.events.iter();
-        names
-            .filter_map(|(_, text)| text.rsplit_once(" of "))
-            .map(|(_, version)| version)
-            .collect()
+        self.events.iter().map(|(_, text)| version(text)).collect()
     }
 
     /// Returns the numbers of the events.
@@ -145,6 +154,20 @@
     }
 }
 
+/// Contains the first and the last number of the events that each version wrote in a row.
+impl Debug for HeldStream {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let rows = self.events.chunk_by(|a, b| version(&a.1) == version(&b.1));
+        let rows = rows.map(|row| (row[0].0, row[row.len() - 1].0, version(&row[0].1)));
+        f.debug_list().entries(rows).finish()
+    }
+}
+
+/// Returns the software version that wrote an event.
+fn version(event: &str) -> &str {
+    event.rsplit_once(" of ").map_or("", |(_, version)| version)
+}
+
 /// Returns the status, the body without its framing and whether the response is complete.
 fn parse(bytes: &[u8]) -> (Option<u16>, String, bool) {
     let Some(end) = bytes.windows(4).position(|window| window == b"\r\n\r\n") else {
--- /dev/null
+++ b/crates/edge-bin/tests/soak/fleet.rs
@@ -0,0 +1,272 @@
+//! Upstreams of several software versions, which releases replace while they stream.
+
+use std::net::{IpAddr, SocketAddr};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use rand::RngExt;
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use serde_json::{Value, json};
+use tokio::time::{Instant, sleep};
+
+use crate::common::store::Store;
+use crate::upstream::{Runs, Upstream};
+
+/// Service of the streams.
+const SERVICE: &str = "scribe";
+
+/// Time limit of streams, longer than a stream with two silences.
+const TIMEOUT_MS: u64 = 4_000;
+
+/// Software versions, of which any may be released at any time.
+const VERSIONS: [&str; 3] = ["v1", "v2", "v1.1"];
+
+/// Ready upstreams below which further ones start, and above which no release begins.
+const MIN_READY: usize = 5;
+const MAX_READY: usize = 10;
+
+const FIRST_PORT: u16 = 8_700;
+
+/// Time from an entry that says `draining`, or from its removal, until the upstream ends.
+const DRAIN_TIME: Duration = Duration::from_millis(1_500);
+
+/// Time until each edge in touch knows a listed upstream.
+const LIST_TIME: Duration = Duration::from_secs(1);
+
+/// Adds the service of the streams to a configuration.
+pub fn add_service(config: &mut Value) {
+    let service = json!({"name": SERVICE, "health-path": "/healthz", "max-conns": 100});
+    config["services"].as_array_mut().unwrap().push(service);
+    let stream = &mut config["routes"][2];
+    stream["service"] = json!(SERVICE);
+    stream["timeout-ms"] = json!(TIMEOUT_MS);
+}
+
+/// What becomes of an upstream later.
+#[derive(Debug)]
+enum Step {
+    /// Starts at the given port.
+    Start {
+        id: String,
+        version: String,
+        port: u16,
+    },
+    /// The upstream of this id reports that it drains, or leaves the list without a report.
+    Leave {
+        id: String,
+        reports: bool,
+    },
+    End {
+        id: String,
+    },
+}
+
+#[derive(Debug)]
+struct Listed {
+    id: String,
+    version: String,
+    port: u16,
+    /// Start in milliseconds since 1970.
+    started_ms: u64,
+    is_ready: bool,
+    since: Instant,
+    upstream: Upstream,
+}
+
+/// Listed upstreams that run, shared with the callers.
+#[derive(Debug, Clone, Default)]
+pub struct Serving(Arc<Mutex<Vec<Listed>>>);
+
+impl Serving {
+    /// Returns whether two upstreams of a version are ready, and have been for [`LIST_TIME`].
+    pub fn has_two(&self, version: &str) -> bool {
+        let upstreams = self.0.lock().unwrap();
+        let serving = upstreams
+            .iter()
+            .filter(|u| u.is_ready && u.version == version && u.since.elapsed() >= LIST_TIME);
+        serving.count() >= 2
+    }
+}
+
+/// The upstreams of the service and what becomes of them.
+pub struct Fleet {
+    ip: IpAddr,
+    store: Store,
+    pub serving: Serving,
+    pub runs: Runs,
+    steps: Vec<(Instant, Step)>,
+    /// Number of upstreams and ports that were in use.
+    started: u16,
+    rng: StdRng,
+}
+
+impl Fleet {
+    /// Starts the first upstreams, of all versions.
+    pub async fn start(ip: IpAddr, store: &Store, rng: StdRng) -> Self {
+        let mut fleet = Self {
+            ip,
+            store: store.clone(),
+            serving: Serving::default(),
+            runs: Runs::default(),
+            steps: Vec::new(),
+            started: 0,
+            rng,
+        };
+        for n in 0..MIN_READY {
+            fleet.plan_new(VERSIONS[n % VERSIONS.len()], Duration::ZERO);
+        }
+        fleet.make_due_steps().await;
+        fleet
+    }
+
+    /// Changes the upstreams until `end`.
+    pub async fn run(mut self, end: Instant) {
+        while Instant::now() < end {
+            self.advance().await;
+            let pause = self.rng.random_range(50..500);
+            sleep(Duration::from_millis(pause)).await;
+        }
+    }
+
+    /// Makes the steps that are due, and changes the upstreams sometimes.
+    async fn advance(&mut self) {
+        self.make_due_steps().await;
+        let ready = self.ids(|u| u.is_ready);
+        let starting = self.steps.iter();
+        let starting = starting.filter(|(_, step)| matches!(step, Step::Start { .. }));
+        if ready.len() + starting.count() < MIN_READY {
+            let version = *VERSIONS.choose(&mut self.rng).unwrap();
+            self.plan_new(version, Duration::from_millis(100));
+        }
+        let Some(id) = ready.choose(&mut self.rng).cloned() else {
+            return;
+        };
+        match self.rng.random_range(0..12) {
+            0..=1 if ready.len() < MAX_READY => self.release(&ready),
+            2..=3 => self.crash(&id),
+            4..=6 => {
+                let time = Duration::from_millis(self.rng.random_range(800..1_200));
+                let upstreams = self.serving.0.lock().unwrap();
+                let silent = upstreams.iter().filter(|u| u.id == id);
+                silent.for_each(|u| u.upstream.fall_silent(time));
+            }
+            _ => {}
+        }
+    }
+
+    fn ids(&self, condition: impl Fn(&Listed) -> bool) -> Vec<String> {
+        let upstreams = self.serving.0.lock().unwrap();
+        let listed = upstreams.iter().filter(|u| condition(u));
+        listed.map(|u| u.id.clone()).collect()
+    }
+
+    /// Plans the start of upstreams of one version and the end of as many others.
+    fn release(&mut self, ready: &[String]) {
+        let version = *VERSIONS.choose(&mut self.rng).unwrap();
+        let count = self.rng.random_range(2..=4);
+        let gap = Duration::from_millis(self.rng.random_range(20..300));
+        let leaving: Vec<_> = ready.sample(&mut self.rng, count).cloned().collect();
+        for (n, id) in (1..).zip(leaving) {
+            self.plan_new(version, gap * n);
+            let reports = self.rng.random();
+            let step = Step::Leave { id, reports };
+            self.steps.push((Instant::now() + gap * (n + 1), step));
+        }
+    }
+
+    fn plan_new(&mut self, version: &str, after: Duration) {
+        self.started += 1;
+        let step = Step::Start {
+            id: format!("s-{}", self.started),
+            version: version.into(),
+            port: FIRST_PORT + self.started,
+        };
+        self.steps.push((Instant::now() + after, step));
+    }
+
+    /// Ends an upstream, which starts again: as it was, or with another version under its id or at
+    /// its address.
+    fn crash(&mut self, id: &str) {
+        let Some((old, port)) = self.end(id) else {
+            return;
+        };
+        let other = *VERSIONS.choose(&mut self.rng).unwrap();
+        let (id, version) = match self.rng.random_range(0..3) {
+            0 => (id.into(), old),
+            1 => (id.into(), other.into()),
+            _ => {
+                self.store.remove("keyed.servers", id);
+                self.started += 1;
+                (format!("s-{}", self.started), other.into())
+            }
+        };
+        let down = Duration::from_millis(self.rng.random_range(300..1_000));
+        let step = Step::Start { id, version, port };
+        self.steps.push((Instant::now() + down, step));
+    }
+
+    /// Ends an upstream and returns its version and port.
+    fn end(&self, id: &str) -> Option<(String, u16)> {
+        let mut upstreams = self.serving.0.lock().unwrap();
+        let at = upstreams.iter().position(|u| u.id == id)?;
+        let ended = upstreams.swap_remove(at);
+        ended.upstream.stop();
+        Some((ended.version, ended.port))
+    }
+
+    async fn make_due_steps(&mut self) {
+        let now = Instant::now();
+        let due: Vec<_> = self.steps.extract_if(.., |(at, _)| *at <= now).collect();
+        for (_, step) in due {
+            match step {
+                Step::Start { id, version, port } => {
+                    let addr = SocketAddr::new(self.ip, port);
+                    let runs = self.runs.clone();
+                    let upstream = Upstream::start(addr, &id, &version, runs).await;
+                    let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+                    let listed = Listed {
+                        id,
+                        version,
+                        port,
+                        started_ms: u64::try_from(started.as_millis()).unwrap(),
+                        is_ready: true,
+                        since: Instant::now(),
+                        upstream,
+                    };
+                    self.list(&listed, "ready");
+                    self.serving.0.lock().unwrap().push(listed);
+                }
+                Step::Leave { id, reports } => self.leave(id, reports),
+                Step::End { id } => {
+                    self.store.remove("keyed.servers", &id);
+                    self.end(&id);
+                }
+            }
+        }
+    }
+
+    fn leave(&mut self, id: String, reports: bool) {
+        let mut upstreams = self.serving.0.lock().unwrap();
+        let Some(leaving) = upstreams.iter_mut().find(|u| u.id == id && u.is_ready) else {
+            return;
+        };
+        leaving.is_ready = false;
+        if reports {
+            self.list(leaving, "draining");
+        } else {
+            self.store.remove("keyed.servers", &id);
+        }
+        drop(upstreams);
+        let step = Step::End { id };
+        self.steps.push((Instant::now() + DRAIN_TIME, step));
+    }
+
+    fn list(&self, listed: &Listed, state: &str) {
+        let addr = SocketAddr::new(self.ip, listed.port);
+        let entry = json!({"service": SERVICE, "addr": addr.to_string(), "zone": "z",
+            "version": listed.version, "slots": 8, "state": state, "cold-ms": 0, "seq": 1,
+            "born": listed.started_ms});
+        self.store.put("keyed.servers", &listed.id, &entry);
+    }
+}
--- a/crates/edge-bin/tests/soak.rs
+++ b/crates/edge-bin/tests/soak/main.rs
@@ -1,41 +1,56 @@
-//! A soak test with random faults. Six edge processes run in front of scripted workers and a store,
-//! under overlapping external faults: signals, broken links to the store and to workers, a store
-//! that refuses calls, does not respond, loses responses, drops its history and is restored from a
-//! copy, workers that fail, restart and drain, and changes of the configuration. Checks what
-//! callers, workers and the platform see.
+//! A soak test with random faults. Six or more edge processes run in front of scripted workers and a
+//! store, under overlapping external faults: signals, broken links to the store and to workers, a
+//! store that refuses calls, does not respond, loses responses, drops its history and is restored
+//! from a copy, workers that fail, restart and drain, and changes of the configuration. Streams come
+//! from upstreams of several software versions, which are released, crash and fall silent; their
+//! callers take them up at any edge. Checks what callers, workers and the platform see.
 //!
 //! `NUTMEGBAY_SOAK_SEEDS` (first..last, inclusive) and `NUTMEGBAY_SOAK_S` (seconds for each seed)
 //! set longer runs.
 
+#[path = "../common/mod.rs"]
 mod common;
 
-use std::collections::{HashMap, VecDeque};
+mod calls;
+mod contact;
+mod fleet;
+mod streams;
+mod upstream;
+
+use std::collections::VecDeque;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::ops::RangeInclusive;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use calls::{Call, Calls, check_calls, check_reports, run_caller};
 use common::proxy::{LinkState, Proxy};
 use common::store::{Fault, StoreCopy};
-use common::worker::{Action, header};
+use common::worker::Action;
 use common::{Edge, Site, config};
+use contact::Contacts;
+use fleet::Fleet;
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
-use serde_json::Value;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use streams::{StreamCallers, check_streams};
 use tokio::time::{Instant, sleep, timeout};
 
-/// Seeds of the run in CI: an arbitrary one, and those that failed before.
-const SEEDS: std::ops::RangeInclusive<u64> = 1..=2;
+/// Seeds of the runs in CI: an arbitrary one, and those that failed before.
+const FAULT_SEEDS: RangeInclusive<u64> = 1..=2;
+const RELEASE_SEEDS: RangeInclusive<u64> = 1..=1;
 
 /// Time during which faults are injected, for each seed.
 const FAULT_TIME: Duration = Duration::from_secs(8);
 
 /// Number of edges in addition to the first one. Each reaches the store through its own proxy. Four
-/// of the six edges read the store and relay its records to the others.
+/// of the edges read the store and relay its records to the others.
 const ADDITIONAL_EDGES: u8 = 5;
 
+/// Seeds that are divisible by this number have [`MANY_EDGES`] edges in place of the usual ones.
+const MANY_EDGES_SEED: u64 = 5;
+const MANY_EDGES: u8 = 24;
+
 /// Number of workers, each behind its own proxy.
 const WORKERS: u16 = 4;
 
@@ -45,9 +60,6 @@
 /// Maximum number of timed faults that are active at the same time.
 const MAX_ACTIVE_FAULTS: usize = 3;
 
-/// Maximum time for which a caller waits. Requests have a deadline of 1.5 s.
-const CALLER_TIMEOUT: Duration = Duration::from_secs(4);
-
 /// Maximum time from the last fault until every edge serves again: the longest time for which a
 /// worker is avoided and the longest pause between attempts to reach the store.
 const MAX_RECOVERY_TIME: Duration = Duration::from_secs(8);
@@ -62,30 +74,39 @@
 /// Number of copies of the store, one for each fault. They cover about four seconds.
 const MAX_COPIES: usize = 14;
 
+/// Time without faults of edges and the store, in which upstreams still come and go.
+const CALM_TIME: Duration = Duration::from_secs(6);
+
+/// Probability that all edges are killed together at a fault, and that they are killed again after
+/// the next one.
+const KILL_PROBABILITY: f64 = 0.04;
+const REPEATED_KILL_PROBABILITY: f64 = 0.3;
+
 /// Test number, which keeps the addresses distinct from those of other tests.
 const TEST_NUMBER: u8 = 100;
 
-/// A call and its result at the caller.
-#[derive(Debug, Clone)]
-struct Call {
-    id: u64,
-    is_repeatable: bool,
-    /// Status, or 0 if the connection ended without a response.
-    status: u16,
-    /// Path that the worker repeats in its response.
-    echo: String,
-}
-
-type Calls = Arc<Mutex<Vec<Call>>>;
+/// Keeps the tests of this file from disturbing each other's times.
+static TURN: Mutex<()> = Mutex::new(());
 
 #[test]
 fn random_faults() {
+    run_seeds(FAULT_SEEDS, false);
+}
+
+/// Upstreams of several software versions come and go in addition.
+#[test]
+fn random_releases() {
+    run_seeds(RELEASE_SEEDS, true);
+}
+
+fn run_seeds(seeds: RangeInclusive<u64>, has_releases: bool) {
+    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
     let seeds = match std::env::var("NUTMEGBAY_SOAK_SEEDS") {
         Ok(text) => {
             let (first, last) = text.split_once("..").expect("first..last");
             first.parse().unwrap()..=last.parse().unwrap()
         }
-        Err(_) => SEEDS,
+        Err(_) => seeds,
     };
     let time = std::env::var("NUTMEGBAY_SOAK_S").map_or(FAULT_TIME, |text| {
         Duration::from_secs(text.parse().unwrap())
@@ -93,7 +114,11 @@
     for seed in seeds {
         // The stand-ins end with the runtime of their seed, which frees their addresses.
         let runtime = tokio::runtime::Runtime::new().unwrap();
-        runtime.block_on(soak(seed, time));
+        if has_releases {
+            runtime.block_on(soak_with_releases(seed, time));
+        } else {
+            runtime.block_on(soak(seed, time));
+        }
     }
 }
 
@@ -104,6 +129,11 @@
     edges: Vec<(Edge, Proxy)>,
     /// Proxies in front of the workers.
     worker_proxies: Vec<Proxy>,
+    contacts: Contacts,
+    /// Kills of all edges, if there are any.
+    kills: Option<KillAll>,
+    /// Whether streams have a service of their own.
+    has_fleet: bool,
     /// Version of the published configuration.
     version: u64,
     /// Active timed faults with their ends.
@@ -112,6 +142,13 @@
     copies: VecDeque<StoreCopy>,
 }
 
+/// Kills of all edges at once.
+struct KillAll {
+    rng: StdRng,
+    /// Whether there is another one after the next fault.
+    is_repeated: bool,
+}
+
 /// A fault that lasts for a time. Contains the index of the edge or worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum TimedFault {
@@ -123,53 +160,140 @@
 }
 
 async fn soak(seed: u64, time: Duration) {
-    let mut deployment = Deployment::start().await;
-    let calls = Calls::default();
-    let end = Instant::now() + time;
-    let callers: Vec<_> = (0..CALLERS)
-        .map(|n| {
-            let at = usize::try_from(n).unwrap() % deployment.edges.len();
-            let at = deployment.edges[at].0.ingress();
-            tokio::spawn(run_caller(at, seed * CALLERS + n, end, Arc::clone(&calls)))
-        })
-        .collect();
-    let mut rng = StdRng::seed_from_u64(seed);
-    let mut restore_rng = StdRng::seed_from_u64(!seed);
-    while Instant::now() < end {
-        deployment.end_expired_faults(Instant::now());
-        deployment.restart_ended_edges();
-        deployment.inject_fault(&mut rng);
-        deployment.restore_sometimes(&mut restore_rng);
-        sleep(Duration::from_millis(rng.random_range(50..500))).await;
-    }
-    for caller in callers {
-        caller.await.unwrap();
-    }
-    deployment.end_expired_faults(end + Duration::from_hours(1));
+    let mut deployment = Deployment::start(ADDITIONAL_EDGES).await;
+    let calls = deployment.run_faults(seed, time).await;
+    deployment.assert_recovery(seed).await;
+    check_calls(seed, &deployment.site, &calls);
+    check_reports(seed, &deployment.site, 0);
+}
+
+async fn soak_with_releases(seed: u64, time: Duration) {
+    let additional_edges = match seed % MANY_EDGES_SEED {
+        0 => MANY_EDGES,
+        _ => ADDITIONAL_EDGES,
+    };
+    let mut deployment = Deployment::start(additional_edges).await;
+    let fleet = deployment.start_fleet(seed).await;
+    let callers = StreamCallers {
+        edges: deployment.ingress(),
+        contacts: deployment.contacts.clone(),
+        serving: fleet.serving.clone(),
+    };
+    let runs = fleet.runs.clone();
+    let streams = callers.start(seed, Instant::now() + time + CALM_TIME);
+    let releases = tokio::spawn(fleet.run(Instant::now() + time + CALM_TIME));
+    let calls = deployment.run_faults(seed, time).await;
+    deployment.restart_all().await;
+    releases.await.unwrap();
+    let streams = streams.await;
     deployment.assert_recovery(seed).await;
-    check_calls(seed, &deployment.site, &calls.lock().unwrap());
-    check_reports(seed, &deployment.site);
+    check_calls(seed, &deployment.site, &calls);
+    check_reports(seed, &deployment.site, runs.total());
+    check_streams(seed, streams, &runs);
 }
 
 impl Deployment {
-    async fn start() -> Self {
+    async fn start(additional_edges: u8) -> Self {
         let (site, worker_proxies) = Site::start_with_proxies(TEST_NUMBER, WORKERS).await;
         let mut edges = Vec::new();
-        for n in 1..=ADDITIONAL_EDGES {
-            let at = SocketAddr::new(site.address(TEST_NUMBER + ADDITIONAL_EDGES + n), 8_408);
+        for n in 1..=additional_edges {
+            let at = SocketAddr::new(site.address(TEST_NUMBER + additional_edges + n), 8_408);
             let proxy = Proxy::start(at, site.store_address()).await;
             edges.push((site.start_edge(TEST_NUMBER + n, at).await, proxy));
         }
         Self {
+            contacts: Contacts::new(edges.len()),
             site,
             edges,
             worker_proxies,
+            kills: None,
+            has_fleet: false,
             version: 2,
             active_faults: Vec::new(),
             copies: VecDeque::new(),
         }
     }
 
+    /// Starts the upstreams of the streams. From then on, all edges are killed at times.
+    async fn start_fleet(&mut self, seed: u64) -> Fleet {
+        let rng = |n| StdRng::seed_from_u64(seed.rotate_left(n));
+        let ip = self.site.address(TEST_NUMBER);
+        let fleet = Fleet::start(ip, &self.site.store, rng(16)).await;
+        self.has_fleet = true;
+        self.kills = Some(KillAll {
+            rng: rng(32),
+            is_repeated: false,
+        });
+        self.publish_config(&["k1"]);
+        fleet
+    }
+
+    fn ingress(&self) -> Arc<[SocketAddr]> {
+        self.edges.iter().map(|(edge, _)| edge.ingress()).collect()
+    }
+
+    /// Sends calls and injects faults for `time`, then ends all faults. Returns the calls.
+    async fn run_faults(&mut self, seed: u64, time: Duration) -> Vec<Call> {
+        let calls = Calls::default();
+        let end = Instant::now() + time;
+        let ingress = self.ingress();
+        let callers: Vec<_> = (0..CALLERS)
+            .map(|n| {
+                let at = ingress[usize::try_from(n).unwrap() % ingress.len()];
+                tokio::spawn(run_caller(at, seed * CALLERS + n, end, Arc::clone(&calls)))
+            })
+            .collect();
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut restore_rng = StdRng::seed_from_u64(!seed);
+        while Instant::now() < end {
+            self.end_expired_faults(Instant::now());
+            self.restart_ended_edges();
+            self.inject_fault(&mut rng);
+            self.restore_sometimes(&mut restore_rng);
+            self.kill_sometimes();
+            self.record_faults();
+            sleep(Duration::from_millis(rng.random_range(50..500))).await;
+        }
+        for caller in callers {
+            caller.await.unwrap();
+        }
+        self.end_expired_faults(end + Duration::from_hours(1));
+        let calls = calls.lock().unwrap();
+        calls.clone()
+    }
+
+    /// Kills all edges at once, sometimes twice in a row.
+    fn kill_sometimes(&mut self) {
+        let Some(KillAll { rng, is_repeated }) = &mut self.kills else {
+            return;
+        };
+        if *is_repeated || rng.random_bool(KILL_PROBABILITY) {
+            *is_repeated = rng.random_bool(REPEATED_KILL_PROBABILITY);
+            for (edge, _) in &self.edges {
+                edge.signal("KILL");
+            }
+        }
+    }
+
+    /// Records which edges are under a fault.
+    fn record_faults(&self) {
+        let is_store_faulty = self.is_active(TimedFault::Store);
+        for (n, (edge, _)) in self.edges.iter().enumerate() {
+            self.contacts.update(
+                n,
+                edge.is_stopping() || self.is_active(TimedFault::PausedEdge(n)),
+                is_store_faulty || self.is_active(TimedFault::StoreLink(n)),
+            );
+        }
+    }
+
+    /// Waits until edges that are about to end have ended, and starts them again.
+    async fn restart_all(&mut self) {
+        while !self.restart_ended_edges() {
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+
     /// Copies the store, and sometimes restores it to an earlier copy.
     fn restore_sometimes(&mut self, rng: &mut StdRng) {
         self.copies.push_back(self.site.store.copy());
@@ -179,6 +303,7 @@
         if rng.random_bool(RESTORE_PROBABILITY) {
             let at = rng.random_range(0..self.copies.len());
             self.site.store.restore_and_rewrite(&self.copies[at]);
+            self.contacts.disturb_store();
             // Later copies are of a history that is lost.
             self.copies.truncate(at + 1);
         }
@@ -229,6 +354,7 @@
         for (edge, _) in &mut self.edges {
             all &= edge.restart_if_ended();
         }
+        self.record_faults();
         all
     }
 
@@ -280,7 +406,10 @@
 
     fn publish_config(&mut self, keys: &[&str]) {
         self.version += 1;
-        let config = config(self.version, keys);
+        let mut config = config(self.version, keys);
+        if self.has_fleet {
+            fleet::add_service(&mut config);
+        }
         self.site.store.put("keyed.op", "config", &config);
     }
 
@@ -289,9 +418,7 @@
         for worker in &self.site.workers {
             worker.script(&[]);
         }
-        while !self.restart_ended_edges() {
-            sleep(Duration::from_millis(50)).await;
-        }
+        self.restart_all().await;
         for (edge, _) in &self.edges {
             let served = self.site.wait_until("it serves again", async || {
                 edge.call("POST", "/once/after", &[]).await.status == 200
@@ -320,133 +447,3 @@
         );
     }
 }
-
-/// Sends requests until `end`. Uses a connection until it closes, then opens another one.
-async fn run_caller(at: SocketAddr, seed: u64, end: Instant, calls: Calls) {
-    let mut rng = StdRng::seed_from_u64(seed);
-    let mut kept: Option<TcpStream> = None;
-    while Instant::now() < end {
-        let call = Call {
-            id: rng.random(),
-            is_repeatable: rng.random_bool(0.4),
-            status: 0,
-            echo: String::new(),
-        };
-        let io = match kept.take() {
-            Some(io) => Some(io),
-            None => TcpStream::connect(at).await.ok(),
-        };
-        let Some(io) = io else {
-            sleep(Duration::from_millis(20)).await;
-            continue;
-        };
-        let answered = timeout(CALLER_TIMEOUT, send_request(io, call.clone())).await;
-        let (call, io) = answered.unwrap_or((call, None));
-        kept = io;
-        calls.lock().unwrap().push(call);
-        sleep(Duration::from_millis(rng.random_range(0..20))).await;
-    }
-}
-
-/// Sends a request and reads the response. Returns the connection if it stays open.
-async fn send_request(mut io: TcpStream, mut call: Call) -> (Call, Option<TcpStream>) {
-    let path = if call.is_repeatable { "any" } else { "once" };
-    let id = call.id;
-    let head = format!(
-        "POST /{path}/{id} HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: {id:016x}\r\n\
-         X-Deadline-Ms: 1500\r\nX-Api-Key: k1\r\nContent-Length: 0\r\n\r\n"
-    );
-    if io.write_all(head.as_bytes()).await.is_err() {
-        return (call, None);
-    }
-    let mut bytes = Vec::new();
-    let response = loop {
-        if let Some(response) = parse_response(&bytes) {
-            break response;
-        }
-        match io.read_buf(&mut bytes).await {
-            Ok(1..) => {}
-            _ => return (call, None),
-        }
-    };
-    let (status, echo, stays_open) = response;
-    call.status = status;
-    call.echo = echo;
-    (call, stays_open.then_some(io))
-}
-
-/// Returns the status, the echoed path and whether the connection stays open. Returns `None` while
-/// the response is incomplete.
-fn parse_response(bytes: &[u8]) -> Option<(u16, String, bool)> {
-    let text = std::str::from_utf8(bytes).ok()?;
-    let (head, body) = text.split_once("\r\n\r\n")?;
-    let len: usize = header(head, "content-length")?.parse().ok()?;
-    let status = head.split(' ').nth(1)?.parse().ok()?;
-    let stays_open = header(head, "connection") != Some("close");
-    let echo = header(head, "x-echo").unwrap_or_default();
-    (body.len() >= len).then(|| (status, echo.to_owned(), stays_open))
-}
-
-/// Checks the result of every call against the runs at the workers.
-fn check_calls(seed: u64, site: &Site, calls: &[Call]) {
-    let mut runs: HashMap<String, usize> = HashMap::new();
-    for head in site
-        .workers
-        .iter()
-        .flat_map(common::worker::Worker::requests)
-    {
-        let id = header(&head, "x-attempt-id").unwrap_or_default();
-        *runs.entry(id.into()).or_default() += 1;
-    }
-    let served = calls.iter().filter(|call| call.status == 200).count();
-    eprintln!("seed {seed}: {} calls, {served} served", calls.len());
-    assert!(served * 2 > calls.len(), "seed {seed}: {served} served");
-    for call in calls {
-        let count = runs.get(&format!("{:016x}", call.id)).copied();
-        let count = count.unwrap_or_default();
-        let max_runs = if call.is_repeatable { 2 } else { 1 };
-        assert!(count <= max_runs, "seed {seed}: {count} runs of {call:?}");
-        match call.status {
-            200 => {
-                let is_own = call.echo.ends_with(&format!("/{}", call.id));
-                assert!(count >= 1 && is_own, "seed {seed}: {call:?}");
-            }
-            408 | 421 | 429 | 503 => assert_eq!(count, 0, "seed {seed}: {call:?} has run"),
-            0 | 500 | 502 | 504 => {}
-            _ => panic!("seed {seed}: {call:?}"),
-        }
-    }
-}
-
-/// Checks that all reports of a window are equal, that no two edges use one fencing number, and that
-/// no more requests are billed than have run.
-fn check_reports(seed: u64, site: &Site) {
-    let mut windows: HashMap<u64, Value> = HashMap::new();
-    let mut holders: HashMap<u64, String> = HashMap::new();
-    for report in site.store.reports() {
-        let holder = holders
-            .entry(report.fencing)
-            .or_insert(report.holder.clone());
-        assert_eq!(
-            *holder, report.holder,
-            "seed {seed}: two edges use fencing number {}",
-            report.fencing
-        );
-        let window = report.window;
-        if let Some(before) = windows.insert(window, report.counts.clone()) {
-            assert_eq!(
-                before, report.counts,
-                "seed {seed}: window {window} has two different reports"
-            );
-        }
-    }
-    let billed: u64 = windows
-        .values()
-        .filter_map(|counts| counts["acme"].as_u64())
-        .sum();
-    assert!(
-        billed <= site.total_runs(),
-        "seed {seed}: {billed} billed of {} runs",
-        site.total_runs()
-    );
-}
--- /dev/null
+++ b/crates/edge-bin/tests/soak/streams.rs
@@ -0,0 +1,222 @@
+//! Callers of resumable streams, which take them up at any edge, and the checks of what they see.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future::join_all;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use tokio::time::{Instant, sleep};
+
+use crate::common::versioned::{HeldStream, Outcome};
+use crate::contact::Contacts;
+use crate::fleet::Serving;
+use crate::upstream::{EVENTS, Run, RunEnd, Runs};
+
+const PATH: &str = "/stream/1";
+
+/// Number of concurrent callers.
+const CALLERS: u64 = 12;
+
+/// Maximum number of attempts of a caller.
+const MAX_ATTEMPTS: usize = 6;
+
+/// Probability that a caller leaves within a stream and takes it up again.
+const LEAVE_PROBABILITY: f64 = 0.2;
+
+/// Number of streams from which their shares are compared.
+const MIN_COMPARED: usize = 12;
+
+/// What the callers have access to.
+#[derive(Debug, Clone)]
+pub struct StreamCallers {
+    /// Addresses of the edges.
+    pub edges: Arc<[SocketAddr]>,
+    pub contacts: Contacts,
+    pub serving: Serving,
+}
+
+/// A stream and what its caller saw over its attempts.
+#[derive(Debug)]
+pub struct StreamResult {
+    held: HeldStream,
+    attempts: Vec<Attempt>,
+    /// Whether it began, if it was asked for at an edge in touch.
+    began: Option<bool>,
+    /// Whether it went on, if it was taken up at an edge in touch while two upstreams of its version
+    /// served.
+    went_on: Option<bool>,
+}
+
+impl StreamResult {
+    fn is_complete(&self) -> bool {
+        let last = self.attempts.last();
+        last.is_some_and(|a| a.outcome == Outcome::Complete)
+    }
+
+    fn is_taken_up(&self) -> bool {
+        let others = self.attempts.split_last().map_or(&[][..], |(_, rest)| rest);
+        others.iter().any(|a| a.last > 0)
+    }
+
+    fn is_mixed(&self) -> bool {
+        self.held.versions().len() > 1
+    }
+
+    fn is_whole(&self) -> bool {
+        let last = self.held.last();
+        let is_in_order = self.held.numbers().into_iter().eq(1..=last);
+        is_in_order && (last == EVENTS || !self.is_complete())
+    }
+
+    /// Returns whether an edge ended an attempt because its upstream was silent.
+    fn ended_in_silence(&self) -> bool {
+        self.attempts.iter().any(|a| {
+            let is_broken = a.is_edge_sound && a.outcome == Outcome::BrokenOff;
+            let last = a.runs.last();
+            is_broken && last.is_some_and(|run| run.end == RunEnd::ClosedInSilence)
+        })
+    }
+}
+
+/// An attempt, for the message of a failed check.
+#[derive(Debug)]
+#[expect(dead_code, reason = "the message contains all fields")]
+struct Attempt {
+    id: Box<str>,
+    edge: SocketAddr,
+    /// Times since the start of the callers.
+    begun: Duration,
+    ended: Duration,
+    outcome: Outcome,
+    /// Number of the last event.
+    last: u32,
+    /// Whether no fault disturbed the process of the edge.
+    is_edge_sound: bool,
+    runs: Vec<Run>,
+}
+
+impl StreamCallers {
+    /// Starts the callers. Returns the streams once they have all ended.
+    pub fn start(self, seed: u64, end: Instant) -> impl Future<Output = Vec<StreamResult>> {
+        let callers: Vec<_> = (0..CALLERS)
+            .map(|n| tokio::spawn(self.clone().run(seed * CALLERS + n, end)))
+            .collect();
+        async {
+            let streams = join_all(callers).await.into_iter();
+            streams.flat_map(Result::unwrap).collect()
+        }
+    }
+
+    async fn run(self, seed: u64, end: Instant) -> Vec<StreamResult> {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let start = Instant::now();
+        let mut streams = Vec::new();
+        while Instant::now() < end {
+            let mut stream = StreamResult {
+                held: HeldStream::new(),
+                attempts: Vec::new(),
+                began: None,
+                went_on: None,
+            };
+            for _ in 0..MAX_ATTEMPTS {
+                let outcome = self.attempt(&mut stream, &mut rng, start).await;
+                if outcome == Outcome::Complete {
+                    break;
+                }
+                sleep(Duration::from_millis(rng.random_range(50..400))).await;
+            }
+            streams.push(stream);
+        }
+        streams
+    }
+
+    async fn attempt(
+        &self,
+        stream: &mut StreamResult,
+        rng: &mut StdRng,
+        start: Instant,
+    ) -> Outcome {
+        let n = rng.random_range(0..self.edges.len());
+        let last = stream.held.last();
+        let wanted = rng
+            .random_bool(LEAVE_PROBABILITY)
+            .then(|| last + rng.random_range(1..=EVENTS / 2));
+        let begun = Instant::now();
+        let has_two = self.serves_twice(&stream.held);
+        let outcome = stream.held.attempt(self.edges[n], PATH, wanted).await;
+        let now_last = stream.held.last();
+        let has_more = now_last > last || outcome == Outcome::Complete;
+        match last {
+            _ if !self.contacts.is_in_touch(n, begun) => {}
+            0 => stream.began = Some(stream.began == Some(true) || has_more),
+            _ if has_two && self.serves_twice(&stream.held) => {
+                stream.went_on = Some(stream.went_on == Some(true) || has_more);
+            }
+            _ => {}
+        }
+        stream.attempts.push(Attempt {
+            id: stream.held.last_attempt().into(),
+            edge: self.edges[n],
+            begun: begun - start,
+            ended: start.elapsed(),
+            outcome,
+            last: now_last,
+            is_edge_sound: self.contacts.is_process_sound(n, begun),
+            runs: Vec::new(),
+        });
+        outcome
+    }
+
+    /// Returns whether two upstreams of the version of a stream serve.
+    fn serves_twice(&self, stream: &HeldStream) -> bool {
+        let mut versions = stream.versions().into_iter();
+        versions.any(|version| self.serving.has_two(version))
+    }
+}
+
+/// Checks that streams are whole and of one version, that silent upstreams end none, and that
+/// streams go on about as often as they begin.
+pub fn check_streams(seed: u64, mut streams: Vec<StreamResult>, runs: &Runs) {
+    for attempt in streams.iter_mut().flat_map(|s| &mut s.attempts) {
+        attempt.runs = runs.of(&attempt.id);
+    }
+    let began = share(streams.iter().filter_map(|s| s.began));
+    let went_on = share(streams.iter().filter_map(|s| s.went_on));
+    let complete = share(streams.iter().map(StreamResult::is_complete));
+    let taken_up = streams.iter().filter(|s| s.is_taken_up()).count();
+    eprintln!(
+        "seed {seed}: {} of {} streams complete, {taken_up} taken up; in touch, {} of {} began and \
+         {} of {} went on",
+        complete.0, complete.1, began.0, began.1, went_on.0, went_on.1
+    );
+    let mut wrong = Vec::new();
+    for stream in &streams {
+        let faults = [
+            ("events of two versions", stream.is_mixed()),
+            ("missing or repeated events", !stream.is_whole()),
+            ("an end for a silence", stream.ended_in_silence()),
+        ];
+        let faults = faults.into_iter().filter(|(_, is_wrong)| *is_wrong);
+        wrong.extend(faults.map(|(fault, _)| (fault, stream)));
+    }
+    assert!(
+        wrong.is_empty(),
+        "seed {seed}: {} faults of {} streams: {wrong:#?}",
+        wrong.len(),
+        streams.len()
+    );
+    if went_on.1 >= MIN_COMPARED {
+        // The share of streams that go on is at least half of the share of those that begin.
+        assert!(
+            2 * went_on.0 * began.1 >= began.0 * went_on.1,
+            "seed {seed}: {went_on:?} streams went on, {began:?} began"
+        );
+    }
+}
+
+/// Returns the number of true values and the number of all.
+fn share(values: impl Iterator<Item = bool>) -> (usize, usize) {
+    values.fold((0, 0), |(some, all), v| (some + usize::from(v), all + 1))
+}
