Send series of signals in the soak

Edges were killed all at once only. They now get series: kills of all, also twice in a row; planned stops of a third of them, one after the other; and reloads of all. The entry of an upstream that crashed, and whose address another one has, stays for a while. Prompts, attempts and the breaks of streams depend on the seed.

--- a/crates/edge-bin/tests/common/versioned.rs
+++ b/crates/edge-bin/tests/common/versioned.rs
@@ -6,6 +6,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -66,6 +68,8 @@
 pub struct HeldStream {
     /// Id of the only block of the prompt.
     prompt: u32,
+    /// Source of the ids of the attempts.
+    rng: StdRng,
     /// Id of the attempt that brought the first event.
     origin: Option<String>,
     /// Id of the last attempt.
@@ -77,8 +81,15 @@
 impl HeldStream {
     /// Returns a stream that has not begun, with a prompt of its own.
     pub fn new() -> Self {
+        Self::seeded(rand::random())
+    }
+
+    /// Returns a stream whose prompt and attempts depend on a seed.
+    pub fn seeded(seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
         Self {
-            prompt: rand::random(),
+            prompt: rng.random(),
+            rng,
             origin: None,
             last_attempt: String::new(),
             events: Vec::new(),
@@ -88,7 +99,7 @@
     /// Sends an attempt, which takes the stream up if there are events of it. Leaves once there are
     /// `wanted` events, or reads until the end of the response.
     pub async fn attempt(&mut self, at: SocketAddr, path: &str, wanted: Option<u32>) -> Outcome {
-        let id = format!("{:016x}", rand::random::<u64>());
+        let id = format!("{:016x}", self.rng.random::<u64>());
         self.last_attempt.clone_from(&id);
         let Ok(mut io) = TcpStream::connect(at).await else {
             return Outcome::BrokenOff;
--- a/crates/edge-bin/tests/soak/fleet.rs
+++ b/crates/edge-bin/tests/soak/fleet.rs
@@ -31,6 +31,9 @@
 /// Time from an entry that says `draining`, or from its removal, until the upstream ends.
 const DRAIN_TIME: Duration = Duration::from_millis(1_500);
 
+/// Time from a crash until the entry of an upstream that does not come back is removed.
+const EXPIRY_TIME: Duration = Duration::from_millis(1_500);
+
 /// Time until each edge in touch knows a listed upstream.
 const LIST_TIME: Duration = Duration::from_secs(1);
 
@@ -196,7 +199,8 @@
             0 => (id.into(), old),
             1 => (id.into(), other.into()),
             _ => {
-                self.store.remove("keyed.servers", id);
+                let expired = Step::End { id: id.into() };
+                self.steps.push((Instant::now() + EXPIRY_TIME, expired));
                 self.started += 1;
                 (format!("s-{}", self.started), other.into())
             }
--- a/crates/edge-bin/tests/soak/main.rs
+++ b/crates/edge-bin/tests/soak/main.rs
@@ -18,8 +18,9 @@
 mod upstream;
 
 use std::collections::VecDeque;
+use std::iter::repeat_n;
 use std::net::SocketAddr;
-use std::ops::RangeInclusive;
+use std::ops::{Range, RangeInclusive};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -77,10 +78,8 @@
 /// Time without faults of edges and the store, in which upstreams still come and go.
 const CALM_TIME: Duration = Duration::from_secs(6);
 
-/// Probability that all edges are killed together at a fault, and that they are killed again after
-/// the next one.
-const KILL_PROBABILITY: f64 = 0.04;
-const REPEATED_KILL_PROBABILITY: f64 = 0.3;
+/// Probability that a series of signals begins at a fault.
+const SERIES_PROBABILITY: f64 = 0.08;
 
 /// Test number, which keeps the addresses distinct from those of other tests.
 const TEST_NUMBER: u8 = 100;
@@ -130,8 +129,8 @@
     /// Proxies in front of the workers.
     worker_proxies: Vec<Proxy>,
     contacts: Contacts,
-    /// Kills of all edges, if there are any.
-    kills: Option<KillAll>,
+    /// Signals to several edges, if there are any.
+    series: Option<SignalSeries>,
     /// Whether streams have a service of their own.
     has_fleet: bool,
     /// Version of the published configuration.
@@ -142,11 +141,34 @@
     copies: VecDeque<StoreCopy>,
 }
 
-/// Kills of all edges at once.
-struct KillAll {
+/// Signals that several edges get in a row.
+struct SignalSeries {
     rng: StdRng,
-    /// Whether there is another one after the next fault.
-    is_repeated: bool,
+    /// Edges and the signal that they get, one entry for each fault to come.
+    steps: VecDeque<(Range<usize>, &'static str)>,
+}
+
+impl SignalSeries {
+    /// Begins a series sometimes. Returns the next step.
+    fn advance(&mut self, edges: usize) -> Option<(Range<usize>, &'static str)> {
+        if self.steps.is_empty() && self.rng.random_bool(SERIES_PROBABILITY) {
+            match self.rng.random_range(0..4) {
+                // All edges lose power, some a second time while they start.
+                0 | 1 => {
+                    let count = self.rng.random_range(1..=2);
+                    self.steps.extend(repeat_n((0..edges, "KILL"), count));
+                }
+                // A third of the edges is released, one after the other.
+                2 => {
+                    let first = self.rng.random_range(0..edges);
+                    let released = (first..edges).take(edges.div_ceil(3));
+                    self.steps.extend(released.map(|n| (n..n + 1, "TERM")));
+                }
+                _ => self.steps.extend(repeat_n((0..edges, "HUP"), 3)),
+            }
+        }
+        self.steps.pop_front()
+    }
 }
 
 /// A fault that lasts for a time. Contains the index of the edge or worker.
@@ -206,7 +228,7 @@
             site,
             edges,
             worker_proxies,
-            kills: None,
+            series: None,
             has_fleet: false,
             version: 2,
             active_faults: Vec::new(),
@@ -214,15 +236,15 @@
         }
     }
 
-    /// Starts the upstreams of the streams. From then on, all edges are killed at times.
+    /// Starts the upstreams of the streams. From then on, edges get series of signals.
     async fn start_fleet(&mut self, seed: u64) -> Fleet {
         let rng = |n| StdRng::seed_from_u64(seed.rotate_left(n));
         let ip = self.site.address(TEST_NUMBER);
         let fleet = Fleet::start(ip, &self.site.store, rng(16)).await;
         self.has_fleet = true;
-        self.kills = Some(KillAll {
+        self.series = Some(SignalSeries {
             rng: rng(32),
-            is_repeated: false,
+            steps: VecDeque::new(),
         });
         self.publish_config(&["k1"]);
         fleet
@@ -250,7 +272,7 @@
             self.restart_ended_edges();
             self.inject_fault(&mut rng);
             self.restore_sometimes(&mut restore_rng);
-            self.kill_sometimes();
+            self.signal_series();
             self.record_faults();
             sleep(Duration::from_millis(rng.random_range(50..500))).await;
         }
@@ -262,16 +284,12 @@
         calls.clone()
     }
 
-    /// Kills all edges at once, sometimes twice in a row.
-    fn kill_sometimes(&mut self) {
-        let Some(KillAll { rng, is_repeated }) = &mut self.kills else {
-            return;
-        };
-        if *is_repeated || rng.random_bool(KILL_PROBABILITY) {
-            *is_repeated = rng.random_bool(REPEATED_KILL_PROBABILITY);
-            for (edge, _) in &self.edges {
-                edge.signal("KILL");
-            }
+    /// Sends the next signals of a series.
+    fn signal_series(&mut self) {
+        let edges = self.edges.len();
+        let step = self.series.as_mut().and_then(|s| s.advance(edges));
+        for (edge, signal) in step.into_iter().flat_map(|(ns, s)| ns.map(move |n| (n, s))) {
+            self.edges[edge].0.signal(signal);
         }
     }
 
--- a/crates/edge-bin/tests/soak/streams.rs
+++ b/crates/edge-bin/tests/soak/streams.rs
@@ -115,7 +115,7 @@
         let mut streams = Vec::new();
         while Instant::now() < end {
             let mut stream = StreamResult {
-                held: HeldStream::new(),
+                held: HeldStream::seeded(rng.random()),
                 attempts: Vec::new(),
                 began: None,
                 went_on: None,
--- a/crates/edge-bin/tests/soak/upstream.rs
+++ b/crates/edge-bin/tests/soak/upstream.rs
@@ -6,7 +6,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use rand::RngExt;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep_until};
@@ -167,9 +168,11 @@
     /// Streams the events that are missing. Returns whether the connection stays open.
     async fn stream(&self, io: &mut TcpStream, head: &str, attempt: &str) -> bool {
         let after: u32 = header(head, "last-event-id").map_or(0, |id| id.parse().unwrap());
-        let break_after = rand::rng()
+        let id = u64::from_str_radix(attempt, 16).unwrap();
+        let mut rng = StdRng::seed_from_u64(id ^ u64::from(after));
+        let break_after = rng
             .random_bool(BREAK_PROBABILITY)
-            .then(|| rand::random_range(after..=EVENTS));
+            .then(|| rng.random_range(after..=EVENTS));
         let run = Run {
             upstream: self.id.clone(),
             version: self.version.clone(),
