Count silence from the start of the wait for an event

The time for which a caller does not read counted as silence of the upstream. The bytes that had come were read first, so that no request was sent elsewhere, but the log named one (stream_resumed, cause=event). The state of the silence is local to the wait now, and the stream has one field less.

Not tested by itself: found in a read of the change. silent_streams, own_delay, resumed_answers, endless_bytes, worker_faults, unframed_answers and body_ends passed.

--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -163,7 +163,6 @@
     longest_gap_end: MonotonicTime,
     /// Time at which the last piece was forwarded.
     last_sent_at: MonotonicTime,
-    silence: Silence,
     first_result_at: MonotonicTime,
     status: u16,
     end: Option<&'static str>,
@@ -191,7 +190,6 @@
         longest_gap: Duration::ZERO,
         longest_gap_end: first_result_at,
         last_sent_at: first_result_at,
-        silence: Silence::new(first_result_at),
         first_result_at,
         status,
         end: None,
@@ -220,7 +218,6 @@
                     self.longest_gap_end = now;
                 }
                 self.last_sent_at = now;
-                self.silence = Silence::new(now);
                 self.sent_bytes += bytes.len();
             }
             Some(Err(broken)) => {
@@ -238,6 +235,8 @@
     /// another one has answered; an event that it sends before ends the request to the other one.
     async fn read_next(&mut self) -> Option<Result<Bytes, ResponseBodyError>> {
         let mut other = None;
+        // A caller that reads slowly delays the start, and does not make the upstream silent.
+        let mut silence = Silence::new(self.state.now());
         loop {
             let now = self.state.now();
             if now.since(self.request.deadline_at) > MAX_DEADLINE_OVERRUN {
@@ -247,16 +246,17 @@
             // Bytes of an incomplete event do not extend the wait.
             let measured = self.state.delay_monitor.measure();
             let event_timeout = self.event_timeout();
-            let max_wait = match self.silence.step(now, event_timeout, &measured) {
+            let max_wait = match silence.step(now, event_timeout, &measured) {
                 Step::Wait(until) => until.map_or(time_left, |until| until.since(now)),
                 Step::Ask => {
                     other = self.resumption(ResumeCause::Silent).map(Box::pin);
-                    self.silence.record_asked(now);
+                    silence.record_asked(now);
                     continue;
                 }
                 Step::KeepSilent => {
                     other = None;
-                    self.record_not_resumed("no_answer");
+                    self.log_resumption("no_answer", false);
+                    silence.record_not_taken(now);
                     continue;
                 }
             };
@@ -269,7 +269,7 @@
                 Next::Wait => {}
                 Next::Piece(piece) => {
                     if other.is_some() {
-                        self.record_not_resumed("event");
+                        self.log_resumption("event", false);
                     }
                     return Some(Ok(piece));
                 }
@@ -284,19 +284,22 @@
                 Next::Resumed(source) => {
                     other = None;
                     self.replace_source(ResumeCause::Silent, source);
+                    silence = Silence::new(self.state.now());
                 }
                 Next::NotResumed => {
                     other = None;
-                    self.record_not_resumed("not_taken");
+                    self.log_resumption("not_taken", false);
+                    silence.record_not_taken(self.state.now());
                 }
                 Next::Broken => {
                     let resumption = self.resumption(ResumeCause::Broken);
                     self.drop_source(ResumeCause::Broken);
                     let Some(source) = either(other.take(), resumption).await else {
-                        self.record_not_resumed("broken");
+                        self.log_resumption("broken", false);
                         return Some(Err(ResponseBodyError::Upstream));
                     };
                     self.replace_source(ResumeCause::Broken, source);
+                    silence = Silence::new(self.state.now());
                 }
             }
         }
@@ -349,29 +352,22 @@
     fn replace_source(&mut self, cause: ResumeCause, source: ResponseSource) {
         self.drop_source(cause);
         self.source = Some(source);
-        let now = self.state.now();
         increment(&self.state.metrics.streams_resumed);
-        self.log_resumption(cause.into(), true, now);
-        self.silence = Silence::new(now);
-    }
-
-    /// Records that the stream is not resumed elsewhere for now.
-    fn record_not_resumed(&mut self, cause: &'static str) {
-        let now = self.state.now();
-        if self.resumable_after().is_some() {
-            self.log_resumption(cause, false, now);
-        }
-        self.silence.record_not_taken(now);
+        self.log_resumption(cause.into(), true);
     }
 
-    fn log_resumption(&self, cause: &'static str, resumed: bool, now: MonotonicTime) {
+    /// Logs whether a resumable stream goes on at another upstream.
+    fn log_resumption(&self, cause: &'static str, resumed: bool) {
+        let Some(after) = self.resumable_after() else {
+            return;
+        };
         tracing::info!(
             event = "stream_resumed",
             id = %self.request.head.id,
-            after = self.events.last_id(),
+            after = %after,
             resumed,
             cause,
-            silent_ms = millis(now.since(self.last_sent_at)),
+            silent_ms = millis(self.state.now().since(self.last_sent_at)),
         );
     }
 
