Do not take an unread list of instances for a current one

While the store was down, an edge with an old list took it for current when a peer that had just started answered it.

Cause: what a process had never read was as old as the process, and so was what it had read from others before its start.

Such a reply now has the largest age, and an age from before the start of the receiver is not recorded.

Evidence: before the change, unread_list fails with "the list is 516 ms old" where it was over 4,000 ms old; with the first half of the change alone, with "the list is 2023 ms old".

--- a/crates/edge/src/peers/ask.rs
+++ b/crates/edge/src/peers/ask.rs
@@ -76,10 +76,10 @@
     for member in reply.members {
         state.members.borrow_mut().record(member, now);
     }
-    let read_at = time_before(now, Duration::from_millis(reply.instances_age_ms));
+    let read_at = time_before(now, reply.instances_age_ms);
     {
         let mut known_records = state.known_records.borrow_mut();
-        known_records.instances_at = known_records.instances_at.max(Some(read_at));
+        known_records.instances_at = known_records.instances_at.max(read_at);
     }
     finish_instances_update(state);
 }
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -138,8 +138,8 @@
     RecordsReply {
         store_era: state.store_era(),
         reads: known_records.reads,
-        instances_age_ms: millis(known_records.instances_age(now)),
-        config_age_ms: millis(known_records.config_age(now)),
+        instances_age_ms: age_ms(known_records.instances_at, now),
+        config_age_ms: age_ms(known_records.config_at, now),
         config: config.and_then(WireRecord::from_record),
         config_next: known_records.config_next,
         instances: instances.filter_map(WireRecord::from_record).collect(),
@@ -155,6 +155,12 @@
     }
 }
 
+/// Returns the age of what was read at `at`, in milliseconds. What was never read is older than
+/// anything that the receiver knows, not as old as this process.
+fn age_ms(at: Option<MonotonicTime>, now: MonotonicTime) -> u64 {
+    at.map_or(u64::MAX, |at| millis(now.since(at)))
+}
+
 /// Returns the control addresses of the other processes: known members and the seeds in the
 /// settings.
 pub fn known_peers<D: WireCodec>(state: &EdgeState<D>) -> Vec<SocketAddr> {
@@ -219,7 +225,9 @@
     serde_json::from_slice(response.body()).map_err(|e| PeerError::Unreadable(e.to_string().into()))
 }
 
-/// Returns the time that is `age` before `now`.
-fn time_before(now: MonotonicTime, age: Duration) -> MonotonicTime {
-    MonotonicTime(now.0.saturating_sub(age))
+/// Returns the time that is `age_ms` milliseconds before `now`, or `None` if it is before the start
+/// of this process.
+fn time_before(now: MonotonicTime, age_ms: u64) -> Option<MonotonicTime> {
+    let age = Duration::from_millis(age_ms);
+    now.0.checked_sub(age).map(MonotonicTime)
 }
--- a/crates/edge/src/peers/relay.rs
+++ b/crates/edge/src/peers/relay.rs
@@ -142,18 +142,22 @@
         state.members.borrow_mut().record(member, now);
     }
     let bounds = state.settings().bounds;
-    let instances_at = time_before(now, Duration::from_millis(reply.instances_age_ms));
-    let config_at = time_before(now, Duration::from_millis(reply.config_age_ms));
+    let instances_at = time_before(now, reply.instances_age_ms);
+    let config_at = time_before(now, reply.config_age_ms);
     {
         let mut known_records = state.known_records.borrow_mut();
         known_records.config_next = known_records.config_next.max(reply.config_next);
-        known_records.config_at = known_records.config_at.max(Some(config_at));
+        known_records.config_at = known_records.config_at.max(config_at);
         known_records.instances_next = known_records.instances_next.max(reply.instances_next);
-        known_records.instances_at = known_records.instances_at.max(Some(instances_at));
+        known_records.instances_at = known_records.instances_at.max(instances_at);
     }
     state.set_store_available(true);
     finish_instances_update(state);
-    let due = next_due(&bounds, config_at, instances_at);
+    let due = next_due(
+        &bounds,
+        config_at.unwrap_or_default(),
+        instances_at.unwrap_or_default(),
+    );
     let was_relayed = state.is_relayed();
     state
         .relay_follower
