Pass on that an entry has become unreadable

Cause: peers and relays left such a record out of their replies, though they stop using the upstream themselves ("unreadable entry").

Evidence: odd_entries::passed_on before the fix: "timed out: it is not used" (22.21 s); with it: ok, 2.55 s.

Fix: the value is sent as an empty text, which no decoder accepts, so that all edges draw the same conclusion.

--- a/crates/edge-bin/tests/odd_entries.rs
+++ b/crates/edge-bin/tests/odd_entries.rs
@@ -244,3 +244,17 @@
     }
     assert_eq!(site.exit_code(), None);
 }
+
+/// An entry that was replaced by bytes which are no text stayed in use at the edges that got it from
+/// another edge.
+#[tokio::test(flavor = "multi_thread")]
+async fn passed_on() {
+    let site = Site::start(154, 1).await;
+    let edge = site.start_edge_without_store(155).await;
+    site.store.put_bytes("keyed.servers", "i-0", b"\xff");
+    site.wait_until("it is not used", async || {
+        edge.call("POST", "/once/1", &[]).await.status == 503
+    })
+    .await;
+    assert_eq!(site.call("POST", "/once/1", &[]).await.status, 503);
+}
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -100,18 +100,14 @@
 }
 
 impl WireRecord {
-    /// Copies a record. Returns `None` if the value is not UTF-8; such a record contains nothing
-    /// usable.
-    fn from_record(record: &KeyedRecord) -> Option<Self> {
-        let value = match &record.value {
-            Some(value) => Some(std::str::from_utf8(value).ok()?.into()),
-            None => None,
-        };
-        Some(Self {
+    /// Copies a record. A value that is not UTF-8 becomes an empty one, which is as unusable.
+    fn from_record(record: &KeyedRecord) -> Self {
+        let text = |value: &Bytes| std::str::from_utf8(value).unwrap_or_default().into();
+        Self {
             key: record.key.clone(),
             position: record.position,
-            value,
-        })
+            value: record.value.as_ref().map(text),
+        }
     }
 
     fn into_record(self) -> KeyedRecord {
@@ -139,9 +135,9 @@
         reads: known_records.reads,
         instances_age_ms: millis(known_records.instances_age(now)),
         config_age_ms: millis(known_records.config_age(now)),
-        config: config.and_then(WireRecord::from_record),
+        config: config.map(WireRecord::from_record),
         config_next: known_records.config_next,
-        instances: instances.filter_map(WireRecord::from_record).collect(),
+        instances: instances.map(WireRecord::from_record).collect(),
         instances_next: known_records.instances_next,
         is_whole,
         expiry_grace_ms: grace_until.map_or(0, |until| millis(until.since(now))),
