--- a/crates/edge-bin/tests/common/mod.rs
+++ b/crates/edge-bin/tests/common/mod.rs
@@ -7,6 +7,7 @@
 pub mod proxy;
 pub mod relayed;
 pub mod store;
+pub mod versioned;
 pub mod worker;
 
 use std::cell::Cell;
@@ -14,7 +15,7 @@
 use std::io::ErrorKind;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::process::{Child, Command, Stdio};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use proxy::Proxy;
 use serde_json::{Value, json};
@@ -290,6 +291,25 @@
         self.store.put("keyed.servers", &format!("i-{n}"), &entry);
     }
 
+    /// Lists worker `n` as just started with a software version, which it names in its events.
+    pub fn list_version(&self, n: u16, version: &str) {
+        self.list_entry_with_version(n, version, instance(self.listed_address(n), "ready"));
+    }
+
+    /// Lists engine `n` as just started with a software version, which it names in its events.
+    pub fn list_engine_version(&self, n: u16, version: &str) {
+        let entry = engine_instance(self.listed_address(n), "ready");
+        self.list_entry_with_version(n, version, entry);
+    }
+
+    fn list_entry_with_version(&self, n: u16, version: &str, mut entry: Value) {
+        entry["version"] = json!(version);
+        let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+        entry["born"] = json!(u64::try_from(started.as_millis()).unwrap());
+        self.store.put("keyed.servers", &format!("i-{n}"), &entry);
+        self.workers[usize::from(n)].set_version(version);
+    }
+
     fn listed_address(&self, n: u16) -> SocketAddr {
         let offset = if self.has_proxies {
             PROXY_PORT_OFFSET
@@ -335,6 +355,8 @@
     ip: IpAddr,
     child: Child,
     settings: NamedTempFile,
+    /// What the process writes to its standard error.
+    errors: NamedTempFile,
     /// Whether the process was sent a signal to end since its start.
     is_stopping: Cell<bool>,
 }
@@ -343,11 +365,13 @@
     fn start(node: &str, ip: IpAddr, store: SocketAddr, seed: IpAddr) -> Self {
         let settings = NamedTempFile::new().unwrap();
         std::fs::write(settings.path(), settings_text(node, ip, store, seed)).unwrap();
-        let child = spawn_edge(&settings);
+        let errors = NamedTempFile::new().unwrap();
+        let child = spawn_edge(&settings, &errors);
         Self {
             ip,
             child,
             settings,
+            errors,
             is_stopping: Cell::new(false),
         }
     }
@@ -369,6 +393,11 @@
         assert!(status.unwrap().success());
     }
 
+    /// Returns whether the process was sent a signal to end since its start.
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping.get()
+    }
+
     /// Returns the peak memory of the process in KiB.
     pub fn peak_memory(&self) -> u64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
@@ -397,7 +426,7 @@
     /// Waits for the process to end and starts it again.
     pub fn restart(&mut self) {
         self.child.wait().unwrap();
-        self.child = spawn_edge(&self.settings);
+        self.child = spawn_edge(&self.settings, &self.errors);
         self.is_stopping.set(false);
     }
 
@@ -416,7 +445,7 @@
         if self.child.try_wait().unwrap().is_some() {
             self.restart();
         }
-        !self.is_stopping.get()
+        !self.is_stopping()
     }
 
     /// Sends a request to the process. A call without a response returns status 0.
@@ -432,10 +461,17 @@
         // Fails only if the process has already ended.
         let _ = self.child.kill();
         let _ = self.child.wait();
+        // A task that panicked ends silently: whatever it followed is not followed any more.
+        let errors = std::fs::read_to_string(self.errors.path()).unwrap_or_default();
+        eprint!("{errors}");
+        assert!(
+            std::thread::panicking() || !errors.contains("panicked at"),
+            "a task of the edge panicked"
+        );
     }
 }
 
-fn spawn_edge(settings: &NamedTempFile) -> Child {
+fn spawn_edge(settings: &NamedTempFile, errors: &NamedTempFile) -> Child {
     let log = match std::env::var_os(LOG_VARIABLE) {
         Some(_) => Stdio::inherit(),
         None => Stdio::null(),
@@ -443,6 +479,7 @@
     Command::new(env!("CARGO_BIN_EXE_nutmegbay-edge"))
         .env("NUTMEGBAY_BOOT", settings.path())
         .stdout(log)
+        .stderr(errors.reopen().unwrap())
         .spawn()
         .unwrap()
 }
--- a/crates/edge/src/fleet/mod.rs
+++ b/crates/edge/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 mod in_flight;
 mod limits;
 mod placement;
+mod versions;
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -22,6 +23,7 @@
 use nutmegbay_policy::edge::placement::EnginePhase;
 use nutmegbay_policy::edge::prefill_rate::PrefillRate;
 use nutmegbay_policy::edge::prefixes::PrefixLocations;
+use nutmegbay_policy::edge::software_versions::VersionTag;
 use nutmegbay_policy::edge::upstream_limit::UpstreamLimit;
 use nutmegbay_policy::edge::urgency::Urgency;
 use slotmap::SlotMap;
@@ -31,6 +33,7 @@
 use crate::http1::{Connection, IdleConnections};
 use crate::members::member_hash;
 use crate::model::{EngineRole, InstanceReport, ModelWork};
+use crate::versions::version_tag;
 
 use costs::{INITIAL_MEAN_MS, ServiceCosts, costs_mut};
 pub use in_flight::{Demand, InFlightSend, PrefillWait};
@@ -50,6 +53,8 @@
     pub id: Box<str>,
     /// Its entry in the list of instances.
     pub report: InstanceReport,
+    /// Version of its software.
+    version: VersionTag,
     /// Estimate of the work queued at the upstream.
     pub load: UpstreamLoad,
     /// Health, as observed by this process's requests.
@@ -86,10 +91,11 @@
 
     /// Returns a hash that identifies this incarnation of the upstream.
     pub fn incarnation(&self) -> u64 {
-        xxh3_64_with_seed(
+        let start = xxh3_64_with_seed(
             self.id.as_bytes(),
             self.report.started_ms.unwrap_or_default(),
-        )
+        );
+        xxh3_64_with_seed(self.report.version.as_bytes(), start)
     }
 }
 
@@ -149,7 +155,8 @@
         {
             let is_same = upstream.report.started_ms == report.started_ms
                 && upstream.report.addr == report.addr
-                && upstream.report.service == report.service;
+                && upstream.report.service == report.service
+                && upstream.report.version == report.version;
             if is_same {
                 let is_change = upstream.report != report || upstream.expiry_grace_until.is_some();
                 if upstream.report.is_ready != report.is_ready
@@ -177,11 +184,13 @@
             addr = %report.addr,
             ready = report.is_ready,
             role = report.role.map(<&str>::from),
+            version = %report.version,
         );
         let domain = self.domain(&report.domain);
         let service = report.service.clone();
         let key = self.upstreams.insert(Upstream {
             id: id.into(),
+            version: version_tag(&report.version),
             hash: xxh3_64(id.as_bytes()),
             domain,
             load: UpstreamLoad::new(INITIAL_MEAN_MS),
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -87,7 +87,8 @@
 }
 
 impl<D: WireCodec> Forwarder<'_, D> {
-    /// Sends the request to `at` and waits up to `max_wait` for its first result.
+    /// Sends the request to `at` and waits up to `max_wait` for its first result, or longer while the
+    /// edge is late.
     pub async fn send(
         &mut self,
         at: UpstreamKey,
@@ -95,8 +96,10 @@
         stage: Stage<'_>,
         max_wait: Duration,
     ) -> SendOutcome {
+        let monitor = &self.state.delay_monitor;
+        let time_left = self.request.time_left(self.state.now());
         let response = self.send_and_read(at, cost_ms, stage);
-        match timeout(max_wait, response).await {
+        match monitor.timeout_within(max_wait, time_left, response).await {
             Ok(send) => send,
             Err(_) => SendOutcome::NoResponse(self.record_unresponsive(at)),
         }
@@ -226,6 +229,7 @@
                     source.in_flight_send.record_first_result(self.state.now());
                     self.count_usage_once();
                     self.record_prefix_use_at(source.in_flight_send.key());
+                    self.record_stream_version(&source.in_flight_send);
                     return SendOutcome::Response(UpstreamResponse {
                         head,
                         headers,
@@ -287,6 +291,7 @@
         if crashes::refused_for(self.state, self.request).is_some() {
             return Err(CRASHES_UPSTREAMS);
         }
+        self.check_version(at)?;
         let mut fleet = self.state.fleet.borrow_mut();
         fleet.try_send(at, self.state.now())?;
         if stage != Stage::Prefill {
@@ -466,6 +471,11 @@
                     })?
                 }
             };
+            // The list may have changed while the connection was opened.
+            self.check_version(at).map_err(|_| CallError {
+                verdict: Verdict::NotRun,
+                cause: Cause::Connect,
+            })?;
             self.sends += 1;
             self.request.progress.borrow_mut().sends += 1;
             {
@@ -505,7 +515,7 @@
                 instance,
                 deadline: Some(request.time_left(self.state.now())),
                 account: request.account.as_ref().map(|account| &*account.name),
-                priority: is_model.then(|| request.rank),
+                priority: is_model.then(|| request.rank()),
                 stage,
                 resume_after: after,
             },
--- a/crates/edge/src/forward/prefill.rs
+++ b/crates/edge/src/forward/prefill.rs
@@ -8,7 +8,7 @@
 use http::header::HOST;
 use nutmegbay_policy::UpstreamKey;
 use nutmegbay_policy::edge::health::Outcome;
-use tokio::time::timeout;
+use nutmegbay_policy::edge::software_versions::VersionTag;
 
 use super::attempt::{
     MAX_BUFFERED_BODY, OpenedResponse, ResponseBody, SendOutcome, UpstreamResponse, read_up_to,
@@ -29,6 +29,8 @@
     pub source: SocketAddr,
     /// Name of the result at that engine.
     pub name: Box<str>,
+    /// Version of that engine. Only an engine of the same version decodes from the result.
+    pub version: VersionTag,
     state: Rc<EdgeState<D>>,
     is_transferred: bool,
 }
@@ -73,6 +75,8 @@
     ) -> Result<PrefillHandle<D>, SendOutcome> {
         let sends_before = self.sends;
         let began = self.state.now();
+        let monitor = &self.state.delay_monitor;
+        let time_left = self.request.time_left(began);
         let read = async {
             let OpenedResponse {
                 head,
@@ -97,16 +101,20 @@
             }
             Ok((head, headers, body))
         };
-        let (head, headers, body) = match timeout(max_wait, read).await {
+        let read = monitor.timeout_within(max_wait, time_left, read).await;
+        let (head, headers, body) = match read {
             Ok(read) => read?,
             Err(_) => return Err(SendOutcome::NotRun(self.record_unresponsive(at))),
         };
         let prefilled = self.state.codec.decode_prefill_result(&body);
-        let address = {
+        let engine = {
             let fleet = self.state.fleet.borrow();
-            fleet.get(at).map(|upstream| upstream.report.addr)
+            fleet
+                .get(at)
+                .map(|upstream| (upstream.report.addr, upstream.version()))
         };
-        let (true, Some(prefilled), Some(source)) = (head.status.is_success(), prefilled, address)
+        let (true, Some(prefilled), Some((source, version))) =
+            (head.status.is_success(), prefilled, engine)
         else {
             return Err(SendOutcome::Response(UpstreamResponse {
                 head: ResponseHead {
@@ -128,6 +136,7 @@
         Ok(PrefillHandle {
             source,
             name: prefilled.handle,
+            version,
             state: Rc::clone(self.state),
             is_transferred: false,
         })
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -34,7 +34,9 @@
 pub mod settings;
 mod sse;
 mod state;
+mod stopping;
 mod stream;
+mod versions;
 
 pub use routes::{RouteError, RouteTable};
 pub use run::{Adapter, run};
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -101,18 +101,14 @@
 }
 
 impl WireRecord {
-    /// Copies a record. Returns `None` if the value is not UTF-8; such a record contains nothing
-    /// usable.
-    fn from_record(record: &KeyedRecord) -> Option<Self> {
-        let value = match &record.value {
-            Some(value) => Some(std::str::from_utf8(value).ok()?.into()),
-            None => None,
-        };
-        Some(Self {
+    /// Copies a record. A value that is not UTF-8 becomes an empty one, which is as unusable.
+    fn from_record(record: &KeyedRecord) -> Self {
+        let text = |value: &Bytes| std::str::from_utf8(value).unwrap_or_default().into();
+        Self {
             key: record.key.clone(),
             position: record.position,
-            value,
-        })
+            value: record.value.as_ref().map(text),
+        }
     }
 
     fn into_record(self) -> KeyedRecord {
@@ -138,11 +134,11 @@
     RecordsReply {
         store_era: state.store_era(),
         reads: known_records.reads,
-        instances_age_ms: millis(known_records.instances_age(now)),
-        config_age_ms: millis(known_records.config_age(now)),
-        config: config.and_then(WireRecord::from_record),
+        instances_age_ms: age_ms(known_records.instances_at, now),
+        config_age_ms: age_ms(known_records.config_at, now),
+        config: config.map(WireRecord::from_record),
         config_next: known_records.config_next,
-        instances: instances.filter_map(WireRecord::from_record).collect(),
+        instances: instances.map(WireRecord::from_record).collect(),
         instances_next: known_records.instances_next,
         is_whole,
         expiry_grace_ms: grace_until.map_or(0, |until| millis(until.since(now))),
@@ -155,6 +151,12 @@
     }
 }
 
+/// Returns the age of what was read at `at`, in milliseconds. What was never read is older than
+/// anything that the receiver knows, not as old as this process.
+fn age_ms(at: Option<MonotonicTime>, now: MonotonicTime) -> u64 {
+    at.map_or(u64::MAX, |at| millis(now.since(at)))
+}
+
 /// Returns the control addresses of the other processes: known members and the seeds in the
 /// settings.
 pub fn known_peers<D: WireCodec>(state: &EdgeState<D>) -> Vec<SocketAddr> {
@@ -199,7 +201,7 @@
 }
 
 /// Sends a request to a peer and decodes its response. Waits up to `limit`.
-async fn fetch<T: DeserializeOwned>(
+pub async fn fetch<T: DeserializeOwned>(
     client: &BufferedClient,
     path: &str,
     body: Vec<u8>,
@@ -219,7 +221,9 @@
     serde_json::from_slice(response.body()).map_err(|e| PeerError::Unreadable(e.to_string().into()))
 }
 
-/// Returns the time that is `age` before `now`.
-fn time_before(now: MonotonicTime, age: Duration) -> MonotonicTime {
-    MonotonicTime(now.0.saturating_sub(age))
+/// Returns the time that is `age_ms` milliseconds before `now`, or `None` if it is before the start
+/// of this process.
+fn time_before(now: MonotonicTime, age_ms: u64) -> Option<MonotonicTime> {
+    let age = Duration::from_millis(age_ms);
+    now.0.checked_sub(age).map(MonotonicTime)
 }
--- a/crates/edge/src/peers/serve.rs
+++ b/crates/edge/src/peers/serve.rs
@@ -24,6 +24,7 @@
 use crate::own_delay::{CountedIo, DelayMonitor};
 use crate::platform_api::WireCodec;
 use crate::state::EdgeState;
+use crate::versions::{self, ORIGIN_PATH};
 
 /// Pause after a failed accept, for example if no file descriptor is free.
 const ACCEPT_ERROR_PAUSE: Duration = Duration::from_millis(500);
@@ -130,13 +131,20 @@
                     (StatusCode::BAD_REQUEST, "text/plain", String::new())
                 }
             },
+            ORIGIN_PATH => match serde_json::from_slice(body) {
+                Ok(question) => json_response(&versions::answer(state, &question)),
+                Err(error) => {
+                    tracing::warn!(event = "origin_question_unreadable", %error);
+                    (StatusCode::BAD_REQUEST, "text/plain", String::new())
+                }
+            },
             _ => (StatusCode::NOT_FOUND, "text/plain", String::new()),
         }
     }
 }
 
 /// Returns the names and values of the gauges.
-fn gauges<D: WireCodec>(state: &EdgeState<D>) -> [(&'static str, u64); 11] {
+fn gauges<D: WireCodec>(state: &EdgeState<D>) -> [(&'static str, u64); 12] {
     let now = state.now();
     let measured = state.delay_monitor.measure();
     let known_records = state.known_records.borrow();
@@ -153,6 +161,7 @@
             state.crashes.borrow().quarantines().len() as u64,
         ),
         ("timer_late_ms", millis(measured.timer_lateness)),
+        ("waits_extended_total", state.delay_monitor.waits_extended()),
         ("received_bytes_per_second", measured.received_per_s as u64),
         (
             "link_share_percent",
