--- a/crates/edge/src/peers/serve.rs
+++ b/crates/edge/src/peers/serve.rs
@@ -144,7 +144,7 @@
 }
 
 /// Returns the names and values of the gauges.
-fn gauges<D: WireCodec>(state: &EdgeState<D>) -> [(&'static str, u64); 12] {
+fn gauges<D: WireCodec>(state: &EdgeState<D>) -> [(&'static str, u64); 13] {
     let now = state.now();
     let measured = state.delay_monitor.measure();
     let known_records = state.known_records.borrow();
@@ -167,6 +167,10 @@
             "link_share_percent",
             (measured.link_share.unwrap_or(0.0) * 100.0) as u64,
         ),
+        (
+            "stream_origins",
+            state.versions.borrow().known_origins() as u64,
+        ),
     ]
 }
 
--- a/crates/edge/src/versions/mod.rs
+++ b/crates/edge/src/versions/mod.rs
@@ -76,6 +76,11 @@
         self.origins.take_news(now)
     }
 
+    /// Number of streams whose version is known.
+    pub fn known_origins(&self) -> usize {
+        self.origins.len()
+    }
+
     fn tagged(&mut self, service: ServiceTag) -> Option<&mut ServiceVersions> {
         self.by_service.values_mut().find(|s| s.tag == service)
     }
