Count no versions before the list of instances is known

An edge that waits for the first reply of its relay counts as relayed, so it took its empty list for a whole one, and could take the versions in the store for all there are before it knew its list. Found by reading; no run shows it.

The list now counts as known once the position after it is.

--- a/crates/edge/src/versions/mod.rs
+++ b/crates/edge/src/versions/mod.rs
@@ -180,9 +180,8 @@
     let bounds = state.settings().bounds;
     let list_age = {
         let known_records = state.known_records.borrow();
-        let has_read = known_records.reads.instances > 0;
         let mut versions = state.versions.borrow_mut();
-        versions.has_list |= has_read || state.is_relayed();
+        versions.has_list |= known_records.instances_next.is_some();
         versions.has_list.then(|| known_records.instances_age(now))
     };
     let is_current = list_age.is_some_and(|age| age < MAX_LIST_AGE);
