Saturate positions and counts that others state

Cause: the position after the last possible offset, and sums of counts over 2^64 - 1, overflowed. Checked builds panic, which ends the task that follows a relay, asks peers or seals usage; others count from 0.

Fix: both saturate. A store era that is too high in a reply is not covered: it takes every response of the store for outdated, and only edges state it to each other.

--- a/crates/core/src/duty/windows.rs
+++ b/crates/core/src/duty/windows.rs
@@ -100,6 +100,12 @@
     pub counts: Counts,
 }
 
+/// Adds requests of a client account, saturating at the maximum.
+fn add(counts: &mut Counts, account: &str, n: u64) {
+    let sum = counts.entry(account.into()).or_default();
+    *sum = sum.saturating_add(n);
+}
+
 /// Returns the sum of the counts of all processes in a window.
 pub fn sum_counts<'a>(
     window: u64,
@@ -109,7 +115,7 @@
     for member in members {
         for source in [&member.counts, &member.earlier] {
             for (account, n) in source.window(window).into_iter().flatten() {
-                *counts.entry(account.clone()).or_default() += n;
+                add(&mut counts, account, *n);
             }
         }
     }
@@ -123,7 +129,7 @@
         for (window, counts) in &self.earlier.windows {
             let sum = total.windows.entry(*window).or_default();
             for (account, n) in counts {
-                *sum.entry(account.clone()).or_default() += n;
+                add(sum, account, *n);
             }
         }
         while total.windows.len() > MAX_WINDOWS {
--- a/crates/core/src/position.rs
+++ b/crates/core/src/position.rs
@@ -24,10 +24,10 @@
         Self { era, offset }
     }
 
-    /// Returns the position after this one.
+    /// Returns the position after this one, or this one if it is the last.
     #[must_use]
     pub fn next(self) -> Self {
-        Self::new(self.era, self.offset + 1)
+        Self::new(self.era, self.offset.saturating_add(1))
     }
 }
 
--- a/crates/core/tests/window_counts.rs
+++ b/crates/core/tests/window_counts.rs
@@ -109,3 +109,14 @@
     assert_eq!(counts.window(0), None);
     assert!(counts.window(99).is_some());
 }
+
+/// A foreign record with counts that are too large to be added ended the holder of the duties.
+#[test]
+fn foreign_counts() {
+    let record = r#"{"counts":{"5":{"a":18446744073709551615}},
+        "earlier":{"5":{"a":18446744073709551615}},"through":5}"#;
+    let member: MemberCounts = serde_json::from_str(record).unwrap();
+    let sealed = sum_counts(5, [&member, &member].into_iter());
+    assert_eq!(sealed.counts["a"], u64::MAX);
+    assert_eq!(member.total().window(5).unwrap()["a"], u64::MAX);
+}
--- a/crates/edge/src/duty.rs
+++ b/crates/edge/src/duty.rs
@@ -315,10 +315,9 @@
             .borrow()
             .seal(self.state.now(), CALL_BUDGET, sealed);
         if let Some(DutyStep::Write { position, record }) = step {
-            let total: u64 = record
-                .sealed
-                .last()
-                .map_or(0, |sealed| sealed.counts.values().sum());
+            let total: u64 = record.sealed.last().map_or(0, |sealed| {
+                sealed.counts.values().copied().fold(0, u64::saturating_add)
+            });
             tracing::info!(
                 event = "usage_sealed",
                 window,
