Ignore prefill times of a peer that are infinite

What callers would see: every prompt refused for lack of time on an edge that adopted an infinite fixed time.

Cause: only the time per token was checked to be finite.

Evidence: edge_prefill_rate::odd_times before the fix: "inf, 0.1" (the prediction is not finite).

--- a/crates/policy/src/edge/prefill_rate.rs
+++ b/crates/policy/src/edge/prefill_rate.rs
@@ -145,7 +145,8 @@
     /// own ones.
     pub fn adopt(&mut self, times: PrefillTimes) {
         let own = self.times().map_or(0, |own| own.prefills);
-        let is_valid = times.fixed_ms >= 0.0 && times.token_ms > 0.0 && times.token_ms.is_finite();
+        let is_finite = times.fixed_ms.is_finite() && times.token_ms.is_finite();
+        let is_valid = is_finite && times.fixed_ms >= 0.0 && times.token_ms > 0.0;
         if times.prefills > own && is_valid {
             *self = Self {
                 known: Some((f64::from(times.fixed_ms), f64::from(times.token_ms))),
--- a/crates/policy/tests/edge_prefill_rate.rs
+++ b/crates/policy/tests/edge_prefill_rate.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use nutmegbay_policy::edge::prefill_rate::PrefillRate;
+use nutmegbay_policy::edge::prefill_rate::{PrefillRate, PrefillTimes};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -85,3 +85,27 @@
     old.adopt(learned(8, 20.0, 0.1).times().expect("a window is complete"));
     assert!((old.token_ms(1, OBJECTIVE) - before).abs() < 1e-9);
 }
+
+/// Times that are no numbers must not be adopted: every prediction would be infinite, and every
+/// request refused.
+#[test]
+fn odd_times() {
+    for (fixed_ms, token_ms) in [
+        (f32::INFINITY, 0.1),
+        (f32::NAN, 0.1),
+        (-1.0, 0.1),
+        (1.0, f32::INFINITY),
+        (1.0, f32::NAN),
+        (1.0, 0.0),
+    ] {
+        let mut rate = PrefillRate::new();
+        rate.adopt(PrefillTimes {
+            fixed_ms,
+            token_ms,
+            prefills: u32::MAX,
+        });
+        let predicted_ms = rate.fixed_ms() + rate.token_ms(1_000, OBJECTIVE);
+        assert!(predicted_ms.is_finite(), "{fixed_ms}, {token_ms}");
+        assert_eq!(rate.times(), None);
+    }
+}
