Show that an upstream replaced under its id is not noticed

An upstream may start again under its id, also with another software version. Until its new entry is read, which takes as long as an outage of the store, edges hold it for the one before, and X-Expect-Instance does not tell them apart. Its report does: it contains the time of its start, as its entry does. The stand-ins now have that report.

test replaced_unseen ... FAILED thread 'replaced_unseen' panicked at mixed_versions.rs:91:5: 4 of 4 streams hold events of two versions: [(1, 2, "v1"), (3, 5, "v2")]

--- a/crates/edge-bin/tests/common/mod.rs
+++ b/crates/edge-bin/tests/common/mod.rs
@@ -304,10 +304,10 @@
 
     fn list_entry_with_version(&self, n: u16, version: &str, mut entry: Value) {
         entry["version"] = json!(version);
-        let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
-        entry["born"] = json!(u64::try_from(started.as_millis()).unwrap());
+        let started_ms = now_ms();
+        entry["born"] = json!(started_ms);
         self.store.put("keyed.servers", &format!("i-{n}"), &entry);
-        self.workers[usize::from(n)].set_version(version);
+        self.workers[usize::from(n)].set_version(version, started_ms);
     }
 
     fn listed_address(&self, n: u16) -> SocketAddr {
@@ -580,6 +580,12 @@
         "slots": 8, "state": state, "cold-ms": 0, "seq": 1})
 }
 
+/// Returns the time in milliseconds since 1970.
+pub fn now_ms() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    u64::try_from(now.as_millis()).unwrap()
+}
+
 fn settings_text(node: &str, ip: IpAddr, store: SocketAddr, seed: IpAddr) -> String {
     format!(
         "node={node}\nip={ip}\nzone=z\nlisten.front={ip}:{INGRESS}\n\
--- a/crates/edge-bin/tests/common/versioned.rs
+++ b/crates/edge-bin/tests/common/versioned.rs
@@ -8,6 +8,7 @@
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -24,6 +25,19 @@
     format!("id: {n}\ndata: piece {n} of {version}\n\n")
 }
 
+/// Returns the report of a worker that has been running since `started_ms`, in milliseconds since
+/// 1970.
+pub fn report(started_ms: u64) -> String {
+    let report = json!({"phase": "decode", "models": [], "busy": false, "seq": 0,
+        "num-waiting": 0, "num-running": 0, "kv-used": 0, "kv-total": 90_000, "kv-handles": 0,
+        "born": started_ms})
+    .to_string();
+    let len = report.len();
+    format!(
+        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {len}\r\n\r\n{report}"
+    )
+}
+
 /// Returns a stream's response to an action of a worker with a software version, or `None` if the
 /// version makes no difference.
 pub fn response(version: &str, action: Action, head: &str) -> Option<(String, Close)> {
--- a/crates/edge-bin/tests/common/worker.rs
+++ b/crates/edge-bin/tests/common/worker.rs
@@ -117,6 +117,8 @@
     pause: Option<String>,
     /// Software version that the worker names in the events of its streams.
     version: Option<Box<str>>,
+    /// Start that the worker reports, in milliseconds since 1970.
+    started_ms: u64,
     /// Arrival times of its requests since the limit was set.
     arrivals: Vec<Instant>,
     /// Number of hung requests whose connection the edge closed.
@@ -237,9 +239,18 @@
         self.0.lock().unwrap().pause = pause.map(Into::into);
     }
 
-    /// Sets the software version that the worker names in the events of its streams.
-    pub fn set_version(&self, version: &str) {
-        self.0.lock().unwrap().version = Some(version.into());
+    /// Sets the software version that the worker names in the events of its streams, and the start
+    /// that it reports.
+    pub fn set_version(&self, version: &str, started_ms: u64) {
+        let mut inner = self.0.lock().unwrap();
+        inner.version = Some(version.into());
+        inner.started_ms = started_ms;
+    }
+
+    /// Ends the worker's connections. It listens again after [`DOWN_TIME`], with a software version.
+    pub fn restart_as(&self, version: &str) {
+        self.set_version(version, super::now_ms());
+        self.0.lock().unwrap().crash.cancel();
     }
 
     /// Returns the arrival times of requests since the limit was set.
@@ -265,6 +276,13 @@
     async fn serve_connection(self, mut io: TcpStream) {
         let mut last_refusal = None;
         while let Some(head) = read_request(&mut io).await {
+            if head.starts_with("GET /-/report ") {
+                let report = versioned::report(self.0.lock().unwrap().started_ms);
+                if io.write_all(report.as_bytes()).await.is_err() {
+                    return;
+                }
+                continue;
+            }
             let action = {
                 let mut inner = self.0.lock().unwrap();
                 let shared = inner.shared_script.lock().unwrap().pop_front();
--- a/crates/edge-bin/tests/mixed_versions.rs
+++ b/crates/edge-bin/tests/mixed_versions.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use common::body_end::{BodyEnd, Close, Cut, EVENTS_BEFORE_CUT, Framing};
+use common::store::Fault;
 use common::versioned::{HeldStream, Outcome};
 use common::worker::{Action, EVENTS, Worker, header};
 use common::{Edge, Site};
@@ -280,3 +281,17 @@
     let rank = |head: &String| Some(header(head, "x-request-priority")?.to_owned());
     heads.iter().filter_map(rank).collect()
 }
+
+/// Upstreams start again under their ids with another version while the list cannot be read.
+#[tokio::test(flavor = "multi_thread")]
+async fn replaced_unseen() {
+    let site = start(190, &["v1", "v1"]).await;
+    let mut streams = begin_streams(&site, site.edge(), &["v1", "v1"]).await;
+    site.store.set_fault(Fault::Refuse);
+    for worker in &site.workers {
+        worker.restart_as("v2");
+    }
+    sleep(LIST_TIME).await;
+    take_up(&mut streams, site.edge()).await;
+    check_versions(&streams);
+}
--- a/crates/edge-bin/tests/soak/fleet.rs
+++ b/crates/edge-bin/tests/soak/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use rand::RngExt;
 use rand::rngs::StdRng;
@@ -10,6 +10,7 @@
 use serde_json::{Value, json};
 use tokio::time::{Instant, sleep};
 
+use crate::common::now_ms;
 use crate::common::store::Store;
 use crate::contact::Contacts;
 use crate::upstream::{Runs, Upstream};
@@ -231,13 +232,13 @@
                 Step::Start { id, version, port } => {
                     let addr = SocketAddr::new(self.ip, port);
                     let runs = self.runs.clone();
-                    let upstream = Upstream::start(addr, &id, &version, runs).await;
-                    let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+                    let started_ms = now_ms();
+                    let upstream = Upstream::start(addr, &id, &version, started_ms, runs).await;
                     let listed = Listed {
                         id,
                         version,
                         port,
-                        started_ms: u64::try_from(started.as_millis()).unwrap(),
+                        started_ms,
                         is_ready: true,
                         since: Instant::now(),
                         upstream,
--- a/crates/edge-bin/tests/soak/upstream.rs
+++ b/crates/edge-bin/tests/soak/upstream.rs
@@ -14,7 +14,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::common::listen;
-use crate::common::versioned::event;
+use crate::common::versioned::{event, report};
 use crate::common::worker::{header, stream_head};
 
 /// Number of events of a stream.
@@ -90,6 +90,7 @@
 pub struct Upstream {
     id: Box<str>,
     version: Box<str>,
+    started_ms: u64,
     runs: Runs,
     /// Ends the upstream and its connections.
     stop: CancellationToken,
@@ -97,11 +98,19 @@
 }
 
 impl Upstream {
-    /// Starts an upstream that listens at `addr`.
-    pub async fn start(addr: SocketAddr, id: &str, version: &str, runs: Runs) -> Self {
+    /// Starts an upstream that listens at `addr` and states that it started at `started_ms`, in
+    /// milliseconds since 1970.
+    pub async fn start(
+        addr: SocketAddr,
+        id: &str,
+        version: &str,
+        started_ms: u64,
+        runs: Runs,
+    ) -> Self {
         let upstream = Self {
             id: id.into(),
             version: version.into(),
+            started_ms,
             runs,
             stop: CancellationToken::new(),
             silent_until: Arc::new(Mutex::new(Instant::now())),
@@ -146,6 +155,9 @@
                 .is_some_and(|path| path.starts_with("/stream/"));
             let stays_open = if is_stream && !is_other {
                 self.stream(&mut io, &head, attempt).await
+            } else if head.starts_with("GET /-/report ") && !is_other {
+                let report = report(self.started_ms);
+                io.write_all(report.as_bytes()).await.is_ok()
             } else {
                 let (status, extra) = if is_other {
                     ("421 Other", "X-Not-Executed: 1\r\n")
