Play replacements under one id in a test of their own

random_releases contained upstreams that start again under their ids with another software version, which edges cannot notice before they have read the new entry (replaced_unseen).

--- a/crates/edge-bin/tests/soak/fleet.rs
+++ b/crates/edge-bin/tests/soak/fleet.rs
@@ -48,6 +48,13 @@
     stream["timeout-ms"] = json!(TIMEOUT_MS);
 }
 
+/// Versions with which an upstream starts again under its id.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Restarts {
+    SameVersion,
+    AnyVersion,
+}
+
 /// What becomes of an upstream later.
 #[derive(Debug)]
 enum Step {
@@ -104,12 +111,19 @@
     /// Number of upstreams and ports that were in use.
     started: u16,
     rng: StdRng,
+    restarts: Restarts,
     contacts: Contacts,
 }
 
 impl Fleet {
     /// Starts the first upstreams, of all versions.
-    pub async fn start(ip: IpAddr, store: &Store, rng: StdRng, contacts: Contacts) -> Self {
+    pub async fn start(
+        ip: IpAddr,
+        store: &Store,
+        rng: StdRng,
+        restarts: Restarts,
+        contacts: Contacts,
+    ) -> Self {
         let mut fleet = Self {
             ip,
             store: store.clone(),
@@ -118,6 +132,7 @@
             steps: Vec::new(),
             started: 0,
             rng,
+            restarts,
             contacts,
         };
         for n in 0..MIN_READY {
@@ -201,6 +216,7 @@
         let other = *VERSIONS.choose(&mut self.rng).unwrap();
         let (id, version) = match self.rng.random_range(0..3) {
             0 => (id.into(), old),
+            1 if self.restarts == Restarts::SameVersion => (id.into(), old),
             1 => (id.into(), other.into()),
             _ => {
                 let expired = Step::End { id: id.into() };
--- a/crates/edge-bin/tests/soak/main.rs
+++ b/crates/edge-bin/tests/soak/main.rs
@@ -30,7 +30,7 @@
 use common::worker::Action;
 use common::{Edge, Site, config};
 use contact::Contacts;
-use fleet::Fleet;
+use fleet::{Fleet, Restarts};
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
@@ -89,16 +89,22 @@
 
 #[test]
 fn random_faults() {
-    run_seeds(FAULT_SEEDS, false);
+    run_seeds(FAULT_SEEDS, None);
 }
 
 /// Upstreams of several software versions come and go in addition.
 #[test]
 fn random_releases() {
-    run_seeds(RELEASE_SEEDS, true);
+    run_seeds(RELEASE_SEEDS, Some(Restarts::SameVersion));
 }
 
-fn run_seeds(seeds: RangeInclusive<u64>, has_releases: bool) {
+/// Some of them start again under their ids with another version.
+#[test]
+fn random_replacements() {
+    run_seeds(RELEASE_SEEDS, Some(Restarts::AnyVersion));
+}
+
+fn run_seeds(seeds: RangeInclusive<u64>, restarts: Option<Restarts>) {
     let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
     let seeds = match std::env::var("NUTMEGBAY_SOAK_SEEDS") {
         Ok(text) => {
@@ -113,10 +119,9 @@
     for seed in seeds {
         // The stand-ins end with the runtime of their seed, which frees their addresses.
         let runtime = tokio::runtime::Runtime::new().unwrap();
-        if has_releases {
-            runtime.block_on(soak_with_releases(seed, time));
-        } else {
-            runtime.block_on(soak(seed, time));
+        match restarts {
+            Some(restarts) => runtime.block_on(soak_with_releases(seed, time, restarts)),
+            None => runtime.block_on(soak(seed, time)),
         }
     }
 }
@@ -189,13 +194,13 @@
     check_reports(seed, &deployment.site, 0);
 }
 
-async fn soak_with_releases(seed: u64, time: Duration) {
+async fn soak_with_releases(seed: u64, time: Duration, restarts: Restarts) {
     let additional_edges = match seed % MANY_EDGES_SEED {
         0 => MANY_EDGES,
         _ => ADDITIONAL_EDGES,
     };
     let mut deployment = Deployment::start(additional_edges).await;
-    let fleet = deployment.start_fleet(seed).await;
+    let fleet = deployment.start_fleet(seed, restarts).await;
     let callers = StreamCallers {
         edges: deployment.ingress(),
         contacts: deployment.contacts.clone(),
@@ -237,10 +242,17 @@
     }
 
     /// Starts the upstreams of the streams. From then on, edges get series of signals.
-    async fn start_fleet(&mut self, seed: u64) -> Fleet {
+    async fn start_fleet(&mut self, seed: u64, restarts: Restarts) -> Fleet {
         let rng = |n| StdRng::seed_from_u64(seed.rotate_left(n));
         let ip = self.site.address(TEST_NUMBER);
-        let fleet = Fleet::start(ip, &self.site.store, rng(16), self.contacts.clone()).await;
+        let fleet = Fleet::start(
+            ip,
+            &self.site.store,
+            rng(16),
+            restarts,
+            self.contacts.clone(),
+        )
+        .await;
         self.has_fleet = true;
         self.series = Some(SignalSeries {
             rng: rng(32),
