Extend no wait that a caller asked the other side for

While an edge was late, a waiting read of the store or a relay showed a failed store or relay only after four times the whole wait, which contains the wait that the edge had asked for (review of the change; 2.2 s became 8.8 s for the configuration, 11 s became 44 s for the register). The stated times to notice an outage did not hold then.

Cause: PlatformStore and relay::follow passed the sum of the requested wait and the time for the response as the usual wait, and the extension is computed from the usual wait.

Both parts are now apart (own_delay::Wait).

extended_waits::requested_wait, 10 s requested and 1 s for the response on a full link, with the extension computed from the sum as before: panicked at crates/edge/tests/extended_waits.rs:48:5: 44s It passes with this change (14 s).

--- a/crates/edge/src/http1.rs
+++ b/crates/edge/src/http1.rs
@@ -24,7 +24,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
-use crate::own_delay::{CountedIo, DelayMonitor};
+use crate::own_delay::{CountedIo, DelayMonitor, Wait};
 use crate::platform_api::{OutboundRequest, UnreadResponse};
 
 /// Maximum time to open a connection. Network paths take a few milliseconds, and TCP repeats a lost
@@ -434,16 +434,16 @@
         self.addr.to_string()
     }
 
-    /// Sends a request and reads the whole response within `limit`, or longer while this process is
-    /// late. A call that gets no response
-    /// closes its connection; one that times out also closes all idle connections.
+    /// Sends a request and reads the whole response within `wait`, or longer while this process is
+    /// late. A call that gets no response closes its connection; one that times out also closes all
+    /// idle connections.
     pub async fn call(
         &self,
         req: OutboundRequest,
-        limit: Duration,
+        wait: impl Into<Wait>,
     ) -> Result<Response<Bytes>, CallError> {
         let call = self.call_without_timeout(req);
-        let response = self.monitor.timeout(limit, call).await;
+        let response = self.monitor.timeout(wait, call).await;
         response.unwrap_or_else(|_| {
             // The cause of the timeout probably affects the other connections to this address too.
             self.idle.borrow_mut().clear();
--- a/crates/edge/src/own_delay.rs
+++ b/crates/edge/src/own_delay.rs
@@ -19,6 +19,24 @@
 /// Minimum time between two log lines about a late instance.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time to wait for a response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Wait {
+    /// Time for which the caller asked the other side to wait. It is never extended.
+    pub requested: Duration,
+    /// Time for the response beyond that. It is extended while the process is late.
+    pub response: Duration,
+}
+
+impl From<Duration> for Wait {
+    fn from(response: Duration) -> Self {
+        Self {
+            requested: Duration::ZERO,
+            response,
+        }
+    }
+}
+
 /// Measurements shared by the connections and tasks of one process.
 #[derive(Debug, Clone)]
 pub struct DelayMonitor {
@@ -63,7 +81,7 @@
     /// Waits up to `usual` for `f`, and longer while the process is late.
     pub async fn timeout<F: Future>(
         &self,
-        usual: Duration,
+        usual: impl Into<Wait>,
         f: F,
     ) -> std::result::Result<F::Output, Elapsed> {
         self.timeout_within(usual, Duration::MAX, f).await
@@ -72,13 +90,15 @@
     /// Waits up to `usual` for `f`, and longer while the process is late, but at most `max`.
     pub async fn timeout_within<F: Future>(
         &self,
-        usual: Duration,
+        usual: impl Into<Wait>,
         max: Duration,
         f: F,
     ) -> std::result::Result<F::Output, Elapsed> {
         let began = self.clock.now();
         let mut f = pin!(f);
-        let (mut wait, mut extended) = (usual.min(max), Duration::ZERO);
+        let usual = usual.into();
+        let mut wait = usual.requested.saturating_add(usual.response).min(max);
+        let mut extended = Duration::ZERO;
         loop {
             let elapsed = match timeout(wait, f.as_mut()).await {
                 Ok(output) => return Ok(output),
@@ -87,7 +107,7 @@
             let max_rest = max.saturating_sub(self.clock.now().since(began));
             let Some(extension) = self
                 .measure()
-                .extension(usual, extended)
+                .extension(usual.response, extended)
                 .filter(|_| !max_rest.is_zero())
             else {
                 return Err(elapsed);
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -25,7 +25,7 @@
 use crate::http1::BufferedClient;
 use crate::members::MemberInfo;
 use crate::model::KeyedRecord;
-use crate::own_delay::DelayMonitor;
+use crate::own_delay::{DelayMonitor, Wait};
 use crate::platform_api::WireCodec;
 use crate::state::EdgeState;
 
@@ -200,19 +200,20 @@
     .await
 }
 
-/// Sends a request to a peer and decodes its response. Waits up to `limit`.
+/// Sends a request to a peer and decodes its response. Waits up to `wait`, or longer while this process
+/// is late.
 pub async fn fetch<T: DeserializeOwned>(
     client: &BufferedClient,
     path: &str,
     body: Vec<u8>,
-    limit: Duration,
+    wait: impl Into<Wait>,
 ) -> Result<T, PeerError> {
     let req = Request::post(path)
         .header(HOST, client.host())
         .body(Bytes::from(body).into())
         .map_err(|e| PeerError::Unreadable(e.to_string().into()))?;
     let response = client
-        .call(req, limit)
+        .call(req, wait)
         .await
         .map_err(|e| PeerError::Unreachable(e.to_string().into()))?;
     if response.status() != StatusCode::OK {
--- a/crates/edge/src/peers/relay.rs
+++ b/crates/edge/src/peers/relay.rs
@@ -16,6 +16,7 @@
     max_config_wait, remove_unlisted,
 };
 use crate::http1::BufferedClient;
+use crate::own_delay::Wait;
 use crate::platform_api::WireCodec;
 use crate::settings::Bounds;
 use crate::state::EdgeState;
@@ -43,7 +44,10 @@
             client,
             CHANGES_PATH,
             encode_request(&state),
-            max_reply_wait(&state.settings().bounds),
+            Wait {
+                requested: instances_read_interval(&state.settings().bounds),
+                response: REPLY_MARGIN,
+            },
         )
         .await
         {
--- a/crates/edge/tests/extended_waits.rs
+++ b/crates/edge/tests/extended_waits.rs
@@ -4,7 +4,7 @@
 use std::future::pending;
 use std::time::Duration;
 
-use nutmegbay_edge::own_delay::DelayMonitor;
+use nutmegbay_edge::own_delay::{DelayMonitor, Wait};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep, timeout};
 
@@ -33,8 +33,13 @@
 
 /// Returns the time after which a wait without an answer ends.
 async fn waited(monitor: &DelayMonitor, max: Duration) -> Duration {
+    waited_for(monitor, USUAL, max).await
+}
+
+/// Returns the time after which a wait of `usual` without an answer ends.
+async fn waited_for(monitor: &DelayMonitor, usual: impl Into<Wait>, max: Duration) -> Duration {
     let began = Instant::now();
-    let wait = monitor.timeout_within(USUAL, max, pending::<()>());
+    let wait = monitor.timeout_within(usual, max, pending::<()>());
     assert!(wait.await.is_err());
     began.elapsed()
 }
@@ -84,3 +89,20 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// A waiting read must show within a stated time that the other side has failed.
+#[tokio::test(start_paused = true)]
+async fn requested_wait() {
+    let test = async {
+        let monitor = start(LINK_BYTES).await;
+        let read = Wait {
+            requested: USUAL * 10,
+            response: USUAL,
+        };
+        assert_close(
+            waited_for(&monitor, read, Duration::MAX).await,
+            read.requested + USUAL * 4,
+        );
+    };
+    LocalSet::new().run_until(test).await;
+}
