End each call under a duty within its budget

A holder of the duty may start a call only if the rest of its term covers CALL_BUDGET (1.5 s). Several windows were also reported one after the other under one check of the term.

Both calls now end at CALL_BUDGET whatever the edge measures, and each report checks the term again. A call without a response is unknown as before: the keeper counts the term from before the write was sent, and the next read of the register shows what became of it.

No test: the crate has no stand-in for a register with a late edge. The tests of the keeper and the edge were run.

--- a/crates/edge/src/duty.rs
+++ b/crates/edge/src/duty.rs
@@ -34,9 +34,12 @@
 const RENEWALS_PER_TERM: u32 = 3;
 
 /// Maximum duration of a call made under the duty. A call starts only if the rest of the term
-/// covers it.
+/// covers it, and it is not extended while this process is late.
 const CALL_BUDGET: Duration = Duration::from_millis(1_500);
 
+/// Error of such a call without a response in time.
+const NO_RESPONSE: &str = "no response in time";
+
 /// Time before the report is due at which a window is sealed even if counts are missing.
 const SEAL_MARGIN: Duration = Duration::from_secs(1);
 
@@ -253,10 +256,11 @@
         };
         self.keeper.borrow_mut().on_write_sent(self.state.now(), at);
         self.state.metrics.count_store_call(Topic::Duty);
-        match self
-            .store
-            .append(Topic::Duty, RECORD_KEY, &value, Some(at))
+        let append = self.store.append(Topic::Duty, RECORD_KEY, &value, Some(at));
+        let no_response = |_| Err(StoreError::Unreachable(NO_RESPONSE.into()));
+        match timeout(CALL_BUDGET, append)
             .await
+            .unwrap_or_else(no_response)
         {
             Ok(position) => {
                 self.state
@@ -421,13 +425,18 @@
         };
         let settings = self.state.settings();
         for sealed in windows {
+            // The calls before may have taken the rest of the term.
+            if self.keeper.borrow().may_act(self.state.now(), CALL_BUDGET) != Some(fencing) {
+                return None;
+            }
             let sent = self.reporter.report_usage(
                 &settings.node,
                 fencing.0,
                 sealed.window,
                 &sealed.counts,
             );
-            match sent.await {
+            let no_response = |_| Err(DutyError::Unreachable(NO_RESPONSE.into()));
+            match timeout(CALL_BUDGET, sent).await.unwrap_or_else(no_response) {
                 Ok(()) => {
                     tracing::info!(event = "usage_reported", window = sealed.window);
                     let mut reported_windows = self.reported_windows.borrow_mut();
