Ask no other upstream about a stream while the edge is late

While an edge is late, it replaced a silent upstream after at most four times the usual wait. The response of the other one waits in the same queue as the events of the silent one, so both worked on the stream for longer than the allowed 400 ms. On an edge that is on time, a silence was asked about without limit, and each request takes a retry from the budget that all requests share.

Silence::step now waits while the edge is late and looks again after one sample; the extension and its fields are gone. There are at most two requests to others in one silence. Other bounds remain: the deadline of the request, and 300 ms for a request that was sent before the edge became late.

--- a/crates/policy/src/edge/silence.rs
+++ b/crates/policy/src/edge/silence.rs
@@ -7,7 +7,7 @@
 
 use nutmegbay_core::environment::MonotonicTime;
 
-use super::own_delay::Measurement;
+use super::own_delay::{Measurement, SAMPLE_INTERVAL};
 
 /// Minimum time without a whole event after which another upstream is asked to go on.
 const MIN_EVENT_TIMEOUT: Duration = Duration::from_millis(600);
@@ -20,6 +20,10 @@
 /// may work on a stream for 400 ms; the rest is for the message that ends it.
 const MAX_OVERLAP: Duration = Duration::from_millis(300);
 
+/// Maximum number of requests to other upstreams in one silence. Each of them takes a retry from the
+/// budget of all requests.
+const MAX_ASKS: u32 = 2;
+
 /// Returns the time without a whole event after which another upstream is asked to go on with a
 /// stream, given the maximum gap between its events.
 pub fn event_timeout(max_gap: Duration) -> Duration {
@@ -45,10 +49,8 @@
     since: MonotonicTime,
     /// Time of the request to another upstream that has no answer yet.
     asked_at: Option<MonotonicTime>,
-    /// End of the extended wait, if it was extended because the instance is late.
-    extended_until: Option<MonotonicTime>,
-    /// Sum of the extensions of the wait.
-    extended: Duration,
+    /// Number of requests to other upstreams.
+    asks: u32,
 }
 
 impl Silence {
@@ -57,46 +59,41 @@
         Self {
             since: now,
             asked_at: None,
-            extended_until: None,
-            extended: Duration::ZERO,
+            asks: 0,
         }
     }
 
     /// Records that another upstream is asked.
     pub fn record_asked(&mut self, now: MonotonicTime) {
         self.asked_at = Some(now);
+        self.asks += 1;
     }
 
     /// Records that there is no other upstream, that it does not go on, or that the request to it
     /// was ended.
     pub fn record_not_taken(&mut self, now: MonotonicTime) {
-        *self = Self::new(now);
+        self.since = now;
+        self.asked_at = None;
     }
 
-    /// Returns what to do at `now`. `event_timeout` is `None` if no other upstream can go on. On an
-    /// instance that is late by `measured`, the wait for an event is extended.
+    /// Returns what to do at `now`. `event_timeout` is `None` if no other upstream can go on. An
+    /// instance that is late by `measured` asks no other upstream, since its response would wait like
+    /// the events of the silent one while both work.
     pub fn step(
-        &mut self,
+        &self,
         now: MonotonicTime,
         event_timeout: Option<Duration>,
         measured: &Measurement,
     ) -> Step {
-        let (due, action, usual) = match (self.asked_at, event_timeout) {
-            (Some(asked_at), _) => (asked_at.plus(MAX_OVERLAP), Step::KeepSilent, Duration::ZERO),
-            (None, Some(timeout)) => {
-                let due = self.since.plus(timeout);
-                (self.extended_until.unwrap_or(due), Step::Ask, timeout)
-            }
-            (None, None) => return Step::Wait(None),
+        let (due, action) = match (self.asked_at, event_timeout) {
+            (Some(asked_at), _) => (asked_at.plus(MAX_OVERLAP), Step::KeepSilent),
+            (None, Some(timeout)) if self.asks < MAX_ASKS => (self.since.plus(timeout), Step::Ask),
+            (None, _) => return Step::Wait(None),
         };
-        match measured.extension(usual, self.extended) {
+        match action {
             _ if now < due => Step::Wait(Some(due)),
-            Some(extension) => {
-                self.extended += extension;
-                self.extended_until = Some(now.plus(extension));
-                Step::Wait(self.extended_until)
-            }
-            None => action,
+            Step::Ask if measured.is_late() => Step::Wait(Some(now.plus(SAMPLE_INTERVAL))),
+            action => action,
         }
     }
 }
