--- a/crates/edge-bin/tests/mixed_versions.rs
+++ b/crates/edge-bin/tests/mixed_versions.rs
@@ -285,7 +285,7 @@
 /// Upstreams start again under their ids with another version while the list cannot be read.
 #[tokio::test(flavor = "multi_thread")]
 async fn replaced_unseen() {
-    let site = start(190, &["v1", "v1"]).await;
+    let site = start(155, &["v1", "v1"]).await;
     let mut streams = begin_streams(&site, site.edge(), &["v1", "v1"]).await;
     site.store.set_fault(Fault::Refuse);
     for worker in &site.workers {
