End a hung request when the upstream of a stream breaks

When a silent upstream broke while another one was asked, the stream waited for the answer of that one to the deadline of the request, before it tried anew. A caller got the rest of its stream only then, although other upstreams were ready.

Cause: `either` awaited the request without the limit that it has while the first upstream is silent.

It now waits for the rest of that time (Silence::overlap_left, 300 ms from the request on) and then places the stream anew.

--- a/crates/edge-bin/tests/common/pause.rs
+++ b/crates/edge-bin/tests/common/pause.rs
@@ -11,6 +11,9 @@
 /// Time for which a worker in order may be silent between two events.
 pub const PAUSE: Duration = Duration::from_millis(1_200);
 
+/// Time after which a silent worker breaks. The edge has then asked another one.
+pub const BREAK_PAUSE: Duration = Duration::from_millis(700);
+
 /// Streams the missing events up to `last`, and the others after a pause. Returns whether the
 /// stream was sent whole.
 pub async fn respond(io: &mut TcpStream, action: Action, last: u32, head: &str) -> bool {
@@ -23,6 +26,7 @@
     tokio::select! {
         // Returns when the other side closes the connection.
         _ = io.read_u8() => return false,
+        () = sleep(BREAK_PAUSE), if action == Action::PauseThenBreak(last) => return false,
         () = sleep(PAUSE), if action == Action::PauseAfter(last) => {}
     }
     let rest = chunks(last + 1, EVENTS) + "0\r\n\r\n";
--- a/crates/edge-bin/tests/common/worker.rs
+++ b/crates/edge-bin/tests/common/worker.rs
@@ -63,6 +63,8 @@
     UnsignedStream,
     /// Streams events up to this number and the others after [`pause::PAUSE`].
     PauseAfter(u32),
+    /// Streams events up to this number and closes the connection after [`pause::BREAK_PAUSE`].
+    PauseThenBreak(u32),
     /// Streams events up to this number, then nothing more. The connection stays open.
     SilentAfter(u32),
     /// Sends a response that may end early: a stream of events, or a plain body on other routes.
@@ -428,7 +430,7 @@
         Action::UnframedBreakAfter(_) | Action::UnframedStream => {
             return unframed_stream(io, action, head).await;
         }
-        Action::PauseAfter(last) | Action::SilentAfter(last) => {
+        Action::PauseAfter(last) | Action::PauseThenBreak(last) | Action::SilentAfter(last) => {
             return pause::respond(io, action, last, head).await;
         }
         Action::End(end) => return body_end::respond(io, end, head).await,
--- a/crates/edge-bin/tests/silent_streams.rs
+++ b/crates/edge-bin/tests/silent_streams.rs
@@ -7,18 +7,27 @@
 
 use common::worker::{Action, EVENTS, Worker, events};
 use common::{Response, Site, config, decode_chunked};
+use tokio::time::timeout;
 
 /// Number of events before the silence.
 const EVENTS_BEFORE: u32 = 2;
 
+/// Maximum time of a request.
+const TIMEOUT: Duration = Duration::from_secs(3);
+
 /// Maximum time for which two upstreams may work on one stream.
 const MAX_OVERLAP: Duration = Duration::from_millis(400);
 
 /// Starts a site with `workers` workers and time for a silence within a stream.
 async fn start(test: u8, workers: u16) -> Site {
+    start_with_attempts(test, workers, 2).await
+}
+
+async fn start_with_attempts(test: u8, workers: u16, attempts: u32) -> Site {
     let site = Site::start_without_config(test, workers).await;
     let mut config = config(1, &["k1"]);
-    config["routes"][2]["timeout-ms"] = 3_000.into();
+    config["routes"][2]["timeout-ms"] = u64::try_from(TIMEOUT.as_millis()).unwrap().into();
+    config["routes"][2]["attempts"] = attempts.into();
     site.store.put("keyed.op", "config", &config);
     site.wait_until_ready().await;
     site
@@ -90,3 +99,13 @@
     let actions = [Action::SilentAfter(EVENTS_BEFORE), Action::Stream];
     assert_whole(&call(&site, &actions).await);
 }
+
+/// The request to another upstream hangs when the silent one breaks.
+#[tokio::test(flavor = "multi_thread")]
+async fn break_while_asked() {
+    let site = start_with_attempts(137, 2, 3).await;
+    let first = Action::PauseThenBreak(EVENTS_BEFORE);
+    let actions = [first, Action::Hang, Action::Stream];
+    let response = timeout(TIMEOUT / 2, call(&site, &actions)).await;
+    assert_whole(&response.expect("the hung request is not ended"));
+}
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -16,7 +16,7 @@
 use nutmegbay_policy::edge::silence::{Silence, Step, event_timeout};
 use strum::IntoStaticStr;
 use tokio::task::yield_now;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::clock::millis;
 use crate::crashes;
@@ -295,7 +295,8 @@
                 Next::Broken => {
                     let resumption = self.resumption(ResumeCause::Broken);
                     self.drop_source(ResumeCause::Broken);
-                    let Some(source) = either(other.take(), resumption).await else {
+                    let max_wait = silence.overlap_left(self.state.now());
+                    let Some(source) = either(other.take(), max_wait, resumption).await else {
                         self.log_resumption("broken", false);
                         return Some(Err(ResponseBodyError::Upstream));
                     };
@@ -406,13 +407,15 @@
     }
 }
 
-/// Returns the answer to the request that was sent first, or that of `next` if it has none.
+/// Returns the answer to the request that was sent first, or that of `next` if it has none within
+/// `max_wait`.
 async fn either<F: Future<Output = Option<ResponseSource>>>(
     sent: Option<Pin<Box<F>>>,
+    max_wait: Duration,
     next: Option<F>,
 ) -> Option<ResponseSource> {
     let answer = match sent {
-        Some(sent) => sent.await,
+        Some(sent) => timeout(max_wait, sent).await.ok().flatten(),
         None => None,
     };
     match (answer, next) {
--- a/crates/policy/src/edge/silence.rs
+++ b/crates/policy/src/edge/silence.rs
@@ -76,6 +76,12 @@
         self.asked_at = None;
     }
 
+    /// Returns for how long the request to another upstream may still wait for its answer.
+    pub fn overlap_left(&self, now: MonotonicTime) -> Duration {
+        let asked_at = self.asked_at;
+        asked_at.map_or(Duration::ZERO, |at| at.plus(MAX_OVERLAP).since(now))
+    }
+
     /// Returns what to do at `now`. `event_timeout` is `None` if no other upstream can go on. An
     /// instance that is late by `measured` asks no other upstream, since its response would wait like
     /// the events of the silent one while both work.
--- a/crates/policy/tests/edge_silence.rs
+++ b/crates/policy/tests/edge_silence.rs
@@ -93,6 +93,16 @@
     assert!(dropped.is_empty());
 }
 
+/// An upstream that breaks while another one is asked must not make the request to that one longer.
+#[test]
+fn broken_overlap() {
+    let mut silence = Silence::new(at(0));
+    assert_eq!(silence.overlap_left(at(600)), Duration::ZERO);
+    silence.record_asked(at(600));
+    assert_eq!(silence.overlap_left(at(700)), Duration::from_millis(200));
+    assert_eq!(silence.overlap_left(at(1_000)), Duration::ZERO);
+}
+
 /// An event ends the request to the other upstream, and the next silence counts from it.
 #[test]
 fn late_event() {
