Excuse no upstream whose host cannot be reached

While an edge was late, an upstream whose host or network cannot be reached stayed in use: its failed connections were ignored like those that had not opened in time.

Cause: Cause::Connect meant both, and record_failed_send and check_upstream excuse the cause as a whole.

A connection that does not open in time now has Cause::Timeout, and only that is excused.

connect_errors::full_queue before the change: left: Connect, right: Timeout It passes with the change; unreachable_host and no_listener passed before and after it.

--- a/crates/edge/src/crashes/mod.rs
+++ b/crates/edge/src/crashes/mod.rs
@@ -136,7 +136,7 @@
             }
             Err(error) => {
                 let id = upstream_id(&state, key);
-                let is_timeout = error.cause == Cause::Connect;
+                let is_timeout = error.cause == Cause::Timeout;
                 if !(is_timeout && state.delay_monitor.excuses(&id)) {
                     let mut fleet = state.fleet.borrow_mut();
                     fleet.record_outcome(key, Outcome::Unreachable, state.now());
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -389,7 +389,7 @@
             crashes::record_broken_send(self.state, self.request, &in_flight_send);
         }
         let id = upstream_id(self.state, in_flight_send.key());
-        let is_timeout = cause == Cause::Connect;
+        let is_timeout = cause == Cause::Timeout;
         if !(is_timeout && self.state.delay_monitor.excuses(&id)) {
             in_flight_send.record_outcome(Outcome::Unreachable, self.state.now());
         }
--- a/crates/edge/src/http1.rs
+++ b/crates/edge/src/http1.rs
@@ -72,13 +72,13 @@
 pub enum Cause {
     /// No process listens at the address.
     Refused,
-    /// The connection did not open, in time or at all.
+    /// The connection did not open, for another reason than time.
     Connect,
     /// The connection was closed before the request was written.
     Closed,
     /// The connection broke after the request was written.
     Broken,
-    /// No response in time.
+    /// The connection did not open in time, or there was no response in time.
     Timeout,
 }
 
@@ -164,7 +164,8 @@
         let io = match monitor.timeout(CONNECT_TIMEOUT, connect(addr)).await {
             Ok(Ok(io)) => io,
             Ok(Err(error)) if is_refused(&error) => return Err(failed(Cause::Refused)),
-            Ok(Err(_)) | Err(_) => return Err(failed(Cause::Connect)),
+            Ok(Err(_)) => return Err(failed(Cause::Connect)),
+            Err(_) => return Err(failed(Cause::Timeout)),
         };
         let (sender, connection) = Builder::new()
             .handshake(TokioIo::new(CountedIo::new(io, monitor)))
