Test a silent stream whose other upstream cannot be reached

Five streams were lost because their silent upstream was given up when another one was asked, to which no connection opened. No test covered that the connection does not open: a stand-in that hangs has accepted it.

Proxy::close shortens the queue of its listener and fills it, so that the kernel answers no further connection. The test also checks that the edge has tried to open a connection.

silent_streams::other_unopened passes.

--- a/crates/edge-bin/tests/common/proxy.rs
+++ b/crates/edge-bin/tests/common/proxy.rs
@@ -2,12 +2,14 @@
 //! directions while they are open.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// State of the link between the two sides of a proxy.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -22,11 +24,17 @@
     DroppingResponses,
     /// Connections are closed.
     Reset,
+    /// Connections are closed, and no others open.
+    Unopened,
 }
 
+/// Time after which a connection to a full listener is known not to open.
+const FILL_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// A proxy that listens at one address.
 #[derive(Debug)]
 pub struct Proxy {
+    listener: Arc<TcpListener>,
     link: watch::Sender<LinkState>,
 }
 
@@ -34,13 +42,33 @@
     /// Starts to forward connections from `listen` to `target`.
     pub async fn start(listen: SocketAddr, target: SocketAddr) -> Self {
         let (link, state) = watch::channel(LinkState::Open);
-        let listener = super::listen(listen).await;
-        tokio::spawn(async move {
-            while let Ok((io, _)) = listener.accept().await {
+        let listener = Arc::new(super::listen(listen).await);
+        let (acceptor, mut ended) = (Arc::clone(&listener), state.clone());
+        let accept = async move {
+            while let Ok((io, _)) = acceptor.accept().await {
                 tokio::spawn(serve_connection(io, target, state.clone()));
             }
+        };
+        tokio::spawn(async move {
+            tokio::select! {
+                () = accept => {}
+                _ = ended.wait_for(|link| *link == LinkState::Unopened) => {}
+            }
         });
-        Self { link }
+        Self { listener, link }
+    }
+
+    /// Closes all connections and lets no others open. Returns those that fill the queue of the
+    /// listener.
+    pub async fn close(&self) -> Vec<TcpStream> {
+        self.set(LinkState::Unopened);
+        SockRef::from(&*self.listener).listen(0).unwrap();
+        let addr = self.listener.local_addr().unwrap();
+        let mut queue = Vec::new();
+        while let Ok(io) = timeout(FILL_TIMEOUT, TcpStream::connect(addr)).await {
+            queue.push(io.unwrap());
+        }
+        queue
     }
 
     /// Sets the state of the link, also for open connections.
@@ -59,7 +87,7 @@
     tokio::select! {
         () = forward(from_client, to_server, state.clone(), LinkState::Dropping) => {}
         () = forward(from_server, to_client, state, LinkState::DroppingResponses) => {}
-        _ = reset.wait_for(|link| *link == LinkState::Reset) => {}
+        _ = reset.wait_for(|link| matches!(link, LinkState::Reset | LinkState::Unopened)) => {}
     }
 }
 
--- a/crates/edge-bin/tests/silent_streams.rs
+++ b/crates/edge-bin/tests/silent_streams.rs
@@ -25,12 +25,16 @@
 
 async fn start_with_attempts(test: u8, workers: u16, attempts: u32) -> Site {
     let site = Site::start_without_config(test, workers).await;
-    let mut config = config(1, &["k1"]);
+    put_config(&site, 1, attempts);
+    site.wait_until_ready().await;
+    site
+}
+
+fn put_config(site: &Site, version: u64, attempts: u32) {
+    let mut config = config(version, &["k1"]);
     config["routes"][2]["timeout-ms"] = u64::try_from(TIMEOUT.as_millis()).unwrap().into();
     config["routes"][2]["attempts"] = attempts.into();
     site.store.put("keyed.op", "config", &config);
-    site.wait_until_ready().await;
-    site
 }
 
 /// Calls the site with the next requests getting `actions`, whichever worker they reach.
@@ -109,3 +113,30 @@
     let response = timeout(TIMEOUT / 2, call(&site, &actions)).await;
     assert_whole(&response.expect("the hung request is not ended"));
 }
+
+/// No connection to the other upstream opens while the silent one is about to go on.
+#[tokio::test(flavor = "multi_thread")]
+async fn other_unopened() {
+    let (site, proxies) = Site::start_with_proxies(138, 2).await;
+    put_config(&site, 2, 2);
+    site.wait_until("the configuration is applied", async || {
+        site.edge().metric("nutmegbay_config_version").await == 2
+    })
+    .await;
+    let calls = |n: usize| site.workers[n].calls();
+    let opened = || site.edge().metric("nutmegbay_connections_opened_total");
+    let before = [calls(0), calls(1)];
+    let close = async {
+        site.wait_until("a worker has begun", async || {
+            calls(0) + calls(1) > before[0] + before[1]
+        })
+        .await;
+        let other = usize::from(calls(0) > before[0]);
+        let queue = proxies[other].close().await;
+        (queue, opened().await)
+    };
+    let actions = [Action::PauseAfter(EVENTS_BEFORE)];
+    let (response, (_queue, opened_before)) = tokio::join!(call(&site, &actions), close);
+    assert_whole(&response);
+    assert!(opened().await > opened_before, "the other one is not asked");
+}
