Count the term of the duty from the first of equal writes

Two edges could hold the usage duty at once. A holder whose append got no response sends it again at the same position. The first one may have taken effect, so the others count the term from then, but the holder counted it from the second one. Appends of a late edge make that likelier: they end without a response after 1.5 s, and are repeated a second later, while a candidate waits only 0.2 s and 5 % longer.

on_write_sent now keeps the time of the first write at a position. A term that has ended by the time the holder reads its record is renewed at once, so that a long outage costs one write more and no wait.

--- a/crates/core/src/duty/keeper.rs
+++ b/crates/core/src/duty/keeper.rs
@@ -183,9 +183,11 @@
         self.ended_window = window;
     }
 
-    /// Handles that a write at `position` is being sent at `now`.
+    /// Handles that a write at `position` is being sent at `now`. If one was sent there before whose
+    /// result is unknown, that one may have taken effect, and the term counts from it.
     pub fn on_write_sent(&mut self, now: MonotonicTime, position: Position) {
-        self.sent_write = Some((position, now));
+        let earlier = self.sent_write.filter(|(at, _)| *at == position);
+        self.sent_write = earlier.or(Some((position, now)));
         self.renewed_at = now;
     }
 
@@ -318,7 +320,7 @@
             });
         }
         let due = self.renewed_at.plus(self.timing.renew_every);
-        if self.term_end.is_some() && now < due && !self.is_foreign {
+        if self.has_term(now) && now < due && !self.is_foreign {
             return DutyStep::Wait(due.since(now));
         }
         self.write_step(record.clone())
--- a/crates/core/tests/duty_keeper.rs
+++ b/crates/core/tests/duty_keeper.rs
@@ -270,3 +270,35 @@
     }
     assert_eq!(register.record.unwrap().fencing, Epoch(6));
 }
+
+/// A write that is sent again may have taken effect the first time, from when others count its term.
+#[test]
+fn repeated_write() {
+    let (mut register, mut a) = (Register::default(), keeper("a"));
+    let mut b = keeper("b");
+    register.read_by(&mut a, at(0));
+    let first = a.next_step(at(0));
+    a.on_write_sent(at(0), Position::default());
+    assert!(register.write(first));
+    register.read_by(&mut b, at(0));
+
+    let second = a.next_step(at(2_500));
+    a.on_write_sent(at(2_500), Position::default());
+    assert!(!register.write(second));
+    register.read_by(&mut a, at(2_600));
+    assert_matches!(a.may_act(at(2_600), BUDGET), Some(_));
+    let claimed = (0..10_000).find(|ms| matches!(b.next_step(at(*ms)), DutyStep::Write { .. }));
+    assert_eq!(a.may_act(at(claimed.unwrap()), Duration::ZERO), None);
+}
+
+/// A holder whose term has ended before it learns of it does not wait to renew it.
+#[test]
+fn ended_term() {
+    let (mut register, mut a) = (Register::default(), keeper("a"));
+    register.read_by(&mut a, at(0));
+    a.on_write_sent(at(0), Position::default());
+    assert!(register.perform_step(&mut a, at(7_000)));
+    assert_eq!(a.may_act(at(7_000), BUDGET), None);
+    assert!(register.perform_step(&mut a, at(7_001)));
+    assert_matches!(a.may_act(at(7_001), BUDGET), Some(_));
+}
