--- a/crates/edge-bin/tests/common/mod.rs
+++ b/crates/edge-bin/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a subset")]
 
 pub mod body_end;
+mod deployment;
 pub mod pause;
 pub mod proxy;
 pub mod relayed;
@@ -15,8 +16,9 @@
 use std::io::ErrorKind;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::process::{Child, Command, Stdio};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
+pub use deployment::{config, engine_instance, instance, now_ms, settings_text};
 use proxy::Proxy;
 use serde_json::{Value, json};
 use store::Store;
@@ -484,14 +486,6 @@
         .unwrap()
 }
 
-/// Returns an engine's entry in the list of instances. The first two workers are prefill engines.
-fn engine_instance(addr: SocketAddr, state: &str) -> Value {
-    let mut entry = instance(addr, state);
-    let is_prefill = addr.port() < FIRST_WORKER + 2;
-    entry["phase"] = json!(if is_prefill { "prefill" } else { "decode" });
-    entry
-}
-
 /// A response as received by a caller.
 #[derive(Debug, Default, Clone)]
 pub struct Response {
@@ -557,45 +551,6 @@
     })
 }
 
-/// Returns a configuration with one route of each kind and one account with `keys`.
-pub fn config(version: u64, keys: &[&str]) -> Value {
-    let route = |kind: &str, prefix: &str, attempts: u32| {
-        json!({"name": kind, "host": "shop.example", "prefix": prefix, "kind": kind,
-            "timeout-ms": 1500, "slo-ms": 100, "priority": 1, "service": "desk",
-            "attempts": attempts, "anonymous": false})
-    };
-    let mut stream = route("streaming", "/stream/", 2);
-    stream["resumable"] = json!(true);
-    stream["itl-target-ms"] = json!(100);
-    json!({"version": version,
-        "routes": [route("idempotent", "/any/", 2), route("non_idempotent", "/once/", 1), stream],
-        "services": [{"name": "desk", "health-path": "/healthz", "max-conns": 100}],
-        "limits": {"header-bytes": 16384, "body-bytes": 1000, "header-ms": 3000, "idle-ms": 15000},
-        "tenants": [{"name": "acme", "keys": keys}]})
-}
-
-/// Returns an entry of the list of instances.
-pub fn instance(addr: SocketAddr, state: &str) -> Value {
-    json!({"service": "desk", "addr": addr.to_string(), "zone": "z", "version": "v1",
-        "slots": 8, "state": state, "cold-ms": 0, "seq": 1})
-}
-
-/// Returns the time in milliseconds since 1970.
-pub fn now_ms() -> u64 {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
-    u64::try_from(now.as_millis()).unwrap()
-}
-
-fn settings_text(node: &str, ip: IpAddr, store: SocketAddr, seed: IpAddr) -> String {
-    format!(
-        "node={node}\nip={ip}\nzone=z\nlisten.front={ip}:{INGRESS}\n\
-         listen.ready={ip}:{READINESS}\nlisten.control={ip}:{CONTROL}\n\
-         port-range={EXCHANGE},{EXCHANGE}\nseeds={seed}:{CONTROL}\nplatform.addr={store}\ncloud-api.addr={store}\n\
-         cloud-api.duties=usage_report\nbounds.grace-s=8\nbounds.retry-slack=54\n\
-         bounds.budget-ratio=0.2\nbounds.window-s=1\nbounds.usage-lag-s=6\n"
-    )
-}
-
 /// Returns the text of a body in chunked transfer encoding.
 pub fn decode_chunked(body: &[u8]) -> String {
     let mut rest = body;
