--- a/crates/policy/src/edge/software_versions.rs
+++ b/crates/policy/src/edge/software_versions.rs
@@ -179,8 +179,9 @@
     }
 
     /// Returns the versions to be written to the store in place of `stored`, or `None` if it need
-    /// not be replaced. Versions that only others know yet are kept. An instance that has restarted learns from them for how long a version has
-    /// been out of use, so that instances which restart one after another do not keep it forever.
+    /// not be replaced. Versions that only others know yet are kept. An instance that has restarted
+    /// learns from the store for how long a version has been out of use, so that instances which
+    /// restart one after another do not keep it forever.
     pub fn replacement(
         &self,
         stored: &[StoredVersion],
