--- a/review/stand-ins/src/cases/crashes.rs
+++ b/review/stand-ins/src/cases/crashes.rs
@@ -38,15 +38,13 @@
 const WORKERS: u8 = 4;
 
 fn worker(site: &Site, n: u8, boot: u32, has_trouble: bool) -> Options {
-    let after = std::env::var("CRASH_AFTER_MS").ok().and_then(|ms| ms.parse().ok());
+    let after = std::env::var("CRASH_AFTER_MS")
+        .ok()
+        .and_then(|ms| ms.parse().ok());
     Options {
-        addr: site.worker_addr(n),
-        id: format!("i-{n}-{boot}"),
-        version: "v1".into(),
-        events: 20,
-        event_ms: 60,
         crash_part: has_trouble.then(|| BAD_PART.into()),
         crash_after_ms: after.unwrap_or(CRASH_AFTER_MS),
+        ..Options::new(site.worker_addr(n), &format!("i-{n}-{boot}"), "v1", 20, 60)
     }
 }
 
@@ -84,7 +82,9 @@
                 thread::sleep(spacing);
             }
             let joined = sent.into_iter().map(thread::JoinHandle::join);
-            joined.filter_map(std::result::Result::ok).collect::<Vec<_>>()
+            joined
+                .filter_map(std::result::Result::ok)
+                .collect::<Vec<_>>()
         }));
     }
     let mut crashes: Vec<Instant> = Vec::new();
@@ -99,10 +99,17 @@
         });
         for (id, at) in ended {
             crashes.push(at);
-            let n: u8 = id.split('-').nth(1).and_then(|n| n.parse().ok()).unwrap_or(0);
+            let n: u8 = id
+                .split('-')
+                .nth(1)
+                .and_then(|n| n.parse().ok())
+                .unwrap_or(0);
             boots[usize::from(n)] += 1;
             // The worker is back after some seconds, as a new boot.
-            let (wait, boot) = (DOWN_TIME.saturating_sub(at.elapsed()), boots[usize::from(n)]);
+            let (wait, boot) = (
+                DOWN_TIME.saturating_sub(at.elapsed()),
+                boots[usize::from(n)],
+            );
             site.start_at(Instant::now() + wait, worker(&site, n, boot, has_trouble));
         }
         site.start_due()?;
@@ -111,8 +118,13 @@
     let streams: Vec<Vec<Stream>> = clients.into_iter().filter_map(|c| c.join().ok()).collect();
     let sound = streams.get(1).map_or(0, Vec::len);
     let begun = streams.get(1).into_iter().flatten();
-    let begun = begun.filter(|stream| stream.events().next().is_some()).count();
-    record.say(&format!("{} crashes; sound requests: {sound}, begun: {begun}", crashes.len()));
+    let begun = begun
+        .filter(|stream| stream.events().next().is_some())
+        .count();
+    record.say(&format!(
+        "{} crashes; sound requests: {sound}, begun: {begun}",
+        crashes.len()
+    ));
     crashes.sort_unstable();
     let Some(fifth) = crashes.get(KNOWN_AFTER - 1) else {
         return Ok(Verdict::Held);
@@ -127,5 +139,9 @@
         "requests with the part that reached workers later than {CONTACT:?} after the fifth crash: \
          {late}"
     ));
-    Ok(if late > MAX_LATE { Verdict::Broken } else { Verdict::Held })
+    Ok(if late > MAX_LATE {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    })
 }
--- a/review/stand-ins/src/cases/limits.rs
+++ b/review/stand-ins/src/cases/limits.rs
@@ -35,7 +35,10 @@
     };
     let wait = Duration::from_millis(1_500);
     let text = head("GET", "/status/2f", &attempt, wait, &extra);
-    record.add(&format!("client {name} sends {attempt}, head of {} bytes", text.len()));
+    record.add(&format!(
+        "client {name} sends {attempt}, head of {} bytes",
+        text.len()
+    ));
     let answer = channel.send(&text, wait).and_then(|answer| {
         read_body(&mut channel.io, &answer)?;
         Ok(answer.status())
@@ -44,30 +47,23 @@
     answer.ok()
 }
 
-/// An edge is killed and starts again. Channels that clients open at once, before it knows the
-/// configuration, are in use later.
+/// All edges are killed and start again. Channels that clients open at once, before the edges know
+/// the configuration, are in use later.
 pub fn first_channels(record: Record, has_trouble: bool) -> Result<Verdict> {
     let site = Site::start(record.clone(), &config(15_000, HEADER_BYTES))?;
     for n in 0..2 {
-        site.start_worker(Options {
-            addr: site.worker_addr(n),
-            id: format!("i-{n}"),
-            version: "v1".into(),
-            events: 1,
-            event_ms: 1,
-            crash_part: None,
-            crash_after_ms: 0,
-        })?;
+        let id = format!("i-{n}");
+        site.start_worker(Options::new(site.worker_addr(n), &id, "v1", 1, 1))?;
     }
-    site.start_edges(1)?;
+    site.start_edges(2)?;
     thread::sleep(CONTACT * 2);
-    let front = site.front(0);
+    let fronts = [site.front(0), site.front(1)];
     let in_touch_at = Arc::new(Mutex::new(None::<Instant>));
     let mut clients = Vec::new();
     for n in 0..CLIENTS {
         let (record, in_touch_at) = (record.clone(), Arc::clone(&in_touch_at));
         clients.push(thread::spawn(move || {
-            client(&format!("c{n}"), front, &in_touch_at, &record)
+            client(&format!("c{n}"), fronts[n % 2], &in_touch_at, &record)
         }));
     }
     thread::sleep(Duration::from_secs(1));
@@ -82,14 +78,22 @@
         .filter_map(|client| client.join().ok())
         .flatten()
         .collect();
-    let denied = statuses.iter().flatten().filter(|status| is_denial(**status)).count();
+    let denied = statuses
+        .iter()
+        .flatten()
+        .filter(|status| is_denial(**status))
+        .count();
     let allowed = 5 + statuses.len() / 500;
     record.say(&format!(
         "requests: {}, answered with a 4xx of the edge's own while in touch: {denied}, allowed: \
          {allowed}",
         statuses.len()
     ));
-    Ok(if denied > allowed { Verdict::Broken } else { Verdict::Held })
+    Ok(if denied > allowed {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    })
 }
 
 fn is_denial(status: u16) -> bool {
@@ -107,7 +111,11 @@
     let mut channel = None;
     let mut asked_at = None::<Instant>;
     loop {
-        if in_touch_at.lock().unwrap().is_some_and(|at| Instant::now() >= at) {
+        if in_touch_at
+            .lock()
+            .unwrap()
+            .is_some_and(|at| Instant::now() >= at)
+        {
             break;
         }
         let Some(open) = &mut channel else {
--- a/review/stand-ins/src/cases/versions.rs
+++ b/review/stand-ins/src/cases/versions.rs
@@ -19,20 +19,23 @@
 /// Streams of two versions from which the rule is broken.
 const MAX_MIXED: usize = 2;
 
+/// Time from a crash of a worker until it is back.
+const DOWN_TIME: Duration = Duration::from_secs(2);
+
 /// Time limit of the clients.
 const LIMIT: Duration = Duration::from_secs(15);
 
-/// Describes a worker whose streams last for `events` times `event_ms`.
-fn worker(site: &Site, n: u8, id: &str, version: &str, events: u32, event_ms: u64) -> Options {
-    Options {
-        addr: site.worker_addr(n),
-        id: id.into(),
-        version: version.into(),
-        events,
-        event_ms,
-        crash_part: None,
-        crash_after_ms: 0,
+/// Starts the workers of both versions. Their streams last for `events` times `event_ms`.
+fn start_workers(site: &Site, v1: u8, v2: u8, events: u32, event_ms: u64) -> Result<()> {
+    for n in 0..v1 + v2 {
+        let (id, version) = match n.checked_sub(v1) {
+            None => (format!("i-a{n}"), "v1"),
+            Some(n) => (format!("i-b{n}"), "v2"),
+        };
+        let addr = site.worker_addr(n);
+        site.start_worker(Options::new(addr, &id, version, events, event_ms))?;
     }
+    Ok(())
 }
 
 /// What a client does about a stream that broke off.
@@ -59,7 +62,10 @@
             let mut stream = Stream::new(&format!("s{n}"), LIMIT);
             stream.attempt(fronts[n % fronts.len()], retries.leave_at, &record);
             for (at, wait) in retries.waits.iter().enumerate() {
-                let asked = stream.attempts.last().map_or(Duration::ZERO, |a| a.retry_after);
+                let asked = stream
+                    .attempts
+                    .last()
+                    .map_or(Duration::ZERO, |a| a.retry_after);
                 let wait = asked.max(*wait);
                 if stream.is_complete() || Instant::now() + wait >= stream.until {
                     break;
@@ -106,9 +112,7 @@
 /// their time limit, which is longer than the route's `timeout-ms`.
 pub fn lost_version(record: Record, has_trouble: bool) -> Result<Verdict> {
     let site = Site::start(record.clone(), &config(2_000, 16_384))?;
-    for (n, id, version) in [(0, "i-a0", "v1"), (1, "i-a1", "v1"), (2, "i-b0", "v2"), (3, "i-b1", "v2")] {
-        site.start_worker(worker(&site, n, id, version, 15, 100))?;
-    }
+    start_workers(&site, 2, 6, 15, 100)?;
     site.start_edges(2)?;
     let fronts = [site.front(0), site.front(1)];
     thread::sleep(CONTACT * 2);
@@ -116,7 +120,7 @@
         waits: [1, 2, 4, 4].map(Duration::from_secs).into(),
         leave_at: None,
     };
-    let clients = begin(&site, &fronts, 2 * STREAMS, &retries);
+    let clients = begin(&site, &fronts, 3 * STREAMS, &retries);
     thread::sleep(Duration::from_millis(200));
     if has_trouble {
         site.kill_worker("i-a0")?;
@@ -128,22 +132,20 @@
 /// The last worker of a version crashes and starts again under its id, with the other version.
 pub fn same_id(record: Record, has_trouble: bool) -> Result<Verdict> {
     let site = Site::start(record.clone(), &config(15_000, 16_384))?;
-    for (n, id, version) in [(0, "i-a0", "v1"), (1, "i-b0", "v2"), (2, "i-b1", "v2")] {
-        site.start_worker(worker(&site, n, id, version, 30, 100))?;
-    }
+    start_workers(&site, 1, 3, 30, 100)?;
     site.start_edges(2)?;
     let fronts = [site.front(0), site.front(1)];
     thread::sleep(CONTACT * 2);
     let retries = Retries {
-        waits: [250, 500, 1_000, 2_000].map(Duration::from_millis).into(),
+        waits: [700; 4].map(Duration::from_millis).into(),
         leave_at: None,
     };
     let clients = begin(&site, &fronts, 3 * STREAMS, &retries);
     thread::sleep(Duration::from_millis(200));
     if has_trouble {
         site.kill_worker("i-a0")?;
-        thread::sleep(Duration::from_millis(1_500));
-        site.start_worker(worker(&site, 0, "i-a0", "v2", 30, 100))?;
+        thread::sleep(DOWN_TIME);
+        site.start_worker(Options::new(site.worker_addr(0), "i-a0", "v2", 30, 100))?;
     }
     Ok(judge_order(&record, &join(clients)))
 }
@@ -152,9 +154,7 @@
 /// the streams up again, also once the edges are in touch.
 pub fn all_edges(record: Record, has_trouble: bool) -> Result<Verdict> {
     let site = Site::start(record.clone(), &config(15_000, 16_384))?;
-    for (n, id, version) in [(0, "i-a0", "v1"), (1, "i-a1", "v1"), (2, "i-b0", "v2"), (3, "i-b1", "v2")] {
-        site.start_worker(worker(&site, n, id, version, 40, 200))?;
-    }
+    start_workers(&site, 2, 2, 40, 200)?;
     site.start_edges(2)?;
     let fronts = [site.front(0), site.front(1)];
     thread::sleep(CONTACT * 2);
@@ -183,7 +183,12 @@
 
 /// Judges LOST: of 12 or more streams that clients take up again at machines in touch, the share
 /// that goes on is under half of the share of new streams that begin.
-fn judge_taken_up(record: &Record, old: &[Stream], new: &[Stream], in_touch_at: Instant) -> Verdict {
+fn judge_taken_up(
+    record: &Record,
+    old: &[Stream],
+    new: &[Stream],
+    in_touch_at: Instant,
+) -> Verdict {
     let taken_up: Vec<_> = old
         .iter()
         .flat_map(|stream| &stream.attempts)
@@ -201,7 +206,11 @@
         new.len()
     ));
     let share = |part: usize, of: usize| part as f64 / of.max(1) as f64;
-    let is_broken = taken_up.len() >= 12
-        && share(gone_on, taken_up.len()) < share(begun, new.len()) / 2.0;
-    if is_broken { Verdict::Broken } else { Verdict::Held }
+    let is_broken =
+        taken_up.len() >= 12 && share(gone_on, taken_up.len()) < share(begun, new.len()) / 2.0;
+    if is_broken {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
--- a/review/stand-ins/src/client.rs
+++ b/review/stand-ins/src/client.rs
@@ -131,7 +131,9 @@
             attempt.status,
             events.join(" "),
             attempt.is_complete,
-            outcome.err().map_or("end".into(), |error| error.to_string())
+            outcome
+                .err()
+                .map_or("end".into(), |error| error.to_string())
         ));
         self.attempts.push(attempt);
     }
--- a/review/stand-ins/src/main.rs
+++ b/review/stand-ins/src/main.rs
@@ -43,6 +43,8 @@
             "all-edges" => cases::all_edges(record, has_trouble),
             "late-crash" => cases::late_crash(record, has_trouble),
             "first-channels" => cases::first_channels(record, has_trouble),
+            "false-refusal" => cases::false_refusal(record, has_trouble),
+            "moved-store" => cases::moved_store(record, has_trouble),
             _ => Err(std::io::Error::other("no such case")),
         }
     });
--- a/review/stand-ins/src/site.rs
+++ b/review/stand-ins/src/site.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::http::Channel;
-use crate::store::Store;
+use crate::store::{Endpoint, Store};
 use crate::worker::Options;
 
 /// The edge, as the deploy file starts it.
@@ -63,6 +63,7 @@
     pub attempt: String,
     /// Parts of its prompt.
     pub parts: String,
+    pub path: String,
 }
 
 /// A worker process.
@@ -80,7 +81,7 @@
 pub struct Site {
     pub record: Record,
     pub store: Store,
-    store_addr: SocketAddr,
+    endpoint: Mutex<Endpoint>,
     base: [u8; 2],
     edges: Arc<Mutex<Vec<Child>>>,
     workers: Arc<Mutex<Vec<Worker>>>,
@@ -94,14 +95,15 @@
     /// Starts the store, and no other process yet.
     pub fn start(record: Record, config: &str) -> Result<Self> {
         let base = free_base()?;
-        let (store, store_addr) = Store::start(address(base, 250), HEARTBEAT)?;
+        let store = Store::start(HEARTBEAT);
+        let endpoint = store.listen(address(base, 250))?;
         store.put_config(config);
         let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
         std::fs::create_dir_all(&folder)?;
         let site = Self {
             record,
             store,
-            store_addr,
+            endpoint: Mutex::new(endpoint),
             base,
             edges: Arc::default(),
             workers: Arc::default(),
@@ -166,6 +168,24 @@
         Ok(Instant::now())
     }
 
+    /// Moves the store to another address, which the settings of all edges name from then on. Half of
+    /// the edges get SIGHUP.
+    pub fn move_store(&self) -> Result<()> {
+        let moved = self.store.listen(address(self.base, 251))?;
+        let before = std::mem::replace(&mut *self.endpoint.lock().unwrap(), moved);
+        before.close();
+        let edges = self.edges.lock().unwrap();
+        for (n, child) in edges.iter().enumerate() {
+            self.write_settings(n, edges.len())?;
+            if n % 2 == 0 {
+                let pid = child.id().to_string();
+                Command::new("kill").args(["-HUP", &pid]).status()?;
+            }
+        }
+        self.record.add("the store has moved");
+        Ok(())
+    }
+
     /// Waits until the edge says that it is ready.
     fn await_ready(&self, n: usize) -> Result<()> {
         let addr = SocketAddr::new(self.edge_ip(n), READY);
@@ -215,6 +235,7 @@
                     at: Instant::now(),
                     attempt: next(),
                     parts: next(),
+                    path: next(),
                 });
             }
         });
@@ -302,7 +323,7 @@
              platform.form=log\nplatform.record-bytes=262144\ncloud-api.addr={store}\n\
              cloud-api.duties=usage_report\n",
             seeds = seeds.join(","),
-            store = self.store_addr,
+            store = self.endpoint.lock().unwrap().addr,
         );
         std::fs::write(self.settings_path(n), text)
     }
@@ -342,7 +363,9 @@
         }
         self.checked_in = Some(Instant::now());
         self.seq += 1;
-        let Options { id, addr, version, .. } = &self.options;
+        let Options {
+            id, addr, version, ..
+        } = &self.options;
         let (seq, born) = (self.seq, self.born_ms);
         let entry = format!(
             "{{\"service\":\"verse\",\"addr\":\"{addr}\",\"zone\":\"attica-a\",\
@@ -354,13 +377,20 @@
     }
 }
 
-/// Returns a configuration with a route for streams that may be resumed and one for plain calls.
+/// Returns a configuration with a route for streams that may be resumed, one for plain calls and one
+/// for orders, which may run once.
 pub fn config(stream_timeout_ms: u32, header_bytes: u32) -> String {
+    config_with(7, stream_timeout_ms, header_bytes, "\"k1\",\"k2\"")
+}
+
+/// Returns a version of the configuration in which the client account has `keys`.
+pub fn config_with(version: u32, stream_timeout_ms: u32, header_bytes: u32, keys: &str) -> String {
     let route = |name: &str, prefix: &str, kind: &str, timeout_ms: u32, extra: &str| {
+        let attempts = if kind == "non_idempotent" { 1 } else { 2 };
         format!(
             "{{\"name\":\"{name}\",\"host\":\"shop.example\",\"prefix\":\"{prefix}\",\
              \"kind\":\"{kind}\",\"timeout-ms\":{timeout_ms},\"slo-ms\":150,\"priority\":0,\
-             \"service\":\"verse\",\"attempts\":2,\"anonymous\":false{extra}}}"
+             \"service\":\"verse\",\"attempts\":{attempts},\"anonymous\":false{extra}}}"
         )
     };
     let stream = route(
@@ -371,13 +401,14 @@
         ",\"sticky\":true,\"resumable\":true,\"itl-target-ms\":150",
     );
     let plain = route("status", "/status/", "idempotent", 800, "");
+    let order = route("order", "/order/", "non_idempotent", 800, "");
     format!(
-        "{{\"version\":7,\"routes\":[{stream},{plain}],\
+        "{{\"version\":{version},\"routes\":[{stream},{plain},{order}],\
          \"services\":[{{\"name\":\"verse\",\"health-path\":\"/healthz\",\"max-conns\":170,\
          \"protocol\":\"h1\",\"tls\":false}}],\
          \"limits\":{{\"header-bytes\":{header_bytes},\"body-bytes\":4194304,\
          \"header-ms\":3000,\"idle-ms\":15000}},\
-         \"tenants\":[{{\"name\":\"studio\",\"keys\":[\"k1\"],\"priority\":1}}]}}"
+         \"tenants\":[{{\"name\":\"studio\",\"keys\":[{keys}],\"priority\":1}}]}}"
     )
 }
 
@@ -395,7 +426,10 @@
 fn free_base() -> Result<[u8; 2]> {
     let seed = std::process::id();
     for n in 0..200 {
-        let base = [60 + ((seed / 250 + n) % 40) as u8, 1 + ((seed + n * 7) % 250) as u8];
+        let base = [
+            60 + ((seed / 250 + n) % 40) as u8,
+            1 + ((seed + n * 7) % 250) as u8,
+        ];
         let is_free = (1..=4).all(|last| {
             let ip = address(base, last);
             let tcp = [FRONT, READY, CONTROL].map(|port| TcpListener::bind((ip, port)).is_ok());
--- a/review/stand-ins/src/store.rs
+++ b/review/stand-ins/src/store.rs
@@ -2,7 +2,8 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::io::{BufReader, Result, Write};
-use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
+use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -31,19 +32,30 @@
 #[derive(Clone, Default)]
 pub struct Store(Arc<(Mutex<Contents>, Condvar)>);
 
+/// Address at which the store is served. Clones share its state.
+#[derive(Clone)]
+pub struct Endpoint {
+    pub addr: SocketAddr,
+    is_closed: Arc<AtomicBool>,
+    channels: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl Endpoint {
+    /// Ends all channels. Nothing listens at the address any more.
+    pub fn close(&self) {
+        self.is_closed.store(true, Ordering::Relaxed);
+        // Ends the accepting thread, which waits for a channel.
+        let _ = TcpStream::connect(self.addr);
+        for io in self.channels.lock().unwrap().drain(..) {
+            let _ = io.shutdown(Shutdown::Both);
+        }
+    }
+}
+
 impl Store {
-    /// Starts the store. Returns it with its address.
-    pub fn start(ip: IpAddr, heartbeat: Duration) -> Result<(Self, SocketAddr)> {
-        let listener = TcpListener::bind((ip, 0))?;
-        let addr = listener.local_addr()?;
+    /// Starts the store, which removes the entries of servers that no longer check in.
+    pub fn start(heartbeat: Duration) -> Self {
         let store = Self::default();
-        let acceptor = store.clone();
-        thread::spawn(move || {
-            for io in listener.incoming().flatten() {
-                let store = acceptor.clone();
-                thread::spawn(move || store.serve(io));
-            }
-        });
         let lapsing = store.clone();
         thread::spawn(move || {
             loop {
@@ -51,7 +63,30 @@
                 lapsing.remove_lapsed(heartbeat * LAPSE_INTERVALS);
             }
         });
-        Ok((store, addr))
+        store
+    }
+
+    /// Serves at a free port of `ip`.
+    pub fn listen(&self, ip: IpAddr) -> Result<Endpoint> {
+        let listener = TcpListener::bind((ip, 0))?;
+        let addr = listener.local_addr()?;
+        let endpoint = Endpoint {
+            addr,
+            is_closed: Arc::default(),
+            channels: Arc::default(),
+        };
+        let (store, accepting) = (self.clone(), endpoint.clone());
+        thread::spawn(move || {
+            for io in listener.incoming().flatten() {
+                if accepting.is_closed.load(Ordering::Relaxed) {
+                    return;
+                }
+                let store = store.clone();
+                accepting.channels.lock().unwrap().extend(io.try_clone());
+                thread::spawn(move || store.serve(io));
+            }
+        });
+        Ok(endpoint)
     }
 
     /// Writes the operator's configuration.
@@ -137,11 +172,19 @@
             topic.map_or(0, |topic| topic.records.len())
         };
         let contents = self.0.0.lock().unwrap();
-        let waiting = self.0.1.wait_timeout_while(contents, wait, |c| end(c) <= from);
+        let waiting = self
+            .0
+            .1
+            .wait_timeout_while(contents, wait, |c| end(c) <= from);
         drop(waiting);
     }
 
-    fn append(&self, topic: &str, at: Option<usize>, body: &[u8]) -> std::result::Result<usize, usize> {
+    fn append(
+        &self,
+        topic: &str,
+        at: Option<usize>,
+        body: &[u8],
+    ) -> std::result::Result<usize, usize> {
         let mut contents = self.0.0.lock().unwrap();
         let records = &mut contents.topics.entry(topic.into()).or_default().records;
         if at.is_some_and(|at| at != records.len()) {
@@ -200,7 +243,11 @@
         let bits = byte(0) << 16 | byte(1) << 8 | byte(2);
         for at in 0..4 {
             let digit = DIGITS[(bits >> (18 - 6 * at) & 63) as usize];
-            text.push(if at > group.len() { '=' } else { char::from(digit) });
+            text.push(if at > group.len() {
+                '='
+            } else {
+                char::from(digit)
+            });
         }
     }
     text
--- a/review/stand-ins/src/worker.rs
+++ b/review/stand-ins/src/worker.rs
@@ -10,6 +10,9 @@
 
 use crate::http::{Head, read_body, read_head, respond};
 
+/// Time that a plain request takes.
+const WORK_TIME: Duration = Duration::from_millis(15);
+
 /// What a worker is told at its start.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -24,9 +27,25 @@
     pub crash_part: Option<String>,
     /// Time from the first event of such a request to the crash.
     pub crash_after_ms: u64,
+    /// Every so many orders that it has carried out, the worker answers with a failure. 0 for none.
+    pub fail_every: u64,
 }
 
 impl Options {
+    /// Describes a worker in order, whose streams have `events` events, one each `event_ms`.
+    pub fn new(addr: SocketAddr, id: &str, version: &str, events: u32, event_ms: u64) -> Self {
+        Self {
+            addr,
+            id: id.into(),
+            version: version.into(),
+            events,
+            event_ms,
+            crash_part: None,
+            crash_after_ms: 0,
+            fail_every: 0,
+        }
+    }
+
     /// Returns the words of the command line.
     pub fn words(&self) -> Vec<String> {
         let part = self.crash_part.clone().unwrap_or_else(|| "-".into());
@@ -39,12 +58,13 @@
             self.event_ms.to_string(),
             part,
             self.crash_after_ms.to_string(),
+            self.fail_every.to_string(),
         ]
     }
 
     /// Reads the words of the command line.
     pub fn parse(words: &[String]) -> Option<Self> {
-        let [addr, id, version, events, event_ms, part, after] = words else {
+        let [addr, id, version, events, event_ms, part, after, fail] = words else {
             return None;
         };
         Some(Self {
@@ -55,6 +75,7 @@
             event_ms: event_ms.parse().ok()?,
             crash_part: (part != "-").then(|| part.clone()),
             crash_after_ms: after.parse().ok()?,
+            fail_every: fail.parse().ok()?,
         })
     }
 }
@@ -97,15 +118,24 @@
         let id = format!("X-Instance-Id: {}\r\n", options.id);
         return respond(out, "200 OK", &id, b"");
     }
-    if head.get("x-expect-instance").is_some_and(|id| id != options.id) {
+    if head
+        .get("x-expect-instance")
+        .is_some_and(|id| id != options.id)
+    {
         let headers = format!("{echo}X-Instance-Id: {}\r\n", options.id);
         return respond(out, "421 Misdirected Request", &headers, b"");
     }
     let run = runs.fetch_add(1, Ordering::Relaxed);
     let parts = head.get("x-prompt-prefix").unwrap_or("-");
-    say(&format!("run {attempt} {parts}"));
+    say(&format!("run {attempt} {parts} {}", head.word(1)));
     let seal = format!("{echo}X-Server-Seal: {}.{run}\r\n", options.id);
     if !head.word(1).starts_with("/stream/") {
+        thread::sleep(WORK_TIME);
+        let is_order = head.word(1).starts_with("/order/");
+        if is_order && options.fail_every > 0 && run % options.fail_every == 0 {
+            // The order was carried out, so the answer bears no X-Not-Executed.
+            return respond(out, "503 Service Unavailable", &seal, b"failed");
+        }
         return respond(out, "200 OK", &seal, b"done");
     }
     let last: u32 = head
@@ -114,7 +144,9 @@
         .unwrap_or(0);
     let crashes = options.crash_part.as_deref().is_some_and(|part| {
         let shared = parts.rsplit_once(',').map_or("", |(shared, _)| shared);
-        shared.split(',').any(|entry| entry.split(':').next() == Some(part))
+        shared
+            .split(',')
+            .any(|entry| entry.split(':').next() == Some(part))
     });
     if crashes {
         let after = options.crash_after_ms;
@@ -133,7 +165,10 @@
         if event > last + 1 {
             thread::sleep(Duration::from_millis(options.event_ms));
         }
-        let text = format!("id: {event}\ndata: {} {} {run}\n\n", options.version, options.id);
+        let text = format!(
+            "id: {event}\ndata: {} {} {run}\n\n",
+            options.version, options.id
+        );
         out.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())?;
     }
     out.write_all(b"0\r\n\r\n")
