--- a/review/stand-ins/src/main.rs
+++ b/review/stand-ins/src/main.rs
@@ -40,11 +40,9 @@
         match case {
             "lost-version" => cases::lost_version(record, has_trouble),
             "same-id" => cases::same_id(record, has_trouble),
-            "all-edges" => cases::all_edges(record, has_trouble),
+            "rolling-stop" => cases::rolling_stop(record, has_trouble),
             "late-crash" => cases::late_crash(record, has_trouble),
-            "first-channels" => cases::first_channels(record, has_trouble),
             "false-refusal" => cases::false_refusal(record, has_trouble),
-            "moved-store" => cases::moved_store(record, has_trouble),
             _ => Err(std::io::Error::other("no such case")),
         }
     });
--- a/review/stand-ins/src/site.rs
+++ b/review/stand-ins/src/site.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::http::Channel;
-use crate::store::{Endpoint, Store};
+use crate::store::Store;
 use crate::worker::Options;
 
 /// The edge, as the deploy file starts it.
@@ -28,6 +28,9 @@
 /// `contact-ms` of the settings.
 pub const CONTACT: Duration = Duration::from_secs(3);
 
+/// `grace-s` of the settings.
+const GRACE: Duration = Duration::from_secs(8);
+
 /// Delay until the platform starts a process again that was killed.
 pub const RESTART_DELAY: Duration = Duration::from_millis(500);
 
@@ -81,7 +84,7 @@
 pub struct Site {
     pub record: Record,
     pub store: Store,
-    endpoint: Mutex<Endpoint>,
+    store_addr: SocketAddr,
     base: [u8; 2],
     edges: Arc<Mutex<Vec<Child>>>,
     workers: Arc<Mutex<Vec<Worker>>>,
@@ -96,14 +99,14 @@
     pub fn start(record: Record, config: &str) -> Result<Self> {
         let base = free_base()?;
         let store = Store::start(HEARTBEAT);
-        let endpoint = store.listen(address(base, 250))?;
+        let store_addr = store.listen(address(base, 250))?;
         store.put_config(config);
         let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
         std::fs::create_dir_all(&folder)?;
         let site = Self {
             record,
             store,
-            endpoint: Mutex::new(endpoint),
+            store_addr,
             base,
             edges: Arc::default(),
             workers: Arc::default(),
@@ -151,39 +154,30 @@
             .spawn()
     }
 
-    /// Kills all edges at once and starts them again, as the platform does.
-    pub fn kill_and_restart_edges(&self) -> Result<Instant> {
-        let mut edges = self.edges.lock().unwrap();
-        for child in edges.iter_mut() {
-            child.kill()?;
-        }
-        self.record.add("all edges are killed");
-        for child in edges.iter_mut() {
-            child.wait()?;
-        }
-        thread::sleep(RESTART_DELAY);
-        for (n, child) in edges.iter_mut().enumerate() {
-            *child = self.spawn_edge(n)?;
-        }
-        Ok(Instant::now())
-    }
-
-    /// Moves the store to another address, which the settings of all edges name from then on. Half of
-    /// the edges get SIGHUP.
-    pub fn move_store(&self) -> Result<()> {
-        let moved = self.store.listen(address(self.base, 251))?;
-        let before = std::mem::replace(&mut *self.endpoint.lock().unwrap(), moved);
-        before.close();
-        let edges = self.edges.lock().unwrap();
-        for (n, child) in edges.iter().enumerate() {
-            self.write_settings(n, edges.len())?;
-            if n % 2 == 0 {
-                let pid = child.id().to_string();
-                Command::new("kill").args(["-HUP", &pid]).status()?;
+    /// Stops an edge as planned and starts it again, as the platform does. Returns the time of the
+    /// start.
+    pub fn stop_and_restart_edge(&self, n: usize) -> Result<Instant> {
+        let pid = self.edges.lock().unwrap()[n].id().to_string();
+        self.record.add(&format!("edge {n} gets SIGTERM"));
+        Command::new("kill").args(["-TERM", &pid]).status()?;
+        let killed_at = Instant::now() + GRACE;
+        loop {
+            thread::sleep(Duration::from_millis(10));
+            let child = &mut self.edges.lock().unwrap()[n];
+            if child.try_wait()?.is_some() {
+                break;
+            }
+            if Instant::now() >= killed_at {
+                child.kill()?;
             }
         }
-        self.record.add("the store has moved");
-        Ok(())
+        self.record.add(&format!("edge {n} has ended"));
+        thread::sleep(RESTART_DELAY);
+        let child = self.spawn_edge(n)?;
+        self.edges.lock().unwrap()[n] = child;
+        let started = Instant::now();
+        self.await_ready(n)?;
+        Ok(started)
     }
 
     /// Waits until the edge says that it is ready.
@@ -323,7 +317,7 @@
              platform.form=log\nplatform.record-bytes=262144\ncloud-api.addr={store}\n\
              cloud-api.duties=usage_report\n",
             seeds = seeds.join(","),
-            store = self.endpoint.lock().unwrap().addr,
+            store = self.store_addr,
         );
         std::fs::write(self.settings_path(n), text)
     }
@@ -377,14 +371,9 @@
     }
 }
 
-/// Returns a configuration with a route for streams that may be resumed, one for plain calls and one
-/// for orders, which may run once.
-pub fn config(stream_timeout_ms: u32, header_bytes: u32) -> String {
-    config_with(7, stream_timeout_ms, header_bytes, "\"k1\",\"k2\"")
-}
-
-/// Returns a version of the configuration in which the client account has `keys`.
-pub fn config_with(version: u32, stream_timeout_ms: u32, header_bytes: u32, keys: &str) -> String {
+/// Returns a configuration with a route for streams that may be resumed, and one for orders, which
+/// may run once.
+pub fn config(stream_timeout_ms: u32) -> String {
     let route = |name: &str, prefix: &str, kind: &str, timeout_ms: u32, extra: &str| {
         let attempts = if kind == "non_idempotent" { 1 } else { 2 };
         format!(
@@ -400,15 +389,14 @@
         stream_timeout_ms,
         ",\"sticky\":true,\"resumable\":true,\"itl-target-ms\":150",
     );
-    let plain = route("status", "/status/", "idempotent", 800, "");
     let order = route("order", "/order/", "non_idempotent", 800, "");
     format!(
-        "{{\"version\":{version},\"routes\":[{stream},{plain},{order}],\
+        "{{\"version\":7,\"routes\":[{stream},{order}],\
          \"services\":[{{\"name\":\"verse\",\"health-path\":\"/healthz\",\"max-conns\":170,\
          \"protocol\":\"h1\",\"tls\":false}}],\
-         \"limits\":{{\"header-bytes\":{header_bytes},\"body-bytes\":4194304,\
+         \"limits\":{{\"header-bytes\":16384,\"body-bytes\":4194304,\
          \"header-ms\":3000,\"idle-ms\":15000}},\
-         \"tenants\":[{{\"name\":\"studio\",\"keys\":[{keys}],\"priority\":1}}]}}"
+         \"tenants\":[{{\"name\":\"studio\",\"keys\":[\"k1\"],\"priority\":1}}]}}"
     )
 }
 
--- a/review/stand-ins/src/store.rs
+++ b/review/stand-ins/src/store.rs
@@ -2,8 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::io::{BufReader, Result, Write};
-use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -32,26 +31,6 @@
 #[derive(Clone, Default)]
 pub struct Store(Arc<(Mutex<Contents>, Condvar)>);
 
-/// Address at which the store is served. Clones share its state.
-#[derive(Clone)]
-pub struct Endpoint {
-    pub addr: SocketAddr,
-    is_closed: Arc<AtomicBool>,
-    channels: Arc<Mutex<Vec<TcpStream>>>,
-}
-
-impl Endpoint {
-    /// Ends all channels. Nothing listens at the address any more.
-    pub fn close(&self) {
-        self.is_closed.store(true, Ordering::Relaxed);
-        // Ends the accepting thread, which waits for a channel.
-        let _ = TcpStream::connect(self.addr);
-        for io in self.channels.lock().unwrap().drain(..) {
-            let _ = io.shutdown(Shutdown::Both);
-        }
-    }
-}
-
 impl Store {
     /// Starts the store, which removes the entries of servers that no longer check in.
     pub fn start(heartbeat: Duration) -> Self {
@@ -66,27 +45,18 @@
         store
     }
 
-    /// Serves at a free port of `ip`.
-    pub fn listen(&self, ip: IpAddr) -> Result<Endpoint> {
+    /// Serves at a free port of `ip`. Returns the address.
+    pub fn listen(&self, ip: IpAddr) -> Result<SocketAddr> {
         let listener = TcpListener::bind((ip, 0))?;
         let addr = listener.local_addr()?;
-        let endpoint = Endpoint {
-            addr,
-            is_closed: Arc::default(),
-            channels: Arc::default(),
-        };
-        let (store, accepting) = (self.clone(), endpoint.clone());
+        let store = self.clone();
         thread::spawn(move || {
             for io in listener.incoming().flatten() {
-                if accepting.is_closed.load(Ordering::Relaxed) {
-                    return;
-                }
                 let store = store.clone();
-                accepting.channels.lock().unwrap().extend(io.try_clone());
                 thread::spawn(move || store.serve(io));
             }
         });
-        Ok(endpoint)
+        Ok(addr)
     }
 
     /// Writes the operator's configuration.
