--- a/review/stand-ins/src/cases/orders.rs
+++ b/review/stand-ins/src/cases/orders.rs
@@ -11,14 +11,15 @@
 use crate::site::{CONTACT, Record, Site, config};
 use crate::worker::Options;
 
-const CLIENTS: usize = 24;
+const CLIENTS: usize = 48;
 
 /// Orders of each client.
-const ORDERS: usize = 12;
+const ORDERS: usize = 6;
 
-const WORKERS: u8 = 6;
+/// One worker of eight fails, a share of 0.125.
+const WORKERS: u8 = 8;
 
-/// One worker of six fails each third request, which is less than a share of 0.4.
+/// It fails each third request, a share of 0.33.
 const FAIL_EVERY: u64 = 3;
 
 /// Time limit of the clients.
--- a/review/stand-ins/src/cases/versions.rs
+++ b/review/stand-ins/src/cases/versions.rs
@@ -58,12 +58,23 @@
 struct Retries {
     /// Waits before each retry; longer where the answer asks for that.
     waits: Vec<Duration>,
-    /// Difference of these waits between one client and the next, up to seven times.
+    /// Difference of the whole wait between one client and the next, up to seven times.
     stagger: Duration,
     /// Time at which the client closes its first channel, if it does.
     leave_at: Option<Instant>,
 }
 
+/// Returns the waits before the retries of a client. It retries once, as on the sheets, after the
+/// sum of `waits_ms`; with RETRIES=3 after each of them.
+fn waits(waits_ms: [u64; 3]) -> Vec<Duration> {
+    let is_once = std::env::var("RETRIES").map_or(true, |count| count != "3");
+    if is_once {
+        vec![Duration::from_millis(waits_ms.iter().sum())]
+    } else {
+        waits_ms.map(Duration::from_millis).into()
+    }
+}
+
 /// Begins the streams of one client each, in turn at each of `fronts`.
 fn begin(
     site: &Site,
@@ -83,7 +94,8 @@
                     .attempts
                     .last()
                     .map_or(Duration::ZERO, |a| a.retry_after);
-                let wait = asked.max(*wait + retries.stagger * (n % 8) as u32);
+                let stagger = retries.stagger * (n % 8) as u32 / retries.waits.len() as u32;
+                let wait = asked.max(*wait + stagger);
                 if stream.is_complete() || Instant::now() + wait >= stream.until {
                     break;
                 }
@@ -134,7 +146,7 @@
     let fronts = [site.front(0), site.front(1)];
     thread::sleep(CONTACT * 2);
     let retries = Retries {
-        waits: [1, 2, 4, 4].map(Duration::from_secs).into(),
+        waits: waits([2_000, 4_000, 5_000]),
         stagger: Duration::ZERO,
         leave_at: None,
     };
@@ -155,8 +167,8 @@
     let fronts = [site.front(0), site.front(1)];
     thread::sleep(CONTACT * 2);
     let retries = Retries {
-        waits: [700; 4].map(Duration::from_millis).into(),
-        stagger: Duration::from_millis(25),
+        waits: waits([700; 3]),
+        stagger: Duration::from_millis(75),
         leave_at: None,
     };
     let clients = begin(&site, &fronts, 3 * STREAMS, &retries);
@@ -204,8 +216,8 @@
     in_touch: Vec<bool>,
 }
 
-/// Makes attempts until the stream is complete, at most four times after `waits`. The client closes
-/// its first channel at `leave_at`, if given.
+/// Makes attempts until the stream is complete or no retry is left. The client closes its first
+/// channel at `leave_at`, if given.
 fn run_routed(
     rotation: &Rotation,
     name: &str,
@@ -217,12 +229,13 @@
         in_touch: Vec::new(),
     };
     let Routed { stream, in_touch } = &mut routed;
-    for wait_ms in [0, 100, 1_000, 1_000, 1_000] {
+    let waits = waits([100, 400, 500]);
+    for wait in std::iter::once(Duration::ZERO).chain(waits) {
         let asked = stream
             .attempts
             .last()
             .map_or(Duration::ZERO, |a| a.retry_after);
-        thread::sleep(asked.max(Duration::from_millis(wait_ms)));
+        thread::sleep(asked.max(wait));
         if stream.is_complete() || Instant::now() >= stream.until {
             break;
         }
--- a/review/stand-ins/src/worker.rs
+++ b/review/stand-ins/src/worker.rs
@@ -132,7 +132,7 @@
     if !head.word(1).starts_with("/stream/") {
         thread::sleep(WORK_TIME);
         let is_order = head.word(1).starts_with("/order/");
-        if is_order && options.fail_every > 0 && run % options.fail_every == 0 {
+        if is_order && options.fail_every > 0 && (run + 1) % options.fail_every == 0 {
             // The order was carried out, so the answer bears no X-Not-Executed.
             return respond(out, "503 Service Unavailable", &seal, b"failed");
         }
