Keep the versions of streams as long as callers come back

Cause: origins and versions were dropped after the drain bound and two of the route's timeouts. The timeout bounds an answer, not the caller. After that time the version that was left counted as the only one: the log has `stream_taken_up source=only versions=1` 2.4 s after `versions=1`. A loss of news would show as `unknown`, a set of the store as a read in between.

The retention is now the drain bound and the longest time that a caller has stated, if two timeouts are not longer. Each edge tells a longer statement to the others and to the store; before the first one, nothing is dropped. So no edge forgets a version while a caller it could know of may come back. The versions of a service without routes are kept for as long.

--- a/crates/edge-bin/tests/common/mod.rs
+++ b/crates/edge-bin/tests/common/mod.rs
@@ -8,6 +8,7 @@
 pub mod proxy;
 pub mod relayed;
 pub mod store;
+pub mod take_ups;
 pub mod versioned;
 pub mod worker;
 
--- a/crates/edge-bin/tests/common/versioned.rs
+++ b/crates/edge-bin/tests/common/versioned.rs
@@ -20,6 +20,9 @@
 /// objective and short pauses.
 const CALLER_IDLE_TIME: Duration = Duration::from_secs(2);
 
+/// Time for which a caller usually waits, in milliseconds.
+pub const DEADLINE_MS: u32 = 3_000;
+
 /// Returns the event with number `n`.
 pub fn event(version: &str, n: u32) -> String {
     format!("id: {n}\ndata: piece {n} of {version}\n\n")
@@ -82,6 +85,8 @@
 pub struct HeldStream {
     /// Id of the only block of the prompt.
     prompt: u32,
+    /// Time for which its caller states to wait.
+    deadline_ms: u32,
     /// Source of the ids of the attempts.
     rng: StdRng,
     /// Id of the attempt that brought the first event.
@@ -98,11 +103,20 @@
         Self::seeded(rand::random())
     }
 
+    /// Returns a stream as [`Self::new`] does, whose caller waits for `deadline_ms`.
+    pub fn waiting(deadline_ms: u32) -> Self {
+        Self {
+            deadline_ms,
+            ..Self::new()
+        }
+    }
+
     /// Returns a stream whose prompt and attempts depend on a seed.
     pub fn seeded(seed: u64) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
         Self {
             prompt: rng.random(),
+            deadline_ms: DEADLINE_MS,
             rng,
             origin: None,
             last_attempt: String::new(),
@@ -150,10 +164,10 @@
             Some(origin) => format!("Resumes: {origin}\r\nLast-Event-Id: {}\r\n", self.last()),
             None => String::new(),
         };
-        let prompt = self.prompt;
+        let (prompt, deadline_ms) = (self.prompt, self.deadline_ms);
         format!(
             "POST {path} HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: {id}\r\n\
-             X-Deadline-Ms: 3000\r\nX-Api-Key: k1\r\nX-Token-Counts: 60,5\r\n\
+             X-Deadline-Ms: {deadline_ms}\r\nX-Api-Key: k1\r\nX-Token-Counts: 60,5\r\n\
              X-Prompt-Prefix: {prompt:x}:60\r\n{taken_up}Content-Length: 0\r\n\r\n"
         )
     }
--- a/crates/edge-bin/tests/mixed_versions.rs
+++ b/crates/edge-bin/tests/mixed_versions.rs
@@ -2,14 +2,14 @@
 
 mod common;
 
-use std::collections::BTreeSet;
-use std::time::Duration;
-
-use common::body_end::{BodyEnd, Close, Cut, EVENTS_BEFORE_CUT, Framing};
+use common::Site;
+use common::body_end::EVENTS_BEFORE_CUT;
 use common::store::Fault;
+use common::take_ups::{
+    LIST_TIME, SILENCE, STREAMS, begin_streams, check_versions, start, take_up,
+};
 use common::versioned::{HeldStream, Outcome};
 use common::worker::{Action, EVENTS, Worker, header};
-use common::{Edge, Site};
 use futures::future::join_all;
 use serde_json::json;
 use tokio::time::sleep;
@@ -17,87 +17,6 @@
 /// Two upstreams of each version, so that one is left when another one breaks off.
 const VERSIONS: [&str; 4] = ["v1", "v2", "v1", "v2"];
 
-/// Number of streams of each version.
-const STREAMS: usize = 4;
-
-/// Number of attempts of a caller to take a stream up.
-const TAKE_UPS: usize = 8;
-
-/// Pause of a caller between its attempts.
-const RETRY_PAUSE: Duration = Duration::from_millis(200);
-
-/// Time within which each edge has read the list of instances.
-const LIST_TIME: Duration = Duration::from_secs(1);
-
-/// Upstreams send some events and then nothing, until the edge closes the connection.
-const SILENCE: Action = Action::End(BodyEnd {
-    framing: Framing::Chunks,
-    cut: Cut::BetweenEvents,
-    close: Close::Silence,
-});
-
-async fn start(test: u8, versions: &[&str]) -> Site {
-    let site = Site::start(test, u16::try_from(versions.len()).unwrap()).await;
-    list(&site, versions).await;
-    site
-}
-
-/// Lists all upstreams as just started with these versions.
-async fn list(site: &Site, versions: &[&str]) {
-    for (n, version) in (0..).zip(versions) {
-        site.list_version(n, version);
-    }
-    sleep(LIST_TIME).await;
-}
-
-/// Begins streams of each version at `edge`, whose callers leave after some events. All upstreams
-/// are listed before and afterwards.
-async fn begin_streams(site: &Site, edge: &Edge, versions: &[&str]) -> Vec<HeldStream> {
-    let mut streams = Vec::new();
-    for begun_at in BTreeSet::from_iter(versions) {
-        for (id, _) in (0..).zip(versions).filter(|(_, v)| *v != begun_at) {
-            site.store.remove("keyed.servers", &format!("i-{id}"));
-        }
-        sleep(LIST_TIME).await;
-        Worker::share_script(&site.workers, &[SILENCE; STREAMS]);
-        for _ in 0..STREAMS {
-            let mut stream = HeldStream::new();
-            let wanted = Some(EVENTS_BEFORE_CUT);
-            let outcome = stream.attempt(edge.ingress(), "/stream/1", wanted).await;
-            assert_eq!(outcome, Outcome::Left);
-            streams.push(stream);
-        }
-        list(site, versions).await;
-    }
-    streams
-}
-
-/// Takes each stream up at `edge` and returns the number of those that are complete then.
-async fn take_up(streams: &mut [HeldStream], edge: &Edge) -> usize {
-    let mut completed = 0;
-    for stream in streams {
-        for _ in 0..TAKE_UPS {
-            if stream.attempt(edge.ingress(), "/stream/1", None).await == Outcome::Complete {
-                completed += 1;
-                break;
-            }
-            sleep(RETRY_PAUSE).await;
-        }
-    }
-    completed
-}
-
-fn check_versions(streams: &[HeldStream]) {
-    let mixed: Vec<_> = streams.iter().filter(|s| s.versions().len() > 1).collect();
-    assert!(
-        mixed.is_empty(),
-        "{} of {} streams hold events of two versions: {:#?}",
-        mixed.len(),
-        streams.len(),
-        mixed[0]
-    );
-}
-
 /// The upstream breaks off, and the edge sends the rest within the same response.
 #[tokio::test(flavor = "multi_thread")]
 async fn resumed_in_response() {
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -7,7 +7,7 @@
 
 use nutmegbay_policy::edge::crashes::{CrashReport, ReportSource};
 use nutmegbay_policy::edge::exchange::{Digest, Role, spacing};
-use nutmegbay_policy::edge::stream_origins::OriginNews;
+use nutmegbay_policy::edge::stream_origins::{CallerWait, OriginNews};
 use nutmegbay_policy::edge::upstream_limit::LimitNews;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -98,8 +98,8 @@
     }
 }
 
-/// News that follow the digest in a datagram. The origins of streams follow them as a list.
-/// Earlier versions send less and ignore what follows.
+/// News that follow the digest in a datagram. The origins of streams follow them as a list, and the
+/// longest waits of callers as another one. Earlier versions send less and ignore what follows.
 #[derive(Debug, Serialize, Deserialize)]
 struct News {
     crashes: CrashReport,
@@ -150,8 +150,11 @@
         .borrow_mut()
         .merge_limits(&limits, is_relay, now);
     if !origins.is_empty() {
-        let origins: Vec<OriginNews> = postcard::from_bytes(origins)?;
+        let (origins, waits) = postcard::take_from_bytes::<Vec<OriginNews>>(origins)?;
         versions::merge(state, &origins, is_relay);
+        if !waits.is_empty() {
+            versions::merge_waits(state, &postcard::from_bytes::<Vec<CallerWait>>(waits)?);
+        }
     }
     Ok(())
 }
@@ -213,15 +216,19 @@
         limits: state.fleet.borrow_mut().take_limit_news(now),
         announced: state.presence.borrow_mut().take(record_age, now),
     };
-    let origins = state.versions.borrow_mut().take_news(now);
+    let (origins, waits) = {
+        let mut versions = state.versions.borrow_mut();
+        (versions.take_news(now), versions.take_wait_news())
+    };
     let is_empty = news.crashes.is_empty()
         && news.limits.is_empty()
         && news.announced.is_empty()
-        && origins.is_empty();
+        && origins.is_empty()
+        && waits.is_empty();
     if is_empty {
         return Vec::new();
     }
-    postcard::to_stdvec(&(news, origins)).unwrap_or_else(|error| {
+    postcard::to_stdvec(&(news, origins, waits)).unwrap_or_else(|error| {
         tracing::error!(event = "news_not_encoded", %error);
         Vec::new()
     })
--- a/crates/edge/src/forward/continuation.rs
+++ b/crates/edge/src/forward/continuation.rs
@@ -9,7 +9,7 @@
 use super::{Failure, Forwarder, REFUSED_RETRY_MS};
 use crate::fleet::InFlightSend;
 use crate::platform_api::WireCodec;
-use crate::versions::{record_origin, version_to_continue};
+use crate::versions::{record_caller_wait, record_origin, version_to_continue};
 
 /// Cause of a stream that is not continued because the version that began it is unknown.
 const UNKNOWN_STREAM_VERSION: &str = "unknown_stream_version";
@@ -29,6 +29,11 @@
         if !request.is_taken_up() {
             return Ok(());
         }
+        record_caller_wait(
+            self.state,
+            &request.service.name,
+            request.head.caller_wait(),
+        );
         let attempt = request.head.resumes.as_deref();
         let version = version_to_continue(self.state, &request.service, attempt).await;
         request.progress.borrow_mut().version = version;
@@ -67,6 +72,11 @@
         if !request.route.is_resumable {
             return;
         }
+        record_caller_wait(
+            self.state,
+            &request.service.name,
+            request.head.caller_wait(),
+        );
         let attempts = [Some(&request.head.id), request.head.resumes.as_ref()];
         for attempt in attempts.into_iter().flatten() {
             record_origin(self.state, &request.service.name, attempt, version);
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -40,9 +40,6 @@
 /// Pause after a failed accept, for example if no file descriptor is free.
 const ACCEPT_ERROR_PAUSE: Duration = Duration::from_millis(50);
 
-/// Deadline of a request that states none.
-const DEFAULT_DEADLINE: Duration = Duration::from_secs(15);
-
 /// Expected time until a configuration is known, in milliseconds. Callers that arrive before are
 /// asked to retry after about this time.
 const NO_CONFIG_RETRY_MS: f64 = 500.0;
@@ -337,7 +334,7 @@
         let mut fleet = state.fleet.borrow_mut();
         fleet.average_long_streams(&service.name, arrived);
     }
-    let deadline = head.deadline.unwrap_or(DEFAULT_DEADLINE);
+    let deadline = head.caller_wait();
     let time_limit = deadline.min(route.timeout);
     let deadline_at = arrived.plus(time_limit);
     let limit = table.config().limits.body_bytes;
--- a/crates/edge/src/model.rs
+++ b/crates/edge/src/model.rs
@@ -12,6 +12,9 @@
 use nutmegbay_policy::edge::entry_age::EntryAge;
 use strum::{Display, EnumString, IntoStaticStr};
 
+/// Deadline of a request that states none.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(15);
+
 /// Complete configuration of a deployment, as published by an operator.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct DeploymentConfig {
@@ -229,6 +232,13 @@
     pub forwarded: HeaderMap,
 }
 
+impl RequestHead {
+    /// Returns the time for which the caller waits, from the arrival of the head on.
+    pub fn caller_wait(&self) -> Duration {
+        self.deadline.unwrap_or(DEFAULT_DEADLINE)
+    }
+}
+
 /// Size of a model request: its prompt and its maximum output.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct ModelWork {
--- a/crates/edge/src/peers/ask.rs
+++ b/crates/edge/src/peers/ask.rs
@@ -11,11 +11,11 @@
 use super::{
     KNOWN_RECORDS_PATH, PEER_TIMEOUT, RecordsReply, WireRecord, fetch, known_peers, time_before,
 };
-use crate::crashes;
 use crate::follow::{apply_config_record, apply_instance_record, finish_instances_update};
 use crate::http1::BufferedClient;
 use crate::platform_api::WireCodec;
 use crate::state::EdgeState;
+use crate::{crashes, versions};
 
 /// Age of the known list of instances from which peers are asked.
 const STALE_AFTER: Duration = Duration::from_millis(1_600);
@@ -67,6 +67,7 @@
         apply_config_record(state, &config.into_record(), "peer");
     }
     crashes::merge(state, &reply.crashes, ReportSource::Shared);
+    versions::merge_waits(state, &reply.caller_waits);
     let now = state.now();
     let grace_until = Some(now.plus(REMOVED_ENTRY_GRACE));
     for record in reply.instances.into_iter().map(WireRecord::into_record) {
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -16,6 +16,7 @@
 use nutmegbay_core::position::Position;
 use nutmegbay_policy::edge::crashes::CrashReport;
 use nutmegbay_policy::edge::relay::ReadCounts;
+use nutmegbay_policy::edge::stream_origins::CallerWait;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use strum::Display;
@@ -61,6 +62,9 @@
     instances_next: Option<Position>,
     /// Position up to which the member records are known.
     members_next: Position,
+    /// Longest waits of callers.
+    #[serde(default)]
+    caller_waits: Vec<CallerWait>,
 }
 
 /// Store records that a process has read.
@@ -90,6 +94,9 @@
     /// Crashed runs that the requesting process may lack.
     #[serde(default)]
     crashes: CrashReport,
+    /// Longest waits of callers.
+    #[serde(default)]
+    caller_waits: Vec<CallerWait>,
 }
 
 /// Store record as sent between processes.
@@ -148,6 +155,7 @@
             .changed_since(request.members_next)
             .collect(),
         crashes: crashes::report(state),
+        caller_waits: state.versions.borrow().caller_waits(),
     }
 }
 
--- a/crates/edge/src/peers/relay.rs
+++ b/crates/edge/src/peers/relay.rs
@@ -10,7 +10,6 @@
 use tokio::time::sleep;
 
 use super::{CHANGES_PATH, ChangesRequest, RecordsReply, WireRecord, fetch, time_before};
-use crate::crashes;
 use crate::follow::{
     apply_config_record, apply_instance_record, finish_instances_update, instances_read_interval,
     max_config_wait, remove_unlisted,
@@ -20,6 +19,7 @@
 use crate::platform_api::WireCodec;
 use crate::settings::Bounds;
 use crate::state::EdgeState;
+use crate::{crashes, versions};
 
 /// Time beyond the interval between two reads of a relay after which it is considered failed. It
 /// covers two responses of a slow store, which take a quarter of a second each.
@@ -113,6 +113,7 @@
         config_next: known_records.config_next,
         instances_next: known_records.instances_next,
         members_next: state.members.borrow().next_position(),
+        caller_waits: state.versions.borrow().caller_waits(),
     };
     serde_json::to_vec(&request).unwrap_or_else(|error| {
         tracing::error!(event = "question_not_encoded", %error);
@@ -125,6 +126,7 @@
     let now = state.now();
     state.observe_store_era(reply.store_era, "relay");
     crashes::merge(state, &reply.crashes, ReportSource::Shared);
+    versions::merge_waits(state, &reply.caller_waits);
     if let Some(config) = reply.config {
         apply_config_record(state, &config.into_record(), "relay");
     }
--- a/crates/edge/src/peers/serve.rs
+++ b/crates/edge/src/peers/serve.rs
@@ -124,6 +124,7 @@
             CHANGES_PATH => match serde_json::from_slice::<ChangesRequest>(body) {
                 Ok(request) => {
                     state.observe_store_era(request.store_era, "follower");
+                    versions::merge_waits(state, &request.caller_waits);
                     changes_response(state, &request).await
                 }
                 Err(error) => {
--- a/crates/edge/src/versions/mod.rs
+++ b/crates/edge/src/versions/mod.rs
@@ -7,13 +7,14 @@
 
 mod ask;
 mod store;
+mod waits;
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use nutmegbay_core::environment::MonotonicTime;
-use nutmegbay_policy::edge::software_versions::{VersionHistory, VersionTag};
+use nutmegbay_policy::edge::software_versions::{TakeUpBounds, VersionHistory, VersionTag};
 use nutmegbay_policy::edge::stream_origins::{
     AttemptTag, Origin, OriginNews, ServiceTag, StreamOrigins,
 };
@@ -25,10 +26,12 @@
 use crate::clock::millis;
 use crate::model::Service;
 use crate::platform_api::{Store, WireCodec};
-use crate::settings::Bounds;
 use crate::state::EdgeState;
 
 pub use ask::{ORIGIN_PATH, answer};
+pub use waits::{merge_waits, record_caller_wait};
+
+use waits::WaitNews;
 
 /// Age from which the list of instances is out of date: other instances may use upstreams that it
 /// lacks.
@@ -45,6 +48,7 @@
 pub struct Versions {
     by_service: BTreeMap<Box<str>, ServiceVersions>,
     origins: StreamOrigins,
+    wait_news: WaitNews,
     /// Whether the whole list of instances was received once.
     has_list: bool,
     /// Notified when the versions may have to be read from the store or written to it.
@@ -57,6 +61,7 @@
         Self {
             by_service: BTreeMap::new(),
             origins: StreamOrigins::default(),
+            wait_news: WaitNews::default(),
             has_list: false,
             changed: Rc::default(),
             questions: Rc::new(Semaphore::new(MAX_QUESTIONS)),
@@ -122,9 +127,33 @@
     name: Box<str>,
     tag: ServiceTag,
     history: VersionHistory,
-    /// Longest retention since the service is known: a stream may have begun before a change of the
+    /// Longest bounds since the service is known: a stream may have begun before a change of the
     /// configuration.
-    retention: Duration,
+    bounds: TakeUpBounds,
+    /// Time since which no route leads to resumable streams of the service.
+    unrouted_since: Option<MonotonicTime>,
+}
+
+impl ServiceVersions {
+    fn new(name: &str) -> Self {
+        Self {
+            name: name.into(),
+            tag: service_tag(name),
+            history: VersionHistory::default(),
+            bounds: TakeUpBounds::default(),
+            unrouted_since: None,
+        }
+    }
+
+    fn retention(&self) -> Duration {
+        self.bounds.retention()
+    }
+
+    /// Returns whether none of the service's streams can be taken up any more.
+    fn is_forgotten(&self, now: MonotonicTime) -> bool {
+        let since = self.unrouted_since;
+        since.is_some_and(|since| now.since(since) >= self.retention())
+    }
 }
 
 /// Returns the tag of a version's name.
@@ -140,13 +169,6 @@
     AttemptTag(xxh3_64(id.as_bytes()))
 }
 
-/// Returns the time after the last listing of an upstream until a stream that it began can no
-/// longer be taken up. The upstream still gets requests for [`Bounds::drain`], its streams last for
-/// `timeout`, and so does the attempt that takes them up.
-fn retention(bounds: &Bounds, timeout: Duration) -> Duration {
-    bounds.drain + timeout * 2
-}
-
 /// Records that a stream of this process began with `attempt`, or that its caller took it up.
 pub fn record_origin<D: WireCodec>(
     state: &EdgeState<D>,
@@ -187,29 +209,32 @@
     let is_current = list_age.is_some_and(|age| age < MAX_LIST_AGE);
     let fleet = state.fleet.borrow();
     let mut versions = state.versions.borrow_mut();
-    versions
-        .by_service
-        .retain(|service, _| table.stream_timeout(service).is_some());
     for (service, timeout) in table.stream_timeouts() {
-        let tag = service_tag(service);
         if !versions.by_service.contains_key(service) {
-            let known = ServiceVersions {
-                name: service.into(),
-                tag,
-                history: VersionHistory::default(),
-                retention: Duration::ZERO,
-            };
+            let known = ServiceVersions::new(service);
             versions.by_service.insert(service.into(), known);
         }
-        versions.update(tag, now, |known| {
-            known.retention = known.retention.max(retention(&bounds, timeout));
+        versions.update(service_tag(service), now, |known| {
+            let taken_up = &mut known.bounds;
+            taken_up.drain = taken_up.drain.max(bounds.drain);
+            taken_up.timeout = taken_up.timeout.max(timeout);
             let listed = fleet.listed_versions(service);
             let has_new = known.history.record_listed(listed, is_current, now);
-            known.history.sweep(known.retention, now);
+            known.history.sweep(known.bounds.retention(), now);
             has_new
         });
     }
-    let retentions = versions.by_service.values().map(|known| known.retention);
+    for known in versions.by_service.values_mut() {
+        if table.stream_timeout(&known.name).is_some() {
+            known.unrouted_since = None;
+        } else {
+            known.unrouted_since.get_or_insert(now);
+        }
+    }
+    versions
+        .by_service
+        .retain(|_, known| !known.is_forgotten(now));
+    let retentions = versions.by_service.values().map(ServiceVersions::retention);
     let longest = retentions.max().unwrap_or_default();
     versions.origins.sweep(longest, now);
     versions.changed.notify_one();
@@ -288,6 +313,7 @@
         source = <&str>::from(source),
         versions = known.map(|known| known.history.len()),
         complete = known.is_some_and(|known| known.history.is_complete()),
+        caller_wait_ms = known.and_then(|known| known.bounds.caller_wait).map(millis),
         age_ms = millis(age),
     );
     version
--- a/crates/edge/src/versions/store.rs
+++ b/crates/edge/src/versions/store.rs
@@ -12,6 +12,7 @@
 use tokio::time::sleep;
 
 use super::Versions;
+use crate::clock::millis;
 use crate::follow::{DependencyStatus, NewestRecords};
 use crate::metrics::increment;
 use crate::platform_api::{Store, StoreError, Topic, WireCodec};
@@ -30,6 +31,9 @@
     /// Era of the store in which the set was written.
     era: u64,
     versions: Vec<StoredVersion>,
+    /// Longest time for which a caller has stated to wait, in milliseconds.
+    #[serde(default)]
+    caller_wait_ms: Option<u64>,
 }
 
 /// Contents of the topic as last read, with the writes of this process since.
@@ -121,11 +125,20 @@
     versions.by_service.values().find_map(|known| {
         let stored = sets.by_service.get(&known.name);
         let stored = stored.filter(|stored| stored.era == era);
+        let stored_wait_ms = stored.and_then(|stored| stored.caller_wait_ms);
         let stored = stored.map_or(&[][..], |stored| &stored.versions);
-        let versions = known.history.replacement(stored, known.retention, now)?;
+        let caller_wait_ms = known.bounds.caller_wait.map(millis);
+        let is_longer = known.history.is_complete() && caller_wait_ms > stored_wait_ms;
+        let replacement = known.history.replacement(stored, known.retention(), now);
+        let versions =
+            replacement.or_else(|| is_longer.then(|| known.history.merged(stored, now)))?;
         Some(NextWrite {
             service: known.name.clone(),
-            set: StoredSet { era, versions },
+            set: StoredSet {
+                era,
+                versions,
+                caller_wait_ms: caller_wait_ms.max(stored_wait_ms),
+            },
         })
     })
 }
@@ -163,9 +176,15 @@
         let set = by_service.get(&known.name);
         let is_complete = set.map_or(is_topic_current, is_current);
         let earlier = set.map_or(&[][..], |set| &set.versions);
+        let stored_wait = set.and_then(|set| set.caller_wait_ms);
+        known.bounds.caller_wait = known
+            .bounds
+            .caller_wait
+            .max(stored_wait.map(Duration::from_millis));
+        let retention = known.retention();
         let history = &mut known.history;
         history.record_earlier(earlier, is_complete, as_of, now);
-        history.sweep(known.retention, now);
+        history.sweep(retention, now);
     }
     Ok(StoredSets { by_service, end })
 }
--- a/crates/policy/src/edge/software_versions.rs
+++ b/crates/policy/src/edge/software_versions.rs
@@ -4,7 +4,8 @@
 //! versions write does not fit together, so a stream continues only at the version that began it.
 //! An instance that has just started does not know with which version a stream began that another
 //! instance carried. If one version alone has served since before the oldest such stream, the
-//! stream is of that version; if there were more, it must not be continued on a guess.
+//! stream is of that version; if there were more, it must not be continued on a guess. How long a
+//! stream may be taken up depends on its caller alone, which states how long it waits.
 
 use std::time::Duration;
 
@@ -21,6 +22,35 @@
 /// Maximum difference between the times at which two instances see a change of the list.
 const MAX_LIST_LAG: Duration = Duration::from_secs(4);
 
+/// Longest time for which a caller is expected to wait. A caller that states a longer one must not
+/// keep a version known forever.
+pub const MAX_CALLER_WAIT: Duration = Duration::from_hours(24);
+
+/// Bounds on the time for which a stream may be taken up.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct TakeUpBounds {
+    /// Time for which an upstream gets requests after its entry was removed.
+    pub drain: Duration,
+    /// Longest time for which the answer to one attempt lasts.
+    pub timeout: Duration,
+    /// Longest time for which a caller has stated to wait, from its first attempt on. `None` before
+    /// the first request.
+    pub caller_wait: Option<Duration>,
+}
+
+impl TakeUpBounds {
+    /// Returns the time after the last listing of an upstream until a stream that it began can no
+    /// longer be taken up. A caller comes back until its own time is over, however short the answers
+    /// are. As long as no caller has stated its time, there is no bound.
+    pub fn retention(&self) -> Duration {
+        let Some(caller_wait) = self.caller_wait else {
+            return Duration::MAX;
+        };
+        let wait = caller_wait.max(self.timeout.saturating_mul(2));
+        self.drain.saturating_add(wait)
+    }
+}
+
 /// Version of an upstream's software. It is only compared.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -45,6 +75,9 @@
     current_from: Option<MonotonicTime>,
     /// Whether the versions from before that time are known too.
     knows_earlier: bool,
+    /// Whether the list has been current for the whole retention, so that nothing from before
+    /// matters.
+    is_observed: bool,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -74,8 +107,7 @@
         if is_current {
             self.current_from.get_or_insert(now);
         } else {
-            self.current_from = None;
-            self.knows_earlier = false;
+            self.record_gap();
         }
         let mut has_new = false;
         for version in listed {
@@ -123,18 +155,15 @@
     /// listing of an upstream of a version until the streams that it began can no longer be taken
     /// up.
     pub fn sweep(&mut self, retention: Duration, now: MonotonicTime) {
-        self.dropped
-            .retain(|known| known.unused(now) < retention * 2);
+        let kept_for = retention.saturating_mul(2);
+        self.dropped.retain(|known| known.unused(now) < kept_for);
         let dropped = self
             .versions
             .extract_if(.., |known| known.unused(now) >= retention);
         self.dropped.extend(dropped);
-        if self
-            .current_from
-            .is_some_and(|from| now.since(from) >= retention)
-        {
-            self.knows_earlier = true;
-        }
+        // The retention may have grown since the last call.
+        let observed_from = self.current_from;
+        self.is_observed = observed_from.is_some_and(|from| now.since(from) >= retention);
     }
 
     /// Returns the version with which every stream began that can still be taken up, or `None` if
@@ -148,12 +177,12 @@
 
     /// Returns whether all versions are known with which such a stream may have begun.
     pub fn is_complete(&self) -> bool {
-        self.current_from.is_some() && self.knows_earlier
+        self.current_from.is_some() && (self.knows_earlier || self.is_observed)
     }
 
     /// Returns whether the earlier versions have to be read from the store.
     pub fn needs_earlier(&self) -> bool {
-        self.current_from.is_some() && !self.knows_earlier
+        self.current_from.is_some() && !self.is_complete()
     }
 
     /// Returns whether it matters with which version a stream begins: another one is in use, or may
@@ -178,6 +207,21 @@
             .map_or(Duration::ZERO, |from| now.since(from))
     }
 
+    /// Records that the list was not followed without a gap: versions may have come and gone in it.
+    fn record_gap(&mut self) {
+        self.current_from = None;
+        self.knows_earlier = false;
+        self.is_observed = false;
+    }
+
+    /// Returns the known versions as they are written to the store.
+    fn snapshot(&self, now: MonotonicTime) -> impl Iterator<Item = StoredVersion> {
+        self.versions.iter().map(move |known| StoredVersion {
+            version: known.version,
+            unused_ms: u64::try_from(known.unused(now).as_millis()).unwrap_or(u64::MAX),
+        })
+    }
+
     /// Returns the versions to be written to the store in place of `stored`, or `None` if it need
     /// not be replaced. Versions that only others know yet are kept. An instance that has restarted
     /// learns from the store for how long a version has been out of use, so that instances which
@@ -205,20 +249,18 @@
         if self.versions.iter().all(is_covered) && !stored.iter().any(|s| is_dropped(&s)) {
             return None;
         }
+        Some(self.merged(stored, now))
+    }
+
+    /// Returns the known versions together with those in `stored` that only others know.
+    pub fn merged(&self, stored: &[StoredVersion], now: MonotonicTime) -> Vec<StoredVersion> {
+        let is_dropped = |s: &StoredVersion| self.dropped.iter().any(|d| d.version == s.version);
         let of_others = stored
             .iter()
             .filter(|s| self.find(s.version).is_none() && !is_dropped(s));
-        let mut versions: Vec<_> = self
-            .versions
-            .iter()
-            .map(|known| StoredVersion {
-                version: known.version,
-                unused_ms: u64::try_from(known.unused(now).as_millis()).unwrap_or(u64::MAX),
-            })
-            .chain(of_others.copied())
-            .collect();
+        let mut versions: Vec<_> = self.snapshot(now).chain(of_others.copied()).collect();
         versions.sort_unstable_by_key(|stored| stored.version);
-        Some(versions)
+        versions
     }
 
     fn find(&self, version: VersionTag) -> Option<&Known> {
--- a/crates/policy/src/edge/stream_origins.rs
+++ b/crates/policy/src/edge/stream_origins.rs
@@ -59,6 +59,16 @@
     attempts: Vec<[u8; 8]>,
 }
 
+/// Longest time for which a caller of a service's streams has stated to wait, as sent between
+/// instances.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallerWait {
+    /// Service.
+    pub service: ServiceTag,
+    /// Wait in milliseconds.
+    pub wait_ms: u64,
+}
+
 /// Versions with which streams began.
 #[derive(Debug, Default)]
 pub struct StreamOrigins {
--- a/crates/policy/tests/edge_software_versions.rs
+++ b/crates/policy/tests/edge_software_versions.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use nutmegbay_core::environment::MonotonicTime;
-use nutmegbay_policy::edge::software_versions::{StoredVersion, VersionHistory, VersionTag};
+use nutmegbay_policy::edge::software_versions::{
+    StoredVersion, TakeUpBounds, VersionHistory, VersionTag,
+};
 
 const RETENTION: Duration = Duration::from_secs(20);
 
@@ -202,3 +204,49 @@
     }
     assert_eq!(history.only(), Some(OLD));
 }
+
+/// A caller waits for longer than two answers may last.
+#[test]
+fn patient_caller() {
+    let bounds = |caller_wait| TakeUpBounds {
+        drain: Duration::from_secs(2),
+        timeout: Duration::from_secs(2),
+        caller_wait,
+    };
+    let wait = Duration::from_secs(15);
+    let mut history = started(NEW, &[stored(OLD, 0), stored(NEW, 0)], 0);
+    history.record_listed([NEW], true, at(16_900));
+    history.sweep(bounds(Some(wait)).retention(), at(16_900));
+    assert_eq!(history.only(), None);
+    history.sweep(bounds(Some(wait)).retention(), at(17_000));
+    assert_eq!(history.only(), Some(NEW));
+}
+
+/// A process that has just started does not know yet for how long callers wait.
+#[test]
+fn unstated_wait() {
+    let bounds = TakeUpBounds::default();
+    let mut history = started(NEW, &[stored(OLD, 0)], 0);
+    for ms in (0..200_000).step_by(500) {
+        history.record_listed([NEW], true, at(ms));
+        history.sweep(bounds.retention(), at(ms));
+        assert_eq!(history.only(), None, "at {ms}");
+    }
+}
+
+/// A caller states that it waits forever.
+#[test]
+fn endless_wait() {
+    let bounds = TakeUpBounds {
+        caller_wait: Some(Duration::MAX),
+        ..TakeUpBounds::default()
+    };
+    assert_eq!(bounds.retention(), Duration::MAX);
+    let mut history = started(OLD, &[stored(NEW, u64::MAX)], 0);
+    history.sweep(bounds.retention(), at(1_000));
+    assert!(
+        history
+            .replacement(&[], bounds.retention(), at(1_000))
+            .is_some()
+    );
+}
--- a/crates/policy/tests/edge_stream_origins.rs
+++ b/crates/policy/tests/edge_stream_origins.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use nutmegbay_core::environment::MonotonicTime;
-use nutmegbay_policy::edge::software_versions::{StoredVersion, VersionHistory, VersionTag};
+use nutmegbay_policy::edge::software_versions::{
+    StoredVersion, TakeUpBounds, VersionHistory, VersionTag,
+};
 use nutmegbay_policy::edge::stream_origins::{
     AttemptTag, MAX_ATTEMPTS, Origin, OriginNews, ServiceTag, StreamOrigins,
 };
@@ -137,11 +139,14 @@
     assert!(origins.is_empty());
 }
 
-/// Time in seconds for which an upstream whose entry is gone gets requests.
-const DRAIN: u64 = 2;
+/// Time in milliseconds for which an upstream whose entry is gone gets requests.
+const DRAIN_MS: u64 = 2_000;
+
+/// Time in milliseconds for which an answer lasts.
+const TIMEOUT_MS: u64 = 4_000;
 
-/// Time in seconds for which a stream lasts, and for which its caller takes it up.
-const TIMEOUT: u64 = 4;
+/// Time in milliseconds for which a caller takes its stream up, however short the answers are.
+const WAIT_MS: u64 = 11_000;
 
 /// Step of the model. An instance, a version or a stream is chosen by a number.
 #[derive(Debug, Clone)]
@@ -207,6 +212,7 @@
 /// streams that began.
 #[derive(Default)]
 struct Model {
+    /// Time in milliseconds.
     now: u64,
     instances: [Instance; 3],
     in_store: Vec<StoredVersion>,
@@ -219,16 +225,22 @@
 
 impl Model {
     fn retention() -> Duration {
-        Duration::from_secs(DRAIN + 2 * TIMEOUT)
+        let bounds = TakeUpBounds {
+            drain: Duration::from_millis(DRAIN_MS),
+            timeout: Duration::from_millis(TIMEOUT_MS),
+            caller_wait: Some(Duration::from_millis(WAIT_MS)),
+        };
+        bounds.retention()
     }
 
     fn now(&self) -> MonotonicTime {
-        MonotonicTime(Duration::from_secs(self.now))
+        at(self.now)
     }
 
     fn update(&mut self) {
         let now = self.now();
         for instance in &mut self.instances {
+            let was_mixed = instance.history.is_mixed();
             if !instance.is_cut {
                 instance.listed.clone_from(&self.serving);
             }
@@ -238,7 +250,6 @@
                 listed,
                 is_cut,
             } = instance;
-            let was_mixed = history.is_mixed();
             let listed = listed.iter().copied().map(VersionTag);
             let has_new = history.record_listed(listed, !*is_cut, now);
             // Calls to the store take no time.
@@ -271,7 +282,7 @@
     fn begin(&mut self, instance: usize, choice: u8, is_told: bool) {
         // An instance that is cut off uses upstreams without an entry for as long as they serve.
         let removed = self.removed.iter();
-        let draining = removed.filter(|(_, since)| self.now < since + DRAIN);
+        let draining = removed.filter(|(_, since)| self.now < since + DRAIN_MS);
         let draining: BTreeSet<u32> = draining.map(|(version, _)| *version).collect();
         let listed = self.instances[instance].listed.iter();
         let usable: Vec<u32> = listed
@@ -298,14 +309,15 @@
     fn take_up(&self, instance: usize, choice: u8) -> Option<(Option<u32>, u32)> {
         let age = |stream: &(u32, u64)| self.now - stream.1;
         let open: Vec<_> = (0..self.streams.len())
-            .filter(|at| age(&self.streams[*at]) < 2 * TIMEOUT)
+            .filter(|at| age(&self.streams[*at]) < WAIT_MS)
             .collect();
         let attempt = *open.get(usize::from(choice) % open.len().max(1))?;
         let Instance {
             history, origins, ..
         } = &self.instances[instance];
         let known = origins.origin(AttemptTag(attempt as u64), self.now());
-        let version = known.map(|known| known.version).or(history.only());
+        let known = known.map(|known| known.version);
+        let version = known.or_else(|| history.only());
         Some((version.map(|version| version.0), self.streams[attempt].0))
     }
 
@@ -314,7 +326,7 @@
         match step {
             Step::Wait(seconds) => {
                 for _ in 0..*seconds {
-                    self.now += 1;
+                    self.now += 1_000;
                     self.update();
                 }
             }
