Continue a stream by a list that is read after its caller came back

During a release, callers took streams up at an edge that had stood still for 2.9 s, and got the rest from upstreams of another software version (report of other operators, ORDER); others were refused although upstreams of their version served.

Cause: the version that an edge knew as the only one counted as proof as long as its list was younger than 4 s. Upstreams of a second version had joined and begun the streams through other edges since. The log has `source=only` with a list of 3 s; late news would show as `unknown`, a stopped clock as a young list.

An edge now needs a read of its own that began after it had read the request, before it holds a version for the only one, and before it refuses a stream for want of upstreams. Whatever began the stream was listed by then. Entries that come and go within one read or between two replies of a relay are recorded too, and missed records end the proof.

The model of continued_version has edges that stand still, and fails without the comparison.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -289,7 +289,10 @@
     let mut store_status = DependencyStatus::new("store_instances");
     let mut newest = NewestRecords::default();
     loop {
-        state.wait_for_direct_reads().await;
+        tokio::select! {
+            () = state.wait_for_direct_reads() => {}
+            () = state.wait_for_list_demand() => {}
+        }
         let began = state.now();
         let next = state.known_records.borrow().instances_next;
         let next = next.filter(|next| next.era == state.store_era());
@@ -303,16 +306,24 @@
                     let mut known_records = state.known_records.borrow_mut();
                     known_records.instances_next = Some(end);
                     known_records.instances_at = Some(began);
+                    known_records.instances_read_at = Some(began);
                     known_records.reads.instances += 1;
                 }
                 state.read_done.notify_waiters();
                 finish_instances_update(&state);
-                sleep(instances_read_interval(&state.settings().bounds)).await;
+                tokio::select! {
+                    () = sleep(instances_read_interval(&state.settings().bounds)) => {}
+                    () = state.wait_for_list_demand() => {}
+                }
+            }
+            Err(StoreError::Expired) => {
+                state.known_records.borrow_mut().instances_next = None;
+                versions::record_list_gap(&state);
             }
-            Err(StoreError::Expired) => state.known_records.borrow_mut().instances_next = None,
             Err(error) => {
                 increment(&state.metrics.store_failures);
                 state.set_store_available(false);
+                state.list_demand.record_failure();
                 state.store_call_failed.notify_waiters();
                 sleep(store_status.record_failure(state.now(), &error)).await;
             }
@@ -425,6 +436,8 @@
                     );
                     return;
                 }
+                let report = &entry.report;
+                versions::record_entry(state, &report.service, &report.version);
                 fleet.apply_report(&record.key, entry.report, now)
             }
             Err(error) => {
--- a/crates/edge/src/forward/continuation.rs
+++ b/crates/edge/src/forward/continuation.rs
@@ -9,7 +9,7 @@
 use super::{Failure, Forwarder, REFUSED_RETRY_MS};
 use crate::fleet::InFlightSend;
 use crate::platform_api::WireCodec;
-use crate::versions::{record_caller_wait, record_origin, version_to_continue};
+use crate::versions::{TakenUp, record_caller_wait, record_origin, version_to_continue};
 
 /// Cause of a stream that is not continued because the version that began it is unknown.
 const UNKNOWN_STREAM_VERSION: &str = "unknown_stream_version";
@@ -34,15 +34,32 @@
             &request.service.name,
             request.head.caller_wait(),
         );
-        let attempt = request.head.resumes.as_deref();
-        let version = version_to_continue(self.state, &request.service, attempt).await;
+        let taken_up = TakenUp {
+            service: &request.service,
+            attempt: request.head.resumes.as_deref(),
+            read_at: request.arrived,
+        };
+        let version = version_to_continue(self.state, taken_up).await;
+        let Some(known) = version else {
+            return Err(Failure {
+                status: StatusCode::SERVICE_UNAVAILABLE,
+                verdict: Verdict::NotRun,
+                cause: UNKNOWN_STREAM_VERSION,
+                retry_after: Some(retry_after(REFUSED_RETRY_MS, rand::random())),
+            });
+        };
         request.progress.borrow_mut().version = version;
-        version.map(|_| ()).ok_or_else(|| Failure {
-            status: StatusCode::SERVICE_UNAVAILABLE,
-            verdict: Verdict::NotRun,
-            cause: UNKNOWN_STREAM_VERSION,
-            retry_after: Some(retry_after(REFUSED_RETRY_MS, rand::random())),
-        })
+        let is_listed = {
+            let fleet = self.state.fleet.borrow();
+            fleet
+                .listed_versions(&request.service.name)
+                .any(|listed| listed == known)
+        };
+        if !is_listed {
+            // Its upstreams may have joined since the list was read.
+            self.state.confirm_list(request.arrived).await;
+        }
+        Ok(())
     }
 
     /// Returns the version of the only upstreams to which the request may be sent, or `None` if any
--- a/crates/edge/src/known_records.rs
+++ b/crates/edge/src/known_records.rs
@@ -29,6 +29,9 @@
     pub instances_next: Option<Position>,
     /// Time as of which the list is known to be current.
     pub instances_at: Option<MonotonicTime>,
+    /// Start of the newest read of the list by this process. Unlike the age that a relay states, it
+    /// is not too recent if this process was paused while a reply waited for it.
+    pub instances_read_at: Option<MonotonicTime>,
     /// Position from which every removal is known.
     complete_from: Option<Position>,
     /// Era of the store at the newest read of the list.
--- a/crates/edge/src/peers/ask.rs
+++ b/crates/edge/src/peers/ask.rs
@@ -68,6 +68,7 @@
     }
     crashes::merge(state, &reply.crashes, ReportSource::Shared);
     versions::merge_waits(state, &reply.caller_waits);
+    versions::merge_known(state, &reply.versions);
     let now = state.now();
     let grace_until = Some(now.plus(REMOVED_ENTRY_GRACE));
     for record in reply.instances.into_iter().map(WireRecord::into_record) {
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -29,6 +29,7 @@
 use crate::own_delay::{DelayMonitor, Wait};
 use crate::platform_api::WireCodec;
 use crate::state::EdgeState;
+use crate::versions::KnownVersions;
 
 pub use ask::ask_during_outage;
 pub use serve::{ControlHandler, ReadinessHandler, listen};
@@ -94,6 +95,10 @@
     /// Crashed runs that the requesting process may lack.
     #[serde(default)]
     crashes: CrashReport,
+    /// Software versions that may have begun streams. Their entries may have come and gone between
+    /// two replies.
+    #[serde(default)]
+    versions: Vec<KnownVersions>,
     /// Longest waits of callers.
     #[serde(default)]
     caller_waits: Vec<CallerWait>,
@@ -155,6 +160,7 @@
             .changed_since(request.members_next)
             .collect(),
         crashes: crashes::report(state),
+        versions: state.versions.borrow().report(now),
         caller_waits: state.versions.borrow().caller_waits(),
     }
 }
--- a/crates/edge/src/peers/relay.rs
+++ b/crates/edge/src/peers/relay.rs
@@ -127,6 +127,7 @@
     state.observe_store_era(reply.store_era, "relay");
     crashes::merge(state, &reply.crashes, ReportSource::Shared);
     versions::merge_waits(state, &reply.caller_waits);
+    versions::merge_known(state, &reply.versions);
     if let Some(config) = reply.config {
         apply_config_record(state, &config.into_record(), "relay");
     }
--- a/crates/edge/src/peers/serve.rs
+++ b/crates/edge/src/peers/serve.rs
@@ -133,7 +133,7 @@
                 }
             },
             ORIGIN_PATH => match serde_json::from_slice(body) {
-                Ok(question) => json_response(&versions::answer(state, &question)),
+                Ok(question) => json_response(&versions::answer(state, &question).await),
                 Err(error) => {
                     tracing::warn!(event = "origin_question_unreadable", %error);
                     (StatusCode::BAD_REQUEST, "text/plain", String::new())
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -31,7 +31,7 @@
 use crate::routes::RouteTable;
 use crate::settings::{Bounds, EdgeSettings};
 use crate::stopping::PlannedStop;
-use crate::versions::Versions;
+use crate::versions::{ListDemand, Versions};
 
 /// Target of this module's log lines: its former path, which log filters of operators may name.
 const LOG_TARGET: &str = "nutmegbay_edge::site";
@@ -93,6 +93,8 @@
     /// Notified when this process has completed a read of the configuration or of the list of
     /// instances.
     pub read_done: Notify,
+    /// Reads of the list of instances for which decisions wait.
+    pub list_demand: ListDemand,
     /// Monotonic clock.
     pub monotonic_clock: MonotonicClock,
     /// Delay that this process itself adds.
@@ -164,6 +166,7 @@
             relay_follower: RelayFollower::starting(starting_until).into(),
             relay_lost: Notify::new(),
             read_done: Notify::new(),
+            list_demand: ListDemand::default(),
             monotonic_clock,
             delay_monitor,
             wall_clock: RefCell::new(wall_clock),
--- a/crates/edge/src/versions/ask.rs
+++ b/crates/edge/src/versions/ask.rs
@@ -6,10 +6,11 @@
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use nutmegbay_policy::edge::software_versions::VersionTag;
-use nutmegbay_policy::edge::stream_origins::AttemptTag;
+use nutmegbay_policy::edge::stream_origins::{AttemptTag, ServiceTag};
 use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
 
+use super::proof::only_version;
 use crate::http1::BufferedClient;
 use crate::peers::{fetch, known_peers};
 use crate::platform_api::WireCodec;
@@ -27,7 +28,11 @@
 /// Asks with which version a stream began.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct OriginQuestion {
-    attempt: u64,
+    attempt: Option<u64>,
+    /// Service of the stream. A peer that does not know the attempt may still know that one version
+    /// alone is in use.
+    #[serde(default)]
+    service: Option<ServiceTag>,
 }
 
 /// Version with which a stream began, if the peer knows it.
@@ -38,10 +43,18 @@
 
 /// Returns the version with which the stream of an attempt began, if a peer knows it. Returns `None`
 /// at once if too many questions are open.
-pub async fn ask<D: WireCodec>(state: &EdgeState<D>, attempt: AttemptTag) -> Option<VersionTag> {
+pub async fn ask<D: WireCodec>(
+    state: &EdgeState<D>,
+    service: ServiceTag,
+    attempt: Option<AttemptTag>,
+) -> Option<VersionTag> {
     let questions = state.versions.borrow().questions.clone();
     let _permit = questions.try_acquire().ok()?;
-    let body = serde_json::to_vec(&OriginQuestion { attempt: attempt.0 }).ok()?;
+    let question = OriginQuestion {
+        attempt: attempt.map(|attempt| attempt.0),
+        service: Some(service),
+    };
+    let body = serde_json::to_vec(&question).ok()?;
     let mut replies: FuturesUnordered<_> = peers(state)
         .into_iter()
         .map(|peer| {
@@ -65,14 +78,19 @@
 }
 
 /// Returns what this process knows about the stream of a peer's question.
-pub fn answer<D: WireCodec>(state: &EdgeState<D>, question: &OriginQuestion) -> OriginReply {
-    let versions = state.versions.borrow();
-    let known = versions
-        .origins
-        .origin(AttemptTag(question.attempt), state.now());
-    OriginReply {
-        version: known.map(|known| known.version),
-    }
+pub async fn answer<D: WireCodec>(state: &EdgeState<D>, question: &OriginQuestion) -> OriginReply {
+    let asked_at = state.now();
+    let attempt = question.attempt.map(AttemptTag);
+    let known = attempt.and_then(|attempt| {
+        let versions = state.versions.borrow();
+        versions.origins.origin(attempt, asked_at)
+    });
+    let version = match (known, question.service) {
+        (Some(known), _) => Some(known.version),
+        (None, Some(service)) => only_version(state, service, asked_at).await,
+        (None, None) => None,
+    };
+    OriginReply { version }
 }
 
 /// Returns the peers to ask: the relay of this process, other relays, then any others. Relays
--- a/crates/edge/src/versions/mod.rs
+++ b/crates/edge/src/versions/mod.rs
@@ -2,10 +2,12 @@
 //! it.
 //!
 //! An instance knows the origins of the streams that it carries, and those that others tell it with
-//! their load digests while several versions may be in use. While only one can have begun a stream,
-//! nothing else is needed; otherwise peers are asked.
+//! their load digests while several versions may be in use. For any other stream it needs a proof
+//! that one version alone can have begun it: its knowledge of the versions is complete, and the list
+//! of instances was read after the caller had taken the stream up. Otherwise peers are asked.
 
 mod ask;
+mod proof;
 mod store;
 mod waits;
 
@@ -14,10 +16,13 @@
 use std::time::Duration;
 
 use nutmegbay_core::environment::MonotonicTime;
-use nutmegbay_policy::edge::software_versions::{TakeUpBounds, VersionHistory, VersionTag};
+use nutmegbay_policy::edge::software_versions::{
+    StoredVersion, TakeUpBounds, VersionHistory, VersionTag,
+};
 use nutmegbay_policy::edge::stream_origins::{
     AttemptTag, Origin, OriginNews, ServiceTag, StreamOrigins,
 };
+use serde::{Deserialize, Serialize};
 use strum::IntoStaticStr;
 use tokio::sync::{Notify, Semaphore};
 use tokio::time::sleep;
@@ -29,8 +34,10 @@
 use crate::state::EdgeState;
 
 pub use ask::{ORIGIN_PATH, answer};
+pub use proof::ListDemand;
 pub use waits::{merge_waits, record_caller_wait};
 
+use proof::{first_some, only_version};
 use waits::WaitNews;
 
 /// Age from which the list of instances is out of date: other instances may use upstreams that it
@@ -41,6 +48,9 @@
 /// date.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Time that a read of the list gets before peers are asked as well.
+const PROOF_HEAD_START: Duration = Duration::from_millis(50);
+
 /// Maximum number of streams about which peers are asked at the same time.
 const MAX_QUESTIONS: usize = 32;
 
@@ -192,6 +202,33 @@
     }
 }
 
+/// Records a version as stated by an entry of the list of instances. The entry may change again
+/// within the same read.
+pub fn record_entry<D: WireCodec>(state: &EdgeState<D>, service: &str, version: &str) {
+    let now = state.now();
+    let mut versions = state.versions.borrow_mut();
+    versions.update(service_tag(service), now, |known| {
+        known.history.record_used(version_tag(version), now)
+    });
+}
+
+/// Records that records of the list of instances were missed.
+pub fn record_list_gap<D: WireCodec>(state: &EdgeState<D>) {
+    let now = state.now();
+    let mut versions = state.versions.borrow_mut();
+    let tags: Vec<_> = versions
+        .by_service
+        .values()
+        .map(|known| known.tag)
+        .collect();
+    for tag in tags {
+        versions.update(tag, now, |known| {
+            known.history.record_gap();
+            false
+        });
+    }
+}
+
 /// Records the versions of the known upstreams, and drops what is no longer needed. To be called
 /// after each update of the list of instances.
 pub fn record_listed<D: WireCodec>(state: &EdgeState<D>) {
@@ -270,6 +307,41 @@
     }
 }
 
+/// Versions of one service that may have begun streams, as sent between instances.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct KnownVersions {
+    service: ServiceTag,
+    versions: Vec<StoredVersion>,
+}
+
+impl Versions {
+    /// Returns the versions of all services.
+    pub fn report(&self, now: MonotonicTime) -> Vec<KnownVersions> {
+        let report = self.by_service.values().map(|known| KnownVersions {
+            service: known.tag,
+            versions: known.history.snapshot(now).collect(),
+        });
+        report.collect()
+    }
+}
+
+/// Records the versions that a peer knows.
+pub fn merge_known<D: WireCodec>(state: &EdgeState<D>, told: &[KnownVersions]) {
+    let now = state.now();
+    let mut versions = state.versions.borrow_mut();
+    for KnownVersions {
+        service,
+        versions: told,
+    } in told
+    {
+        versions.update(*service, now, |known| {
+            let before = known.history.len();
+            known.history.record_told(told, now);
+            known.history.len() > before
+        });
+    }
+}
+
 /// How this process knows the version that began a stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -286,23 +358,40 @@
     Unknown,
 }
 
-/// Returns the version at which the stream that began with `attempt` may be continued, or `None` if
-/// it is not known.
+/// Stream that a caller takes up.
+#[derive(Debug, Clone, Copy)]
+pub struct TakenUp<'a> {
+    /// Service that serves the request.
+    pub service: &'a Service,
+    /// Attempt that brought the first event, if the caller names it.
+    pub attempt: Option<&'a str>,
+    /// Time at which the request was read.
+    pub read_at: MonotonicTime,
+}
+
+/// Returns the version at which a stream may be continued, or `None` if it is not known.
 pub async fn version_to_continue<D: WireCodec>(
     state: &Rc<EdgeState<D>>,
-    service: &Service,
-    attempt: Option<&str>,
+    taken_up: TakenUp<'_>,
 ) -> Option<VersionTag> {
-    let began = state.now();
+    let TakenUp {
+        service,
+        attempt,
+        read_at,
+    } = taken_up;
+    let asked_at = state.now();
     let tag = attempt.map(attempt_tag);
-    let (mut source, mut version, mut age) = known_version(state, service, tag);
-    if version.is_none()
-        && let Some(tag) = tag
-        && let Some(reply) = ask::ask(state, tag).await
-    {
-        (source, version) = (Source::Peer, Some(reply));
-        age = state.now().since(began);
+    let service_tag = service_tag(&service.name);
+    let mut known = known_origin(state, tag);
+    if known.is_none() {
+        known = find_origin(state, service_tag, tag, read_at).await;
     }
+    let now = state.now();
+    let (source, version, age) = match known {
+        Some((source, version, age)) => (source, Some(version), age),
+        None => (Source::Unknown, None, now.since(asked_at)),
+    };
+    let list_read_at = state.known_records.borrow().instances_read_at;
     let versions = state.versions.borrow();
     let known = versions.by_service.get(&service.name);
     tracing::info!(
@@ -313,33 +402,57 @@
         source = <&str>::from(source),
         versions = known.map(|known| known.history.len()),
         complete = known.is_some_and(|known| known.history.is_complete()),
-        caller_wait_ms = known.and_then(|known| known.bounds.caller_wait).map(millis),
         age_ms = millis(age),
+        list_age_ms = list_read_at.map(|at| millis(now.since(at))),
+        caller_wait_ms = known.and_then(|known| known.bounds.caller_wait).map(millis),
+        waited_ms = millis(now.since(asked_at)),
     );
     version
 }
 
-/// Returns the version that began a stream as far as this process knows, and the age of that
+/// Finds the version that began a stream which this process did not carry and was not told of.
+async fn find_origin<D: WireCodec>(
+    state: &Rc<EdgeState<D>>,
+    service: ServiceTag,
+    attempt: Option<AttemptTag>,
+    read_at: MonotonicTime,
+) -> Option<(Source, VersionTag, Duration)> {
+    let proved = async {
+        let only = only_version(state, service, read_at).await?;
+        Some((Source::Only, only, state.now().since(read_at)))
+    };
+    let asked = async {
+        // Few others know the stream while one version alone is in use.
+        if is_only_known(state, service) {
+            sleep(PROOF_HEAD_START).await;
+        }
+        let version = ask::ask(state, service, attempt).await?;
+        Some((Source::Peer, version, state.now().since(read_at)))
+    };
+    match first_some(proved, asked).await {
+        None => known_origin(state, attempt),
+        found => found,
+    }
+}
+
+fn is_only_known<D: WireCodec>(state: &EdgeState<D>, service: ServiceTag) -> bool {
+    let mut versions = state.versions.borrow_mut();
+    let known = versions.tagged(service);
+    known.is_some_and(|known| known.history.only().is_some())
+}
+
+/// Returns the origin of a stream that this process carried or was told of, and the age of that
 /// knowledge.
-fn known_version<D: WireCodec>(
+fn known_origin<D: WireCodec>(
     state: &EdgeState<D>,
-    service: &Service,
     attempt: Option<AttemptTag>,
-) -> (Source, Option<VersionTag>, Duration) {
-    let now = state.now();
+) -> Option<(Source, VersionTag, Duration)> {
     let versions = state.versions.borrow();
-    if let Some(known) = attempt.and_then(|attempt| versions.origins.origin(attempt, now)) {
-        let source = if known.is_own {
-            Source::Own
-        } else {
-            Source::News
-        };
-        return (source, Some(known.version), known.age);
-    }
-    let known = versions.by_service.get(&service.name);
-    let observed = known.map_or(Duration::ZERO, |known| known.history.observed_for(now));
-    match known.and_then(|known| known.history.only()) {
-        Some(only) => (Source::Only, Some(only), observed),
-        None => (Source::Unknown, None, observed),
-    }
+    let known = versions.origins.origin(attempt?, state.now())?;
+    let source = if known.is_own {
+        Source::Own
+    } else {
+        Source::News
+    };
+    Some((source, known.version, known.age))
 }
--- a/crates/policy/src/edge/software_versions.rs
+++ b/crates/policy/src/edge/software_versions.rs
@@ -166,8 +166,8 @@
         self.is_observed = observed_from.is_some_and(|from| now.since(from) >= retention);
     }
 
-    /// Returns the version with which every stream began that can still be taken up, or `None` if
-    /// there may be several.
+    /// Returns the version with which every stream began that could be taken up when the list was
+    /// read, or `None` if there may be several.
     pub fn only(&self) -> Option<VersionTag> {
         match self.versions[..] {
             [known] if self.is_complete() => Some(known.version),
@@ -175,6 +175,17 @@
         }
     }
 
+    /// Returns the version with which a stream began that was taken up at `taken_up_at`, if it is
+    /// proved to be the only one. The list was last read at `read_at`: upstreams of another version
+    /// may have joined and begun the stream since, also while this process was paused.
+    pub fn proved(
+        &self,
+        read_at: Option<MonotonicTime>,
+        taken_up_at: MonotonicTime,
+    ) -> Option<VersionTag> {
+        self.only().filter(|_| read_at >= Some(taken_up_at))
+    }
+
     /// Returns whether all versions are known with which such a stream may have begun.
     pub fn is_complete(&self) -> bool {
         self.current_from.is_some() && (self.knows_earlier || self.is_observed)
@@ -208,20 +219,36 @@
     }
 
     /// Records that the list was not followed without a gap: versions may have come and gone in it.
-    fn record_gap(&mut self) {
+    pub fn record_gap(&mut self) {
         self.current_from = None;
         self.knows_earlier = false;
         self.is_observed = false;
     }
 
     /// Returns the known versions as they are written to the store.
-    fn snapshot(&self, now: MonotonicTime) -> impl Iterator<Item = StoredVersion> {
+    pub fn snapshot(&self, now: MonotonicTime) -> impl Iterator<Item = StoredVersion> {
         self.versions.iter().map(move |known| StoredVersion {
             version: known.version,
             unused_ms: u64::try_from(known.unused(now).as_millis()).unwrap_or(u64::MAX),
         })
     }
 
+    /// Records the versions that another instance knows. Unlike those of the store, they are not all
+    /// that there were.
+    pub fn record_told(&mut self, told: &[StoredVersion], now: MonotonicTime) {
+        for stored in told {
+            let unused = Duration::from_millis(stored.unused_ms);
+            let known = self.find(stored.version);
+            if known.is_none_or(|known| known.unused(now) > unused) {
+                self.record(Known {
+                    version: stored.version,
+                    at: now,
+                    unused,
+                });
+            }
+        }
+    }
+
     /// Returns the versions to be written to the store in place of `stored`, or `None` if it need
     /// not be replaced. Versions that only others know yet are kept. An instance that has restarted
     /// learns from the store for how long a version has been out of use, so that instances which
--- a/crates/policy/tests/edge_software_versions.rs
+++ b/crates/policy/tests/edge_software_versions.rs
@@ -250,3 +250,40 @@
             .is_some()
     );
 }
+
+/// The process did not run while upstreams of another version joined. The list is not old enough to
+/// count as out of date.
+#[test]
+fn stopped_process() {
+    let history = started(OLD, &[], 0);
+    assert_eq!(history.proved(Some(at(500)), at(400)), Some(OLD));
+    assert_eq!(history.proved(Some(at(500)), at(501)), None);
+    assert_eq!(history.proved(None, at(0)), None);
+}
+
+/// Records of the list are gone before they were read. What the store has is read again.
+#[test]
+fn missed_records() {
+    let mut history = started(OLD, &[], 0);
+    history.record_gap();
+    assert_eq!(history.only(), None);
+    history.record_listed([OLD], true, at(1_000));
+    assert_eq!(history.only(), None);
+    let now_stored = [stored(OLD, 0), stored(NEW, 300)];
+    history.record_earlier(&now_stored, true, at(1_000), at(1_010));
+    assert_eq!(history.only(), None);
+}
+
+/// An instance that reads the list through another one does not see what came and went between two
+/// replies.
+#[test]
+fn told_versions() {
+    let mut history = started(OLD, &[], 0);
+    history.record_told(&[stored(NEW, 2_000), stored(OLD, 9_000)], at(10_000));
+    assert_eq!(history.only(), None);
+    history.record_listed([OLD], true, at(27_900));
+    history.sweep(RETENTION, at(27_900));
+    assert_eq!(history.only(), None);
+    history.sweep(RETENTION, at(28_000));
+    assert_eq!(history.only(), Some(OLD));
+}
--- a/crates/policy/tests/edge_stream_origins.rs
+++ b/crates/policy/tests/edge_stream_origins.rs
@@ -160,6 +160,10 @@
         instance: u8,
         is_cut: bool,
     },
+    Pause {
+        instance: u8,
+        is_paused: bool,
+    },
     Begin {
         instance: u8,
         version: u8,
@@ -180,6 +184,8 @@
         1 => Just(Step::KillAll),
         2 => (any::<u8>(), any::<bool>())
             .prop_map(|(instance, is_cut)| Step::Cut { instance, is_cut }),
+        2 => (any::<u8>(), any::<bool>())
+            .prop_map(|(instance, is_paused)| Step::Pause { instance, is_paused }),
         5 => (any::<u8>(), any::<u8>(), any::<bool>()).prop_map(|(instance, version, is_told)| {
             Step::Begin { instance, version, is_told }
         }),
@@ -193,16 +199,23 @@
 struct Instance {
     history: VersionHistory,
     origins: StreamOrigins,
-    /// List as last read.
+    /// List as last read, and the time at which it was.
     listed: BTreeSet<u32>,
+    read_at: Option<MonotonicTime>,
+    /// Number of records of the list that it has read.
+    read: Option<usize>,
     /// Whether it is cut off from the store.
     is_cut: bool,
+    /// Whether its process is stopped. What waits for it is handled when it goes on, before it
+    /// reads anything.
+    is_paused: bool,
 }
 
 impl Instance {
     fn restart(&mut self) {
         *self = Self {
             is_cut: self.is_cut,
+            is_paused: self.is_paused,
             ..Self::default()
         };
     }
@@ -218,6 +231,8 @@
     in_store: Vec<StoredVersion>,
     /// Versions with an entry in the list.
     serving: BTreeSet<u32>,
+    /// Versions of the entries in the order in which they were written.
+    records: Vec<u32>,
     /// Versions without one, with the time of its removal.
     removed: Vec<(u32, u64)>,
     streams: Vec<(u32, u64)>,
@@ -239,19 +254,26 @@
 
     fn update(&mut self) {
         let now = self.now();
-        for instance in &mut self.instances {
+        for instance in self.instances.iter_mut().filter(|i| !i.is_paused) {
             let was_mixed = instance.history.is_mixed();
+            let mut has_passed = false;
             if !instance.is_cut {
                 instance.listed.clone_from(&self.serving);
+                instance.read_at = Some(now);
+                let read = instance.read.replace(self.records.len());
+                for version in &self.records[read.unwrap_or(self.records.len())..] {
+                    has_passed |= instance.history.record_used(VersionTag(*version), now);
+                }
             }
             let Instance {
                 history,
                 origins,
                 listed,
                 is_cut,
+                ..
             } = instance;
             let listed = listed.iter().copied().map(VersionTag);
-            let has_new = history.record_listed(listed, !*is_cut, now);
+            let has_new = history.record_listed(listed, !*is_cut, now) || has_passed;
             // Calls to the store take no time.
             if !*is_cut && history.needs_earlier() {
                 history.record_earlier(&self.in_store, true, now, now);
@@ -268,11 +290,21 @@
         }
     }
 
+    /// Records that the list was read again without a change.
+    fn update_times(&mut self) {
+        let now = self.now();
+        let running = self.instances.iter_mut().filter(|i| !i.is_paused);
+        for instance in running.filter(|i| !i.is_cut && i.read_at.is_some()) {
+            instance.read_at = Some(now);
+        }
+    }
+
     fn send_news(&mut self, from: usize) {
         let now = self.now();
         for news in self.instances[from].origins.take_news(now) {
             for (to, instance) in self.instances.iter_mut().enumerate() {
-                if to != from && instance.origins.merge(&news, false, now) {
+                let is_reached = to != from && !instance.is_paused;
+                if is_reached && instance.origins.merge(&news, false, now) {
                     instance.history.record_used(news.origin.version, now);
                 }
             }
@@ -313,16 +345,22 @@
             .collect();
         let attempt = *open.get(usize::from(choice) % open.len().max(1))?;
         let Instance {
-            history, origins, ..
+            history,
+            origins,
+            read_at,
+            ..
         } = &self.instances[instance];
         let known = origins.origin(AttemptTag(attempt as u64), self.now());
         let known = known.map(|known| known.version);
-        let version = known.or_else(|| history.only());
+        let version = known.or_else(|| history.proved(*read_at, self.now()));
         Some((version.map(|version| version.0), self.streams[attempt].0))
     }
 
     fn apply(&mut self, step: &Step) -> Option<(Option<u32>, u32)> {
         let index = |choice: &u8| usize::from(*choice) % 3;
+        // The instances that run read the list all the time.
+        self.now += 1;
+        self.update_times();
         match step {
             Step::Wait(seconds) => {
                 for _ in 0..*seconds {
@@ -332,6 +370,7 @@
             }
             Step::Release(version) => {
                 self.serving.insert(u32::from(version % 4));
+                self.records.push(u32::from(version % 4));
                 self.update();
             }
             Step::Leave(version) => {
@@ -351,7 +390,16 @@
                 instance,
                 version,
                 is_told,
-            } => self.begin(index(instance), *version, *is_told),
+            } if !self.instances[index(instance)].is_paused => {
+                self.begin(index(instance), *version, *is_told);
+            }
+            Step::Begin { .. } => {}
+            Step::Pause {
+                instance,
+                is_paused,
+            } => {
+                self.instances[index(instance)].is_paused = *is_paused;
+            }
             Step::TakeUp { instance, stream } => return self.take_up(index(instance), *stream),
         }
         None
