Answer "not run" only with evidence that it is true

Cause: an error response to a request that may run once was passed on whatever its status was; 408 and 429 to every request, the last error response of a repeated one too. A signed 421 was taken for a refusal.

A status of an upstream is no evidence. All its responses now leave through one check, the failures of the edge's own through another: without the statement that the request did not run, 408, 421, 429 and 503 become 502, without signature and Retry-After; what may be repeated goes to another upstream first.

--- a/crates/edge-bin/tests/common/worker.rs
+++ b/crates/edge-bin/tests/common/worker.rs
@@ -26,6 +26,8 @@
     NotRun,
     /// Responds with a signed 500.
     Fail,
+    /// Runs the request and responds with this status, signed. The response states no refusal.
+    FailWith(u16),
     /// Runs the request and closes the connection.
     Close,
     /// Never responds.
@@ -420,6 +422,10 @@
             stray + &response("200 OK", id, signed, "done")
         }
         Action::Fail => response("500 Oops", id, signed, "oops"),
+        Action::FailWith(status) => {
+            let extra = format!("{signed}Retry-After: 0.2\r\n");
+            response(&format!("{status} Failed"), id, &extra, "failed")
+        }
         Action::WrongId => response("200 OK", "another", signed, "not yours"),
         Action::Unsigned => response("200 OK", id, "", "done"),
         Action::Truncate => {
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -53,6 +53,10 @@
 /// Cause of a request that is refused because its content crashes upstreams.
 const CRASHES_UPSTREAMS: &str = "crashes_upstreams";
 
+/// Cause of a failure in place of a response whose status promises that the request did not run,
+/// which its upstream does not state.
+const UNPROVED_REFUSAL: &str = "unproved_refusal";
+
 /// Response headers that apply to a single connection.
 const CONNECTION_HEADERS: [http::HeaderName; 5] = [
     http::header::CONNECTION,
@@ -181,7 +185,22 @@
         }
     }
 
-    async fn run(mut self) -> Result<UpstreamResponse, Failure> {
+    /// Sends the request until it has a response or must not be sent again.
+    async fn run(self) -> Result<UpstreamResponse, Failure> {
+        let response = self.send_in_turn().await?;
+        // Every response of an upstream to a caller passes here.
+        if response.head.is_unproved_refusal() {
+            return Err(Failure {
+                status: StatusCode::BAD_GATEWAY,
+                verdict: Verdict::Ran,
+                cause: UNPROVED_REFUSAL,
+                retry_after: None,
+            });
+        }
+        Ok(response)
+    }
+
+    async fn send_in_turn(mut self) -> Result<UpstreamResponse, Failure> {
         self.find_version().await?;
         for round in 0..MAX_PLACEMENTS {
             self.prefill_version = None;
@@ -384,7 +403,7 @@
                 self.cause = "upstream_refused";
                 None
             }
-            SendOutcome::Response(response) if response.head.status.is_server_error() => {
+            SendOutcome::Response(response) if response.head.is_failure() => {
                 self.verdict = Verdict::Ran;
                 self.cause = "upstream_failed";
                 if self.request.route.is_repeatable() {
@@ -494,7 +513,7 @@
         // The refusal may concern the prefill result, which another engine holds.
         _ if head.is_not_run() && matches!(stage, Stage::Decode { .. }) => None,
         _ if head.is_not_run() => Some(Outcome::Refusing),
-        status if status.is_server_error() => Some(Outcome::Faulty),
+        _ if head.is_failure() => Some(Outcome::Faulty),
         _ => Some(Outcome::Good),
     }
 }
--- a/crates/edge/src/forward/request.rs
+++ b/crates/edge/src/forward/request.rs
@@ -13,7 +13,9 @@
 
 use crate::crashes::block_content;
 use crate::http1::BodyDelimiter;
-use crate::model::{Account, ModelWork, RequestHead, RequestKind, Route, Service};
+use crate::model::{
+    Account, ModelWork, RequestHead, RequestKind, Route, Service, promises_not_run,
+};
 
 /// A caller's request with its route, service and client account.
 pub struct RoutedRequest {
@@ -175,6 +177,18 @@
     pub retry_after: Option<Duration>,
 }
 
+impl Failure {
+    /// Returns the status for the caller. One that promises that the request did not run is
+    /// replaced unless the verdict says so.
+    pub fn caller_status(&self) -> StatusCode {
+        if promises_not_run(self.status) && self.verdict != Verdict::NotRun {
+            tracing::error!(event = "refusal_not_true", cause = self.cause);
+            return StatusCode::BAD_GATEWAY;
+        }
+        self.status
+    }
+}
+
 /// Counts a request as being served until it is dropped.
 pub struct InFlightGuard(Rc<Cell<usize>>);
 
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -412,7 +412,7 @@
         failure.cause
     );
     let mut res = Response::new(Full::new(Bytes::from(body)));
-    *res.status_mut() = failure.status;
+    *res.status_mut() = failure.caller_status();
     let headers = res.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     if let Some(after) = failure.retry_after {
--- a/crates/edge/src/model.rs
+++ b/crates/edge/src/model.rs
@@ -331,6 +331,28 @@
     pub fn is_not_run(&self) -> bool {
         self.refusal.is_some()
     }
+
+    /// Returns whether the status promises that the request did not run, while the upstream does not
+    /// state it.
+    pub fn is_unproved_refusal(&self) -> bool {
+        promises_not_run(self.status) && !self.is_not_run()
+    }
+
+    /// Returns whether the upstream failed to serve the request, which may have run.
+    pub fn is_failure(&self) -> bool {
+        self.is_unproved_refusal() || (self.status.is_server_error() && !self.is_not_run())
+    }
+}
+
+/// Returns whether a status promises the caller that its request did not run and never will.
+pub fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
 }
 
 /// Statement of an upstream that it did not run a request.
