Forward no event a second time in a stream that goes on

Cause: the edge sent the last event's id and trusted the response to go on after it, in a resumption of its own and in one that the caller asked for.

The first event of such a response now has to have a higher number. Otherwise the upstream counts as broken off, and another one is asked where the route allows it. Ids that are no numbers are not compared.

resumed_answers::no_rest (row StreamFromStart) and repeated_events failed before with events 1 and 2 twice, and pass. A proof also waits until an edge that has just started has read the versions of before.

--- a/crates/edge-bin/tests/common/worker.rs
+++ b/crates/edge-bin/tests/common/worker.rs
@@ -63,6 +63,8 @@
     RepeatRefusal,
     /// Streams the events that are missing, without a signature.
     UnsignedStream,
+    /// Streams all events, also those that the request says are there.
+    StreamFromStart,
     /// Streams events up to this number and the others after [`pause::PAUSE`].
     PauseAfter(u32),
     /// Streams events up to this number and closes the connection after [`pause::BREAK_PAUSE`].
@@ -448,7 +450,10 @@
         }
         Action::Endless(part) => return endless(io, part, id).await,
         Action::Trickle => return trickle(io, id).await,
-        Action::BreakAfter(_) | Action::Stream | Action::UnsignedStream => {
+        Action::BreakAfter(_)
+        | Action::Stream
+        | Action::UnsignedStream
+        | Action::StreamFromStart => {
             return stream(io, action, head, notices).await;
         }
         Action::UnframedBreakAfter(_) | Action::UnframedStream => {
@@ -512,7 +517,9 @@
 
 async fn stream(io: &mut TcpStream, action: Action, head: &str, notices: &str) -> bool {
     let id = header(head, "x-attempt-id").unwrap_or_default();
-    let after: u32 = header(head, "last-event-id").map_or(0, |id| id.parse().unwrap());
+    let after: u32 = header(head, "last-event-id")
+        .filter(|_| action != Action::StreamFromStart)
+        .map_or(0, |id| id.parse().unwrap());
     let last = match action {
         Action::BreakAfter(last) => last,
         _ => EVENTS,
--- a/crates/edge-bin/tests/resumed_answers.rs
+++ b/crates/edge-bin/tests/resumed_answers.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::body_end::EVENTS_BEFORE_CUT;
-use common::worker::{Action, Worker, events};
+use common::worker::{Action, EVENTS, Worker, events};
 use common::{Site, decode_chunked};
 
 /// Headers of a short prompt, which a decode engine runs whole.
@@ -20,6 +20,7 @@
         Action::UnnamedRefusal,
         Action::Unsigned,
         Action::UnsignedStream,
+        Action::StreamFromStart,
         Action::WrongId,
         Action::Serve,
         Action::Truncate,
@@ -39,3 +40,14 @@
         assert!(!response.body.ends_with(b"0\r\n\r\n"), "{answer:?}");
     }
 }
+
+/// A caller that takes its stream up gets no event a second time.
+#[tokio::test(flavor = "multi_thread")]
+async fn repeated_events() {
+    let site = Site::start(20, 2).await;
+    let taken_up = [("Last-Event-Id", "2"), ("Resumes", "first-1")];
+    Worker::share_script(&site.workers, &[Action::StreamFromStart, Action::Stream]);
+    let response = site.call("POST", "/stream/1", &taken_up).await;
+    assert_eq!(response.status, 200);
+    assert_eq!(decode_chunked(&response.body), events(3, EVENTS));
+}
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -19,7 +19,7 @@
 use crate::metrics::increment;
 use crate::model::{RequestKind, ResponseHead, Stage, UpstreamRequestContext};
 use crate::platform_api::{OutboundRequest, UnreadResponse, WireCodec};
-use crate::sse::EventSplitter;
+use crate::sse::{EventError, EventSplitter};
 use crate::stream::{BrokenBody, Framing, ResponseSource};
 
 /// Largest body that is buffered before it is passed on, in bytes. A response that breaks within
@@ -214,7 +214,10 @@
         headers: HeaderMap,
         mut source: ResponseSource,
     ) -> SendOutcome {
-        let mut events = EventSplitter::default();
+        let may_resume = self.request.route.is_resumable;
+        let resume_after = self.request.head.resume_after.as_deref();
+        let resume_after = resume_after.filter(|_| may_resume);
+        let mut events = EventSplitter::resumed_after(resume_after);
         loop {
             let read = source.next_bytes().await;
             let Some(Ok(bytes)) = read else {
@@ -242,7 +245,11 @@
                     });
                 }
                 Ok(None) => {}
-                Err(_) => return SendOutcome::NoResponse("event_too_long"),
+                Err(EventError::TooLong) => return SendOutcome::NoResponse("event_too_long"),
+                Err(EventError::Repeated) => {
+                    source.record_failure(self.state, self.request);
+                    return SendOutcome::NoResponse("event_repeated");
+                }
             }
         }
     }
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -25,7 +25,7 @@
 use crate::http1::{BodyDelimiter, Connection};
 use crate::metrics::increment;
 use crate::platform_api::WireCodec;
-use crate::sse::EventSplitter;
+use crate::sse::{EventError, EventSplitter};
 use crate::state::EdgeState;
 use crate::stopping::STOPPING;
 
@@ -321,7 +321,8 @@
             Input::Read(Some(Ok(bytes))) => match self.events.push(&bytes) {
                 Ok(Some(whole)) => Next::Piece(whole),
                 Ok(None) => Next::Wait,
-                Err(_) => Next::Unusable,
+                Err(EventError::Repeated) => Next::Broken,
+                Err(EventError::TooLong) => Next::Unusable,
             },
         }
     }
@@ -347,7 +348,7 @@
                 source.record_failure(&self.state, &self.request);
             }
         }
-        self.events.take_rest();
+        self.events.resume();
     }
 
     /// Replaces the upstream of the stream, which is silent or has broken off.
--- a/crates/edge/src/versions/proof.rs
+++ b/crates/edge/src/versions/proof.rs
@@ -11,7 +11,7 @@
 
 use futures::future::{Either, select};
 use nutmegbay_core::environment::MonotonicTime;
-use nutmegbay_policy::edge::software_versions::VersionTag;
+use nutmegbay_policy::edge::software_versions::{VersionHistory, VersionTag};
 use nutmegbay_policy::edge::stream_origins::ServiceTag;
 use tokio::sync::Notify;
 use tokio::time::sleep;
@@ -75,21 +75,36 @@
     /// later, or cannot be read.
     pub async fn confirm_list(&self, since: MonotonicTime) {
         let until = self.now().plus(PROOF_TIMEOUT);
+        let is_read = || self.known_records.borrow().instances_read_at >= Some(since);
+        self.wait_for_read(until, is_read, || {
+            self.list_demand.request(since, until);
+        })
+        .await;
+    }
+
+    /// Waits until `is_read` holds after a read of the store, one fails, or `until`. Calls `request`
+    /// before each wait.
+    async fn wait_for_read(
+        &self,
+        until: MonotonicTime,
+        is_read: impl Fn() -> bool,
+        request: impl Fn(),
+    ) {
         let read = async {
             loop {
                 let mut done = pin!(self.read_done.notified());
                 done.as_mut().enable();
-                if self.known_records.borrow().instances_read_at >= Some(since) {
+                if is_read() {
                     return;
                 }
-                self.list_demand.request(since, until);
+                request();
                 done.await;
             }
         };
         tokio::select! {
             () = read => {}
             () = self.list_demand.failed.notified() => {}
-            () = sleep(PROOF_TIMEOUT) => {}
+            () = sleep(until.since(self.now())) => {}
         }
     }
 }
@@ -101,12 +116,23 @@
     service: ServiceTag,
     taken_up_at: MonotonicTime,
 ) -> Option<VersionTag> {
-    {
+    let read_history = |f: fn(&VersionHistory) -> bool| {
         let mut versions = state.versions.borrow_mut();
-        // Another read does not make the known versions fewer.
-        versions.tagged(service)?.history.only()?;
+        versions
+            .tagged(service)
+            .is_some_and(|known| f(&known.history))
+    };
+    // Another read does not make the known versions fewer.
+    if read_history(|history| history.len() > 1) {
+        return None;
     }
     state.confirm_list(taken_up_at).await;
+    if !read_history(VersionHistory::is_complete) {
+        // A process that has just started reads the versions of before after the list.
+        let until = taken_up_at.plus(PROOF_TIMEOUT);
+        let is_complete = || read_history(VersionHistory::is_complete);
+        state.wait_for_read(until, is_complete, || {}).await;
+    }
     let read_at = state.known_records.borrow().instances_read_at;
     let mut versions = state.versions.borrow_mut();
     let known = versions.tagged(service)?;
--- a/crates/edge/src/versions/store.rs
+++ b/crates/edge/src/versions/store.rs
@@ -61,7 +61,9 @@
             .filter(|known| known.end.era == state.store_era());
         let write = known.and_then(|known| next_write(&state, known));
         let call = if needs_read(&state, known.is_some()) {
-            read(&state, &store).await.map(|read| sets = Some(read))
+            let read = read(&state, &store).await;
+            state.read_done.notify_waiters();
+            read.map(|read| sets = Some(read))
         } else if let (Some(NextWrite { service, set }), Some(known)) = (write, &mut sets) {
             let written = append(&state, &store, &service, &set, known.end).await;
             written.map(|end| {
@@ -87,6 +89,7 @@
                     continue;
                 }
                 increment(&state.metrics.store_failures);
+                state.list_demand.record_failure();
                 let pause = store_status.record_failure(state.now(), &error);
                 state.store_backoff(pause).await;
             }
