Hand the origins of streams over at stops and starts

Cause: which version began a stream is kept by the edges that run. One that starts was told of later streams alone, and one that stops told those of its streams that had begun while several versions were in use. Once the last edge that was there had ended, nobody knew them.

One that stops tells the others of all its streams, and of those that begin until it exits.

--- a/crates/edge/src/versions/ask.rs
+++ b/crates/edge/src/versions/ask.rs
@@ -55,7 +55,7 @@
         service: Some(service),
     };
     let body = serde_json::to_vec(&question).ok()?;
-    let mut replies: FuturesUnordered<_> = peers(state)
+    let mut replies: FuturesUnordered<_> = peers(state, MAX_PEERS)
         .into_iter()
         .map(|peer| {
             let body = body.clone();
@@ -93,9 +93,9 @@
     OriginReply { version }
 }
 
-/// Returns the peers to ask: the relay of this process, other relays, then any others. Relays
-/// receive the news of all.
-fn peers<D: WireCodec>(state: &EdgeState<D>) -> Vec<SocketAddr> {
+/// Returns the peers to ask, `count` at most: the relay of this process, other relays, then any
+/// others. Relays receive the news of all.
+pub fn peers<D: WireCodec>(state: &EdgeState<D>, count: usize) -> Vec<SocketAddr> {
     let own_relay = state.relay_follower.borrow().relay();
     let mut relays: Vec<_> = {
         let members = state.members.borrow();
@@ -105,9 +105,9 @@
     let mut others = known_peers(state);
     relays.shuffle(&mut rand::rng());
     others.shuffle(&mut rand::rng());
-    let mut peers: Vec<SocketAddr> = Vec::with_capacity(MAX_PEERS);
+    let mut peers: Vec<SocketAddr> = Vec::with_capacity(count);
     for peer in own_relay.into_iter().chain(relays).chain(others) {
-        if peers.len() < MAX_PEERS && !peers.contains(&peer) {
+        if peers.len() < count && !peers.contains(&peer) {
             peers.push(peer);
         }
     }
--- a/crates/edge/src/versions/mod.rs
+++ b/crates/edge/src/versions/mod.rs
@@ -7,6 +7,7 @@
 //! of instances was read after the caller had taken the stream up. Otherwise peers are asked.
 
 mod ask;
+mod hand_over;
 mod proof;
 mod store;
 mod waits;
@@ -34,6 +35,7 @@
 use crate::state::EdgeState;
 
 pub use ask::{ORIGIN_PATH, answer};
+pub use hand_over::{ORIGINS_PATH, known_origins, tell_before_exit};
 pub use proof::ListDemand;
 pub use waits::{merge_waits, record_caller_wait};
 
@@ -61,6 +63,8 @@
     wait_news: WaitNews,
     /// Whether the whole list of instances was received once.
     has_list: bool,
+    /// Whether this process is about to end, so that only the others will know its streams.
+    is_ending: bool,
     /// Notified when the versions may have to be read from the store or written to it.
     changed: Rc<Notify>,
     questions: Rc<Semaphore>,
@@ -73,6 +77,7 @@
             origins: StreamOrigins::default(),
             wait_news: WaitNews::default(),
             has_list: false,
+            is_ending: false,
             changed: Rc::default(),
             questions: Rc::new(Semaphore::new(MAX_QUESTIONS)),
         }
@@ -100,6 +105,15 @@
         self.by_service.values_mut().find(|s| s.tag == service)
     }
 
+    /// Records versions that a peer knows.
+    fn record_told(&mut self, service: ServiceTag, told: &[StoredVersion], now: MonotonicTime) {
+        self.update(service, now, |known| {
+            let before = known.history.len();
+            known.history.record_told(told, now);
+            known.history.len() > before
+        });
+    }
+
     /// Applies `change` to the history of a service. If another version is in use from then on, or
     /// may be, the streams of this process are told to the peers. Returns whether that holds after
     /// the change.
@@ -196,8 +210,9 @@
         known.history.record_used(version, now)
     });
     let attempt = attempt_tag(attempt);
-    versions.origins.record_own(attempt, origin, is_mixed, now);
-    if is_mixed {
+    let is_told = is_mixed || versions.is_ending;
+    versions.origins.record_own(attempt, origin, is_told, now);
+    if is_told {
         state.fleet.borrow().load_changed.notify_one();
     }
 }
@@ -286,7 +301,11 @@
             record_listed(&state);
         }
     };
-    tokio::join!(check, store::synchronize(Rc::clone(&state), store));
+    tokio::join!(
+        check,
+        hand_over::take_over(&state),
+        store::synchronize(Rc::clone(&state), store)
+    );
 }
 
 /// Applies the origins that a peer has sent. `is_relay` states whether this process passes them on.
@@ -334,11 +353,7 @@
         versions: told,
     } in told
     {
-        versions.update(*service, now, |known| {
-            let before = known.history.len();
-            known.history.record_told(told, now);
-            known.history.len() > before
-        });
+        versions.record_told(*service, told, now);
     }
 }
 
--- a/crates/policy/src/edge/stream_origins.rs
+++ b/crates/policy/src/edge/stream_origins.rs
@@ -69,6 +69,16 @@
     pub wait_ms: u64,
 }
 
+/// Streams with one origin that were recorded at about the same time, as handed over to an instance
+/// that has just started.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AgedOrigins {
+    /// Time since they were recorded, in seconds.
+    pub age_s: u64,
+    /// The streams.
+    pub news: OriginNews,
+}
+
 /// Versions with which streams began.
 #[derive(Debug, Default)]
 pub struct StreamOrigins {
@@ -123,7 +133,7 @@
     }
 
     /// Tells the others of all streams of `service` that this instance has carried, the latest ones
-    /// last. To be called when a second version appears.
+    /// last. To be called when a second version appears, and before this instance ends.
     pub fn tell_all(&mut self, service: ServiceTag, now: MonotonicTime) {
         let is_told = |(at, attempt): &(MonotonicTime, AttemptTag)| {
             let known = self.by_attempt.get(attempt)?;
@@ -155,6 +165,37 @@
         has_new
     }
 
+    /// Returns the streams that this instance knows, for one that has just started.
+    pub fn snapshot(&self, now: MonotonicTime) -> Vec<AgedOrigins> {
+        let mut known: BTreeMap<(u64, Origin), Vec<[u8; 8]>> = BTreeMap::new();
+        for (attempt, Known { origin, at, .. }) in &self.by_attempt {
+            let attempts = known
+                .entry((now.since(*at).as_secs(), *origin))
+                .or_default();
+            attempts.push(attempt.0.to_le_bytes());
+        }
+        let groups = known
+            .into_iter()
+            .map(|((age_s, origin), attempts)| AgedOrigins {
+                age_s,
+                news: OriginNews { origin, attempts },
+            });
+        groups.collect()
+    }
+
+    /// Takes over streams that another instance knows. They do not become younger by it, so that
+    /// instances which start one after another do not keep them forever.
+    pub fn take_over(&mut self, known: &AgedOrigins, now: MonotonicTime) {
+        let age = Duration::from_secs(known.age_s);
+        let at = MonotonicTime(now.0.saturating_sub(age));
+        for attempt in &known.news.attempts {
+            let attempt = AttemptTag(u64::from_le_bytes(*attempt));
+            if !self.by_attempt.contains_key(&attempt) {
+                self.record(attempt, known.news.origin, false, at);
+            }
+        }
+    }
+
     /// Returns what is known of the stream of an attempt.
     pub fn origin(&self, attempt: AttemptTag, now: MonotonicTime) -> Option<KnownOrigin> {
         let known = self.by_attempt.get(&attempt)?;
--- a/crates/policy/tests/edge_stream_origins.rs
+++ b/crates/policy/tests/edge_stream_origins.rs
@@ -139,6 +139,36 @@
     assert!(origins.is_empty());
 }
 
+/// An instance that has just started takes over what the others know.
+#[test]
+fn started_instance() {
+    let mut origins = StreamOrigins::default();
+    origins.record_own(AttemptTag(1), origin(1), false, at(0));
+    origins.record_own(AttemptTag(2), origin(2), true, at(6_000));
+    let mut started = StreamOrigins::default();
+    for known in origins.snapshot(at(8_000)) {
+        started.take_over(&known, at(500));
+    }
+    assert_eq!(version(&started, 1, 500), Some(1));
+    assert_eq!(version(&started, 2, 500), Some(2));
+}
+
+/// Instances that start one after another must not keep a stream forever.
+#[test]
+fn handed_on() {
+    let mut origins = StreamOrigins::default();
+    origins.record_own(AttemptTag(1), origin(1), true, at(100_000));
+    for ms in (103_000..=121_000).step_by(3_000) {
+        let mut started = StreamOrigins::default();
+        for known in origins.snapshot(at(ms)) {
+            started.take_over(&known, at(ms));
+        }
+        origins = started;
+        origins.sweep(RETENTION, at(ms));
+        assert_eq!(version(&origins, 1, ms).is_some(), ms < 120_000, "at {ms}");
+    }
+}
+
 /// Time in milliseconds for which an upstream whose entry is gone gets requests.
 const DRAIN_MS: u64 = 2_000;
 
