Bound the memory for request bodies

An edge that exceeds its memory is killed, and the requests of all other callers end with it.

Cause: bodies are held whole until their requests end, nothing bounded their sum, and the memory of the instance was not read from the settings.

Bodies may now take a quarter of the memory together, counted from the declared length, or from what has arrived. What is over that is refused alone and at once, not run, with Retry-After; a refused body is not read.

endless_bytes::large_bodies failed before and passes; others are served meanwhile. endless_bytes::crowd plays sixty responses without end at once, to callers of which half read nothing: it passes before and after, so nothing is kept there beyond the bounds of a head and an event.

--- a/crates/edge-bin/tests/common/mod.rs
+++ b/crates/edge-bin/tests/common/mod.rs
@@ -451,6 +451,32 @@
         !self.is_stopping()
     }
 
+    /// Sends a request with a body of this size, and reads the response while it does. Returns its
+    /// status, or `None` if there is none.
+    pub async fn send_body(&self, path: &str, bytes: usize) -> Option<u16> {
+        let head = head("POST", path, &[]);
+        let head = format!("{head}Content-Length: {bytes}\r\n\r\n");
+        let io = TcpStream::connect(self.ingress()).await.ok()?;
+        let (mut rx, mut tx) = io.into_split();
+        let send = async {
+            let body = vec![b'x'; bytes];
+            // The process may answer and close the connection before it has read the body.
+            if tx.write_all(head.as_bytes()).await.is_ok() {
+                let _ = tx.write_all(&body).await;
+            }
+            std::future::pending::<()>().await;
+        };
+        let read = async {
+            let mut status = [0; 12];
+            rx.read_exact(&mut status).await.ok()?;
+            std::str::from_utf8(&status[9..]).ok()?.parse().ok()
+        };
+        tokio::select! {
+            status = read => status,
+            () = send => None,
+        }
+    }
+
     /// Sends a request to the process. A call without a response returns status 0.
     pub async fn call(&self, method: &str, path: &str, extra: &[(&str, &str)]) -> Response {
         send_request(self.ingress(), &head(method, path, extra))
--- a/crates/edge-bin/tests/endless_bytes.rs
+++ b/crates/edge-bin/tests/endless_bytes.rs
@@ -5,8 +5,10 @@
 
 use std::time::{Duration, Instant};
 
-use common::Site;
-use common::worker::{Action, EVENTS, EndlessPart, events};
+use common::worker::{Action, EVENTS, EndlessPart, Worker, events};
+use common::{Site, config};
+use futures::future::join_all;
+use serde_json::json;
 
 /// Timeout of the routes of the test site.
 const ROUTE_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -85,3 +87,87 @@
         assert!(text.contains(&events(n, n)), "event {n} is missing: {text}");
     }
 }
+
+/// Number of requests at once.
+const CROWD: usize = 60;
+
+/// Many responses without end at once, to callers of which half read nothing. The requests of other
+/// callers must be served meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn crowd() {
+    let parts = [
+        ("/once/1", EndlessPart::Head),
+        ("/once/1", EndlessPart::Body),
+        ("/once/1", EndlessPart::ChunkExtension),
+        ("/stream/1", EndlessPart::Event),
+    ];
+    let site = Site::start(46, 2).await;
+    for (path, part) in parts {
+        Worker::share_script(&site.workers, &[Action::Endless(part); CROWD]);
+        site.workers.iter().for_each(Worker::clear_requests);
+        let callers = join_all((0..CROWD).map(async |n| {
+            if n % 2 == 0 {
+                site.call_and_disconnect(path, ROUTE_TIMEOUT).await;
+                return false;
+            }
+            site.call("POST", path, &[]).await.status == 503
+        }));
+        let others = async {
+            tokio::time::sleep(ROUTE_TIMEOUT / 3).await;
+            let mut served = 0;
+            for _ in 0..20 {
+                served += usize::from(site.call("GET", "/any/1", &[]).await.status == 200);
+            }
+            served
+        };
+        let (refused, served) = tokio::join!(callers, others);
+        let refused = refused.iter().filter(|is_refused| **is_refused).count();
+        let heads = site.workers.iter().flat_map(Worker::requests);
+        let ran = heads.filter(|head| head.starts_with("POST ")).count();
+        if path == "/once/1" {
+            assert!(ran + refused <= CROWD, "{ran} ran, {refused} were refused");
+        }
+        assert!(
+            served >= 10,
+            "{part:?}: {served} of 20 other requests are served"
+        );
+        let peak = site.edge().peak_memory();
+        assert!(peak < MAX_MEMORY_KIB, "{part:?}: {peak} KiB");
+    }
+}
+
+/// Many requests at once with bodies of the largest allowed size. Each is within its own limit.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_bodies() {
+    const BODY_BYTES: usize = 4_194_304;
+    const MEMORY_MB: u64 = 160;
+    let mut site = Site::start(47, 2).await;
+    let settings = format!("limits.memory-mb={MEMORY_MB}\n");
+    site.edge_mut().restart_with(&settings);
+    let mut config = config(2, &["k1"]);
+    config["limits"]["body-bytes"] = json!(BODY_BYTES);
+    site.store.put("keyed.op", "config", &config);
+    site.wait_until_ready().await;
+    let bodies =
+        join_all((0..150).map(async |_| site.edge().send_body("/once/1", BODY_BYTES).await));
+    let others = async {
+        let mut served = 0;
+        for _ in 0..20 {
+            served += usize::from(site.call("GET", "/any/1", &[]).await.status == 200);
+        }
+        served
+    };
+    let (statuses, served) = tokio::join!(bodies, others);
+    assert_eq!(served, 20, "other requests are refused");
+    let peak = site.edge().peak_memory();
+    assert!(peak < MEMORY_MB * 1024, "{peak} KiB");
+    let ran = statuses
+        .iter()
+        .filter(|status| **status == Some(200))
+        .count();
+    let refused = statuses
+        .iter()
+        .filter(|status| **status == Some(503))
+        .count();
+    assert!(ran > 0 && ran + refused == statuses.len(), "{statuses:?}");
+}
--- a/crates/edge/src/forward/request.rs
+++ b/crates/edge/src/forward/request.rs
@@ -2,7 +2,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::{Method, StatusCode};
 use nutmegbay_core::environment::MonotonicTime;
 use nutmegbay_core::verdict::Verdict;
@@ -11,6 +10,7 @@
 use nutmegbay_policy::edge::urgency::{MOST_URGENT_RANK, Urgency};
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
+use crate::body::HeldBody;
 use crate::crashes::block_content;
 use crate::http1::BodyDelimiter;
 use crate::model::{
@@ -31,7 +31,7 @@
     /// Path and query as received.
     pub target: Box<str>,
     /// Complete body.
-    pub body: Bytes,
+    pub body: HeldBody,
     /// Time from the arrival of the head to that of the whole body.
     pub body_time: Duration,
     /// Arrival time of the head.
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -10,7 +10,7 @@
 use http::header::{CONNECTION, CONTENT_TYPE, HOST, RETRY_AFTER};
 use http::{HeaderValue, Request, Response, StatusCode};
 use http_body::Body;
-use http_body_util::{BodyExt, Either, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Either, Full};
 use hyper::body::Incoming;
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
@@ -21,6 +21,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
 
+use crate::body::{self, HeldBody, NO_MEMORY};
 use crate::clock::millis;
 use crate::forward::{
     Failure, InFlightGuard, RequestProgress, RoutedRequest, serve, unknown_service,
@@ -48,6 +49,9 @@
 /// process, in milliseconds.
 const STOPPING_RETRY_MS: f64 = 100.0;
 
+/// Expected time until bodies that take all the memory for them have been served, in milliseconds.
+const NO_MEMORY_RETRY_MS: f64 = 200.0;
+
 /// Time for which a connection that is still to bring its first request is kept open when idle
 /// connections are closed.
 const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(250);
@@ -376,34 +380,23 @@
     body: Incoming,
     limit: usize,
     time_limit: Duration,
-) -> Result<Bytes, Failure> {
+) -> Result<HeldBody, Failure> {
     tokio::select! {
         biased;
-        body = read_body(body, limit, time_limit) => {
-            body.map_err(|(status, cause)| rejection(status, cause))
+        body = body::read(state, body, limit, time_limit) => {
+            body.map_err(|error| {
+                let (status, cause) = error;
+                let is_retried = error == NO_MEMORY;
+                Failure {
+                    retry_after: is_retried.then(|| retry_after(NO_MEMORY_RETRY_MS, rand::random())),
+                    ..rejection(status, cause)
+                }
+            })
         }
         () = state.planned_stop.ended.cancelled() => Err(stopping(Verdict::NotRun)),
     }
 }
 
-async fn read_body(
-    body: Incoming,
-    limit: usize,
-    time_limit: Duration,
-) -> Result<Bytes, (StatusCode, &'static str)> {
-    const TOO_LARGE: (StatusCode, &str) = (StatusCode::PAYLOAD_TOO_LARGE, "body_too_large");
-    // A declared length that is too large is rejected before the body arrives.
-    if body.size_hint().lower() > limit as u64 {
-        return Err(TOO_LARGE);
-    }
-    match timeout(time_limit, Limited::new(body, limit).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(TOO_LARGE),
-        Ok(Err(_)) => Err((StatusCode::BAD_REQUEST, "body_broken")),
-        Err(_) => Err((StatusCode::REQUEST_TIMEOUT, "body_too_slow")),
-    }
-}
-
 /// Builds a response of the edge itself.
 fn refusal_response(failure: &Failure) -> Response<Full<Bytes>> {
     let verdict: &str = failure.verdict.into();
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -10,6 +10,7 @@
     reason = "milliseconds and counts stay far below 2^52 and are not negative"
 )]
 
+mod body;
 pub mod cli;
 mod clock;
 mod crashes;
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -29,6 +29,8 @@
     pub cpu_share: Option<f64>,
     /// Rate of the instance's network link in megabits per second, if known.
     pub link_mbps: Option<f64>,
+    /// Memory of the instance in bytes, if known.
+    pub memory_bytes: Option<u64>,
     /// Bounds set by the operator.
     pub bounds: Bounds,
 }
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -11,6 +11,7 @@
 use nutmegbay_core::position::Position;
 use nutmegbay_policy::UpstreamKey;
 use nutmegbay_policy::edge::attempts::Deadlines;
+use nutmegbay_policy::edge::body_budget::BodyBudget;
 use nutmegbay_policy::edge::budget::{RetryShare, SharedRetryBudget};
 use nutmegbay_policy::edge::crashes::CrashHistory;
 use nutmegbay_policy::edge::expiry_grace::ExpiryGrace;
@@ -117,6 +118,8 @@
     pub close_idle: CancellationToken,
     /// Decisions on requests during a planned stop.
     pub planned_stop: PlannedStop,
+    /// Memory for request bodies.
+    pub bodies: Rc<RefCell<BodyBudget>>,
     /// Number of requests being served.
     pub in_flight: Rc<Cell<usize>>,
     /// Software versions, and origins of streams.
@@ -177,6 +180,7 @@
             stop,
             close_idle: CancellationToken::new(),
             planned_stop: PlannedStop::default(),
+            bodies: Rc::default(),
             in_flight: Rc::default(),
             versions: RefCell::default(),
             deadlines: RefCell::default(),
--- a/crates/policy/src/edge/mod.rs
+++ b/crates/policy/src/edge/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod admission;
 pub mod attempts;
+pub mod body_budget;
 pub mod budget;
 pub mod crashes;
 pub mod entry_age;
