Send streams only to the start of an upstream that is listed

Cause: the entry as last read was taken for a description of whatever process answers at the address. Broken and refused connections that showed the end of the listed process were not used, and neither was the start that an upstream reports of itself.

A stream that may be resumed is now sent only on a connection that is proved to lead to the listed start: the upstream reports the same one on it. Where it reports none, a refused connection shows that the listed start has ended, and a stream that goes on waits for a read of the list that began after the connection was opened. A stream that begins asks only if no proved connection is open. So neither the rest nor the recorded origin of a stream can be of a start that the list does not describe.

The price is a request for a report on connections without proof.

--- a/crates/edge/src/crashes/mod.rs
+++ b/crates/edge/src/crashes/mod.rs
@@ -164,6 +164,7 @@
     let Some(incarnation) = incarnation else {
         return;
     };
+    state.fleet.borrow_mut().record_ended(key);
     let broken_runs = update(state, |crashes, now_ms| {
         crashes.record_crash(incarnation, now_ms)
     });
--- a/crates/edge/src/fleet/mod.rs
+++ b/crates/edge/src/fleet/mod.rs
@@ -65,6 +65,10 @@
     limit: UpstreamLimit,
     /// What it has stated about further requests.
     notices: Notices,
+    /// Whether a refused connection has shown that the start in the entry has ended.
+    has_ended: bool,
+    /// Held by each open connection that is proved to lead to the start in the entry.
+    proof: Rc<()>,
     /// Idle connections.
     idle: IdleConnections,
     /// Hash of the id, for rankings on which all instances agree.
@@ -198,6 +202,8 @@
             streams: 0,
             limit: UpstreamLimit::default(),
             notices: self.kept_notices.take(id, report.started_ms),
+            has_ended: false,
+            proof: Rc::default(),
             idle: IdleConnections::new(MAX_IDLE_CONNECTIONS),
             expiry_grace_until: None,
             report,
--- a/crates/edge/src/fleet/versions.rs
+++ b/crates/edge/src/fleet/versions.rs
@@ -1,3 +1,5 @@
+use std::rc::Rc;
+
 use nutmegbay_policy::UpstreamKey;
 use nutmegbay_policy::edge::software_versions::VersionTag;
 
@@ -33,3 +35,42 @@
         self.version
     }
 }
+
+/// What this process knows of the start that an upstream's entry describes.
+#[derive(Debug, Clone, Copy)]
+pub struct KnownStart {
+    /// Start in milliseconds since 1970, if the entry contains it.
+    pub started_ms: Option<u64>,
+    /// Whether a refused connection has shown that it has ended.
+    pub has_ended: bool,
+    /// Whether a connection is open that is proved to lead to it.
+    pub is_connected: bool,
+}
+
+impl Fleet {
+    /// Returns what is known of the start of an upstream, or `None` if the upstream was removed.
+    pub fn known_start(&mut self, key: UpstreamKey) -> Option<KnownStart> {
+        let upstream = self.upstreams.get_mut(key)?;
+        upstream.idle.sweep();
+        Some(KnownStart {
+            started_ms: upstream.report.started_ms,
+            has_ended: upstream.has_ended,
+            is_connected: Rc::strong_count(&upstream.proof) > 1,
+        })
+    }
+
+    /// Records that an upstream refused a connection: the start that its entry describes has ended.
+    pub fn record_ended(&mut self, key: UpstreamKey) {
+        if let Some(upstream) = self.upstreams.get_mut(key) {
+            upstream.has_ended = true;
+        }
+    }
+
+    /// Records that an open connection leads to the start that the entry describes. Returns the
+    /// proof, which the connection holds as long as it is open.
+    pub fn record_proved_start(&mut self, key: UpstreamKey) -> Option<Rc<()>> {
+        let upstream = self.upstreams.get_mut(key)?;
+        upstream.has_ended = false;
+        Some(Rc::clone(&upstream.proof))
+    }
+}
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -478,6 +478,7 @@
                     })?
                 }
             };
+            self.check_start(at, &mut connection).await?;
             // The list may have changed while the connection was opened.
             self.check_version(at).map_err(|_| CallError {
                 verdict: Verdict::NotRun,
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -5,6 +5,7 @@
 mod continuation;
 mod prefill;
 mod request;
+mod start;
 
 use std::rc::Rc;
 use std::time::Duration;
--- a/crates/edge/src/http1.rs
+++ b/crates/edge/src/http1.rs
@@ -127,6 +127,8 @@
     sends: u32,
     /// Hash of the id of the last request that the upstream refused on this connection.
     refused: Option<u64>,
+    /// Proof that the connection leads to the start of the upstream that is listed.
+    start_proof: Option<Rc<()>>,
 }
 
 /// Task that moves the bytes of a connection; it is aborted on drop. Once no more requests are
@@ -182,6 +184,7 @@
             is_reused: false,
             sends: 0,
             refused: None,
+            start_proof: None,
         })
     }
 
@@ -234,6 +237,7 @@
             is_reused: false,
             sends: 0,
             refused: None,
+            start_proof: None,
         };
         let response = connection.send(req).await?;
         Ok((connection, response))
@@ -260,6 +264,16 @@
         self.refused == Some(request)
     }
 
+    /// Records the proof that the connection leads to the start of the upstream that is listed.
+    pub fn record_start(&mut self, proof: Option<Rc<()>>) {
+        self.start_proof = proof;
+    }
+
+    /// Returns whether the connection is proved to lead to the start of the upstream that is listed.
+    pub fn has_proved_start(&self) -> bool {
+        self.start_proof.is_some()
+    }
+
     /// Returns whether another request may be sent on the connection.
     pub fn is_usable(&self) -> bool {
         !self.sender.is_closed() && !self.driver.0.is_finished() && Instant::now() < self.idle_until
--- a/crates/edge/src/platform_api.rs
+++ b/crates/edge/src/platform_api.rs
@@ -30,6 +30,13 @@
     /// Builds the request that frees a prefill result at the upstream that holds it.
     fn prefill_release_request(&self, handle: &str) -> Request<()>;
 
+    /// Builds the request for what an upstream reports of itself.
+    fn report_request(&self) -> Request<()>;
+
+    /// Decodes the start of an upstream from its report, in milliseconds since 1970. Returns `None`
+    /// if the report does not contain it.
+    fn decode_start(&self, body: &[u8]) -> Option<u64>;
+
     /// Returns whether `path` is the path of the platform's readiness check.
     fn is_readiness_path(&self, path: &str) -> bool;
 
--- a/crates/policy/src/edge/software_versions.rs
+++ b/crates/policy/src/edge/software_versions.rs
@@ -56,6 +56,46 @@
 #[serde(transparent)]
 pub struct VersionTag(pub u32);
 
+/// What shows whether a connection leads to the start of an upstream that its entry describes, and
+/// so to the version in it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StartEvidence {
+    /// Start in the entry, in milliseconds since 1970.
+    pub listed_ms: Option<u64>,
+    /// Start that the upstream reports on the connection.
+    pub reported_ms: Option<u64>,
+    /// Whether the start in the entry is known to have ended.
+    pub has_ended: bool,
+    /// Whether the stream goes on there. One that begins may do so at any version.
+    pub goes_on: bool,
+}
+
+/// Conclusion from [`StartEvidence`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StartVerdict {
+    /// It is the one in the entry.
+    Proved,
+    /// Nothing shows that it is another one, and little depends on it.
+    Assumed,
+    /// Nothing shows which one it is. The list has to be read again.
+    Unknown,
+    /// It is another one.
+    Other,
+}
+
+impl StartEvidence {
+    /// Returns the conclusion.
+    pub fn verdict(&self) -> StartVerdict {
+        match (self.listed_ms, self.reported_ms) {
+            (Some(listed), Some(reported)) if listed == reported => StartVerdict::Proved,
+            (Some(_), Some(_)) => StartVerdict::Other,
+            _ if self.has_ended => StartVerdict::Other,
+            _ if self.goes_on => StartVerdict::Unknown,
+            _ => StartVerdict::Assumed,
+        }
+    }
+}
+
 /// Version of a service's software as written to the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoredVersion {
--- a/crates/policy/tests/edge_software_versions.rs
+++ b/crates/policy/tests/edge_software_versions.rs
@@ -6,7 +6,7 @@
 
 use nutmegbay_core::environment::MonotonicTime;
 use nutmegbay_policy::edge::software_versions::{
-    StoredVersion, TakeUpBounds, VersionHistory, VersionTag,
+    StartEvidence, StartVerdict, StoredVersion, TakeUpBounds, VersionHistory, VersionTag,
 };
 
 const RETENTION: Duration = Duration::from_secs(20);
@@ -287,3 +287,31 @@
     history.sweep(RETENTION, at(28_000));
     assert_eq!(history.only(), Some(OLD));
 }
+
+/// An upstream that starts again under its id is taken for the one before.
+#[test]
+fn started_again() {
+    let verdict = |listed_ms, reported_ms, has_ended, goes_on| {
+        StartEvidence {
+            listed_ms,
+            reported_ms,
+            has_ended,
+            goes_on,
+        }
+        .verdict()
+    };
+    for goes_on in [false, true] {
+        assert_eq!(
+            verdict(Some(5), Some(5), true, goes_on),
+            StartVerdict::Proved
+        );
+        assert_eq!(
+            verdict(Some(5), Some(6), false, goes_on),
+            StartVerdict::Other
+        );
+        assert_eq!(verdict(Some(5), None, true, goes_on), StartVerdict::Other);
+    }
+    assert_eq!(verdict(Some(5), None, false, true), StartVerdict::Unknown);
+    assert_eq!(verdict(None, Some(5), false, true), StartVerdict::Unknown);
+    assert_eq!(verdict(None, None, false, false), StartVerdict::Assumed);
+}
