Suspect content of runs that break late, and clear it by whole runs

Cause, two halves: a run that broke later than 0.5 s after its first result was not recorded, and the run that went on with the broken stream elsewhere ended before its own upstream crashed, so that its complete response cleared the block.

Broken runs are recorded at any age now, and only a run that wrote the whole answer clears its content: the end of a stream shows nothing about a run that did not begin it.

--- a/crates/edge-bin/tests/common/worker.rs
+++ b/crates/edge-bin/tests/common/worker.rs
@@ -107,6 +107,9 @@
     shared_script: Arc<Mutex<VecDeque<Action>>>,
     /// Id of the prefix block on which the worker crashes when it begins to answer.
     crashing_block: Option<String>,
+    /// Time from its first events until such a crash. A run that goes on with a stream is complete
+    /// before.
+    crash_delay: Option<Duration>,
     crashes: usize,
     /// Cancelled when the worker crashes, which ends all of its connections.
     crash: CancellationToken,
@@ -178,6 +181,12 @@
         self.0.lock().unwrap().crashing_block = Some(block.into());
     }
 
+    /// Makes the worker crash as with [`Self::crash_on`], but only `delay` after its first events.
+    pub fn crash_late_on(&self, block: &str, delay: Duration) {
+        self.crash_on(block);
+        self.0.lock().unwrap().crash_delay = Some(delay);
+    }
+
     /// Returns the number of crashes.
     pub fn crashes(&self) -> usize {
         self.0.lock().unwrap().crashes
@@ -311,8 +320,17 @@
             };
             if self.crashes_on(&head) {
                 let id = header(&head, "x-attempt-id").unwrap_or_default();
+                let delay = self.0.lock().unwrap().crash_delay;
                 // The connection may be closed already; the worker crashes in any case.
-                let _ = io.write_all(stream_head(id).as_bytes()).await;
+                let _ = match delay {
+                    None => io.write_all(stream_head(id).as_bytes()).await,
+                    Some(_) if header(&head, "last-event-id").is_some() => {
+                        stream(&mut io, Action::Stream, &head, "").await;
+                        Ok(())
+                    }
+                    Some(_) => io.write_all(first_events(id).as_bytes()).await,
+                };
+                sleep(delay.unwrap_or_default()).await;
                 let mut inner = self.0.lock().unwrap();
                 inner.crashes += 1;
                 inner.crash.cancel();
@@ -495,12 +513,7 @@
 }
 
 async fn trickle(io: &mut TcpStream, id: &str) -> bool {
-    let mut text = stream_head(id);
-    for n in 1..=2 {
-        let event = event(n);
-        write!(text, "{:x}\r\n{event}\r\n", event.len()).unwrap();
-    }
-    let mut sent = io.write_all(text.as_bytes()).await;
+    let mut sent = io.write_all(first_events(id).as_bytes()).await;
     while sent.is_ok() {
         sleep(TRICKLE_PAUSE).await;
         sent = io.write_all(b"1\r\nx\r\n").await;
@@ -515,6 +528,16 @@
     )
 }
 
+/// Returns a stream up to its second event.
+fn first_events(id: &str) -> String {
+    let mut text = stream_head(id);
+    for n in 1..=2 {
+        let event = event(n);
+        write!(text, "{:x}\r\n{event}\r\n", event.len()).unwrap();
+    }
+    text
+}
+
 async fn stream(io: &mut TcpStream, action: Action, head: &str, notices: &str) -> bool {
     let id = header(head, "x-attempt-id").unwrap_or_default();
     let after: u32 = header(head, "last-event-id")
--- a/crates/edge-bin/tests/crashing_requests.rs
+++ b/crates/edge-bin/tests/crashing_requests.rs
@@ -171,6 +171,27 @@
     assert_sound_served(&site, &[&started]).await;
 }
 
+/// The upstreams crash well after they have begun to answer. A run that goes on with a broken stream
+/// is complete before its upstream crashes.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_crashes() {
+    let site = start_crashing_site(45).await;
+    for worker in site.workers.iter().skip(2) {
+        worker.crash_late_on(CRASHING_BLOCK, Duration::from_millis(600));
+    }
+    for _ in 0..12 {
+        call_with_block(site.edge(), CRASHING_BLOCK).await;
+        call_with_block(site.edge(), "50").await;
+        sleep(ROUND_TIME).await;
+    }
+    let crashed = crashes(&site);
+    assert!(
+        crashed <= MAX_CRASHES,
+        "{crashed} crashes by requests with one block"
+    );
+    assert_sound_served(&site, &[site.edge()]).await;
+}
+
 /// The store loses the crashed runs, which serve edges that start while no other one runs.
 #[tokio::test(flavor = "multi_thread")]
 async fn restored_reports() {
--- a/crates/edge/src/crashes/mod.rs
+++ b/crates/edge/src/crashes/mod.rs
@@ -27,10 +27,6 @@
 
 pub use store::{follow, publish};
 
-/// Time after the first result of a run up to which the run may break because of its content. An
-/// upstream that crashes as it begins to answer may have sent some of the answer.
-const SUSPECT_RESULT_AGE: Duration = Duration::from_millis(500);
-
 /// Records that the connection of a request broke after the request was sent.
 pub fn record_broken_send<D: WireCodec>(
     state: &Rc<EdgeState<D>>,
@@ -49,9 +45,6 @@
         result_age_ms = result_age.map(millis),
         took_ms = millis(took),
     );
-    if result_age.is_some_and(|age| age > SUSPECT_RESULT_AGE) {
-        return;
-    }
     let is_suspicious = update(state, |crashes, now_ms| {
         let run = BrokenRun {
             id: rand::random(),
@@ -78,7 +71,8 @@
     ids.join(",")
 }
 
-/// Records that a request received its complete response, which clears its content of suspicion.
+/// Records that one run wrote the complete response to a request, which clears its content of
+/// suspicion. A run that went on with a stream shows nothing: it may end before it would crash.
 pub fn record_complete_response<D: WireCodec>(state: &EdgeState<D>, request: &RoutedRequest) {
     let is_suspected = !state.crashes.borrow().is_empty();
     if is_suspected {
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -156,6 +156,8 @@
     framing: Framing,
     source: Option<ResponseSource>,
     events: EventSplitter,
+    /// Whether another upstream has gone on with the stream.
+    is_resumed: bool,
     ready: Option<Bytes>,
     sent_bytes: usize,
     /// Longest time between two pieces of the body.
@@ -186,6 +188,7 @@
         framing,
         source: Some(source),
         events,
+        is_resumed: false,
         ready: Some(ready),
         sent_bytes: 0,
         longest_gap: Duration::ZERO,
@@ -276,7 +279,9 @@
                 }
                 Next::End => {
                     if let Some(source) = self.source.take() {
-                        crashes::record_complete_response(&self.state, &self.request);
+                        if !self.is_resumed && !self.request.is_taken_up() {
+                            crashes::record_complete_response(&self.state, &self.request);
+                        }
                         source.finish(&self.state);
                     }
                     return None;
@@ -355,6 +360,7 @@
     fn replace_source(&mut self, cause: ResumeCause, source: ResponseSource) {
         self.drop_source(cause);
         self.source = Some(source);
+        self.is_resumed = true;
         increment(&self.state.metrics.streams_resumed);
         self.log_resumption(cause.into(), true);
     }
