Move the reads that decisions wait for into a module of their own

Two modules use them: the proof of a stream's version, and the check of the listed start. The reads of the list stood among the versions, where a reader of `follow` would not look.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod http1;
 mod ingress;
 mod known_records;
+mod list_demand;
 mod members;
 mod metrics;
 pub mod model;
--- a/crates/edge/src/peers/serve.rs
+++ b/crates/edge/src/peers/serve.rs
@@ -132,7 +132,7 @@
                     (StatusCode::BAD_REQUEST, "text/plain", String::new())
                 }
             },
-            ORIGINS_PATH => json_response(&versions::known_origins(state)),
+            ORIGINS_PATH => json_response(&versions::origins_to_hand_over(state)),
             ORIGIN_PATH => match serde_json::from_slice(body) {
                 Ok(question) => json_response(&versions::answer(state, &question).await),
                 Err(error) => {
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -24,6 +24,7 @@
 use crate::clock::{MonotonicClock, SmoothedWallClock, millis};
 use crate::fleet::Fleet;
 use crate::known_records::KnownRecords;
+use crate::list_demand::ListDemand;
 use crate::members::{Members, member_hash};
 use crate::metrics::Metrics;
 use crate::model::DeploymentConfig;
@@ -32,7 +33,7 @@
 use crate::routes::RouteTable;
 use crate::settings::{Bounds, EdgeSettings};
 use crate::stopping::PlannedStop;
-use crate::versions::{ListDemand, Versions};
+use crate::versions::Versions;
 
 /// Target of this module's log lines: its former path, which log filters of operators may name.
 const LOG_TARGET: &str = "nutmegbay_edge::site";
--- a/crates/edge/src/versions/hand_over.rs
+++ b/crates/edge/src/versions/hand_over.rs
@@ -39,7 +39,7 @@
 }
 
 /// Returns the origins that this process knows.
-pub fn known_origins<D: WireCodec>(state: &EdgeState<D>) -> KnownOrigins {
+pub fn origins_to_hand_over<D: WireCodec>(state: &EdgeState<D>) -> KnownOrigins {
     KnownOrigins {
         origins: state.versions.borrow().origins.snapshot(state.now()),
     }
--- a/crates/edge/src/versions/mod.rs
+++ b/crates/edge/src/versions/mod.rs
@@ -18,7 +18,7 @@
 
 use nutmegbay_core::environment::MonotonicTime;
 use nutmegbay_policy::edge::software_versions::{
-    StoredVersion, TakeUpBounds, VersionHistory, VersionTag,
+    MAX_CALLER_WAIT, StoredVersion, TakeUpBounds, VersionHistory, VersionTag,
 };
 use nutmegbay_policy::edge::stream_origins::{
     AttemptTag, Origin, OriginNews, ServiceTag, StreamOrigins,
@@ -35,8 +35,7 @@
 use crate::state::EdgeState;
 
 pub use ask::{ORIGIN_PATH, answer};
-pub use hand_over::{ORIGINS_PATH, known_origins, tell_before_exit};
-pub use proof::ListDemand;
+pub use hand_over::{ORIGINS_PATH, origins_to_hand_over, tell_before_exit};
 pub use waits::{merge_waits, record_caller_wait};
 
 use proof::{first_some, only_version};
@@ -176,7 +175,8 @@
     /// Returns whether none of the service's streams can be taken up any more.
     fn is_forgotten(&self, now: MonotonicTime) -> bool {
         let since = self.unrouted_since;
-        since.is_some_and(|since| now.since(since) >= self.retention())
+        let retention = self.retention().min(MAX_CALLER_WAIT);
+        since.is_some_and(|since| now.since(since) >= retention)
     }
 }
 
