Keep the later of two times at which a version was in use

Cause: an instance that read the versions of before from the store kept its own time for a version that it knew already, though the store's was later. The version was dropped while streams that began with it could be taken up.

The later time counts now. later_use_stored failed before (at 20 s) and passes.

The first case that the model found was a fault of the model: an instance that went on after a pause was said to have read the list without having applied its records. Instances now read whenever they run; what waits for a stopped one is still handled before it reads. paused_instance holds that case.

--- a/crates/policy/src/edge/software_versions.rs
+++ b/crates/policy/src/edge/software_versions.rs
@@ -179,15 +179,7 @@
         if self.knows_earlier {
             return;
         }
-        for stored in earlier {
-            if self.find(stored.version).is_none() {
-                self.record(Known {
-                    version: stored.version,
-                    at: now,
-                    unused: Duration::from_millis(stored.unused_ms),
-                });
-            }
-        }
+        self.record_told(earlier, now);
         self.knows_earlier = is_complete && self.current_from.is_some_and(|from| from <= as_of);
     }
 
--- a/crates/policy/tests/edge_software_versions.rs
+++ b/crates/policy/tests/edge_software_versions.rs
@@ -315,3 +315,23 @@
     assert_eq!(verdict(None, Some(5), false, true), StartVerdict::Unknown);
     assert_eq!(verdict(None, None, false, false), StartVerdict::Assumed);
 }
+
+/// An instance that was cut off knows a version from long ago. The store knows that it was in use
+/// later.
+#[test]
+fn later_use_stored() {
+    let mut history = VersionHistory::default();
+    history.record_used(OLD, at(0));
+    history.record_listed([NEW], true, at(10_000));
+    history.record_earlier(
+        &[stored(OLD, 0), stored(NEW, 0)],
+        true,
+        at(10_000),
+        at(10_000),
+    );
+    for ms in (10_000..30_000).step_by(500) {
+        history.record_listed([NEW], true, at(ms));
+        history.sweep(RETENTION, at(ms));
+        assert_eq!(history.only(), None, "at {ms}");
+    }
+}
--- a/crates/policy/tests/edge_stream_origins.rs
+++ b/crates/policy/tests/edge_stream_origins.rs
@@ -320,15 +320,6 @@
         }
     }
 
-    /// Records that the list was read again without a change.
-    fn update_times(&mut self) {
-        let now = self.now();
-        let running = self.instances.iter_mut().filter(|i| !i.is_paused);
-        for instance in running.filter(|i| !i.is_cut && i.read_at.is_some()) {
-            instance.read_at = Some(now);
-        }
-    }
-
     fn send_news(&mut self, from: usize) {
         let now = self.now();
         for news in self.instances[from].origins.take_news(now) {
@@ -390,7 +381,7 @@
         let index = |choice: &u8| usize::from(*choice) % 3;
         // The instances that run read the list all the time.
         self.now += 1;
-        self.update_times();
+        self.update();
         match step {
             Step::Wait(seconds) => {
                 for _ in 0..*seconds {
@@ -436,6 +427,41 @@
     }
 }
 
+/// An instance has just gone on after a pause in which another version joined and began a stream.
+#[test]
+fn paused_instance() {
+    let mut model = Model::default();
+    let pause = |is_paused| Step::Pause {
+        instance: 1,
+        is_paused,
+    };
+    let begin = Step::Begin {
+        instance: 2,
+        version: 0,
+        is_told: false,
+    };
+    let take_up = Step::TakeUp {
+        instance: 1,
+        stream: 0,
+    };
+    let joined = [
+        Step::Wait(1),
+        Step::Release(3),
+        pause(true),
+        Step::Wait(1),
+        Step::Release(0),
+        begin,
+    ];
+    for step in &joined {
+        assert_eq!(model.apply(step), None);
+    }
+    let (version, first) = model.apply(&take_up).unwrap();
+    assert_eq!(version, None, "the stream is of {first}");
+    model.apply(&pause(false));
+    let (version, first) = model.apply(&take_up).unwrap();
+    assert!(version.is_none_or(|version| version == first));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(1_000))]
 
