Count a version as in use until its entry is replaced

Found by the model of continued_version: an instance that had stood still while the last upstream of a version left dropped that version too early, and a stream that had begun at it went on at another one.

Cause: the version counted as in use at the times at which the list was read. At a read that removes an entry, the last such time is that of the read before, which a pause or a cut puts seconds back.

The version of an entry now counts as in use at the time at which a record replaces or removes it. There is no test of the processes for this one.

--- a/crates/edge/src/fleet/mod.rs
+++ b/crates/edge/src/fleet/mod.rs
@@ -278,6 +278,12 @@
         self.by_id.keys().cloned().collect()
     }
 
+    /// Returns the entry of an upstream in the list of instances, or `None` if it is not known.
+    pub fn report(&self, id: &str) -> Option<&InstanceReport> {
+        let key = self.by_id.get(id)?;
+        Some(&self.upstreams.get(*key)?.report)
+    }
+
     /// Returns the upstream of a key, or `None` if it was removed.
     pub fn get(&self, key: UpstreamKey) -> Option<&Upstream> {
         self.upstreams.get(key)
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -418,6 +418,10 @@
     if state.known_records.borrow().has_instance(&record) {
         return;
     }
+    if let Some(report) = state.fleet.borrow().report(&record.key) {
+        // The version was in use until this record, however long ago the list was last read.
+        versions::record_entry(state, &report.service, &report.version);
+    }
     let mut fleet = state.fleet.borrow_mut();
     let mut age = EntryAge::default();
     let now = state.now();
--- a/crates/policy/tests/edge_stream_origins.rs
+++ b/crates/policy/tests/edge_stream_origins.rs
@@ -288,6 +288,10 @@
             let was_mixed = instance.history.is_mixed();
             let mut has_passed = false;
             if !instance.is_cut {
+                // What was listed was in use until its record was replaced.
+                for version in &instance.listed {
+                    instance.history.record_used(VersionTag(*version), now);
+                }
                 instance.listed.clone_from(&self.serving);
                 instance.read_at = Some(now);
                 let read = instance.read.replace(self.records.len());
