Take an unreadable set of versions for no proof

Found in the read-through: a set in the store that could not be decoded was treated like a missing one, so the versions that it names counted as never in use, and a stream of unknown origin went on at the only listed version. The longest wait in a set is also bounded now, as that of a caller is.

--- a/crates/edge-bin/tests/stored_versions.rs
+++ b/crates/edge-bin/tests/stored_versions.rs
@@ -92,3 +92,16 @@
     site.wait_until("the list is read again", async || take_up().await == 200)
         .await;
 }
+
+/// A set that cannot be read may name other versions.
+#[tokio::test(flavor = "multi_thread")]
+async fn unreadable_set() {
+    let site = Site::start_without_config(134, 1).await;
+    site.store.put_bytes(TOPIC, "desk", b"{");
+    site.store.put("keyed.op", "config", &config(1, &["k1"]));
+    site.list_version(0, "v1");
+    site.wait_until_ready().await;
+    let taken_up = [("Last-Event-Id", "1"), ("Resumes", "unknown-1")];
+    let response = site.call("POST", "/stream/1", &taken_up).await;
+    assert_eq!(response.status, 503);
+}
--- a/crates/edge/src/versions/store.rs
+++ b/crates/edge/src/versions/store.rs
@@ -2,12 +2,12 @@
 //!
 //! Writes are conditional, since one without a response may take effect later.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
 use nutmegbay_core::position::Position;
-use nutmegbay_policy::edge::software_versions::StoredVersion;
+use nutmegbay_policy::edge::software_versions::{MAX_CALLER_WAIT, StoredVersion};
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
@@ -155,6 +155,7 @@
     let newest = NewestRecords::read(state, store, Topic::Versions).await?;
     let end = newest.end.unwrap_or_default();
     let mut by_service = HashMap::new();
+    let mut unreadable = HashSet::new();
     for record in newest.records {
         let Some(value) = &record.value else { continue };
         match serde_json::from_slice::<StoredSet>(value) {
@@ -163,6 +164,7 @@
             }
             Err(error) => {
                 tracing::warn!(event = "versions_unreadable", service = %record.key, %error);
+                unreadable.insert(record.key);
             }
         }
     }
@@ -177,13 +179,14 @@
     let is_topic_current = by_service.values().all(is_current);
     for known in known.values_mut() {
         let set = by_service.get(&known.name);
-        let is_complete = set.map_or(is_topic_current, is_current);
+        let is_known = !unreadable.contains(&known.name);
+        let is_complete = is_known && set.map_or(is_topic_current, is_current);
         let earlier = set.map_or(&[][..], |set| &set.versions);
         let stored_wait = set.and_then(|set| set.caller_wait_ms);
         known.bounds.caller_wait = known
             .bounds
             .caller_wait
-            .max(stored_wait.map(Duration::from_millis));
+            .max(stored_wait.map(|ms| Duration::from_millis(ms).min(MAX_CALLER_WAIT)));
         let retention = known.retention();
         let history = &mut known.history;
         history.record_earlier(earlier, is_complete, as_of, now);
--- a/crates/policy/src/edge/body_budget.rs
+++ b/crates/policy/src/edge/body_budget.rs
@@ -8,7 +8,7 @@
 /// together, and the rest of the process needs room as well.
 const MEMORY_FRACTION: u64 = 4;
 
-/// Memory assumed for an instance that states none, in bytes: that of the smallest one known.
+/// Memory assumed for an instance that states none, in bytes.
 const DEFAULT_MEMORY_BYTES: u64 = 160 * 1024 * 1024;
 
 /// Memory for request bodies, in bytes.
