Give the placement the speed of each engine and work not yet seen

This adds the fields with neutral values, so that the parts can be built side by side. No behaviour changes.

--- a/crates/edge/src/fleet/placement.rs
+++ b/crates/edge/src/fleet/placement.rs
@@ -4,6 +4,7 @@
 
 use nutmegbay_core::environment::MonotonicTime;
 use nutmegbay_policy::UpstreamKey;
+use nutmegbay_policy::edge::engine_view::EngineSpeed;
 use nutmegbay_policy::edge::placement::{
     CostEstimates, Engine, EnginePhase, Placement, PlacementRequest, PlainUpstream, place,
     place_plain, stream_host_count,
@@ -100,38 +101,54 @@
         let engines: Vec<_> = candidates
             .iter()
             .zip(ranked)
-            .map(|(key, rank)| {
-                let upstream = &self.upstreams[*key];
-                // Long streams are consolidated on engines where the other instances' requests are
-                // streams too. Those take slots and no prefill time.
-                let typical_requests = if placement_request.is_long {
-                    0.0
-                } else {
-                    self.typical_requests(upstream)
-                };
-                let ahead = self.ahead(upstream, urgency, typical_requests, now);
-                Engine {
-                    key: *key,
-                    phase: upstream.phase(),
-                    version: upstream.version(),
-                    domain: upstream.domain,
-                    backlog_ms: ahead.backlog_ms,
-                    requests: ahead.requests,
-                    slots: upstream.report.slots,
-                    cached_fraction: shared.last().map_or(0.0, |block| {
-                        self.prefix_locations
-                            .cached_fraction(block.id, *key, rank, evidence, now)
-                    }),
-                    is_stream_host: stream_hosts.contains(key),
-                    streams: upstream.streams + self.exchange.work(upstream.tag()).streams,
-                    failure_rate: upstream.health.failure_rate(now),
-                    limit_use: upstream.limit.used_fraction(now),
-                }
+            .map(|(key, rank)| Engine {
+                cached_fraction: shared.last().map_or(0.0, |block| {
+                    self.prefix_locations
+                        .cached_fraction(block.id, *key, rank, evidence, now)
+                }),
+                is_stream_host: stream_hosts.contains(key),
+                ..self.view(*key, placement_request, urgency, now)
             })
             .collect();
         place(&engines, placement_request, estimates)
     }
 
+    /// Returns the state of the engine `key` for a request, without what depends on the other
+    /// candidates.
+    fn view(
+        &self,
+        key: UpstreamKey,
+        request: PlacementRequest,
+        urgency: Urgency,
+        now: MonotonicTime,
+    ) -> Engine {
+        let upstream = &self.upstreams[key];
+        // Long streams are consolidated on engines where the other instances' requests are
+        // streams too. Those take slots and no prefill time.
+        let typical_requests = if request.is_long {
+            0.0
+        } else {
+            self.typical_requests(upstream)
+        };
+        let ahead = self.ahead(upstream, urgency, typical_requests, now);
+        Engine {
+            key,
+            phase: upstream.phase(),
+            version: upstream.version(),
+            domain: upstream.domain,
+            backlog_ms: ahead.backlog_ms,
+            unseen_ms: 0.0,
+            speed: EngineSpeed::default(),
+            requests: ahead.requests,
+            slots: upstream.report.slots,
+            cached_fraction: 0.0,
+            is_stream_host: false,
+            streams: upstream.streams + self.exchange.work(upstream.tag()).streams,
+            failure_rate: upstream.health.failure_rate(now),
+            limit_use: upstream.limit.used_fraction(now),
+        }
+    }
+
     /// Returns the decode engines on which long streams are consolidated. All instances rank them
     /// alike.
     fn stream_hosts(
--- a/crates/policy/src/edge/mod.rs
+++ b/crates/policy/src/edge/mod.rs
@@ -6,6 +6,7 @@
 pub mod body_budget;
 pub mod budget;
 pub mod crashes;
+pub mod engine_view;
 pub mod entry_age;
 pub mod exchange;
 pub mod expiry_grace;
--- a/crates/policy/src/edge/placement.rs
+++ b/crates/policy/src/edge/placement.rs
@@ -10,6 +10,7 @@
 //! few decode engines as have the slots for them, here called stream hosts, and prompts are
 //! prefilled on the others.
 
+use super::engine_view::EngineSpeed;
 use super::software_versions::VersionTag;
 use crate::UpstreamKey;
 
@@ -96,6 +97,11 @@
     pub domain: u32,
     /// Work ahead of the request, in milliseconds.
     pub backlog_ms: f64,
+    /// Work that other instances have probably sent since the figures behind `backlog_ms`, in
+    /// milliseconds.
+    pub unseen_ms: f64,
+    /// Speed, compared with the typical engine of the service.
+    pub speed: EngineSpeed,
     /// Requests at the engine.
     pub requests: f64,
     /// Maximum number of requests that run at once.
@@ -348,14 +354,15 @@
 }
 
 fn token_ms(engine: &Engine, estimates: CostEstimates) -> f64 {
-    match engine.phase {
+    let typical_ms = match engine.phase {
         EnginePhase::Prefill => estimates.prefill_token_ms,
         EnginePhase::Decode => estimates.prefill_token_ms / DECODE_PREFILL_RATE,
-    }
+    };
+    typical_ms * engine.speed.prefill_factor
 }
 
 fn wait_ms(engine: &Engine, estimates: CostEstimates) -> f64 {
-    engine.backlog_ms + slot_wait_ms(engine, estimates)
+    engine.backlog_ms + engine.unseen_ms + slot_wait_ms(engine, estimates)
 }
 
 fn slot_wait_ms(engine: &Engine, estimates: CostEstimates) -> f64 {
--- a/crates/policy/tests/edge_placement.rs
+++ b/crates/policy/tests/edge_placement.rs
@@ -2,6 +2,7 @@
 
 use assert_matches::assert_matches;
 use nutmegbay_policy::UpstreamKey;
+use nutmegbay_policy::edge::engine_view::EngineSpeed;
 use nutmegbay_policy::edge::placement::{
     CostEstimates, Engine, EnginePhase, Placement, PlacementRequest, PlainUpstream, place,
     place_plain, stream_host_count,
@@ -30,6 +31,8 @@
             version: VersionTag(1),
             domain: 0,
             backlog_ms: 0.0,
+            unseen_ms: 0.0,
+            speed: EngineSpeed::default(),
             requests: 0.0,
             slots: 16,
             cached_fraction: 0.0,
