Test uploads that are answered early and broken off

Cause: on other systems the part of a response that came before a reset, while the upload was still being written, reached callers as complete, and so did a status of 000. The test covers plain uploads, also passed on as they come (200 KiB), streams that may and may not be resumed, separate prefills, and the statuses 000, 099 and 1000, with resets after 0, 1, 20 and 100 ms.

The responses without end of the stand-in move to a file of their own.

--- a/crates/edge-bin/tests/common/mod.rs
+++ b/crates/edge-bin/tests/common/mod.rs
@@ -4,6 +4,8 @@
 
 pub mod body_end;
 mod deployment;
+pub mod early;
+mod endless;
 pub mod pause;
 pub mod proxy;
 pub mod relayed;
@@ -548,7 +550,7 @@
 }
 
 /// Returns the head of a request with the usual headers, a new id and the `extra` headers.
-fn head(method: &str, path: &str, extra: &[(&str, &str)]) -> String {
+pub fn head(method: &str, path: &str, extra: &[(&str, &str)]) -> String {
     let id: u64 = rand::random();
     let mut head = format!("{method} {path} HTTP/1.1\r\nHost: shop.example\r\n");
     write!(head, "X-Attempt-Id: {id:016x}\r\nX-Deadline-Ms: 3000\r\n").unwrap();
--- a/crates/edge-bin/tests/common/worker.rs
+++ b/crates/edge-bin/tests/common/worker.rs
@@ -1,6 +1,9 @@
 //! A stand-in for an upstream, which responds with scripted bytes.
 
 use super::body_end::{self, BodyEnd, Close};
+use super::early::EarlyAnswer;
+pub use super::endless::EndlessPart;
+use super::endless::{endless, trickle};
 use super::pause;
 use super::versioned;
 use std::collections::VecDeque;
@@ -73,30 +76,16 @@
     SilentAfter(u32),
     /// Sends a response that may end early: a stream of events, or a plain body on other routes.
     End(BodyEnd),
+    /// Responds before it has read the body of the request.
+    Early(EarlyAnswer),
 }
 
 /// Number of events in a complete stream.
 pub const EVENTS: u32 = 5;
 
-/// Size and pause of the chunks of an endless response, which has a rate of 16 MB per second.
-const JUNK_CHUNK_BYTES: usize = 16 * 1024;
-const JUNK_PAUSE: Duration = Duration::from_millis(1);
-
 /// Time until the response of [`Action::SlowPrefill`].
 const SLOW_PREFILL_TIME: Duration = Duration::from_secs(1);
 
-/// Pause between the bytes of [`Action::Trickle`].
-const TRICKLE_PAUSE: Duration = Duration::from_millis(100);
-
-/// Part of a response that does not end.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum EndlessPart {
-    Head,
-    Body,
-    ChunkExtension,
-    Event,
-}
-
 /// Time from a crash until the worker listens again.
 const DOWN_TIME: Duration = Duration::from_millis(400);
 
@@ -290,7 +279,13 @@
 
     async fn serve_connection(self, mut io: TcpStream) {
         let mut last_refusal = None;
-        while let Some(head) = read_request(&mut io).await {
+        while let Some(head) = read_head(&mut io).await {
+            if let Some(answer) = self.take_early(&head) {
+                return answer.send(io, &head).await;
+            }
+            if !read_body(&mut io, &head).await {
+                return;
+            }
             if head.starts_with("GET /-/report ") {
                 let report = versioned::report(self.0.lock().unwrap().started_ms);
                 if io.write_all(report.as_bytes()).await.is_err() {
@@ -365,6 +360,21 @@
 }
 
 impl Worker {
+    /// Takes the response that precedes the body of the request, if that comes next.
+    fn take_early(&self, head: &str) -> Option<EarlyAnswer> {
+        let mut inner = self.0.lock().unwrap();
+        match inner.script.front() {
+            Some(Action::Early(answer)) if !head.starts_with("GET /-/report ") => {
+                let answer = *answer;
+                inner.script.pop_front();
+                inner.requests.push(head.into());
+                inner.total_runs += 1;
+                Some(answer)
+            }
+            _ => None,
+        }
+    }
+
     fn crashes_on(&self, head: &str) -> bool {
         let inner = self.0.lock().unwrap();
         let Some(block) = inner.crashing_block.as_deref() else {
@@ -386,15 +396,18 @@
     })
 }
 
-async fn read_request(io: &mut TcpStream) -> Option<String> {
+async fn read_head(io: &mut TcpStream) -> Option<String> {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
         head.push(io.read_u8().await.ok()?);
     }
-    let head = String::from_utf8(head).ok()?;
-    let len = header(&head, "content-length").map_or(0, |len| len.parse().unwrap());
-    io.read_exact(&mut vec![0; len]).await.ok()?;
-    Some(head)
+    String::from_utf8(head).ok()
+}
+
+/// Reads the body of the request with `head`. Returns whether it is whole.
+async fn read_body(io: &mut TcpStream, head: &str) -> bool {
+    let len = header(head, "content-length").map_or(0, |len| len.parse().unwrap());
+    io.read_exact(&mut vec![0; len]).await.is_ok()
 }
 
 /// Performs an action and returns whether the connection stays open.
@@ -460,7 +473,7 @@
             let own = response("200 OK", id, signed, "done");
             format!("{other}{own}")
         }
-        Action::Close => return false,
+        Action::Close | Action::Early(_) => return false,
         Action::Hang => {
             // Returns when the other side closes the connection.
             let _ = io.read_u8().await;
@@ -485,42 +498,6 @@
     io.write_all(text.as_bytes()).await.is_ok() && action != Action::Truncate
 }
 
-/// Sends an unfinished response until the other side closes the connection.
-async fn endless(io: &mut TcpStream, part: EndlessPart, id: &str) -> bool {
-    let start = match part {
-        EndlessPart::Head => "HTTP/1.1 200 OK\r\nX-Junk: ".to_owned(),
-        EndlessPart::Body => format!(
-            "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Server-Seal: s1\r\n\
-             Transfer-Encoding: chunked\r\n\r\n"
-        ),
-        EndlessPart::ChunkExtension => format!(
-            "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Server-Seal: s1\r\n\
-             Transfer-Encoding: chunked\r\n\r\n4;junk="
-        ),
-        EndlessPart::Event => stream_head(id) + "5\r\nid: 1\r\n",
-    };
-    let junk = "x".repeat(JUNK_CHUNK_BYTES);
-    let piece = match part {
-        EndlessPart::Head | EndlessPart::ChunkExtension => junk,
-        EndlessPart::Body | EndlessPart::Event => format!("{JUNK_CHUNK_BYTES:x}\r\n{junk}\r\n"),
-    };
-    let mut sent = io.write_all(start.as_bytes()).await;
-    while sent.is_ok() {
-        sleep(JUNK_PAUSE).await;
-        sent = io.write_all(piece.as_bytes()).await;
-    }
-    false
-}
-
-async fn trickle(io: &mut TcpStream, id: &str) -> bool {
-    let mut sent = io.write_all(first_events(id).as_bytes()).await;
-    while sent.is_ok() {
-        sleep(TRICKLE_PAUSE).await;
-        sent = io.write_all(b"1\r\nx\r\n").await;
-    }
-    false
-}
-
 pub fn stream_head(id: &str) -> String {
     format!(
         "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Server-Seal: s1\r\n\
@@ -529,7 +506,7 @@
 }
 
 /// Returns a stream up to its second event.
-fn first_events(id: &str) -> String {
+pub fn first_events(id: &str) -> String {
     let mut text = stream_head(id);
     for n in 1..=2 {
         let event = event(n);
