Let a restarted holder of the duties go on at once

The store was away from 18 to 26 s while all instances were restarted in turn; when it came back the record named a holder whose process had ended, and each candidate, its successor included, waited a whole term (6 s).

Change: the record names the address at which the holder listens. A process of the same name at the same address follows the holder, since two cannot listen there at once, and goes on under the same fencing number: where nobody checks these, a late call of the process before is not out of order. Others wait as before. Ruled out: counting a candidate's wait from before the outage (those that had read the record had been restarted too).

--- a/crates/core/src/duty/keeper.rs
+++ b/crates/core/src/duty/keeper.rs
@@ -23,6 +23,9 @@
     pub holder: Box<str>,
     /// Incarnation of that process.
     pub incarnation: Incarnation,
+    /// Address at which that process listens. Empty if it has none.
+    #[serde(default)]
+    pub address: Box<str>,
     /// Fencing number, which rises with each new holder. It contains the era of the store.
     pub fencing: Epoch,
     /// Holder before this one. It waits the whole term even after a release, so that two processes
@@ -72,6 +75,12 @@
 
 /// Decides when a process claims, renews and releases the duties.
 ///
+/// Load pattern: all instances restart in turn while the store is away. When it returns, the record
+/// names a holder that has ended, and the reports of several windows become due before a term has
+/// passed. A process that listens at the holder's address under the holder's name is its successor:
+/// two processes cannot listen there at the same time. It goes on at once, under the same fencing
+/// number, so that a call of its predecessor which arrives late is not out of order.
+///
 /// The holder counts its term from before it sent the accepted record, every other process from
 /// when it read that record, as with [`crate::lease::LeaseKeeper`].
 ///
@@ -84,6 +93,7 @@
 pub struct DutyKeeper {
     instance: Box<str>,
     incarnation: Incarnation,
+    address: Box<str>,
     timing: LeaseTiming,
     /// Content of the register as read last.
     record: Option<DutyRecord>,
@@ -108,11 +118,18 @@
 }
 
 impl DutyKeeper {
-    /// Creates the keeper of a process that has not read the register yet.
-    pub fn new(instance: &str, incarnation: Incarnation, timing: LeaseTiming) -> Self {
+    /// Creates the keeper of a process that has not read the register yet. `address` is one at
+    /// which only this process listens, or empty if there is none.
+    pub fn new(
+        instance: &str,
+        incarnation: Incarnation,
+        address: &str,
+        timing: LeaseTiming,
+    ) -> Self {
         Self {
             instance: instance.into(),
             incarnation,
+            address: address.into(),
             timing,
             record: None,
             held: None,
@@ -237,6 +254,7 @@
                 return self.renewal_step(now, record);
             }
             _ if self.is_stopping => return DutyStep::Wait(self.timing.ttl),
+            Some(record) if self.is_predecessor(record) => now,
             Some(record) => read_at.plus(self.claim_wait(record)),
             None if self.has_term(now) || self.is_unused_register() => now,
             None => read_at.plus(self.timing.candidate_wait(self.timing.ttl)),
@@ -249,6 +267,15 @@
 
     /// Returns the record that claims the duties.
     fn claim(&self, now: MonotonicTime) -> DutyRecord {
+        if let Some(record) = self.current_record()
+            && self.is_predecessor(record)
+        {
+            return DutyRecord {
+                incarnation: self.incarnation,
+                released: false,
+                ..record.clone()
+            };
+        }
         // Nobody else can have sealed a window before the own term has ended.
         let own = self.held.as_ref().filter(|_| self.has_term(now));
         let known = self.newest_claim.as_ref().or(own);
@@ -256,6 +283,7 @@
         DutyRecord {
             holder: self.instance.clone(),
             incarnation: self.incarnation,
+            address: self.address.clone(),
             fencing: Epoch(self.highest_number().saturating_add(1)),
             previous_holder: before
                 .map(|record| record.holder.clone())
@@ -344,6 +372,13 @@
         }
     }
 
+    /// Returns whether the holder in `record` was an earlier process of this instance, which has
+    /// ended.
+    fn is_predecessor(&self, record: &DutyRecord) -> bool {
+        let is_same_place = !self.address.is_empty() && record.address == self.address;
+        is_same_place && *record.holder == *self.instance && !self.is_own(record)
+    }
+
     fn is_own(&self, record: &DutyRecord) -> bool {
         record.incarnation == self.incarnation && *record.holder == *self.instance
     }
--- a/crates/edge/src/duty.rs
+++ b/crates/edge/src/duty.rs
@@ -98,7 +98,9 @@
             ..LeaseTiming::default()
         };
         let incarnation = Incarnation(rand::random());
-        let keeper = DutyKeeper::new(&state.settings().node, incarnation, timing);
+        let settings = state.settings();
+        let address = settings.ingress.to_string();
+        let keeper = DutyKeeper::new(&settings.node, incarnation, &address, timing);
         Self {
             state,
             store,
