Limit client accounts to the quotas that they have

The configuration states a rate and a burst for client accounts, and no instance read them, so accounts used more than all instances together may serve.

Up to three owners of each account hold a token bucket with their part of the quota. An instance asks them for the tokens of each request before its admission, and answers 429 if they have none. Accounts without a quota cause no work and no messages.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -16,6 +16,7 @@
 use crate::crashes;
 use crate::metrics::increment;
 use crate::platform_api::WireCodec;
+use crate::quota;
 use crate::state::EdgeState;
 use crate::versions;
 
@@ -38,9 +39,13 @@
     let Some((socket, port)) = bind(&state).await else {
         // The others learn of this instance from the store alone.
         state.presence.borrow_mut().record_alone(state.now());
-        return;
+        loop {
+            quota::update(&state);
+            sleep(ROLE_UPDATE_INTERVAL).await;
+        }
     };
     let socket = Rc::new(socket);
+    state.quotas.borrow_mut().set_socket(&socket);
     let (receiver_state, rx) = (Rc::clone(&state), Rc::clone(&socket));
     tokio::task::spawn_local(async move { receive_digests(&receiver_state, &rx).await });
     let changed = Rc::clone(&state.fleet.borrow().load_changed);
@@ -50,6 +55,7 @@
         if role_updated_at.is_none_or(|at| now.since(at) >= ROLE_UPDATE_INTERVAL) {
             update_role(&state, port);
             state.share_limits();
+            quota::update(&state);
             role_updated_at = Some(now);
         }
         send_digests(&state, &socket);
@@ -86,7 +92,9 @@
         match socket.recv_from(&mut buf).await {
             Ok((len, from)) => {
                 state.delay_monitor.record_received(len);
-                if let Err(error) = receive_digest(state, from, &buf[..len]) {
+                if quota::Message::is_in(&buf[..len]) {
+                    quota::receive(state, from, &buf[..len]);
+                } else if let Err(error) = receive_digest(state, from, &buf[..len]) {
                     tracing::debug!(event = "digest_unreadable", %from, %error);
                 }
             }
--- a/crates/edge/src/fleet/digests.rs
+++ b/crates/edge/src/fleet/digests.rs
@@ -75,6 +75,11 @@
         }
     }
 
+    /// Returns the number of other instances whose digests are known.
+    pub fn heard_instances(&self) -> usize {
+        self.exchange.reporting_instances() as usize
+    }
+
     /// Returns the number of other instances whose digests are known, or `None` if it is 0 or less
     /// than half of the other instances.
     pub(super) fn reporting_instances(&self) -> Option<usize> {
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -1,6 +1,5 @@
 //! Sends a request to one upstream and reads the start of the response.
 
-use std::fmt::Write;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -19,6 +18,7 @@
 use crate::metrics::increment;
 use crate::model::{RequestKind, ResponseHead, Stage, UpstreamRequestContext};
 use crate::platform_api::{OutboundRequest, UnreadResponse, WireCodec};
+use crate::quota::OVER_QUOTA;
 use crate::sse::{EventError, EventSplitter};
 use crate::stream::{BrokenBody, Framing, ResponseSource};
 
@@ -318,7 +318,10 @@
         self.check_send(at, stage).map_err(SendOutcome::NotRun)?;
         self.tried.push(at);
         let id = upstream_id(self.state, at);
-        append_upstream(self.request, &id, stage);
+        self.request
+            .progress
+            .borrow_mut()
+            .record_upstream(&id, stage);
         let demand = Demand {
             urgency: self.request.urgency(),
             cost_ms,
@@ -327,7 +330,8 @@
         };
         let mut in_flight_send = InFlightSend::new(&self.state.fleet, at, demand, self.state.now());
         let req = self.build_request(&id, stage, after);
-        let (connection, response) = match self.deliver(at, req.clone()).await {
+        let counts = stage != Stage::Prefill;
+        let (connection, response) = match self.deliver(at, req.clone(), counts).await {
             Ok(sent) => sent,
             Err(error) => return Err(self.record_failed_send(error, stage, in_flight_send)),
         };
@@ -368,6 +372,7 @@
         self.request.progress.borrow_mut().delimiter = Some(delimiter);
         if head.is_not_run() {
             connection.record_refusal(self.request.id_hash());
+            self.record_not_run();
         }
         let (parts, incoming) = response.into_parts();
         Ok(OpenedResponse {
@@ -392,8 +397,10 @@
         stage: Stage<'_>,
         mut in_flight_send: InFlightSend,
     ) -> SendOutcome {
-        if verdict != Verdict::NotRun {
-            crashes::record_broken_send(self.state, self.request, &in_flight_send);
+        match verdict {
+            _ if cause == Cause::OverQuota => return SendOutcome::NotRun(OVER_QUOTA),
+            Verdict::NotRun => self.record_not_run(),
+            _ => crashes::record_broken_send(self.state, self.request, &in_flight_send),
         }
         let id = upstream_id(self.state, in_flight_send.key());
         let is_timeout = cause == Cause::Timeout;
@@ -449,11 +456,13 @@
     }
 
     /// Sends the request on an idle connection or a new one. Repeats the send only if the request
-    /// was certainly not written.
+    /// was certainly not written. `counts` states whether the request may run, and so counts toward
+    /// the quota of its account.
     async fn deliver(
         &mut self,
         at: UpstreamKey,
         req: OutboundRequest,
+        counts: bool,
     ) -> Result<(Connection, UnreadResponse), CallError> {
         let addr = {
             let fleet = self.state.fleet.borrow();
@@ -465,6 +474,7 @@
                 cause: Cause::Connect,
             });
         };
+        self.is_first_run = false;
         loop {
             let kept = self.state.fleet.borrow_mut().take_connection(at);
             let kept = kept.filter(|connection| !connection.has_refused(self.request.id_hash()));
@@ -484,6 +494,9 @@
                 verdict: Verdict::NotRun,
                 cause: Cause::Connect,
             })?;
+            if counts {
+                connection = self.spend_quota(at, connection).await?;
+            }
             self.sends += 1;
             self.request.progress.borrow_mut().sends += 1;
             {
@@ -493,6 +506,7 @@
             match connection.send(req.clone()).await {
                 Ok(response) => return Ok((connection, response)),
                 Err(error) if error.verdict == Verdict::NotRun && connection.is_reused() => {
+                    self.record_not_run();
                     self.sends -= 1;
                     self.request.progress.borrow_mut().sends -= 1;
                 }
@@ -574,19 +588,3 @@
     }
     Ok((if buf.is_empty() { first } else { buf.freeze() }, true))
 }
-
-fn append_upstream(request: &super::RoutedRequest, id: &str, stage: Stage<'_>) {
-    let mut progress = request.progress.borrow_mut();
-    let mark = match stage {
-        Stage::Whole => "",
-        Stage::Prefill => "p:",
-        Stage::Decode { .. } => "d:",
-    };
-    let comma = if progress.upstreams.is_empty() {
-        ""
-    } else {
-        ","
-    };
-    // Writing to a string does not fail.
-    let _ = write!(progress.upstreams, "{comma}{mark}{id}");
-}
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod continuation;
 mod prefill;
+mod quota;
 mod request;
 mod start;
 
@@ -26,6 +27,7 @@
 use crate::fleet::{ModelRequest, PrefillWait};
 use crate::model::{Refusal, Stage};
 use crate::platform_api::WireCodec;
+use crate::quota::OVER_QUOTA;
 use crate::state::EdgeState;
 use crate::stream::{Framing, ResponseBodyError, ResponseSource, ResumeCause, response_body};
 
@@ -165,6 +167,8 @@
     has_prefill: bool,
     /// Version of the engine that holds the prefill result which is to be decoded.
     prefill_version: Option<VersionTag>,
+    /// Whether the last send is the only one that may have run the request so far.
+    is_first_run: bool,
     cause: &'static str,
 }
 
@@ -182,6 +186,7 @@
             prefill_wait: None,
             has_prefill: false,
             prefill_version: None,
+            is_first_run: false,
             cause: NO_UPSTREAM,
         }
     }
@@ -202,6 +207,7 @@
     }
 
     async fn send_in_turn(mut self) -> Result<UpstreamResponse, Failure> {
+        self.acquire_quota().await?;
         self.find_version().await?;
         for round in 0..MAX_PLACEMENTS {
             self.prefill_version = None;
@@ -245,6 +251,9 @@
             if !self.request.route.is_repeatable() && self.verdict != Verdict::NotRun {
                 break;
             }
+            if self.cause == OVER_QUOTA {
+                break;
+            }
             if self.request.time_left(self.state.now()).is_zero() {
                 self.cause = "deadline";
                 break;
@@ -446,6 +455,7 @@
     fn failure(&self) -> Failure {
         let is_late = self.request.time_left(self.state.now()).is_zero();
         let status = match self.verdict {
+            Verdict::NotRun if self.cause == OVER_QUOTA => StatusCode::TOO_MANY_REQUESTS,
             Verdict::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             _ if is_late => StatusCode::GATEWAY_TIMEOUT,
             _ => StatusCode::BAD_GATEWAY,
--- a/crates/edge/src/forward/request.rs
+++ b/crates/edge/src/forward/request.rs
@@ -1,4 +1,5 @@
 use std::cell::{Cell, OnceCell, RefCell};
+use std::fmt::Write;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,8 +15,9 @@
 use crate::crashes::block_content;
 use crate::http1::BodyDelimiter;
 use crate::model::{
-    Account, ModelWork, RequestHead, RequestKind, Route, Service, promises_not_run,
+    Account, ModelWork, RequestHead, RequestKind, Route, Service, Stage, promises_not_run,
 };
+use crate::quota::QuotaTicket;
 
 /// A caller's request with its route, service and client account.
 pub struct RoutedRequest {
@@ -76,6 +78,22 @@
     pub is_counted: bool,
     /// Version at which the stream must be continued. `None` before its first event.
     pub version: Option<VersionTag>,
+    /// Tokens of the account's quota. `None` without a quota.
+    pub quota: Option<QuotaTicket>,
+}
+
+impl RequestProgress {
+    /// Adds an upstream to which the request is being sent.
+    pub fn record_upstream(&mut self, id: &str, stage: Stage<'_>) {
+        let mark = match stage {
+            Stage::Whole => "",
+            Stage::Prefill => "p:",
+            Stage::Decode { .. } => "d:",
+        };
+        let comma = if self.upstreams.is_empty() { "" } else { "," };
+        // Writing to a string does not fail.
+        let _ = write!(self.upstreams, "{comma}{mark}{id}");
+    }
 }
 
 impl RoutedRequest {
--- a/crates/edge/src/http1.rs
+++ b/crates/edge/src/http1.rs
@@ -80,6 +80,8 @@
     Broken,
     /// The connection did not open in time, or there was no response in time.
     Timeout,
+    /// The request was not sent, since the quota of its account is used up.
+    OverQuota,
 }
 
 impl fmt::Display for CallError {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod own_delay;
 mod peers;
 pub mod platform_api;
+mod quota;
 pub mod reload;
 mod routes;
 mod run;
--- a/crates/edge/src/members/mod.rs
+++ b/crates/edge/src/members/mod.rs
@@ -194,6 +194,12 @@
         self.by_name.values().filter_map(|member| member.control)
     }
 
+    /// Returns the control address of each known process that has one, by the hash of its name.
+    pub fn addresses(&self) -> impl Iterator<Item = (u64, SocketAddr)> {
+        let members = self.by_name.values();
+        members.filter_map(|member| Some((member.hash, member.control?)))
+    }
+
     /// Returns the position after the newest known record.
     pub fn next_position(&self) -> Position {
         let positions = self.by_name.values().map(|member| member.position);
--- a/crates/edge/src/model.rs
+++ b/crates/edge/src/model.rs
@@ -10,6 +10,7 @@
 use http::{HeaderMap, StatusCode};
 use nutmegbay_core::position::Position;
 use nutmegbay_policy::edge::entry_age::EntryAge;
+pub use nutmegbay_policy::edge::quota::Quota;
 use strum::{Display, EnumString, IntoStaticStr};
 
 /// Deadline of a request that states none.
@@ -160,6 +161,42 @@
     pub keys: Vec<Box<str>>,
     /// Priority that takes precedence over the route's.
     pub priority: Option<u8>,
+    /// Quota for all instances together. `None` if the account has no limit.
+    pub quota: Option<AccountQuota>,
+}
+
+impl Account {
+    /// Returns what a request counts toward the quota of the account, or `None` if it has none.
+    pub fn quota_cost(&self, work: Option<&ModelWork>) -> Option<f64> {
+        Some(match (self.quota?.unit, work) {
+            (QuotaUnit::Requests, _) => 1.0,
+            (QuotaUnit::Tokens { .. }, Some(work)) => {
+                f64::from(work.prompt_tokens) + f64::from(work.output_tokens)
+            }
+            (QuotaUnit::Tokens { plain }, None) => plain,
+        })
+    }
+}
+
+/// Quota of a client account.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct AccountQuota {
+    /// Rate and burst.
+    pub quota: Quota,
+    /// What is counted.
+    pub unit: QuotaUnit,
+}
+
+/// What a quota counts.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum QuotaUnit {
+    /// Requests.
+    Requests,
+    /// Tokens of the prompt and of the maximum output.
+    Tokens {
+        /// What a request counts that states no tokens.
+        plain: f64,
+    },
 }
 
 /// An upstream's entry in the list of instances.
--- a/crates/edge/src/peers/serve.rs
+++ b/crates/edge/src/peers/serve.rs
@@ -113,7 +113,9 @@
         match path {
             METRICS_PATH => {
                 let dropped = nutmegbay_telemetry::log::dropped_lines();
-                let text = state.metrics.render(&gauges(state), dropped);
+                let mut text = state.metrics.render(&gauges(state), dropped);
+                let quotas = state.quotas.borrow();
+                quotas.write_metrics(&mut text, state.now());
                 (StatusCode::OK, "text/plain", text)
             }
             KNOWN_RECORDS_PATH => json_response(&build_reply(state, &ChangesRequest::default())),
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+pub use nutmegbay_policy::edge::quota::QuotaBounds;
+
 /// Settings of one edge process.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EdgeSettings {
@@ -59,4 +61,6 @@
     pub usage_window: Duration,
     /// Time from the end of a usage window until its report is due.
     pub usage_lag: Duration,
+    /// Bounds on the use of quotas of client accounts.
+    pub quota: QuotaBounds,
 }
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -30,6 +30,7 @@
 use crate::model::DeploymentConfig;
 use crate::own_delay::DelayMonitor;
 use crate::platform_api::{StoreError, Topic, WireCodec};
+use crate::quota::Quotas;
 use crate::routes::RouteTable;
 use crate::settings::{Bounds, EdgeSettings};
 use crate::stopping::PlannedStop;
@@ -125,6 +126,8 @@
     pub in_flight: Rc<Cell<usize>>,
     /// Software versions, and origins of streams.
     pub versions: RefCell<Versions>,
+    /// Quotas of client accounts.
+    pub quotas: Rc<RefCell<Quotas>>,
     /// Deadlines sent by callers, by route.
     deadlines: RefCell<HashMap<Box<str>, Deadlines>>,
 }
@@ -147,7 +150,8 @@
         let starting = settings.bounds.contact.mul_f64(STARTUP_RELAY_FRACTION);
         let now = monotonic_clock.now();
         let starting_until = now.plus(starting);
-        let presence = Presence::new(member_hash(&settings.node));
+        let own = member_hash(&settings.node);
+        let presence = Presence::new(own);
         Self {
             codec,
             settings: RefCell::new(Rc::new(settings)),
@@ -184,6 +188,7 @@
             bodies: Rc::default(),
             in_flight: Rc::default(),
             versions: RefCell::default(),
+            quotas: Rc::new(Quotas::new(own).into()),
             deadlines: RefCell::default(),
         }
     }
@@ -208,6 +213,10 @@
         for share in self.budgets.borrow_mut().values_mut() {
             share.set_budget(budget);
         }
+        if let Some(table) = &*self.routes.borrow() {
+            let mut quotas = self.quotas.borrow_mut();
+            quotas.set_config(table.config(), settings.bounds.quota, self.now());
+        }
         *self.settings.borrow_mut() = Rc::new(settings);
     }
 
@@ -233,6 +242,10 @@
             scale = ?config.services.values().filter_map(|s| s.scale).collect::<Vec<_>>(),
             source,
         );
+        let bounds = self.settings().bounds.quota;
+        self.quotas
+            .borrow_mut()
+            .set_config(&config, bounds, self.now());
         *self.routes.borrow_mut() = Some(Rc::new(RouteTable::new(config)));
         true
     }
@@ -259,7 +272,7 @@
     /// write their records look failed.
     pub fn share_limits(&self) {
         let now = self.now();
-        let is_current = self.known_records.borrow().instances_age(now) < MAX_MEMBERS_AGE;
+        let is_current = self.is_member_list_current();
         let members = self.members.borrow();
         let presence = self.presence.borrow();
         let settings = self.settings();
@@ -270,6 +283,12 @@
         fleet.share_limits(others, is_current, has_joined, now);
     }
 
+    /// Returns whether processes that look failed have failed: the known list of instances is
+    /// current, so that the records of other processes would be read too.
+    pub fn is_member_list_current(&self) -> bool {
+        self.known_records.borrow().instances_age(self.now()) < MAX_MEMBERS_AGE
+    }
+
     /// Returns the highest era of the store in any response.
     pub fn store_era(&self) -> u64 {
         self.store_era.get()
--- a/crates/edge/tests/route_table.rs
+++ b/crates/edge/tests/route_table.rs
@@ -51,6 +51,7 @@
             name: "acme".into(),
             keys: vec!["k1".into()],
             priority: None,
+            quota: None,
         })],
         ..DeploymentConfig::default()
     })
--- a/crates/policy/src/edge/mod.rs
+++ b/crates/policy/src/edge/mod.rs
@@ -22,6 +22,7 @@
 pub mod prefill_rate;
 pub mod prefixes;
 pub mod presence;
+pub mod quota;
 pub mod relay;
 pub mod silence;
 pub mod software_versions;
