Let owners gain as soon as they hear a majority

After a kill of all instances, owners waited two seconds until they counted as known to the others, and refused every request of an account with a quota. An instance that hears a majority is known to it already. Of two groups that do not hear each other, at most one takes over the parts of the other. A request leaves as much with its owner as it takes, so that small ones are not refused for large ones.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -55,9 +55,9 @@
         if role_updated_at.is_none_or(|at| now.since(at) >= ROLE_UPDATE_INTERVAL) {
             update_role(&state, port);
             state.share_limits();
-            quota::update(&state);
             role_updated_at = Some(now);
         }
+        quota::update(&state);
         send_digests(&state, &socket);
         let instances = state.fleet.borrow().other_instances() + 1;
         sleep(spacing(instances)).await;
--- a/crates/edge/src/quota/message.rs
+++ b/crates/edge/src/quota/message.rs
@@ -18,6 +18,7 @@
         account: u64,
         id: u64,
         tokens: f64,
+        keep: f64,
         is_partial: bool,
     },
     /// Answers an ask.
@@ -25,6 +26,7 @@
         account: u64,
         id: u64,
         tokens: f64,
+        is_owner: bool,
         left: f64,
         retry_s: f64,
     },
@@ -38,6 +40,7 @@
             account,
             id: ask.id,
             tokens: ask.tokens,
+            keep: ask.keep,
             is_partial: ask.is_partial,
         }
     }
@@ -47,6 +50,7 @@
             account,
             id,
             tokens: grant.tokens,
+            is_owner: grant.is_owner,
             left: grant.left,
             retry_s: grant.retry_s,
         }
--- a/crates/edge/src/quota/mod.rs
+++ b/crates/edge/src/quota/mod.rs
@@ -5,7 +5,7 @@
 mod ticket;
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::fmt::Write;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -14,9 +14,9 @@
 use http::StatusCode;
 use nutmegbay_core::environment::MonotonicTime;
 use nutmegbay_core::verdict::Verdict;
-use nutmegbay_policy::edge::admission::retry_after;
+use nutmegbay_policy::edge::admission::{overload_retry_ms, retry_after};
 use nutmegbay_policy::edge::quota::{
-    Ask, Asker, Contact, GainFactor, Grant, QuotaMembers, QuotaOwner, QuotaPlan, Round, Step,
+    Ask, Asker, Contact, ContactReport, Grant, QuotaMembers, QuotaOwner, QuotaPlan, Round, Step,
 };
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
@@ -41,6 +41,9 @@
 /// Maximum wait for tokens as a fraction of the route's objective, as a divisor.
 const OBJECTIVE_PER_WAIT: u32 = 4;
 
+/// Time between two updates of what is known of the other instances.
+const UPDATE_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Minimum time between two log lines about refusals of the same account.
 const LOG_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -58,9 +61,9 @@
     accounts: HashMap<Box<str>, AccountState>,
     owner: QuotaOwner,
     members: QuotaMembers,
-    has_joined: bool,
-    gain: GainFactor,
-    factor: f64,
+    contact: Contact,
+    /// Time at which what is known of the others was last updated.
+    updated_at: MonotonicTime,
     /// Exchange addresses of other instances.
     addresses: HashMap<u64, SocketAddr>,
     /// Asks without an answer, by id.
@@ -88,9 +91,8 @@
             accounts: HashMap::new(),
             owner: QuotaOwner::default(),
             members: QuotaMembers::new(own),
-            has_joined: false,
-            gain: GainFactor::default(),
-            factor: 0.0,
+            contact: Contact::default(),
+            updated_at: MonotonicTime::default(),
             addresses: HashMap::new(),
             waiting: HashMap::new(),
             socket: None,
@@ -144,7 +146,7 @@
             let owners = owners.as_slice();
             account
                 .asker
-                .set_owners(owners, instances, self.has_joined, now);
+                .set_owners(owners, instances, self.contact.has_joined(), now);
             if owners.contains(&self.members.own()) {
                 owned.push((account.hash, *account.asker.plan(), owners.len()));
             }
@@ -173,11 +175,8 @@
         if !self.is_active() {
             return;
         }
-        let _ = writeln!(
-            text,
-            "nutmegbay_quota_gain_percent {:.0}",
-            self.factor * 100.0
-        );
+        let is_gaining = u8::from(self.contact.may_gain());
+        let _ = writeln!(text, "nutmegbay_quota_gaining {is_gaining}");
         for (name, account) in self.accounts.iter().take(MAX_ACCOUNT_SERIES) {
             let mut line = |metric: &str, value: f64| {
                 let _ = writeln!(
@@ -241,32 +240,39 @@
 
 /// Updates what this instance knows of the others, and what it gains as an owner.
 pub fn update<D: WireCodec>(state: &EdgeState<D>) {
-    if !state.quotas.borrow().is_active() {
-        return;
-    }
     let now = state.now();
+    {
+        let quotas = state.quotas.borrow();
+        if !quotas.is_active() || now.since(quotas.updated_at) < UPDATE_INTERVAL {
+            return;
+        }
+    }
     let settings = state.settings();
     let is_current = state.is_member_list_current();
     let others: Vec<u64> = {
         let members = state.members.borrow();
         let presence = state.presence.borrow();
         let alive = members.other_hashes(&settings.node, now);
-        alive.chain(presence.heard(now)).collect()
+        let others: BTreeSet<u64> = alive.chain(presence.heard(now)).collect();
+        others.into_iter().collect()
     };
-    let has_joined = state.presence.borrow().has_joined(now);
     let mut quotas = state.quotas.borrow_mut();
     let quotas = &mut *quotas;
-    let is_changed = quotas.members.update(others, is_current);
-    let contact = Contact {
-        has_joined,
+    quotas.updated_at = now;
+    let presence = state.presence.borrow();
+    let report = ContactReport {
+        announced_for: presence.announced_for(now),
+        has_joined: presence.has_joined(now),
         record_age: now.since(state.record_written_at.get()),
         heard: state.fleet.borrow().heard_instances(),
-        known: quotas.members.other_count(),
+        known: quotas.members.other_count().max(others.len()),
     };
-    quotas.factor = quotas.gain.update(contact, now);
-    quotas.owner.set_factor(quotas.factor, now);
-    if is_changed || has_joined != quotas.has_joined {
-        quotas.has_joined = has_joined;
+    let had_joined = quotas.contact.has_joined();
+    quotas.contact.update(report, now);
+    let is_complete = is_current && quotas.contact.may_take_over(now);
+    let is_changed = quotas.members.update(others, is_complete);
+    quotas.owner.set_gaining(quotas.contact.may_gain(), now);
+    if is_changed || quotas.contact.has_joined() != had_joined {
         quotas.update_owners(now);
     }
     if let Some(exchange) = settings.exchange {
@@ -291,11 +297,13 @@
             account,
             id,
             tokens,
+            keep,
             is_partial,
         } => {
             let ask = Ask {
                 id,
                 tokens,
+                keep,
                 is_partial,
             };
             let grant = quotas.owner.grant(account, ask, now);
@@ -307,11 +315,13 @@
             account,
             id,
             tokens,
+            is_owner,
             left,
             retry_s,
         } => {
             let grant = Grant {
                 tokens,
+                is_owner,
                 left,
                 retry_s,
             };
@@ -390,19 +400,23 @@
                     status: StatusCode::TOO_MANY_REQUESTS,
                     verdict: Verdict::NotRun,
                     cause: OVER_QUOTA,
-                    retry_after: retry
-                        .map(|retry| retry_after(retry.as_secs_f64() * 1e3, rand::random())),
+                    retry_after: retry.map(|retry| {
+                        let ms = overload_retry_ms(retry.as_secs_f64() * 1e3);
+                        retry_after(ms, rand::random())
+                    }),
                 });
             }
             Step::Ask {
                 owner,
                 tokens,
+                keep,
                 is_partial,
                 max_wait,
             } => {
                 let ask = Ask {
                     id: rand::random(),
                     tokens,
+                    keep,
                     is_partial,
                 };
                 let grant = ask_owner(state, ticket.account, owner, ask, max_wait).await;
--- a/crates/policy/src/edge/presence.rs
+++ b/crates/policy/src/edge/presence.rs
@@ -110,6 +110,11 @@
         self.first_at.get_or_insert(now);
     }
 
+    /// Returns the time since this instance first announced itself, if it has.
+    pub fn announced_for(&self, now: MonotonicTime) -> Option<Duration> {
+        self.first_at.map(|at| now.since(at))
+    }
+
     /// Returns whether this instance announced itself so long ago that the others know of it.
     pub fn has_joined(&self, now: MonotonicTime) -> bool {
         self.first_at.is_some_and(|at| now.since(at) >= SPREAD_TIME)
--- a/crates/policy/src/edge/quota/asker.rs
+++ b/crates/policy/src/edge/quota/asker.rs
@@ -17,6 +17,10 @@
 /// Time for which an owner that did not answer is not asked.
 const SILENT_TIME: Duration = Duration::from_secs(1);
 
+/// Time for which an instance is not asked that answered that it does not own the account. It may
+/// be about to.
+const NO_OWNER_TIME: Duration = Duration::from_millis(100);
+
 /// Minimum time for which a refusal is remembered.
 const MIN_REFUSAL_TIME: Duration = Duration::from_millis(30);
 
@@ -30,6 +34,9 @@
 /// Maximum wait that a refusal states, in seconds. Callers wait for at most a part of their time.
 pub const MAX_RETRY_S: f64 = 4.0;
 
+/// Maximum fraction of what an owner can hold that a request leaves for others.
+const MAX_KEPT_FRACTION: f64 = 0.1;
+
 /// Decisions of one instance on the requests of one account.
 #[derive(Debug)]
 pub struct Asker {
@@ -85,6 +92,8 @@
         owner: u64,
         /// Tokens that are missing.
         tokens: f64,
+        /// Tokens that the owner keeps for others.
+        keep: f64,
         /// Whether fewer tokens are useful too.
         is_partial: bool,
         /// Maximum wait for the answer.
@@ -223,6 +232,7 @@
         Step::Ask {
             owner,
             tokens: missing,
+            keep: self.keep(round.cost),
             is_partial: is_partial || !self.holds_alone(round.cost),
             max_wait: time_left.min(round.max_wait / 2),
         }
@@ -236,6 +246,11 @@
         grant: Grant,
         now: MonotonicTime,
     ) {
+        if !grant.is_owner {
+            // It has just started, or is cut off. Nothing is known of the tokens.
+            self.skip(owner, now.plus(NO_OWNER_TIME));
+            return;
+        }
         self.answered_at = Some(now);
         let missing = round.cost - round.granted;
         // `max` and `min` ignore what is not a number.
@@ -253,8 +268,12 @@
 
     /// Records that an owner did not answer in time.
     pub fn record_silence(&mut self, owner: u64, now: MonotonicTime) {
+        self.skip(owner, now.plus(SILENT_TIME));
+    }
+
+    fn skip(&mut self, owner: u64, until: MonotonicTime) {
         if let Some(owner) = self.owners.iter_mut().find(|known| known.key == owner) {
-            owner.silent_until = now.plus(SILENT_TIME);
+            owner.silent_until = until;
         }
     }
 
@@ -280,7 +299,9 @@
         if !self.holds_alone(round.cost) {
             return None;
         }
-        let left: f64 = round.answers.iter().map(|(_, left)| left).sum();
+        let keep = self.keep(round.cost);
+        let left = round.answers.iter().map(|(_, left)| (left - keep).max(0.0));
+        let left: f64 = left.sum();
         if round.granted + left < round.cost {
             return None;
         }
@@ -294,7 +315,16 @@
 
     /// Returns whether an owner can ever hold the tokens of a request alone.
     fn holds_alone(&self, cost: f64) -> bool {
-        self.plan.part(self.owners.len()).1 >= cost
+        self.plan.part(self.owners.len()).1 >= cost + self.keep(cost)
+    }
+
+    /// Returns the tokens that a request leaves at each owner: as many as it takes, so that what
+    /// costs little is not refused for what costs much. It is less where requests take a large part
+    /// of the quota.
+    fn keep(&self, cost: f64) -> f64 {
+        let (_, depth) = self.plan.part(self.owners.len());
+        let rest = (self.plan.depth - cost) / self.owners.len().max(1) as f64;
+        cost.min(depth * MAX_KEPT_FRACTION).min(rest).max(0.0)
     }
 
     /// Decides on a request for which all owners were asked.
--- a/crates/policy/src/edge/quota/bucket.rs
+++ b/crates/policy/src/edge/quota/bucket.rs
@@ -35,9 +35,9 @@
         self.tokens = (self.tokens + gained).min(self.depth);
     }
 
-    /// Loses tokens beyond `limit`.
-    pub fn truncate(&mut self, limit: f64) {
-        self.tokens = self.tokens.min(limit);
+    /// Loses all tokens.
+    pub fn clear(&mut self) {
+        self.tokens = 0.0;
     }
 
     /// Takes `tokens` if the bucket holds them.
--- a/crates/policy/src/edge/quota/contact.rs
+++ b/crates/policy/src/edge/quota/contact.rs
@@ -1,8 +1,10 @@
-//! Whether an instance may gain tokens as an owner.
+//! Whether an instance may gain tokens as an owner, and take over the parts of others.
 //!
-//! Load pattern: an instance is cut off from the others and from the store for longer than the time
-//! after which they take it for failed. Others then own its part. Its record in the store is old by
-//! then, so it gains only in proportion to the instances that it hears.
+//! Load pattern: instances are cut off from the others and from the store for longer than the time
+//! after which they are taken for failed. Others own their parts from then on. Of two groups that do
+//! not hear each other, at most one hears a majority: only that one takes parts over, and of those
+//! whose records are old only that one goes on to gain. After all were killed, each gains as soon as
+//! it hears a majority again.
 
 use std::time::Duration;
 
@@ -12,14 +14,23 @@
 /// others do so 20 s after its last record, or later while the store does not answer them.
 const SAFE_RECORD_AGE: Duration = Duration::from_secs(10);
 
+/// Time from the first announcement until an instance that hears a majority counts as known to the
+/// others: the way of the announcement through a relay, and the next update at the others.
+const ANNOUNCE_TIME: Duration = Duration::from_millis(400);
+
 /// Time for which others count as heard. An instance whose relay has ended hears nobody until it
 /// has found another one.
 const HEARD_TIME: Duration = Duration::from_secs(3);
 
+/// Time after which instances that hear no majority take over the parts of others that look failed.
+const MINORITY_TIME: Duration = Duration::from_mins(1);
+
 /// What an instance knows of its contact to the others.
 #[derive(Debug, Clone, Copy)]
-pub struct Contact {
-    /// Whether the others know of this instance.
+pub struct ContactReport {
+    /// Time since this instance first announced itself, if it has.
+    pub announced_for: Option<Duration>,
+    /// Whether it did so long enough ago that the others know of it in any case.
     pub has_joined: bool,
     /// Age of the own record in the store.
     pub record_age: Duration,
@@ -29,27 +40,49 @@
     pub known: usize,
 }
 
-/// Part of its rate, 0 to 1, that an owner gains.
+/// Contact of an instance to the others.
 #[derive(Debug, Clone, Copy, Default)]
-pub struct GainFactor {
-    heard: f64,
+pub struct Contact {
+    heard: usize,
     heard_at: MonotonicTime,
+    majority_at: MonotonicTime,
+    has_joined: bool,
+    may_gain: bool,
 }
 
-impl GainFactor {
-    /// Returns the factor for the contact at `now`.
-    pub fn update(&mut self, contact: Contact, now: MonotonicTime) -> f64 {
-        let heard = (contact.heard + 1) as f64 / (contact.known + 1) as f64;
-        let heard = heard.min(1.0);
-        if heard >= self.heard || now.since(self.heard_at) >= HEARD_TIME {
-            (self.heard, self.heard_at) = (heard, now);
+impl Contact {
+    /// Records the contact at `now`.
+    pub fn update(&mut self, report: ContactReport, now: MonotonicTime) {
+        if report.heard >= self.heard || now.since(self.heard_at) >= HEARD_TIME {
+            (self.heard, self.heard_at) = (report.heard, now);
         }
-        if !contact.has_joined {
-            0.0
-        } else if contact.record_age <= SAFE_RECORD_AGE {
-            1.0
-        } else {
-            self.heard
+        let has_majority = 2 * (self.heard + 1) > report.known + 1;
+        if has_majority {
+            self.majority_at = now;
         }
+        let is_announced = report
+            .announced_for
+            .is_some_and(|since| since >= ANNOUNCE_TIME);
+        // An instance that hears more than it knows has not read all records yet.
+        let knows_all = report.known >= report.heard;
+        self.has_joined =
+            report.has_joined || (is_announced && has_majority && knows_all && report.heard > 0);
+        self.may_gain = self.has_joined && (report.record_age <= SAFE_RECORD_AGE || has_majority);
+    }
+
+    /// Returns whether the others know of this instance.
+    pub fn has_joined(&self) -> bool {
+        self.has_joined
+    }
+
+    /// Returns whether this instance gains tokens as an owner.
+    pub fn may_gain(&self) -> bool {
+        self.may_gain
+    }
+
+    /// Returns whether others that look failed no longer count as owners.
+    pub fn may_take_over(&self, now: MonotonicTime) -> bool {
+        let has_majority = self.majority_at == now;
+        has_majority || now.since(self.majority_at) >= MINORITY_TIME
     }
 }
--- a/crates/policy/src/edge/quota/mod.rs
+++ b/crates/policy/src/edge/quota/mod.rs
@@ -13,7 +13,7 @@
 
 pub use asker::{Asker, MAX_OWNERS, Round, Step};
 pub use bucket::Bucket;
-pub use contact::{Contact, GainFactor};
+pub use contact::{Contact, ContactReport};
 pub use members::{OwnerSet, QuotaMembers};
 pub use owner::{Ask, Grant, QuotaOwner};
 
--- a/crates/policy/src/edge/quota/owner.rs
+++ b/crates/policy/src/edge/quota/owner.rs
@@ -27,6 +27,8 @@
     pub id: u64,
     /// Tokens that are missing.
     pub tokens: f64,
+    /// Tokens that the owner keeps for others.
+    pub keep: f64,
     /// Whether fewer tokens are useful too.
     pub is_partial: bool,
 }
@@ -36,6 +38,8 @@
 pub struct Grant {
     /// Tokens that are granted.
     pub tokens: f64,
+    /// Whether the instance owns the account and gains tokens for it.
+    pub is_owner: bool,
     /// Tokens that the owner has left.
     pub left: f64,
     /// Time until the owner is expected to have the tokens that were asked for, in seconds. 0 if
@@ -72,17 +76,17 @@
     accounts: HashMap<u64, Account>,
     credit_s: f64,
     at: MonotonicTime,
-    /// Part of its rate and depth that this instance may use, see [`super::GainFactor`].
-    factor: f64,
+    /// Whether this instance gains, see [`super::Contact::may_gain`].
+    is_gaining: bool,
 }
 
 impl QuotaOwner {
-    /// Sets the factor from `now` on.
-    pub fn set_factor(&mut self, factor: f64, now: MonotonicTime) {
+    /// Sets whether this instance gains from `now` on. What it holds is lost while it does not.
+    pub fn set_gaining(&mut self, is_gaining: bool, now: MonotonicTime) {
         self.advance(now);
-        self.factor = factor;
-        for account in self.accounts.values_mut() {
-            account.gain(self.credit_s, factor);
+        self.is_gaining = is_gaining;
+        if !is_gaining {
+            self.clear();
         }
     }
 
@@ -107,7 +111,6 @@
                 backlog_at: now,
             });
             account.bucket.set_terms(per_s, depth, self.credit_s);
-            account.bucket.truncate(depth * self.factor);
             (account.life, account.owners) = (plan.life, owners);
             self.accounts.insert(hash, account);
         }
@@ -119,15 +122,15 @@
         let Some(account) = self.accounts.get_mut(&account) else {
             return Grant::default();
         };
-        if !(ask.tokens.is_finite() && ask.tokens > 0.0) {
+        let is_valid = ask.tokens.is_finite() && ask.tokens > 0.0 && ask.keep >= 0.0;
+        if !self.is_gaining || !is_valid {
             return Grant::default();
         }
-        account.gain(self.credit_s, self.factor);
+        account.bucket.gain(self.credit_s);
         account.forget_spent(now);
-        let tokens = if ask.is_partial {
-            account.bucket.take(ask.tokens)
-        } else if account.bucket.try_take(ask.tokens) {
-            ask.tokens
+        let free = account.bucket.tokens() - ask.keep;
+        let tokens = if ask.is_partial || free >= ask.tokens {
+            account.bucket.take(ask.tokens.min(free))
         } else {
             0.0
         };
@@ -135,12 +138,13 @@
             account.record(ask.id, tokens, now);
         }
         let retry_s = if tokens < ask.tokens {
-            account.record_refused(ask.tokens - tokens, now)
+            account.record_refused(ask.tokens - tokens, ask.keep, now)
         } else {
             0.0
         };
         Grant {
             tokens,
+            is_owner: true,
             left: account.bucket.tokens(),
             retry_s,
         }
@@ -153,9 +157,9 @@
         let Some(account) = self.accounts.get_mut(&account) else {
             return false;
         };
-        account.gain(self.credit_s, self.factor);
+        account.bucket.gain(self.credit_s);
         account.forget_spent(now);
-        account.take_back(id, self.factor)
+        self.is_gaining && account.take_back(id)
     }
 
     /// Returns the tokens that the owner of an account holds, or `None` if it is not this instance.
@@ -167,21 +171,21 @@
         let passed = now.since(self.at);
         self.at = self.at.max(now);
         if passed > MAX_STANDSTILL {
-            for account in self.accounts.values_mut() {
-                account.bucket.truncate(0.0);
-            }
-        } else {
-            self.credit_s += passed.as_secs_f64() * self.factor;
+            self.clear();
+        } else if self.is_gaining {
+            self.credit_s += passed.as_secs_f64();
         }
     }
-}
 
-impl Account {
-    fn gain(&mut self, credit_s: f64, factor: f64) {
-        self.bucket.gain(credit_s);
-        self.bucket.truncate(self.bucket.depth() * factor);
+    fn clear(&mut self) {
+        for account in self.accounts.values_mut() {
+            account.bucket.gain(self.credit_s);
+            account.bucket.clear();
+        }
     }
+}
 
+impl Account {
     /// Forgets grants whose tokens can no longer be spent.
     fn forget_spent(&mut self, now: MonotonicTime) {
         while let Some(oldest) = self.granted.front()
@@ -212,11 +216,11 @@
         });
     }
 
-    fn take_back(&mut self, id: u64, factor: f64) -> bool {
+    fn take_back(&mut self, id: u64) -> bool {
         let Some(at) = self.granted.iter().rposition(|grant| grant.id == Some(id)) else {
             return false;
         };
-        if self.bucket.tokens() + self.unspent > self.bucket.depth() * factor {
+        if self.bucket.tokens() + self.unspent > self.bucket.depth() {
             return false;
         }
         let Some(grant) = self.granted.remove(at) else {
@@ -228,12 +232,12 @@
     }
 
     /// Records tokens that were refused. Returns the time until they are expected, in seconds.
-    fn record_refused(&mut self, missing: f64, now: MonotonicTime) -> f64 {
+    fn record_refused(&mut self, missing: f64, keep: f64, now: MonotonicTime) -> f64 {
         let per_s = self.bucket.per_s();
         let passed = now.since(self.backlog_at).as_secs_f64();
         self.backlog_at = now;
         self.backlog = (self.backlog - passed * per_s).max(0.0);
-        let short = (missing - self.bucket.tokens()).max(0.0);
+        let short = (missing + keep - self.bucket.tokens()).max(0.0);
         let retry_s = (short + self.backlog) / per_s;
         // Every owner refuses the same request.
         self.backlog = (self.backlog + missing / self.owners as f64).min(MAX_RETRY_S * per_s);
