--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -52,7 +52,9 @@
     let mut role_updated_at = None;
     loop {
         let now = state.now();
-        if role_updated_at.is_none_or(|at| now.since(at) >= ROLE_UPDATE_INTERVAL) {
+        // Owners of quotas grant nothing before they hear others.
+        let is_urgent = state.quotas.borrow().is_active() && !state.fleet.borrow().has_role();
+        if is_urgent || role_updated_at.is_none_or(|at| now.since(at) >= ROLE_UPDATE_INTERVAL) {
             update_role(&state, port);
             state.share_limits();
             role_updated_at = Some(now);
--- a/crates/edge/src/fleet/digests.rs
+++ b/crates/edge/src/fleet/digests.rs
@@ -16,6 +16,11 @@
         self.other_instances = other_instances;
     }
 
+    /// Whether this instance has a role in the exchange.
+    pub fn has_role(&self) -> bool {
+        self.exchange.has_role()
+    }
+
     /// Whether this instance forwards what others send.
     pub fn is_relay(&self) -> bool {
         self.exchange.is_relay()
--- a/crates/edge/src/forward/quota.rs
+++ b/crates/edge/src/forward/quota.rs
@@ -6,7 +6,7 @@
 use super::{Failure, Forwarder};
 use crate::http1::{CallError, Cause, Connection};
 use crate::platform_api::WireCodec;
-use crate::quota;
+use crate::quota::{self, QuotaRequest};
 
 impl<D: WireCodec> Forwarder<'_, D> {
     /// Gets the tokens of the request. Fails if the quota of its account does not allow it now.
@@ -18,7 +18,18 @@
         let Some(cost) = account.quota_cost(request.head.work.as_ref()) else {
             return Ok(());
         };
-        let ticket = quota::acquire(self.state, account, cost, request.route.objective).await?;
+        let passed = request.elapsed + self.state.now().since(request.arrived);
+        let objective = request.route.objective;
+        let ticket = quota::acquire(
+            self.state,
+            QuotaRequest {
+                account,
+                cost,
+                is_late: passed > objective,
+                objective,
+            },
+        )
+        .await?;
         // A former ticket is dropped after the borrow has ended.
         let former = std::mem::replace(&mut request.progress.borrow_mut().quota, ticket);
         drop(former);
--- a/crates/edge/src/quota/message.rs
+++ b/crates/edge/src/quota/message.rs
@@ -20,6 +20,7 @@
         tokens: f64,
         keep: f64,
         is_partial: bool,
+        refused: f64,
     },
     /// Answers an ask.
     Grant {
@@ -42,6 +43,7 @@
             tokens: ask.tokens,
             keep: ask.keep,
             is_partial: ask.is_partial,
+            refused: ask.refused,
         }
     }
 
--- a/crates/edge/src/quota/mod.rs
+++ b/crates/edge/src/quota/mod.rs
@@ -100,7 +100,7 @@
     }
 
     /// Returns whether any account has a quota.
-    fn is_active(&self) -> bool {
+    pub fn is_active(&self) -> bool {
         !self.accounts.is_empty()
     }
 
@@ -299,12 +299,14 @@
             tokens,
             keep,
             is_partial,
+            refused,
         } => {
             let ask = Ask {
                 id,
                 tokens,
                 keep,
                 is_partial,
+                refused,
             };
             let grant = quotas.owner.grant(account, ask, now);
             if let Some(socket) = &quotas.socket {
@@ -359,16 +361,27 @@
     }
 }
 
-/// Gets the tokens of a request of `account` that costs `cost`. Returns `None` if the account has no
-/// quota, and the failure of the request if its quota does not allow it now.
+/// Request that needs tokens.
+#[derive(Debug, Clone, Copy)]
+pub struct QuotaRequest<'a> {
+    pub account: &'a Account,
+    /// Tokens, see [`Account::quota_cost`].
+    pub cost: f64,
+    /// Whether its result cannot be on time any more.
+    pub is_late: bool,
+    /// Objective of its route.
+    pub objective: Duration,
+}
+
+/// Gets the tokens of a request. Returns `None` if its account has no quota, and the failure of the
+/// request if the quota does not allow it now.
 pub async fn acquire<D: WireCodec>(
     state: &EdgeState<D>,
-    account: &Account,
-    cost: f64,
-    objective: Duration,
+    request: QuotaRequest<'_>,
 ) -> Result<Option<QuotaTicket>, Failure> {
+    let QuotaRequest { account, cost, .. } = request;
     let now = state.now();
-    let max_wait = MAX_WAIT.min(objective / OBJECTIVE_PER_WAIT);
+    let max_wait = MAX_WAIT.min(request.objective / OBJECTIVE_PER_WAIT);
     let (mut ticket, mut round) = {
         let quotas = state.quotas.borrow();
         let Some(known) = quotas.accounts.get(&account.name) else {
@@ -376,7 +389,7 @@
         };
         let life = known.asker.plan().life;
         let ticket = QuotaTicket::new(&state.quotas, state.monotonic_clock, known.hash, life);
-        (ticket, Round::new(cost, max_wait, now))
+        (ticket, Round::new(cost, request.is_late, max_wait, now))
     };
     loop {
         let now = state.now();
@@ -411,6 +424,7 @@
                 tokens,
                 keep,
                 is_partial,
+                refused,
                 max_wait,
             } => {
                 let ask = Ask {
@@ -418,6 +432,7 @@
                     tokens,
                     keep,
                     is_partial,
+                    refused,
                 };
                 let grant = ask_owner(state, ticket.account, owner, ask, max_wait).await;
                 let now = state.now();
--- a/crates/policy/src/edge/exchange.rs
+++ b/crates/policy/src/edge/exchange.rs
@@ -173,6 +173,11 @@
         self.role = role;
     }
 
+    /// Whether this instance has a role.
+    pub fn has_role(&self) -> bool {
+        self.role.is_some()
+    }
+
     /// Whether this instance forwards digests.
     pub fn is_relay(&self) -> bool {
         matches!(self.role, Some(Role::Relay(_)))
--- a/crates/policy/src/edge/quota/asker.rs
+++ b/crates/policy/src/edge/quota/asker.rs
@@ -58,6 +58,8 @@
     /// Tokens that it had left when it last answered. `None` if it has not answered yet.
     left: Option<(f64, MonotonicTime)>,
     silent_until: MonotonicTime,
+    /// Its part of the tokens that were refused without asking it.
+    refused: f64,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -71,6 +73,7 @@
 #[derive(Debug, Clone)]
 pub struct Round {
     cost: f64,
+    is_late: bool,
     granted: f64,
     began: MonotonicTime,
     max_wait: Duration,
@@ -96,6 +99,8 @@
         keep: f64,
         /// Whether fewer tokens are useful too.
         is_partial: bool,
+        /// The owner's part of the tokens that were refused since it was last asked.
+        refused: f64,
         /// Maximum wait for the answer.
         max_wait: Duration,
     },
@@ -110,10 +115,12 @@
 }
 
 impl Round {
-    /// Begins the search for the tokens of a request, which takes `max_wait` at most.
-    pub fn new(cost: f64, max_wait: Duration, now: MonotonicTime) -> Self {
+    /// Begins the search for the tokens of a request, which takes `max_wait` at most. `is_late`
+    /// states that its result cannot be on time any more.
+    pub fn new(cost: f64, is_late: bool, max_wait: Duration, now: MonotonicTime) -> Self {
         Self {
             cost,
+            is_late,
             granted: 0.0,
             began: now,
             max_wait,
@@ -167,6 +174,7 @@
                 key: *key,
                 left: None,
                 silent_until: MonotonicTime::default(),
+                refused: 0.0,
             })
         };
         self.owners = owners.iter().map(owner).collect();
@@ -207,6 +215,10 @@
         }
         match self.refusal {
             Some(refusal) if round.asked.is_empty() && refusal.covers(round.cost, now) => {
+                let part = round.cost / self.owners.len().max(1) as f64;
+                for owner in &mut self.owners {
+                    owner.refused += part;
+                }
                 return Step::Refused {
                     retry: Some(refusal.retry_at.since(now)),
                 };
@@ -229,11 +241,14 @@
             &mut round.asked
         };
         asked.push(owner);
+        let known = self.owners.iter_mut().find(|known| known.key == owner);
+        let refused = known.map_or(0.0, |known| std::mem::take(&mut known.refused));
         Step::Ask {
             owner,
             tokens: missing,
-            keep: self.keep(round.cost),
-            is_partial: is_partial || !self.holds_alone(round.cost),
+            keep: self.keep(round),
+            is_partial: is_partial || !self.holds_alone(round),
+            refused,
             max_wait: time_left.min(round.max_wait / 2),
         }
     }
@@ -296,10 +311,10 @@
     /// Returns the next owner to be asked for a part, if the owners together had enough when they
     /// answered.
     fn next_partial(&self, round: &Round) -> Option<u64> {
-        if !self.holds_alone(round.cost) {
+        if !self.holds_alone(round) {
             return None;
         }
-        let keep = self.keep(round.cost);
+        let keep = self.keep(round);
         let left = round.answers.iter().map(|(_, left)| (left - keep).max(0.0));
         let left: f64 = left.sum();
         if round.granted + left < round.cost {
@@ -314,17 +329,24 @@
     }
 
     /// Returns whether an owner can ever hold the tokens of a request alone.
-    fn holds_alone(&self, cost: f64) -> bool {
-        self.plan.part(self.owners.len()).1 >= cost + self.keep(cost)
+    fn holds_alone(&self, round: &Round) -> bool {
+        self.plan.part(self.owners.len()).1 >= round.cost + self.keep(round)
     }
 
     /// Returns the tokens that a request leaves at each owner: as many as it takes, so that what
-    /// costs little is not refused for what costs much. It is less where requests take a large part
-    /// of the quota.
-    fn keep(&self, cost: f64) -> f64 {
+    /// costs little is not refused for what costs much, and more if it is late already, so that
+    /// those go first which can be on time. It is less where requests take a large part of the
+    /// quota.
+    fn keep(&self, round: &Round) -> f64 {
         let (_, depth) = self.plan.part(self.owners.len());
-        let rest = (self.plan.depth - cost) / self.owners.len().max(1) as f64;
-        cost.min(depth * MAX_KEPT_FRACTION).min(rest).max(0.0)
+        let most = depth * MAX_KEPT_FRACTION;
+        let wanted = if round.is_late {
+            most
+        } else {
+            round.cost.min(most)
+        };
+        let rest = (self.plan.depth - round.cost) / self.owners.len().max(1) as f64;
+        wanted.min(rest).max(0.0)
     }
 
     /// Decides on a request for which all owners were asked.
--- a/crates/policy/src/edge/quota/owner.rs
+++ b/crates/policy/src/edge/quota/owner.rs
@@ -17,6 +17,9 @@
 /// longer may have been taken for failed, and others may have granted its part.
 const MAX_STANDSTILL: Duration = Duration::from_secs(10);
 
+/// Time in which what was refused counts half as callers that will return.
+const BACKLOG_HALF_LIFE_S: f64 = 1.0;
+
 /// Maximum number of grants that are remembered for an account, so that they can be given back.
 const MAX_GRANTS: usize = 1_024;
 
@@ -31,6 +34,8 @@
     pub keep: f64,
     /// Whether fewer tokens are useful too.
     pub is_partial: bool,
+    /// This owner's part of the tokens that the instance has refused since its last ask.
+    pub refused: f64,
 }
 
 /// Answer of an owner.
@@ -128,6 +133,7 @@
         }
         account.bucket.gain(self.credit_s);
         account.forget_spent(now);
+        account.add_backlog(ask.refused, now);
         let free = account.bucket.tokens() - ask.keep;
         let tokens = if ask.is_partial || free >= ask.tokens {
             account.bucket.take(ask.tokens.min(free))
@@ -234,13 +240,18 @@
     /// Records tokens that were refused. Returns the time until they are expected, in seconds.
     fn record_refused(&mut self, missing: f64, keep: f64, now: MonotonicTime) -> f64 {
         let per_s = self.bucket.per_s();
-        let passed = now.since(self.backlog_at).as_secs_f64();
-        self.backlog_at = now;
-        self.backlog = (self.backlog - passed * per_s).max(0.0);
         let short = (missing + keep - self.bucket.tokens()).max(0.0);
         let retry_s = (short + self.backlog) / per_s;
         // Every owner refuses the same request.
-        self.backlog = (self.backlog + missing / self.owners as f64).min(MAX_RETRY_S * per_s);
+        self.add_backlog(missing / self.owners as f64, now);
         retry_s.min(MAX_RETRY_S)
     }
+
+    fn add_backlog(&mut self, refused: f64, now: MonotonicTime) {
+        let passed = now.since(self.backlog_at).as_secs_f64();
+        self.backlog_at = now;
+        self.backlog *= (-passed / BACKLOG_HALF_LIFE_S).exp2();
+        // `max` and `min` ignore what is not a number.
+        self.backlog = (self.backlog + refused.max(0.0)).min(MAX_RETRY_S * self.bucket.per_s());
+    }
 }
