Cut owners off in the tests of quotas

Three mutations of the decisions passed the tests: returned tokens were always accepted, a minority took over the parts of others, and an owner whose record is old went on to gain. The tests now cut off the owners, play requests that get tokens and do not run, and check an instance that starts.

--- a/crates/policy/src/edge/quota/bucket.rs
+++ b/crates/policy/src/edge/quota/bucket.rs
@@ -25,7 +25,7 @@
     pub fn set_terms(&mut self, per_s: f64, depth: f64, credit_s: f64) {
         self.gain(credit_s);
         (self.per_s, self.depth) = (per_s, depth);
-        self.tokens = self.tokens.min(depth);
+        self.gain(credit_s);
     }
 
     /// Adds what the credit has brought since the last call.
--- a/crates/policy/tests/edge_quota.rs
+++ b/crates/policy/tests/edge_quota.rs
@@ -366,23 +366,85 @@
     }
 }
 
-/// A third of the instances is cut off from the others, then also from the store, until others have
-/// taken over its part.
+/// The owners and some others are cut off from the rest, a minority or a majority, for longer than it
+/// takes until one side takes the other for failed. One side, both or none reach the store.
 #[test]
 fn cut() {
-    for has_store in [true, false] {
+    for (count, stores) in [
+        (7, [true, true]),
+        (7, [true, false]),
+        (7, [false, true]),
+        (13, [false, true]),
+        (13, [true, false]),
+        (10, [false, true]),
+        (10, [false, false]),
+    ] {
         let mut group = Group::new(20, QUOTA);
         group.overload(8.0, 5_000);
-        for instance in &mut group.instances[..7] {
-            (instance.side, instance.has_store) = (1, has_store);
+        let owners = group.instances[0].members.owners(ACCOUNT);
+        let owners = owners.as_slice().iter().copied();
+        let others = (0..20).filter(|n| !owners.clone().any(|owner| owner == *n));
+        let order: Vec<_> = owners.clone().chain(others).collect();
+        for (n, member) in order.into_iter().enumerate() {
+            let side = usize::from(n < count);
+            let instance = &mut group.instances[usize::try_from(member).unwrap()];
+            (instance.side, instance.has_store) = (side, stores[side]);
         }
         group.overload(8.0, 30_000);
         let most = group.most_spent(QUOTA, 0);
-        assert!(most <= 1.0, "{most} of what is allowed");
+        assert!(most <= 1.0, "{count} {stores:?}: {most} of what is allowed");
         group.check_lowered();
     }
 }
 
+/// Requests get tokens and do not run, for seconds, until upstreams accept them all again.
+#[test]
+fn circulating() {
+    let mut group = Group::new(20, QUOTA);
+    let grant = |group: &mut Group, ms: u64, runs: bool| {
+        for n in 0..ms / 2 {
+            group.request(n as usize % 20, 2_000.0, 300, runs);
+            group.advance(2);
+        }
+    };
+    grant(&mut group, 6_000, false);
+    grant(&mut group, 9_000, true);
+    let most = group.most_spent(QUOTA, 0);
+    assert!(most <= 1.0, "{most} of what is allowed");
+    let unspent = group
+        .instances
+        .iter()
+        .filter_map(|instance| instance.owner.tokens(ACCOUNT));
+    let held: f64 = unspent.sum();
+    assert!(held <= group.plan.depth, "{held} held");
+}
+
+/// An instance that has just started gains only when the others know of it.
+#[test]
+fn starting() {
+    let report = |ms: u64, heard: usize, known: usize| ContactReport {
+        announced_for: Some(Duration::from_millis(ms)),
+        has_joined: ms >= 2_000,
+        record_age: Duration::ZERO,
+        heard,
+        known,
+    };
+    let gains = |report: ContactReport| {
+        let mut contact = Contact::default();
+        contact.update(report, at(9_000));
+        contact.may_gain()
+    };
+    assert!(
+        !gains(report(200, 19, 19)),
+        "its announcement is on its way"
+    );
+    assert!(!gains(report(500, 19, 3)), "it has not read all records");
+    assert!(!gains(report(500, 9, 19)), "it hears a minority");
+    assert!(!gains(report(500, 0, 0)), "it hears nobody");
+    assert!(gains(report(500, 12, 19)));
+    assert!(gains(report(2_000, 0, 0)));
+}
+
 /// The instance that is cut off still spends its share of the tolerance, and no more.
 #[test]
 fn alone() {
