--- a/crates/edge/src/quota/mod.rs
+++ b/crates/edge/src/quota/mod.rs
@@ -267,8 +267,18 @@
         heard: state.fleet.borrow().heard_instances(),
         known: quotas.members.other_count().max(others.len()),
     };
-    let had_joined = quotas.contact.has_joined();
+    let (had_joined, was_gaining) = (quotas.contact.has_joined(), quotas.contact.may_gain());
     quotas.contact.update(report, now);
+    if quotas.contact.may_gain() != was_gaining {
+        tracing::info!(
+            event = "quota_contact",
+            gains = quotas.contact.may_gain(),
+            heard = report.heard,
+            known = report.known,
+            announced_ms = report.announced_for.map(millis),
+            record_age_ms = millis(report.record_age),
+        );
+    }
     let is_complete = is_current && quotas.contact.may_take_over(now);
     let is_changed = quotas.members.update(others, is_complete);
     quotas.owner.set_gaining(quotas.contact.may_gain(), now);
--- a/crates/policy/src/edge/quota/asker.rs
+++ b/crates/policy/src/edge/quota/asker.rs
@@ -21,6 +21,9 @@
 /// be about to.
 const NO_OWNER_TIME: Duration = Duration::from_millis(100);
 
+/// Time after which an owner is expected to answer if none does, in seconds: most were just started.
+const NO_ANSWER_RETRY_S: f64 = 0.8;
+
 /// Minimum time for which a refusal is remembered.
 const MIN_REFUSAL_TIME: Duration = Duration::from_millis(30);
 
@@ -358,7 +361,7 @@
             }
         }
         let retry_s = match round.retry_s {
-            f64::MAX => round.cost / self.plan.per_s,
+            f64::MAX => NO_ANSWER_RETRY_S,
             retry_s => retry_s,
         };
         let retry = Duration::from_secs_f64(retry_s.clamp(0.0, MAX_RETRY_S));
--- a/crates/policy/src/edge/quota/contact.rs
+++ b/crates/policy/src/edge/quota/contact.rs
@@ -15,8 +15,9 @@
 const SAFE_RECORD_AGE: Duration = Duration::from_secs(10);
 
 /// Time from the first announcement until an instance that hears a majority counts as known to the
-/// others: the way of the announcement through a relay, and the next update at the others.
-const ANNOUNCE_TIME: Duration = Duration::from_millis(300);
+/// others: the way of the announcement through a relay. The others update their
+/// view every tenth of a second, and lose no more than the gain of that time.
+const ANNOUNCE_TIME: Duration = Duration::from_millis(150);
 
 /// Time for which others count as heard. An instance whose relay has ended hears nobody until it
 /// has found another one.
