Give the soak a mode with a quota

The account of the callers has a quota of about half of what they send, while edges are killed, stopped and lose the store. The requests that run in any window are checked against it.

--- a/crates/edge-bin/tests/common/worker.rs
+++ b/crates/edge-bin/tests/common/worker.rs
@@ -130,6 +130,8 @@
     started_ms: u64,
     /// Arrival times of its requests since the limit was set.
     arrivals: Vec<Instant>,
+    /// Starts of runs, with the ids of their requests.
+    run_times: Vec<(Instant, String)>,
     /// Number of hung requests whose connection the edge closed.
     abandoned: usize,
     /// Times at which the edge closed the connection of a silent stream.
@@ -273,6 +275,11 @@
         self.0.lock().unwrap().arrivals.clone()
     }
 
+    /// Returns when each run began, with the id of its request.
+    pub fn run_times(&self) -> Vec<(Instant, String)> {
+        self.0.lock().unwrap().run_times.clone()
+    }
+
     /// Returns the number of hung requests whose connection the edge closed.
     pub fn abandoned(&self) -> usize {
         self.0.lock().unwrap().abandoned
@@ -315,6 +322,8 @@
                 if !matches!(action, Action::NotRun | Action::UnnamedRefusal) {
                     inner.requests.push(head.clone());
                     inner.total_runs += 1;
+                    let id = header(&head, "x-attempt-id").unwrap_or_default();
+                    inner.run_times.push((Instant::now(), id.into()));
                 }
                 action
             };
--- a/crates/edge-bin/tests/soak/calls.rs
+++ b/crates/edge-bin/tests/soak/calls.rs
@@ -124,6 +124,30 @@
     }
 }
 
+/// Checks that the requests which began to run in any window from `start` on stay within a quota of
+/// `per_s` and a burst of as many. A request counts once.
+pub fn check_quota(seed: u64, site: &Site, per_s: u32, start: Instant) {
+    let mut firsts: HashMap<String, Instant> = HashMap::new();
+    for (at, id) in site.workers.iter().flat_map(Worker::run_times) {
+        let first = firsts.entry(id).or_insert(at);
+        *first = at.min(*first);
+    }
+    let mut times: Vec<_> = firsts.into_values().filter(|at| *at >= start).collect();
+    times.sort_unstable();
+    assert!(times.len() > 100, "seed {seed}: {} runs", times.len());
+    for (n, first) in times.iter().enumerate() {
+        for (count, last) in (1..).zip(&times[n..]) {
+            let allowed = f64::from(per_s) * (1.0 + (*last - *first).as_secs_f64());
+            let at = *first - start;
+            assert!(
+                f64::from(count) <= allowed + 1.0,
+                "seed {seed}: {count} in {:?} from {at:?} on",
+                *last - *first
+            );
+        }
+    }
+}
+
 /// Checks that all reports of a window are equal, that no two edges use one fencing number, and that
 /// no more requests are billed than have run: `stream_runs` and those of the site's workers.
 pub fn check_reports(seed: u64, site: &Site, stream_runs: u64) {
--- a/crates/edge-bin/tests/soak/main.rs
+++ b/crates/edge-bin/tests/soak/main.rs
@@ -24,7 +24,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use calls::{Call, Calls, check_calls, check_reports, run_caller};
+use calls::{Call, Calls, check_calls, check_quota, check_reports, run_caller};
 use common::proxy::{LinkState, Proxy};
 use common::store::{Fault, StoreCopy};
 use common::worker::Action;
@@ -34,12 +34,18 @@
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
+use serde_json::json;
 use streams::{StreamCallers, check_streams};
 use tokio::time::{Instant, sleep, timeout};
 
 /// Seeds of the runs in CI: an arbitrary one, and those that failed before.
 const FAULT_SEEDS: RangeInclusive<u64> = 1..=2;
 const RELEASE_SEEDS: RangeInclusive<u64> = 1..=1;
+const QUOTA_SEEDS: RangeInclusive<u64> = 1..=1;
+
+/// Requests per second of the account where it has a quota, and its burst: about half of what the
+/// callers send.
+const QUOTA: u32 = 300;
 
 /// Time during which faults are injected, for each seed.
 const FAULT_TIME: Duration = Duration::from_secs(8);
@@ -128,7 +134,20 @@
     );
 }
 
+/// The account has a quota.
+#[test]
+fn random_quotas() {
+    run_all(QUOTA_SEEDS, soak_with_quota);
+}
+
 fn run_seeds(seeds: RangeInclusive<u64>, kind: Option<Kind>) {
+    run_all(seeds, async |seed, time| match kind {
+        Some(kind) => soak_with_releases(seed, time, kind).await,
+        None => soak(seed, time).await,
+    });
+}
+
+fn run_all(seeds: RangeInclusive<u64>, run: impl AsyncFn(u64, Duration)) {
     let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
     let seeds = match std::env::var("NUTMEGBAY_SOAK_SEEDS") {
         Ok(text) => {
@@ -143,10 +162,7 @@
     for seed in seeds {
         // The stand-ins end with the runtime of their seed, which frees their addresses.
         let runtime = tokio::runtime::Runtime::new().unwrap();
-        match kind {
-            Some(kind) => runtime.block_on(soak_with_releases(seed, time, kind)),
-            None => runtime.block_on(soak(seed, time)),
-        }
+        runtime.block_on(run(seed, time));
     }
 }
 
@@ -162,6 +178,8 @@
     series: Option<SignalSeries>,
     /// Upstreams of the streams, if these have a service of their own.
     fleet_kind: Option<Kind>,
+    /// Quota of the account, if it has one.
+    quota: Option<u32>,
     /// Version of the published configuration.
     version: u64,
     /// Active timed faults with their ends.
@@ -218,6 +236,18 @@
     check_reports(seed, &deployment.site, 0);
 }
 
+async fn soak_with_quota(seed: u64, time: Duration) {
+    let mut deployment = Deployment::start(ADDITIONAL_EDGES).await;
+    deployment.quota = Some(QUOTA);
+    deployment.publish_config(&["k1"]);
+    sleep(MAX_CHANGE_TIME).await;
+    let start = Instant::now();
+    let calls = deployment.run_faults(seed, time).await;
+    deployment.assert_recovery(seed).await;
+    check_calls(seed, &deployment.site, &calls);
+    check_quota(seed, &deployment.site, QUOTA, start);
+}
+
 async fn soak_with_releases(seed: u64, time: Duration, kind: Kind) {
     let additional_edges = match seed % MANY_EDGES_SEED {
         0 => MANY_EDGES,
@@ -260,6 +290,7 @@
             worker_proxies,
             series: None,
             fleet_kind: None,
+            quota: None,
             version: 2,
             active_faults: Vec::new(),
             copies: VecDeque::new(),
@@ -460,6 +491,10 @@
             Some(_) => fleet::add_service(&mut config),
             None => {}
         }
+        if let Some(quota) = self.quota {
+            config["tenants"][0]["per-s"] = json!(quota);
+            config["tenants"][0]["burst"] = json!(quota);
+        }
         self.site.store.put("keyed.op", "config", &config);
     }
 
