Announce an instance again that may have lost its parts

An instance that was cut off from the others and from the store was taken for failed, and gained again as soon as the cut was over, while others read its record up to 8 s later and gained its part too. Such an instance, and one that stood still for 10 s, now gains only after it has announced itself again.

Measured: edge_quota 5 and edge_quota_faults 5 tests passed.

--- a/crates/edge/src/quota/mod.rs
+++ b/crates/edge/src/quota/mod.rs
@@ -259,16 +259,17 @@
     let mut quotas = state.quotas.borrow_mut();
     let quotas = &mut *quotas;
     quotas.updated_at = now;
-    let presence = state.presence.borrow();
     let report = ContactReport {
-        announced_for: presence.announced_for(now),
-        has_joined: presence.has_joined(now),
+        announced_for: state.presence.borrow().announced_for(now),
+        has_joined: state.presence.borrow().has_joined(now),
         record_age: now.since(state.record_written_at.get()),
         heard: state.fleet.borrow().heard_instances(),
         known: quotas.members.other_count().max(others.len()),
     };
     let (had_joined, was_gaining) = (quotas.contact.has_joined(), quotas.contact.may_gain());
-    quotas.contact.update(report, now);
+    if quotas.contact.update(report, now) {
+        state.presence.borrow_mut().announce_again();
+    }
     if quotas.contact.may_gain() != was_gaining {
         tracing::info!(
             event = "quota_contact",
--- a/crates/policy/src/edge/presence.rs
+++ b/crates/policy/src/edge/presence.rs
@@ -110,6 +110,13 @@
         self.first_at.get_or_insert(now);
     }
 
+    /// Announces this instance again as if it had just started: the others may have taken it for
+    /// failed.
+    pub fn announce_again(&mut self) {
+        self.first_at = None;
+        self.last_at = None;
+    }
+
     /// Returns the time since this instance first announced itself, if it has.
     pub fn announced_for(&self, now: MonotonicTime) -> Option<Duration> {
         self.first_at.map(|at| now.since(at))
--- a/crates/policy/src/edge/quota/asker.rs
+++ b/crates/policy/src/edge/quota/asker.rs
@@ -40,6 +40,9 @@
 /// Maximum fraction of what an owner can hold that a request leaves for others.
 const MAX_KEPT_FRACTION: f64 = 0.1;
 
+/// Multiple of its cost that a late request leaves for others.
+const LATE_KEPT_FACTOR: f64 = 4.0;
+
 /// Decisions of one instance on the requests of one account.
 #[derive(Debug)]
 pub struct Asker {
@@ -342,12 +345,12 @@
     /// quota.
     fn keep(&self, round: &Round) -> f64 {
         let (_, depth) = self.plan.part(self.owners.len());
-        let most = depth * MAX_KEPT_FRACTION;
         let wanted = if round.is_late {
-            most
+            round.cost * LATE_KEPT_FACTOR
         } else {
-            round.cost.min(most)
+            round.cost
         };
+        let wanted = wanted.min(depth * MAX_KEPT_FRACTION);
         let rest = (self.plan.depth - round.cost) / self.owners.len().max(1) as f64;
         wanted.min(rest).max(0.0)
     }
--- a/crates/policy/src/edge/quota/contact.rs
+++ b/crates/policy/src/edge/quota/contact.rs
@@ -3,8 +3,9 @@
 //! Load pattern: instances are cut off from the others and from the store for longer than the time
 //! after which they are taken for failed. Others own their parts from then on. Of two groups that do
 //! not hear each other, at most one hears a majority: only that one takes parts over, and of those
-//! whose records are old only that one goes on to gain. After all were killed, each gains as soon as
-//! it hears a majority again.
+//! whose records are old only that one goes on to gain. An instance that may have lost its parts
+//! announces itself again when it hears a majority, since the others read its record only seconds
+//! later. After all were killed, each gains as soon as it hears a majority again.
 
 use std::time::Duration;
 
@@ -47,13 +48,19 @@
     heard: usize,
     heard_at: MonotonicTime,
     majority_at: MonotonicTime,
+    updated_at: MonotonicTime,
+    /// Whether others may have taken this instance for failed.
+    may_be_dropped: bool,
     has_joined: bool,
     may_gain: bool,
 }
 
 impl Contact {
-    /// Records the contact at `now`.
-    pub fn update(&mut self, report: ContactReport, now: MonotonicTime) {
+    /// Records the contact at `now`. Returns whether this instance must announce itself as if it had
+    /// just started.
+    pub fn update(&mut self, report: ContactReport, now: MonotonicTime) -> bool {
+        let stood_still = now.since(self.updated_at) > SAFE_RECORD_AGE;
+        self.updated_at = now;
         if report.heard >= self.heard || now.since(self.heard_at) >= HEARD_TIME {
             (self.heard, self.heard_at) = (report.heard, now);
         }
@@ -61,6 +68,14 @@
         if has_majority {
             self.majority_at = now;
         }
+        let is_safe = report.record_age <= SAFE_RECORD_AGE;
+        self.may_be_dropped |= stood_still || (!is_safe && !has_majority);
+        if self.may_be_dropped {
+            (self.has_joined, self.may_gain) = (false, false);
+            // What is heard right after a standstill may be from before it.
+            self.may_be_dropped = stood_still || !has_majority;
+            return !self.may_be_dropped && report.announced_for.is_some();
+        }
         let is_announced = report
             .announced_for
             .is_some_and(|since| since >= ANNOUNCE_TIME);
@@ -68,7 +83,8 @@
         let knows_all = report.known >= report.heard;
         self.has_joined =
             report.has_joined || (is_announced && has_majority && knows_all && report.heard > 0);
-        self.may_gain = self.has_joined && (report.record_age <= SAFE_RECORD_AGE || has_majority);
+        self.may_gain = self.has_joined && (is_safe || has_majority);
+        false
     }
 
     /// Returns whether the others know of this instance.
