--- a/crates/policy/tests/edge_quota.rs
+++ b/crates/policy/tests/edge_quota.rs
@@ -102,6 +102,15 @@
     assert!(!gains(report(500, 0, 0)), "it hears nobody");
     assert!(gains(report(500, 12, 19)));
     assert!(gains(report(2_000, 0, 0)));
+    let mut contact = Contact::default();
+    contact.update(report(9_000, 19, 19), at(9_000));
+    assert!(contact.has_joined());
+    let woken = ContactReport {
+        record_age: Duration::from_secs(21),
+        ..report(30_000, 19, 19)
+    };
+    assert!(!contact.update(woken, at(30_000)) && !contact.has_joined());
+    assert!(contact.update(woken, at(30_100)), "it announces itself");
 }
 
 /// The instance that is cut off still spends its share of the tolerance, and no more.
