--- a/crates/policy/src/edge/quota/asker.rs
+++ b/crates/policy/src/edge/quota/asker.rs
@@ -37,11 +37,11 @@
 /// Maximum wait that a refusal states, in seconds. Callers wait for at most a part of their time.
 pub const MAX_RETRY_S: f64 = 4.0;
 
-/// Maximum fraction of what an owner can hold that a request leaves for others.
+/// Fraction of what an owner can hold at which requests of any cost are granted.
 const MAX_KEPT_FRACTION: f64 = 0.1;
 
-/// Multiple of its cost that a late request leaves for others.
-const LATE_KEPT_FACTOR: f64 = 4.0;
+/// Multiple of its cost that a request leaves for others, if that is less than the fraction.
+const KEPT_FACTOR: f64 = 4.0;
 
 /// Decisions of one instance on the requests of one account.
 #[derive(Debug)]
@@ -339,20 +339,21 @@
         self.plan.part(self.owners.len()).1 >= round.cost + self.keep(round)
     }
 
-    /// Returns the tokens that a request leaves at each owner: as many as it takes, so that what
-    /// costs little is not refused for what costs much, and more if it is late already, so that
-    /// those go first which can be on time. It is less where requests take a large part of the
-    /// quota.
+    /// Returns the tokens that a request leaves at each owner. It needs an owner with several times
+    /// its cost or with a fraction of the depth: so what costs little is not refused for what costs
+    /// much, and large requests have the same chances. One that is late already leaves as much again
+    /// to those that can be on time. It is less where requests take a large part of the quota.
     fn keep(&self, round: &Round) -> f64 {
         let (_, depth) = self.plan.part(self.owners.len());
-        let wanted = if round.is_late {
-            round.cost * LATE_KEPT_FACTOR
+        let most = depth * MAX_KEPT_FRACTION;
+        let kept = (round.cost * KEPT_FACTOR).min(most - round.cost).max(0.0);
+        let kept_if_late = if round.is_late {
+            (round.cost * KEPT_FACTOR).min(most)
         } else {
-            round.cost
+            0.0
         };
-        let wanted = wanted.min(depth * MAX_KEPT_FRACTION);
         let rest = (self.plan.depth - round.cost) / self.owners.len().max(1) as f64;
-        wanted.min(rest).max(0.0)
+        (kept + kept_if_late).min(rest).max(0.0)
     }
 
     /// Decides on a request for which all owners were asked.
