Let an instance that is cut off spend its share

After 10 s without the store and the others, an instance counted as not joined, and its share of the tolerance was 0. The share now depends on whether it has met the others since its start.

Measured: edge_quota::alone fails without it when the store is away too (nothing is granted), and passes with it.

--- a/crates/edge/src/quota/mod.rs
+++ b/crates/edge/src/quota/mod.rs
@@ -146,7 +146,7 @@
             let owners = owners.as_slice();
             account
                 .asker
-                .set_owners(owners, instances, self.contact.has_joined(), now);
+                .set_owners(owners, instances, self.contact.has_met_others(), now);
             if owners.contains(&self.members.own()) {
                 owned.push((account.hash, *account.asker.plan(), owners.len()));
             }
--- a/crates/policy/src/edge/quota/asker.rs
+++ b/crates/policy/src/edge/quota/asker.rs
@@ -50,7 +50,7 @@
     owners: Vec<Owner>,
     /// Number of instances that run.
     instances: usize,
-    has_joined: bool,
+    has_met_others: bool,
     refusal: Option<Refusal>,
     /// Tokens that this instance may spend while no owner answers.
     alone: Bucket,
@@ -145,7 +145,7 @@
             plan,
             owners: Vec::new(),
             instances: 1,
-            has_joined: false,
+            has_met_others: false,
             refusal: None,
             alone: Bucket::new(0.0, 0.0, 0.0),
             started_at: now,
@@ -162,17 +162,17 @@
         }
     }
 
-    /// Sets the owners, the number of instances that run, and whether they know of this one. Until
-    /// then, it spends nothing alone.
+    /// Sets the owners, the number of instances that run, and whether this one has met the others
+    /// since its start. Before that, it does not know their number and spends nothing alone.
     pub fn set_owners(
         &mut self,
         owners: &[u64],
         instances: usize,
-        has_joined: bool,
+        has_met_others: bool,
         now: MonotonicTime,
     ) {
         self.instances = instances.max(1);
-        self.has_joined = has_joined;
+        self.has_met_others = has_met_others;
         let known = std::mem::take(&mut self.owners);
         let owner = |key: &u64| {
             let known = known.iter().find(|known| known.key == *key);
@@ -188,7 +188,7 @@
     }
 
     fn update_alone(&mut self, now: MonotonicTime) {
-        let share = if self.has_joined {
+        let share = if self.has_met_others {
             1.0 / self.instances as f64
         } else {
             0.0
--- a/crates/policy/src/edge/quota/contact.rs
+++ b/crates/policy/src/edge/quota/contact.rs
@@ -63,6 +63,7 @@
     /// Whether others may have taken this instance for failed.
     may_be_dropped: bool,
     has_joined: bool,
+    has_met_others: bool,
 }
 
 impl Contact {
@@ -98,6 +99,7 @@
         let knows_all = report.known >= report.heard;
         self.has_joined =
             report.has_joined || (is_announced && has_majority && knows_all && report.heard > 0);
+        self.has_met_others |= self.has_joined;
         false
     }
 
@@ -106,6 +108,12 @@
         self.has_joined
     }
 
+    /// Returns whether this instance has joined since its start, so that it knows how many others there
+    /// are, also if it is cut off now.
+    pub fn has_met_others(&self) -> bool {
+        self.has_met_others
+    }
+
     /// Returns whether others that look failed no longer count as owners.
     pub fn may_take_over(&self, now: MonotonicTime) -> bool {
         let has_majority = now.since(self.minority_at) >= CURRENT_TIME;
--- a/crates/policy/tests/edge_quota.rs
+++ b/crates/policy/tests/edge_quota.rs
@@ -113,22 +113,26 @@
     assert!(contact.update(woken, at(30_100)), "it announces itself");
 }
 
-/// The instance that is cut off still spends its share of the tolerance, and no more.
+/// An instance that is cut off still spends its share of the tolerance, and no more.
 #[test]
 fn alone() {
-    let mut group = Group::new(20, QUOTA);
-    let owners = group.instances[0].members.owners(ACCOUNT);
-    let alone = (0..20).find(|n| !owners.as_slice().contains(n)).unwrap();
-    let alone = usize::try_from(alone).unwrap();
-    group.instances[alone].side = 1;
-    let granted = (0..20_000).filter(|_| {
-        group.advance(1);
-        group.request(alone, 50.0, 1, true)
-    });
-    let granted = granted.count() as f64 * 50.0;
-    assert!(granted > 0.0, "nothing");
-    assert!(
-        granted < QUOTA.per_s * 20.0 * BOUNDS.excess / 20.0,
-        "{granted}"
-    );
+    for has_store in [true, false] {
+        let mut group = Group::new(20, QUOTA);
+        let owners = group.instances[0].members.owners(ACCOUNT);
+        let alone = (0..20).find(|n| !owners.as_slice().contains(n)).unwrap();
+        let alone = usize::try_from(alone).unwrap();
+        (
+            group.instances[alone].side,
+            group.instances[alone].has_store,
+        ) = (1, has_store);
+        group.advance(15_000);
+        let granted = (0..20_000).filter(|_| {
+            group.advance(1);
+            group.request(alone, 50.0, 1, true)
+        });
+        let granted = granted.count() as f64 * 50.0;
+        assert!(granted > 0.0, "nothing");
+        let share = QUOTA.per_s * 20.0 * BOUNDS.excess / 20.0;
+        assert!(granted < share, "{granted}");
+    }
 }
--- a/crates/policy/tests/quota_group/mod.rs
+++ b/crates/policy/tests/quota_group/mod.rs
@@ -250,8 +250,10 @@
         let owners = instance.members.owners(ACCOUNT);
         let owners = owners.as_slice();
         let count = instance.members.other_count() + 1;
-        let has_joined = instance.contact.has_joined();
-        instance.asker.set_owners(owners, count, has_joined, now);
+        let has_met_others = instance.contact.has_met_others();
+        instance
+            .asker
+            .set_owners(owners, count, has_met_others, now);
         let own = owners.contains(&(n as u64));
         let owned = own.then_some((ACCOUNT, self.plan, owners.len()));
         instance.owner.set_accounts(owned.into_iter(), now);
