--- a/crates/edge/src/fleet/digests.rs
+++ b/crates/edge/src/fleet/digests.rs
@@ -16,6 +16,11 @@
         self.other_instances = other_instances;
     }
 
+    /// Whether this instance has a role in the exchange.
+    pub fn has_role(&self) -> bool {
+        self.exchange.has_role()
+    }
+
     /// Whether this instance forwards what others send.
     pub fn is_relay(&self) -> bool {
         self.exchange.is_relay()
@@ -75,6 +80,11 @@
         }
     }
 
+    /// Returns the number of other instances whose digests are known.
+    pub fn heard_instances(&self) -> usize {
+        self.exchange.reporting_instances() as usize
+    }
+
     /// Returns the number of other instances whose digests are known, or `None` if it is 0 or less
     /// than half of the other instances.
     pub(super) fn reporting_instances(&self) -> Option<usize> {
