Blame the beginnings of prompts at the product's interface

Prompts that begin alike and go on differently each cost two upstreams, since `core::quarantine` blames whole requests.

Tests of core, policy, proto and gateway pass, and crashing_requests, large_datagrams and odd_peers of the edge.

--- a/crates/policy/src/edge/crashes/mod.rs
+++ b/crates/core/src/crashes/mod.rs
@@ -15,6 +15,7 @@
 
 mod culprits;
 mod news;
+mod prompt;
 
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
@@ -24,6 +25,8 @@
 use culprits::Culprit;
 use news::News;
 
+pub use prompt::prompt_contents;
+
 /// Time for which content is refused after its last crash. A run after that may cost one more
 /// crash, so this bounds the crashes by one piece of content to thirty per hour.
 const REFUSAL_PERIOD: Duration = Duration::from_mins(2);
@@ -507,5 +510,5 @@
 }
 
 fn millis(duration: Duration) -> u64 {
-    duration.as_millis() as u64
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod append;
 pub mod attempt;
+pub mod crashes;
 pub mod duty;
 pub mod environment;
 pub mod freshness;
--- a/crates/edge-bin/tests/large_datagrams.rs
+++ b/crates/edge-bin/tests/large_datagrams.rs
@@ -5,7 +5,7 @@
 use std::net::{SocketAddr, UdpSocket};
 
 use common::{EXCHANGE, Site};
-use nutmegbay_policy::edge::crashes::{BrokenRun, ContentId, CrashReport};
+use nutmegbay_core::crashes::{BrokenRun, ContentId, CrashReport};
 use nutmegbay_policy::edge::exchange::{Digest, Scope, UpstreamWork};
 use nutmegbay_policy::edge::upstream_limit::LimitNews;
 
--- a/crates/edge-bin/tests/odd_peers.rs
+++ b/crates/edge-bin/tests/odd_peers.rs
@@ -10,7 +10,7 @@
 use axum::Router;
 use common::store::Fault;
 use common::{EXCHANGE, Site, config, listen};
-use nutmegbay_policy::edge::crashes::{Answer, BrokenRun, ContentId, CrashReport};
+use nutmegbay_core::crashes::{Answer, BrokenRun, ContentId, CrashReport};
 use nutmegbay_policy::edge::exchange::{Digest, PrefixBlockUse, Scope, UpstreamWork};
 use nutmegbay_policy::edge::prefill_rate::PrefillTimes;
 use nutmegbay_policy::edge::upstream_limit::LimitNews;
--- a/crates/edge/src/crashes/mod.rs
+++ b/crates/edge/src/crashes/mod.rs
@@ -10,10 +10,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use nutmegbay_policy::UpstreamKey;
-use nutmegbay_policy::edge::crashes::{
+use nutmegbay_core::crashes::{
     BrokenRun, ContentId, CrashHistory, CrashReport, Quarantine, ReportSource,
 };
+use nutmegbay_policy::UpstreamKey;
 use nutmegbay_policy::edge::health::Outcome;
 
 use crate::clock::millis;
--- a/crates/edge/src/crashes/store.rs
+++ b/crates/edge/src/crashes/store.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use nutmegbay_policy::edge::crashes::{CrashReport, ReportSource};
+use nutmegbay_core::crashes::{CrashReport, ReportSource};
 use tokio::time::sleep;
 
 use super::merge;
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use nutmegbay_policy::edge::crashes::{CrashReport, ReportSource};
+use nutmegbay_core::crashes::{CrashReport, ReportSource};
 use nutmegbay_policy::edge::exchange::{Digest, Role, spacing};
 use nutmegbay_policy::edge::stream_origins::{CallerWait, OriginNews};
 use nutmegbay_policy::edge::upstream_limit::LimitNews;
--- a/crates/edge/src/forward/request.rs
+++ b/crates/edge/src/forward/request.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use http::{Method, StatusCode};
+use nutmegbay_core::crashes::ContentId;
 use nutmegbay_core::environment::MonotonicTime;
 use nutmegbay_core::verdict::Verdict;
-use nutmegbay_policy::edge::crashes::ContentId;
 use nutmegbay_policy::edge::software_versions::VersionTag;
 use nutmegbay_policy::edge::urgency::{MOST_URGENT_RANK, Urgency};
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
--- a/crates/edge/src/peers/ask.rs
+++ b/crates/edge/src/peers/ask.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use nutmegbay_policy::edge::crashes::ReportSource;
+use nutmegbay_core::crashes::ReportSource;
 use rand::seq::IteratorRandom;
 use tokio::time::sleep;
 
--- a/crates/edge/src/peers/relay.rs
+++ b/crates/edge/src/peers/relay.rs
@@ -5,8 +5,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use nutmegbay_core::crashes::ReportSource;
 use nutmegbay_core::environment::MonotonicTime;
-use nutmegbay_policy::edge::crashes::ReportSource;
 use tokio::time::sleep;
 
 use super::{CHANGES_PATH, ChangesRequest, RecordsReply, WireRecord, fetch, time_before};
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use nutmegbay_core::crashes::CrashHistory;
 use nutmegbay_core::duty::WindowCounts;
 use nutmegbay_core::environment::MonotonicTime;
 use nutmegbay_core::position::Position;
@@ -13,7 +14,6 @@
 use nutmegbay_policy::edge::attempts::Deadlines;
 use nutmegbay_policy::edge::body_budget::BodyBudget;
 use nutmegbay_policy::edge::budget::{RetryShare, SharedRetryBudget};
-use nutmegbay_policy::edge::crashes::CrashHistory;
 use nutmegbay_policy::edge::expiry_grace::ExpiryGrace;
 use nutmegbay_policy::edge::presence::Presence;
 use nutmegbay_policy::edge::relay::RelayFollower;
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -91,6 +91,7 @@
     async fn gossip(&self, gossip: Gossip) -> RpcResult<Gossip> {
         let admission = &self.gateway.admission;
         admission.apply_gossip(&gossip.served, &gossip.dispatched);
+        self.gateway.crash_history.merge(&gossip.crashed_runs);
         if !gossip.crashes.is_empty() {
             self.notify_state(Input::CrashReports(gossip.crashes))
                 .await?;
@@ -102,6 +103,7 @@
             log: status.log,
             crashes: status.crashes,
             exclusive: status.exclusive.into_iter().collect(),
+            crashed_runs: self.gateway.crash_history.report(),
             ..Gossip::default()
         })
     }
--- a/crates/gateway/src/data/executor.rs
+++ b/crates/gateway/src/data/executor.rs
@@ -7,6 +7,7 @@
 use http::{Method, Request, Response, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
+use nutmegbay_core::crashes::ContentId;
 use nutmegbay_core::ids::{Fingerprint, RequestId};
 use nutmegbay_core::verdict::Verdict;
 use nutmegbay_proto::engine::Load;
@@ -59,6 +60,8 @@
     pub priority: u8,
     /// Hash of account, model and prompt; identical requests have the same.
     pub fingerprint: Fingerprint,
+    /// Content that may crash an upstream.
+    pub contents: Box<[ContentId]>,
 }
 
 /// How an attempt ended.
@@ -114,8 +117,9 @@
         if is_avoided(&requirements, upstream) {
             sleep(RETRY_DELAY * attempt).await;
         }
-        let exclusive_run =
-            suspects::admit(gateway, request.fingerprint, verdict_of(may_have_run)).await?;
+        let exclusive_run = suspects::admit(gateway, request, verdict_of(may_have_run)).await?;
+        let sent_ms = gateway.clock.wall_ms();
+        let is_whole_run = shared_run.is_empty();
         let options = AttemptOptions {
             attempt,
             source,
@@ -125,6 +129,10 @@
             AttemptOutcome::Completed(end) => {
                 upstream.set_failing(false);
                 reservation.record_cache_hits(&requirements, end.cached_tokens);
+                // A run that continued an answer may have ended before it would crash.
+                if is_whole_run {
+                    gateway.crash_history.record_answer(&request.contents);
+                }
                 if let Some(exclusive_run) = exclusive_run {
                     exclusive_run.survived();
                 }
@@ -137,7 +145,7 @@
                 tracing::warn!(target: LOG_TARGET, event = "upstream_crashed",
                     request = %request.id, attempt,
                     upstream = %upstream.name, delivered = shared_run.len());
-                suspects::report_crash(gateway, upstream, request.fingerprint).await;
+                suspects::report_crash(gateway, upstream, request, sent_ms).await;
             }
             AttemptOutcome::NotRetryable(problem) => return Err(problem),
             AttemptOutcome::Unreachable => {
--- a/crates/gateway/src/data/models.rs
+++ b/crates/gateway/src/data/models.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Response, header};
+use nutmegbay_core::crashes::prompt_contents;
 use nutmegbay_core::ids::Fingerprint;
 use nutmegbay_proto::problem::Problem;
 use nutmegbay_proto::work::REQUEST_HEADER;
@@ -35,12 +36,15 @@
         .iter()
         .find(|a| *a.name == *caller.key.account);
     let id = gateway.new_request_id();
+    let (model, prompt) = (completion.model, completion.prompt);
+    let fingerprint = Fingerprint::of(&caller.key.account, &model, &prompt);
     let request = ModelRequest {
         id,
-        fingerprint: Fingerprint::of(&caller.key.account, &completion.model, &completion.prompt),
+        fingerprint,
+        contents: prompt_contents(fingerprint, &model, &prompt).into(),
         account: (*caller.key.account).into(),
-        model: completion.model,
-        prompt: completion.prompt,
+        model,
+        prompt,
         max_tokens: completion.max_tokens,
         priority: account.map_or(0, |a| a.priority),
     };
--- a/crates/gateway/src/data/suspects.rs
+++ b/crates/gateway/src/data/suspects.rs
@@ -10,6 +10,7 @@
 use nutmegbay_proto::problem::{Problem, ProblemKind};
 use tokio::time::timeout;
 
+use super::executor::ModelRequest;
 use crate::gateway::Gateway;
 use crate::state::Input;
 use crate::state::suspects::RunPermit;
@@ -50,7 +51,25 @@
 ///
 /// Fails if the request is quarantined or the instance is stopping. `verdict` says whether earlier
 /// attempts may have run the request.
-pub async fn admit(
+pub async fn admit<'a>(
+    gateway: &'a Gateway,
+    request: &ModelRequest,
+    verdict: Verdict,
+) -> Result<Option<ExclusiveRun<'a>>, Problem> {
+    let exclusive_run = admit_alone(gateway, request.fingerprint, verdict).await?;
+    match gateway.crash_history.check_send(&request.contents) {
+        Ok(()) => Ok(exclusive_run),
+        Err(wait) => {
+            gateway.metrics.count("refused_content");
+            let detail = "requests with the same content have crashed upstreams";
+            let seconds = u32::try_from(wait.as_secs()).unwrap_or(u32::MAX).max(1);
+            Err(Problem::new(ProblemKind::Quarantined, verdict, detail).retry_after(seconds))
+        }
+    }
+}
+
+/// Waits until a request that may be suspect itself may run.
+async fn admit_alone(
     gateway: &Gateway,
     fingerprint: Fingerprint,
     verdict: Verdict,
@@ -98,7 +117,15 @@
 
 /// Reports the crash of an upstream and waits until every gateway can know of it, because the
 /// caller may send the request again at once, with a new request identifier and to any gateway.
-pub async fn report_crash(gateway: &Gateway, upstream: &Upstream, fingerprint: Fingerprint) {
+///
+/// `sent_ms` is the wall-clock time at which the request was sent, in milliseconds since 1970.
+pub async fn report_crash(
+    gateway: &Gateway,
+    upstream: &Upstream,
+    request: &ModelRequest,
+    sent_ms: u64,
+) {
+    let fingerprint = request.fingerprint;
     let Some(client) = gateway.clients.get(upstream.control) else {
         return;
     };
@@ -111,6 +138,11 @@
         tracing::warn!(event = "crash_not_reported", upstream = %upstream.name);
         return;
     };
+    let mut reports = status.crashes.iter();
+    if let Some(report) = reports.rfind(|report| report.running.contains(&fingerprint)) {
+        let history = &gateway.crash_history;
+        history.record_crash(&request.contents, report.crash, sent_ms);
+    }
     let acknowledged =
         gateway.query_state(|reply| Input::ReportCrash(status.crashes, fingerprint, reply));
     if timeout(ACKNOWLEDGE_TIMEOUT, acknowledged).await.is_err() {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -15,6 +15,7 @@
 use crate::data::shared_run::{SharedRun, SubscriberId};
 use crate::metrics::Metrics;
 use crate::settings::GatewaySettings;
+use crate::state::crash_history::SharedCrashHistory;
 use crate::state::environment::Clock;
 use crate::state::keyed_streams::KeyedStreams;
 use crate::state::rpc_clients::RpcClients;
@@ -34,6 +35,8 @@
     pub client: UpstreamClient,
     /// JSON-RPC clients for the control interfaces of other instances.
     pub clients: Arc<RpcClients>,
+    /// Crashes by the content of prompts.
+    pub crash_history: Arc<SharedCrashHistory>,
     /// Open streams grouped by access key, so that a withdrawal can end them.
     pub keyed_streams: Arc<KeyedStreams>,
     /// Queues requests and assigns them to upstreams.
@@ -66,6 +69,7 @@
             clock: context.clock,
             client: context.sidecars.clone(),
             clients: Arc::clone(&context.clients),
+            crash_history: Arc::clone(&context.crash_history),
             keyed_streams: Arc::clone(&context.keyed_streams),
             admission: Admission::new(context.clock, &context.settings.failure_domain),
             shared_runs: SharedRuns::default(),
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -24,6 +24,7 @@
 use crate::gateway::Gateway;
 use crate::metrics::Metrics;
 use crate::settings::GatewaySettings;
+use crate::state::crash_history::SharedCrashHistory;
 use crate::state::environment::Clock;
 use crate::state::view::View;
 use crate::state::{Actor, Input, SharedContext, append, poll_instances, relay};
@@ -133,11 +134,13 @@
         let metrics = Metrics::new(self.settings.statsd)
             .change_context(RunError)
             .attach("cannot open the metrics socket")?;
+        let clock = Clock::new();
         let context = SharedContext {
             platform: PlatformClient::new(ClientSettings::new(self.platform, instance.clone())),
             settings: self.settings,
             incarnation: Incarnation(rand::random()),
-            clock: Clock::new(),
+            clock,
+            crash_history: Arc::new(SharedCrashHistory::new(clock)),
             keyed_streams: Arc::default(),
             recent_records: Arc::default(),
             sidecars: UpstreamClient::new(),
--- a/crates/gateway/src/state/actor.rs
+++ b/crates/gateway/src/state/actor.rs
@@ -24,6 +24,7 @@
 use tokio::time::{MissedTickBehavior, interval};
 
 use super::append::{AppendOutcome, AppendSource, QueuedAppend};
+use super::crash_history::SharedCrashHistory;
 use super::environment::{Clock, EffectCollector};
 use super::keyed_streams::KeyedStreams;
 use super::once::{AtMostOnceCall, AtMostOnceCalls, AtMostOnceResult, RawAnswer};
@@ -118,6 +119,8 @@
     pub clock: Clock,
     /// Client of the platform.
     pub platform: P,
+    /// Crashes by the content of prompts.
+    pub crash_history: Arc<SharedCrashHistory>,
     /// Open streams grouped by access key.
     pub keyed_streams: Arc<KeyedStreams>,
     /// Recent log records, served to peers and sidecars.
--- a/crates/gateway/src/state/effects.rs
+++ b/crates/gateway/src/state/effects.rs
@@ -145,6 +145,7 @@
             instance: self.context.settings.instance.clone(),
             log: self.log_status(),
             crashes: vec![report.clone()],
+            crashed_runs: self.context.crash_history.take_news(),
             ..Gossip::default()
         };
         self.spawn(|context| async move {
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -2,6 +2,7 @@
 
 mod actor;
 pub mod append;
+pub mod crash_history;
 mod effects;
 pub mod environment;
 pub mod keyed_streams;
--- a/crates/gateway/src/state/relay.rs
+++ b/crates/gateway/src/state/relay.rs
@@ -86,13 +86,17 @@
         dispatched,
         crashes: status.crashes,
         exclusive: status.exclusive.into_iter().collect(),
+        crashed_runs: context.crash_history.take_news(),
     };
-    join_all(
+    let replies = join_all(
         peers
             .iter()
             .map(|peer| context.clients.gossip(peer, message.clone())),
     )
     .await;
+    for reply in replies.into_iter().flatten() {
+        context.crash_history.merge(&reply.crashed_runs);
+    }
 }
 
 /// Polls the status of one sidecar and relays the records that it lacks. Returns its control
--- a/crates/policy/src/edge/mod.rs
+++ b/crates/policy/src/edge/mod.rs
@@ -5,7 +5,6 @@
 pub mod attempts;
 pub mod body_budget;
 pub mod budget;
-pub mod crashes;
 pub mod engine_view;
 pub mod entry_age;
 pub mod exchange;
--- a/crates/policy/tests/edge_crashes.rs
+++ b/crates/policy/tests/edge_crashes.rs
@@ -1,9 +1,7 @@
 //! Guards against content that crashes one upstream after another, and against refusing harmless
 //! requests because of a crash.
 
-use nutmegbay_policy::edge::crashes::{
-    BrokenRun, ContentId, CrashHistory, CrashReport, ReportSource,
-};
+use nutmegbay_core::crashes::{BrokenRun, ContentId, CrashHistory, CrashReport, ReportSource};
 
 /// A request that its caller sends again.
 const REQUEST: ContentId = ContentId(7);
--- a/crates/proto/src/control.rs
+++ b/crates/proto/src/control.rs
@@ -4,6 +4,7 @@
 
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::proc_macros::rpc;
+use nutmegbay_core::crashes;
 use nutmegbay_core::ids::{Epoch, Fingerprint, Incarnation, Offset, RecordId};
 use nutmegbay_core::record::{CrashReport, LeaseRole};
 use serde::{Deserialize, Serialize};
@@ -178,6 +179,10 @@
     pub crashes: Vec<CrashReport>,
     /// Fingerprints of the suspect requests that the sender runs exclusively.
     pub exclusive: Vec<Fingerprint>,
+    /// Runs that broke with crashes, by the content of their prompts, and answers that clear some
+    /// of it. Gateways of former versions do not send it.
+    #[serde(default)]
+    pub crashed_runs: crashes::CrashReport,
 }
 
 /// Snapshot of a replica's whole state.
