Ask peers for the configuration right after the start

Edges that start while they cannot reach the store refused all requests with no_config until its return: they asked no peer in the first 1.6 s, the age from which a list of instances counts as out of date, though another edge knew the configuration. They now ask after 0.1 s, and with doubled pauses up to the usual 0.5 s. Peers are asked at the same time, so that one that does not respond delays nothing.

`start_in_outage::known_config` failed before (1 s passed) and passes.

--- a/crates/edge/src/peers/ask.rs
+++ b/crates/edge/src/peers/ask.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures::future::join_all;
 use nutmegbay_core::crashes::ReportSource;
 use rand::seq::IteratorRandom;
 use tokio::time::sleep;
@@ -23,6 +24,10 @@
 /// Time between two rounds of requests.
 const ASK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Time from the start until the first round if no configuration is known by then. It doubles with
+/// each further round, up to [`ASK_INTERVAL`]. Without a configuration, all requests are refused.
+const MIN_CONFIG_ASK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Number of peers asked in one round.
 const PEERS_PER_ROUND: usize = 2;
 
@@ -32,6 +37,14 @@
 
 /// Requests records from peers while the store cannot be read, for as long as the process runs.
 pub async fn ask_during_outage<D: WireCodec>(state: Rc<EdgeState<D>>) {
+    let mut config_interval = MIN_CONFIG_ASK_INTERVAL;
+    while state.version().is_none() {
+        sleep(config_interval).await;
+        config_interval = ASK_INTERVAL.min(config_interval * 2);
+        if state.version().is_none() {
+            ask_peers(&state).await;
+        }
+    }
     loop {
         sleep(ASK_INTERVAL).await;
         if state.is_relayed()
@@ -39,22 +52,22 @@
         {
             continue;
         }
-        for peer in sample_peers(&state) {
-            match fetch(
-                &BufferedClient::new(peer, &state.delay_monitor),
-                KNOWN_RECORDS_PATH,
-                Vec::new(),
-                PEER_TIMEOUT,
-            )
-            .await
-            {
-                Ok(reply) => apply_reply(&state, reply),
-                Err(error) => tracing::debug!(event = "peer_not_asked", %peer, %error),
-            }
-        }
+        ask_peers(&state).await;
     }
 }
 
+/// Requests the records of some peers, of all at the same time.
+async fn ask_peers<D: WireCodec>(state: &Rc<EdgeState<D>>) {
+    let requests = sample_peers(state).into_iter().map(async |peer| {
+        let client = BufferedClient::new(peer, &state.delay_monitor);
+        match fetch(&client, KNOWN_RECORDS_PATH, Vec::new(), PEER_TIMEOUT).await {
+            Ok(reply) => apply_reply(state, reply),
+            Err(error) => tracing::debug!(event = "peer_not_asked", %peer, %error),
+        }
+    });
+    join_all(requests).await;
+}
+
 fn sample_peers<D: WireCodec>(state: &EdgeState<D>) -> Vec<SocketAddr> {
     let peers = known_peers(state).into_iter();
     peers.sample(&mut rand::rng(), PEERS_PER_ROUND)
