Record listed versions when a configuration comes into force

Callers that took up streams right after the start of an edge were refused: where the list of instances was read before the configuration, the versions in it were recorded only with the next read, 0.84 s later, and an edge that was paused in between could not tell with which version a stream began.

--- a/crates/edge-bin/tests/old_lists.rs
+++ b/crates/edge-bin/tests/old_lists.rs
@@ -9,7 +9,7 @@
 use common::take_ups::{LIST_TIME, SILENCE, STREAMS, check_versions, start};
 use common::versioned::{HeldStream, Outcome};
 use common::worker::Worker;
-use common::{EXCHANGE, Edge, Site};
+use common::{EXCHANGE, Edge, Site, config};
 use futures::future::join_all;
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -71,6 +71,22 @@
     assert_eq!(outcomes, [Outcome::Complete; STREAMS]);
 }
 
+/// The edge has read the list before the configuration, and has to ask.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_config() {
+    let mut site = start(89, &["v1"; 4]).await;
+    site.change_settings(&format!("port-range={EXCHANGE},{EXCHANGE}\n"), "");
+    site.store.remove("keyed.op", "config");
+    site.signal("KILL");
+    site.edge_mut().restart();
+    sleep(LIST_TIME / 4).await;
+    site.store.put("keyed.op", "config", &config(2, &["k1"]));
+    site.wait_until_ready().await;
+    let other = site.start_edge(90, site.store_address()).await;
+    let outcomes = take_up_at_stopped_edge(&site, &other).await;
+    assert_eq!(outcomes, [Outcome::Complete; STREAMS]);
+}
+
 /// The edge is told of the streams before it has read of their upstreams.
 #[tokio::test(flavor = "multi_thread")]
 async fn stopped_with_news() {
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -270,7 +270,10 @@
                     source,
                 );
             }
-            state.apply_config(config, source);
+            if state.apply_config(config, source) {
+                // The list may have been read before the configuration named its services.
+                versions::record_listed(state);
+            }
             let mut known_records = state.known_records.borrow_mut();
             known_records.keep_config(record, is_outdated);
         }
