Apply the limit of request heads to open connections

Callers got 431 for heads over 16 KB on connections that were opened before the first configuration, although it allows 32 KB: the buffer of a connection is fixed when it is accepted, and it was the limit. Connections now have a buffer of 64 KiB or more, and the limit in force is checked with each request. A connection whose buffer or timeouts do not fit the limits in force ends with its next response, which announces it.

`head_limits::early_connection` failed before (431 where 200 is due) and passes, with `changed_idle_time`; whole_path, signals, late_in_grace, odd_entries, endless_bytes and late_callers pass.

--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use http::header::{CONNECTION, CONTENT_TYPE, HOST, RETRY_AFTER};
+use http::request::Parts;
 use http::{HeaderValue, Request, Response, StatusCode};
 use http_body::Body;
 use http_body_util::{BodyExt, Either, Full};
@@ -35,8 +36,18 @@
 use crate::stopping::{PlannedStop, STOPPING};
 use crate::stream::ResponseBodyError;
 
-/// Minimum buffer size for the head of a request that `hyper` accepts, in bytes.
-const MIN_HEAD_BUFFER_BYTES: usize = 8 * 1024;
+/// Minimum buffer size for the head of a request, in bytes. It is fixed when a connection is
+/// accepted, and the configuration may allow larger heads later.
+const MIN_HEAD_BUFFER_BYTES: usize = 64 * 1024;
+
+/// Smallest limit for the head of a request that is applied, in bytes.
+const MIN_HEAD_LIMIT_BYTES: usize = 8 * 1024;
+
+/// Bytes of the head of a request beside its method, target and headers.
+const REQUEST_LINE_EXTRA_BYTES: usize = "  HTTP/1.1\r\n\r\n".len();
+
+/// Bytes of a header beside its name and value.
+const HEADER_EXTRA_BYTES: usize = ": \r\n".len();
 
 /// Pause after a failed accept, for example if no file descriptor is free.
 const ACCEPT_ERROR_PAUSE: Duration = Duration::from_millis(50);
@@ -116,24 +127,19 @@
         tracing::debug!(event = "socket_option_refused", %error);
     }
     enable_dead_peer_detection(&io);
-    let limits = {
-        let routes = state.routes.borrow();
-        routes
-            .as_ref()
-            .map_or_else(CallerLimits::default, |table| table.config().limits)
-    };
+    let limits = ConnectionLimits::new(&state.caller_limits());
     let has_brought_any = Cell::new(false);
     let service = service_fn(|req| {
         has_brought_any.set(true);
-        respond(Rc::clone(&state), req)
+        respond(Rc::clone(&state), req, limits)
     });
     // `hyper` counts the time for a head from the end of the previous request, so this timeout
     // bounds the idle time too.
     let io = CountedIo::new(io, &state.delay_monitor);
     let served = Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle_time + limits.header_time)
-        .max_buf_size(limits.header_bytes.max(MIN_HEAD_BUFFER_BYTES))
+        .header_read_timeout(limits.head_timeout)
+        .max_buf_size(limits.head_bytes)
         .auto_date_header(false)
         .serve_connection(TokioIo::new(io), service);
     let mut served = std::pin::pin!(served);
@@ -156,9 +162,33 @@
     }
 }
 
+/// Limits that are fixed when a connection is accepted.
+#[derive(Clone, Copy)]
+struct ConnectionLimits {
+    head_bytes: usize,
+    /// Maximum time from the end of a response to the end of the next head.
+    head_timeout: Duration,
+}
+
+impl ConnectionLimits {
+    fn new(limits: &CallerLimits) -> Self {
+        Self {
+            head_bytes: limits.header_bytes.max(MIN_HEAD_BUFFER_BYTES),
+            head_timeout: limits.idle_time + limits.header_time,
+        }
+    }
+
+    /// Returns whether a connection with these limits can follow `limits`.
+    fn fit(&self, limits: &CallerLimits) -> bool {
+        let wanted = Self::new(limits);
+        self.head_bytes >= wanted.head_bytes && self.head_timeout == wanted.head_timeout
+    }
+}
+
 async fn respond<D: WireCodec>(
     state: Rc<EdgeState<D>>,
     req: Request<Incoming>,
+    limits: ConnectionLimits,
 ) -> Result<Response<impl Body<Data = Bytes, Error = ResponseBodyError> + use<D>>, Infallible> {
     let arrived = state.now();
     let in_flight = InFlightGuard::new(&state.in_flight);
@@ -182,7 +212,7 @@
             refusal_response(&rejected.failure).map(Either::Left)
         }
     };
-    if state.stop.is_cancelled() {
+    if state.stop.is_cancelled() || !limits.fit(&state.caller_limits()) {
         res.headers_mut()
             .insert(CONNECTION, HeaderValue::from_static("close"));
     }
@@ -283,6 +313,29 @@
     }
 }
 
+/// Returns the status and the cause with which a request is refused whose head is too large.
+fn check_head(parts: &Parts, limits: &CallerLimits) -> Result<(), (StatusCode, &'static str)> {
+    if head_bytes(parts) > limits.header_bytes.max(MIN_HEAD_LIMIT_BYTES) {
+        let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+        return Err((status, "head_too_large"));
+    }
+    Ok(())
+}
+
+fn host(parts: &Parts) -> &str {
+    let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
+    host.or(parts.uri.host()).unwrap_or_default()
+}
+
+/// Returns the size of the head of a request in bytes.
+fn head_bytes(parts: &Parts) -> usize {
+    let headers = parts.headers.iter();
+    let header_bytes =
+        headers.map(|(name, value)| name.as_str().len() + value.len() + HEADER_EXTRA_BYTES);
+    let target = parts.uri.path_and_query().map_or(0, |p| p.as_str().len());
+    parts.method.as_str().len() + target + REQUEST_LINE_EXTRA_BYTES + header_bytes.sum::<usize>()
+}
+
 /// Decodes a request and finds its route, client account and service.
 async fn route_request<D: WireCodec>(
     state: &Rc<EdgeState<D>>,
@@ -309,15 +362,10 @@
         rejected.failure.retry_after = Some(retry_after(NO_CONFIG_RETRY_MS, rand::random()));
         return Err(rejected);
     };
-    let host = parts
-        .headers
-        .get(HOST)
-        .and_then(|host| host.to_str().ok())
-        .or(parts.uri.host())
-        .unwrap_or_default();
+    check_head(&parts, &table.config().limits).map_err(|(status, cause)| reject(status, cause))?;
     let target = origin_form(&parts.uri);
     let route = table
-        .route(host, parts.uri.path())
+        .route(host(&parts), parts.uri.path())
         .ok_or_else(|| reject(StatusCode::NOT_FOUND, "no_route"))?;
     let account = table
         .account(route, head.key.as_deref())
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -27,7 +27,7 @@
 use crate::list_demand::ListDemand;
 use crate::members::{Members, member_hash};
 use crate::metrics::Metrics;
-use crate::model::DeploymentConfig;
+use crate::model::{CallerLimits, DeploymentConfig};
 use crate::own_delay::DelayMonitor;
 use crate::platform_api::{StoreError, Topic, WireCodec};
 use crate::routes::RouteTable;
@@ -237,6 +237,13 @@
         true
     }
 
+    /// Returns the limits of callers in force.
+    pub fn caller_limits(&self) -> CallerLimits {
+        let routes = self.routes.borrow();
+        let limits = routes.as_ref().map(|table| table.config().limits);
+        limits.unwrap_or_default()
+    }
+
     /// Returns the version of the configuration in force.
     pub fn version(&self) -> Option<u64> {
         let routes = self.routes.borrow();
