Follow the store to another address after a reload of settings

A key that was withdrawn after the store had moved stayed valid: the settings are read again at SIGHUP and every 5 s, but the clients of the store and of the usage reports kept the address of the start. Clients now share an address that a reload changes. Calls in progress to the former address end at once, since it may not respond.

`signals::moved_store` failed before (no answer 401 in 2 s) and passes; signals, restored_store, relayed_reads, store_pages and the tests of the platform pass. An address of the reports that is added or removed by a reload still needs a restart.

--- a/crates/edge-bin/tests/signals.rs
+++ b/crates/edge-bin/tests/signals.rs
@@ -3,12 +3,14 @@
 
 mod common;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
-use common::Site;
+use common::proxy::{LinkState, Proxy};
 use common::store::Fault;
 use common::worker::Action;
-use tokio::time::sleep;
+use common::{Site, config};
+use tokio::time::{sleep, timeout};
 
 /// SIGHUP without a handler ends the process with code 129, which cut off 29 requests in a run.
 #[tokio::test(flavor = "multi_thread")]
@@ -33,6 +35,29 @@
     assert_eq!(site.exit_code(), None);
 }
 
+/// The store has another address, and the former one does not respond. A key that was withdrawn then
+/// stayed valid.
+#[tokio::test(flavor = "multi_thread")]
+async fn moved_store() {
+    const APPLY_TIME: Duration = Duration::from_secs(2);
+    let mut site = Site::start(93, 1).await;
+    let store = format!("platform.addr={}", site.store_address());
+    let former = SocketAddr::new(site.address(94), 8_408);
+    let proxy = Proxy::start(former, site.store_address()).await;
+    site.change_settings(&store, &format!("platform.addr={former}"));
+    site.signal("KILL");
+    site.edge_mut().restart();
+    site.wait_until_ready().await;
+    proxy.set(LinkState::Dropping);
+    site.change_settings(&format!("platform.addr={former}"), &store);
+    site.signal("HUP");
+    site.store.put("keyed.op", "config", &config(2, &["k2"]));
+    let withdrawn = site.wait_until("the key is withdrawn", async || {
+        site.call("GET", "/any/1", &[]).await.status == 401
+    });
+    assert!(timeout(APPLY_TIME, withdrawn).await.is_ok());
+}
+
 /// After SIGTERM, the process reports that it is not ready, serves new requests and exits with 0.
 #[tokio::test(flavor = "multi_thread")]
 async fn planned_stop() {
--- a/crates/edge/src/http1.rs
+++ b/crates/edge/src/http1.rs
@@ -1,10 +1,10 @@
 //! HTTP/1.1 client connections. This module opens, keeps and closes them; `hyper` does the framing.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::future::poll_fn;
 use std::net::SocketAddr;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
@@ -21,6 +21,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpSocket, TcpStream};
+use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
@@ -425,10 +426,12 @@
     }
 }
 
-/// HTTP client for one address. It reads each response whole.
+/// HTTP client for one address, which clones share. It reads each response whole.
 #[derive(Debug, Clone)]
 pub struct BufferedClient {
-    addr: SocketAddr,
+    addr: Rc<Cell<SocketAddr>>,
+    /// Notified when the address has changed.
+    moved: Rc<Notify>,
     monitor: DelayMonitor,
     idle: Rc<RefCell<IdleConnections>>,
 }
@@ -438,15 +441,24 @@
     /// that they receive.
     pub fn new(addr: SocketAddr, monitor: &DelayMonitor) -> Self {
         Self {
-            addr,
+            addr: Rc::new(Cell::new(addr)),
+            moved: Rc::default(),
             monitor: monitor.clone(),
             idle: Rc::new(RefCell::new(IdleConnections::new(MAX_IDLE_CONNECTIONS))),
         }
     }
 
+    /// Changes the address. Calls to another address that are in progress end without a response.
+    pub fn set_addr(&self, addr: SocketAddr) {
+        if self.addr.replace(addr) != addr {
+            self.idle.borrow_mut().clear();
+            self.moved.notify_waiters();
+        }
+    }
+
     /// Returns the value of the `Host` header.
     pub fn host(&self) -> String {
-        self.addr.to_string()
+        self.addr.get().to_string()
     }
 
     /// Sends a request and reads the whole response within `wait`, or longer while this process is
@@ -457,8 +469,17 @@
         req: OutboundRequest,
         wait: impl Into<Wait>,
     ) -> Result<Response<Bytes>, CallError> {
+        let mut moved = pin!(self.moved.notified());
+        moved.as_mut().enable();
         let call = self.call_without_timeout(req);
-        let response = self.monitor.timeout(wait, call).await;
+        let response = tokio::select! {
+            biased;
+            response = self.monitor.timeout(wait, call) => response,
+            () = moved => return Err(CallError {
+                verdict: Verdict::MayHaveRun,
+                cause: Cause::Broken,
+            }),
+        };
         response.unwrap_or_else(|_| {
             // The cause of the timeout probably affects the other connections to this address too.
             self.idle.borrow_mut().clear();
@@ -476,7 +497,7 @@
         let kept = self.idle.borrow_mut().take();
         let mut connection = match kept {
             Some(connection) => connection,
-            None => Connection::open(self.addr, &self.monitor).await?,
+            None => Connection::open(self.addr.get(), &self.monitor).await?,
         };
         let response = connection.send(req).await?;
         let (head, body) = response.into_parts();
--- a/crates/edge/src/platform_api.rs
+++ b/crates/edge/src/platform_api.rs
@@ -1,6 +1,7 @@
 //! Interfaces that the edge needs from a platform: a wire format, a store and usage reports.
 
 use std::future::Future;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -53,6 +54,9 @@
 
 /// The operations of the platform's store that the edge uses.
 pub trait Store: Clone + 'static {
+    /// Changes the address of the store, for all clones. Calls in progress may fail.
+    fn set_addr(&self, addr: SocketAddr);
+
     /// Reads the newest record of each key after the key `after`, as many as fit into one response.
     fn newest(
         &self,
@@ -81,6 +85,9 @@
 
 /// Interface that accepts usage reports.
 pub trait UsageReporter: Clone + 'static {
+    /// Changes the address that accepts the reports, for all clones. Calls in progress may fail.
+    fn set_addr(&self, addr: SocketAddr);
+
     /// Reports the number of requests of each client account in a usage window, under a fencing
     /// number.
     fn report_usage(
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -116,7 +116,8 @@
     spawn_local(crashes::follow(Rc::clone(&state), store.clone()));
     spawn_local(crashes::publish(Rc::clone(&state), store.clone()));
     spawn_local(versions::run(Rc::clone(&state), store.clone()));
-    spawn_local(follow_settings(Rc::clone(&state), changes));
+    let clients = (store.clone(), reports.clone());
+    spawn_local(follow_settings(Rc::clone(&state), clients, changes));
     let handler = Rc::new(ReadinessHandler(Rc::clone(&state)));
     spawn_local(peers::listen(readiness, handler, delay_monitor.clone()));
     if let Some(control) = control {
@@ -186,12 +187,18 @@
 }
 
 /// Puts changed settings in force for as long as they are watched.
-async fn follow_settings<D: WireCodec>(
+async fn follow_settings<D: WireCodec, S: Store, R: UsageReporter>(
     state: Rc<EdgeState<D>>,
+    (store, reports): (S, Option<R>),
     mut changes: watch::Receiver<EdgeSettings>,
 ) {
     while changes.changed().await.is_ok() {
-        state.reload(changes.borrow_and_update().clone());
+        let settings = changes.borrow_and_update().clone();
+        store.set_addr(settings.store);
+        if let (Some(reports), Some(addr)) = (&reports, settings.reports) {
+            reports.set_addr(addr);
+        }
+        state.reload(settings);
     }
 }
 
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -203,6 +203,7 @@
             event = "reload",
             bounds = ?settings.bounds,
             seeds = ?settings.seeds,
+            store = %settings.store,
         );
         let budget = retry_budget(&settings.bounds);
         for share in self.budgets.borrow_mut().values_mut() {
