Let instances try an unrepeated limit in turn

After a minute without requests, 19 requests from 16 edges reached an upstream within a second, where its limit allows 11 in 4 s: each edge may send one request to find out whether a limit that nobody has repeated still holds, and all of them did. Now the first two in the order of the owners may, and the others in turns of 8 s each, in case those get no requests or their news are lost. A share that was saved up is used first, and a trial no longer counts as a statement, which would have shifted the turns.

`edge_upstream_limit::idle_instances` failed with the former rule (16 instances send 16 requests where 5 are allowed) and passes. The other tests of the file, upstream_limits and upstream_notices pass.

--- a/crates/edge/src/fleet/limits.rs
+++ b/crates/edge/src/fleet/limits.rs
@@ -162,6 +162,8 @@
     let limit = upstream.limit.limit().unwrap_or(0.0);
     let share = owners.share(upstream.hash, limit);
     upstream.limit.set_share(share, rand::random(), now);
+    let rank = owners.rank(upstream.hash);
+    upstream.limit.set_turn(rank, owners.count());
 }
 
 fn log_limit(upstream: &Upstream, before_per_s: Option<f64>, source: &'static str) {
--- a/crates/policy/src/edge/limit_owners.rs
+++ b/crates/policy/src/edge/limit_owners.rs
@@ -51,19 +51,27 @@
     /// Returns this instance's share of a limit of the upstream with the hash `upstream`, in
     /// requests per second. The shares of all instances add up to the limit at most.
     pub fn share(&self, upstream: u64, limit_per_s: f64) -> f64 {
-        let count = self.others.len() + 1;
         let owners = (OWNERS_PER_LIMIT * limit_per_s + ADDITIONAL_OWNERS) as usize;
-        let owners = owners.clamp(1, count);
-        let own_weight = rendezvous_weight(upstream, self.own, 1.0);
-        let before = self
-            .others
-            .iter()
-            .filter(|other| rendezvous_weight(upstream, **other, 1.0) > own_weight)
-            .count();
-        if self.has_joined && before < owners {
+        let owners = owners.clamp(1, self.count());
+        if self.has_joined && self.rank(upstream) < owners {
             limit_per_s / owners as f64
         } else {
             0.0
         }
     }
+
+    /// Returns the number of instances, including this one.
+    pub fn count(&self) -> usize {
+        self.others.len() + 1
+    }
+
+    /// Returns the number of instances that come before this one in the order for the upstream with
+    /// the hash `upstream`.
+    pub fn rank(&self, upstream: u64) -> usize {
+        let own_weight = rendezvous_weight(upstream, self.own, 1.0);
+        let others = self.others.iter();
+        others
+            .filter(|other| rendezvous_weight(upstream, **other, 1.0) > own_weight)
+            .count()
+    }
 }
--- a/crates/policy/src/edge/upstream_limit.rs
+++ b/crates/policy/src/edge/upstream_limit.rs
@@ -21,6 +21,15 @@
 /// repeated still holds. An upstream that gets no requests cannot repeat it.
 const TRIAL_INTERVAL: Duration = Duration::from_secs(30);
 
+/// Number of instances that try such a statement whenever they get a request. The others do so in
+/// turn, in case these get no requests or their news are lost. The operator's rule allows five
+/// requests in 4 s in addition to those by the limit.
+const FIRST_TO_TRY: usize = 2;
+
+/// Length of the turn of another instance. The times of the last statement differ between instances
+/// by up to [`REPEAT_INTERVAL`], so that at most three turns touch 4 s.
+const TRIAL_TURN: Duration = Duration::from_secs(8);
+
 /// Time after which a repeated statement is told to other instances again.
 const REPEAT_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -57,6 +66,9 @@
     changed_at: MonotonicTime,
     /// This instance's share, in requests per second.
     share_per_s: f64,
+    turn: TrialTurn,
+    /// Time of the last request that tried the limit.
+    tried_at: Option<MonotonicTime>,
     /// Part, 0 to 1, by which this instance differs from others that would act at the same time.
     spread: f64,
     /// Requests that may be sent as of `tokens_at`.
@@ -67,6 +79,29 @@
     told_at: MonotonicTime,
 }
 
+/// Turn of an instance to try a limit. If all tried it after a pause, they would together exceed it.
+#[derive(Debug, Clone, Copy, Default)]
+struct TrialTurn {
+    rank: usize,
+    /// Number of instances, 0 if none are known.
+    count: usize,
+}
+
+impl TrialTurn {
+    /// Returns whether the turn has come at this age of the last statement. `spread` is a part of an
+    /// interval, 0 to 1.
+    fn has_come(self, age: Duration, spread: f64) -> bool {
+        if self.rank < FIRST_TO_TRY {
+            return age >= TRIAL_INTERVAL.mul_f64(1.0 + spread);
+        }
+        let Some(late) = age.checked_sub(TRIAL_INTERVAL * 2) else {
+            return false;
+        };
+        let turn = late.as_millis() / TRIAL_TURN.as_millis();
+        turn % self.count.max(1) as u128 == self.rank as u128
+    }
+}
+
 impl UpstreamLimit {
     /// Records what a response states that belongs to a request sent at `sent_at`. Responses
     /// overtake each other, so one to a request from before the last statement neither ends a limit
@@ -149,6 +184,11 @@
         self.spread = spread;
     }
 
+    /// Sets the rank of this instance among `count` instances that may try the limit.
+    pub fn set_turn(&mut self, rank: usize, count: usize) {
+        self.turn = TrialTurn { rank, count };
+    }
+
     /// Returns the fraction of the requests that this instance may save up which are used up, 0 to
     /// 1. It is 0 without a limit.
     pub fn used_fraction(&self, now: MonotonicTime) -> f64 {
@@ -170,9 +210,13 @@
 
     /// Returns whether the limit has to be tried because nobody has repeated it for a long time.
     fn is_trial_due(&self, now: MonotonicTime) -> bool {
-        let interval = TRIAL_INTERVAL.mul_f64(1.0 + self.spread);
         let stated_at = self.statement.map(|statement| statement.at);
-        stated_at.is_some_and(|at| now.since(at) >= interval)
+        let has_come = |at| self.turn.has_come(now.since(at), self.spread);
+        // Others are sent only after the response to the last one, or after another interval.
+        let is_open = self.tried_at.is_some_and(|at| {
+            Some(at) >= stated_at && now.since(at) < TRIAL_INTERVAL.mul_f64(1.0 + self.spread)
+        });
+        stated_at.is_some_and(has_come) && !is_open
     }
 
     /// Returns the time until this instance may send a request, zero if it may now, or `None` if it
@@ -190,14 +234,13 @@
         if self.limit().is_none() {
             return true;
         }
-        if self.is_trial_due(now) {
-            // Others are sent only after its response, or after another interval.
-            self.statement = self.statement.map(|known| Statement { at: now, ..known });
-            return true;
+        let is_trial = self.is_trial_due(now);
+        if is_trial {
+            self.tried_at = Some(now);
         }
         let tokens = self.tokens(now);
         if tokens < 1.0 {
-            return false;
+            return is_trial;
         }
         self.tokens = tokens - 1.0;
         self.tokens_at = now;
--- a/crates/policy/tests/edge_upstream_limit.rs
+++ b/crates/policy/tests/edge_upstream_limit.rs
@@ -51,9 +51,13 @@
             }
         }
     }
+    (most_in_window(&sent), sent.len())
+}
+
+/// Returns the most requests in 4 s, given the times of all in ascending order.
+fn most_in_window(sent: &[u64]) -> usize {
     let in_window = |(n, first): (usize, &u64)| sent.partition_point(|ms| *ms < first + 4_000) - n;
-    let most = sent.iter().enumerate().map(in_window).max();
-    (most.unwrap_or(0), sent.len())
+    sent.iter().enumerate().map(in_window).max().unwrap_or(0)
 }
 
 /// Any number of instances keeps any limit, and uses it.
@@ -203,6 +207,39 @@
     assert!(limit.try_send(at(33_060)));
 }
 
+/// After a pause, all instances get requests at the same time, and no response. The upstream got one
+/// request from each of them. All still try the limit at some time, in case that no news reach them.
+#[test]
+fn idle_instances() {
+    for count in [1, 4, 16, 80] {
+        for limit in [0.0, 0.01, 0.3, 1.0, 8.4] {
+            let mut sent = Vec::new();
+            for (n, view) in (0..).zip(&instances(count)) {
+                // The instances were told of the statement at different times.
+                let told_at = at(n * 37 % 2_000);
+                let mut own = UpstreamLimit::default();
+                own.record_response(Some(limit), told_at, told_at);
+                own.set_share(view.share(UPSTREAM, limit), 0.5, told_at);
+                own.set_turn(view.rank(UPSTREAM), view.count());
+                let before = sent.len();
+                for ms in (70_000..800_000).step_by(20) {
+                    while own.try_send(at(ms)) {
+                        sent.push(ms);
+                    }
+                }
+                assert!(sent.len() > before, "instance {n} of {count} never sends");
+            }
+            sent.sort_unstable();
+            let most = most_in_window(&sent);
+            let allowed = 1.5 * limit * 4.0 + 5.0;
+            assert!(
+                most as f64 <= allowed,
+                "{count} instances, limit {limit}: {most}"
+            );
+        }
+    }
+}
+
 /// News with impossible values have no effect.
 #[test]
 fn invalid_news() {
