Accept responses with up to 2,000 headers

A response of an upstream with 100 headers or more counted as a broken connection, after the request had run, so that such an upstream served nothing: the same limit of the HTTP library as for requests. Connections to upstreams, peers and the store now have the limit of those of callers.

`head_limits::many_response_headers` (1,900 headers) failed before, with no request served in 20 s, and passes; worker_faults, unframed_answers, body_ends and stray_refusals pass.

--- a/crates/edge-bin/tests/head_limits.rs
+++ b/crates/edge-bin/tests/head_limits.rs
@@ -2,11 +2,13 @@
 
 mod common;
 
+use std::net::SocketAddr;
+
 use common::worker::header;
-use common::{Site, config};
+use common::{Site, config, instance};
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 
 /// Limit in the configuration, above the one in force without a configuration.
 const HEADER_BYTES: usize = 32 * 1024;
@@ -103,3 +105,43 @@
         );
     }
 }
+
+/// Runs each request and answers it with `count` headers beside the usual ones.
+async fn answer_with_headers(listener: TcpListener, count: u32) {
+    let headers: Vec<_> = (0..count).map(|n| format!("X-{n}: {n}\r\n")).collect();
+    loop {
+        let (mut io, _) = listener.accept().await.unwrap();
+        let mut bytes = Vec::new();
+        while !bytes.ends_with(b"\r\n\r\n") {
+            if io.read_buf(&mut bytes).await.unwrap() == 0 {
+                break;
+            }
+        }
+        let text = String::from_utf8(bytes).unwrap();
+        let id = header(&text, "x-attempt-id").unwrap_or_default();
+        let response = format!(
+            "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Server-Seal: s1\r\nConnection: close\r\n\
+             Content-Length: 0\r\n{}\r\n",
+            headers.concat()
+        );
+        io.write_all(response.as_bytes()).await.unwrap();
+    }
+}
+
+/// A response with many headers counted as a broken connection, after the request had run.
+#[tokio::test(flavor = "multi_thread")]
+async fn many_response_headers() {
+    let (site, _io) = connect_before_config(97).await;
+    let addr = SocketAddr::new(site.address(98), 8_500);
+    let listener = TcpListener::bind(addr).await.unwrap();
+    tokio::spawn(answer_with_headers(listener, 1_900));
+    site.store.remove("keyed.servers", "i-0");
+    let entry = instance(addr, "ready");
+    site.store.put("keyed.servers", "i-9", &entry);
+    site.wait_until("the other upstream serves", async || {
+        let runs = site.runs();
+        let status = site.call("GET", "/any/1", &[]).await.status;
+        status == 200 && site.runs() == runs
+    })
+    .await;
+}
--- a/crates/edge/src/http1.rs
+++ b/crates/edge/src/http1.rs
@@ -51,6 +51,11 @@
 /// sent while the upstream closes it.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 
+/// Maximum number of headers of a request or response. The operator limits only the bytes of
+/// requests. From 3,000 on, the buffers that `hyper` allocates for the headers of each request add
+/// 12 us; with 2,000 they add 1 us.
+pub const MAX_HEADERS: usize = 2_000;
+
 /// Maximum size of a response body that is read whole, in bytes. The largest one is a page of the
 /// store.
 const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
@@ -171,6 +176,7 @@
             Err(_) => return Err(failed(Cause::Timeout)),
         };
         let (sender, connection) = Builder::new()
+            .max_headers(MAX_HEADERS)
             .handshake(TokioIo::new(CountedIo::new(io, monitor)))
             .await
             .map_err(|_| failed(Cause::Connect))?;
@@ -224,6 +230,7 @@
             return Err(broken);
         };
         let (sender, connection) = Builder::new()
+            .max_headers(MAX_HEADERS)
             .handshake(TokioIo::new(AlreadyWritten::new(io, read_ahead)))
             .await
             .map_err(|_| broken)?;
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -27,7 +27,7 @@
 use crate::forward::{
     Failure, InFlightGuard, RequestProgress, RoutedRequest, serve, unknown_service,
 };
-use crate::http1::enable_dead_peer_detection;
+use crate::http1::{MAX_HEADERS, enable_dead_peer_detection};
 use crate::model::{CallerLimits, RequestHead};
 use crate::own_delay::CountedIo;
 use crate::platform_api::{WireCodec, origin_form};
@@ -40,10 +40,6 @@
 /// accepted, and the configuration may allow larger heads later.
 const MIN_HEAD_BUFFER_BYTES: usize = 64 * 1024;
 
-/// Maximum number of headers of a request. The operator limits only their bytes. From 3,000 on, the
-/// buffers that `hyper` allocates for them add 12 us to each request, and with 2,000 they add 1 us.
-const MAX_HEADERS: usize = 2_000;
-
 /// Smallest limit for the head of a request that is applied, in bytes.
 const MIN_HEAD_LIMIT_BYTES: usize = 8 * 1024;
 
