--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use nutmegbay_core::crashes::CrashHistory;
 use nutmegbay_core::duty::WindowCounts;
 use nutmegbay_core::environment::MonotonicTime;
 use nutmegbay_core::position::Position;
@@ -13,7 +14,6 @@
 use nutmegbay_policy::edge::attempts::Deadlines;
 use nutmegbay_policy::edge::body_budget::BodyBudget;
 use nutmegbay_policy::edge::budget::{RetryShare, SharedRetryBudget};
-use nutmegbay_policy::edge::crashes::CrashHistory;
 use nutmegbay_policy::edge::expiry_grace::ExpiryGrace;
 use nutmegbay_policy::edge::presence::Presence;
 use nutmegbay_policy::edge::relay::RelayFollower;
@@ -27,7 +27,7 @@
 use crate::list_demand::ListDemand;
 use crate::members::{Members, member_hash};
 use crate::metrics::Metrics;
-use crate::model::DeploymentConfig;
+use crate::model::{CallerLimits, DeploymentConfig};
 use crate::own_delay::DelayMonitor;
 use crate::platform_api::{StoreError, Topic, WireCodec};
 use crate::quota::Quotas;
@@ -208,6 +208,7 @@
             event = "reload",
             bounds = ?settings.bounds,
             seeds = ?settings.seeds,
+            store = %settings.store,
         );
         let budget = retry_budget(&settings.bounds);
         for share in self.budgets.borrow_mut().values_mut() {
@@ -250,6 +251,13 @@
         true
     }
 
+    /// Returns the limits of callers in force.
+    pub fn caller_limits(&self) -> CallerLimits {
+        let routes = self.routes.borrow();
+        let limits = routes.as_ref().map(|table| table.config().limits);
+        limits.unwrap_or_default()
+    }
+
     /// Returns the version of the configuration in force.
     pub fn version(&self) -> Option<u64> {
         let routes = self.routes.borrow();
