Count present streams and step times in the choice of stream hosts

Short answers that are decoded at a host took the slots of its streams.

Change: the number of hosts rises at once with the streams that run; the choice counts the time of a step, and the taken slots of a host for short answers too, where engines state their pace.

The cause of the loss at prompts is not known yet.

--- a/crates/edge/src/fleet/paces.rs
+++ b/crates/edge/src/fleet/paces.rs
@@ -83,7 +83,8 @@
             None => f64::from(own) * (self.other_instances + 1) as f64,
         };
         let costs = costs_mut(&mut self.costs, service);
-        let streams = costs.average_long_streams(own, all, now);
+        // Streams that begin need hosts at once; the average decides when there are fewer of them.
+        let streams = costs.average_long_streams(own, all, now).max(all);
         let needed = |streams| stream_host_count(streams, slots, engines);
         costs.host_count.update(streams, needed);
     }
--- a/crates/policy/src/edge/engine_pace.rs
+++ b/crates/policy/src/edge/engine_pace.rs
@@ -160,6 +160,7 @@
         EngineSpeed {
             prefill_factor: usual * (newest / usual).powf(weight),
             step_factor: usual,
+            is_stated: true,
         }
     }
 
--- a/crates/policy/src/edge/engine_view.rs
+++ b/crates/policy/src/edge/engine_view.rs
@@ -7,6 +7,8 @@
     pub prefill_factor: f64,
     /// Time of a decode step, as a multiple of the typical engine's.
     pub step_factor: f64,
+    /// Whether the engine states how long work takes on its machine.
+    pub is_stated: bool,
 }
 
 impl Default for EngineSpeed {
@@ -14,6 +16,7 @@
         Self {
             prefill_factor: 1.0,
             step_factor: 1.0,
+            is_stated: false,
         }
     }
 }
--- a/crates/policy/src/edge/placement.rs
+++ b/crates/policy/src/edge/placement.rs
@@ -71,6 +71,10 @@
 /// request. Tokens come more slowly the more requests run.
 const BATCH_PENALTY: f64 = 2.0;
 
+/// Penalty of an engine for a long stream, per multiple of the typical time of a step, in mean costs
+/// of a request. The longer a step takes, the less time is left for what comes between two events.
+const STEP_PENALTY: f64 = 2.0;
+
 /// Wait for a slot of an engine, per request beyond its uncontended slots, in mean costs of a
 /// request.
 const SLOT_WAIT: f64 = 1.0;
@@ -393,17 +397,23 @@
     estimates: CostEstimates,
     cost_ms: f64,
 ) -> f64 {
+    let taken = engine.requests / f64::from(engine.slots.max(1));
     match (request.is_long, engine.is_stream_host) {
         (true, is_stream_host) => {
-            let taken = engine.requests / f64::from(engine.slots.max(1));
             let elsewhere = if is_stream_host {
                 0.0
             } else {
                 NON_HOST_PENALTY
             };
-            (taken * BATCH_PENALTY + elsewhere) * estimates.request_ms
+            let slowness = if engine.speed.is_stated {
+                engine.speed.step_factor * STEP_PENALTY
+            } else {
+                0.0
+            };
+            (taken * BATCH_PENALTY + elsewhere + slowness) * estimates.request_ms
         }
         (false, true) if cost_ms > 0.0 => STREAM_HOST_PREFILL_PENALTY_MS,
+        (false, true) if engine.speed.is_stated => taken * BATCH_PENALTY * estimates.request_ms,
         (false, _) => cost_ms * STREAM_DELAY_FRACTION * f64::from(engine.streams),
     }
 }
