Leave short answers to stream hosts

Cause: with taken slots of hosts counted for short answers, these were decoded at engines that prefill.

Change: taken slots of a host count for long streams only, as before.

--- a/crates/policy/src/edge/placement.rs
+++ b/crates/policy/src/edge/placement.rs
@@ -413,7 +413,6 @@
             (taken * BATCH_PENALTY + elsewhere + slowness) * estimates.request_ms
         }
         (false, true) if cost_ms > 0.0 => STREAM_HOST_PREFILL_PENALTY_MS,
-        (false, true) if engine.speed.is_stated => taken * BATCH_PENALTY * estimates.request_ms,
         (false, _) => cost_ms * STREAM_DELAY_FRACTION * f64::from(engine.streams),
     }
 }
