Tell changes of an engine's pace at once

Cause: a slowdown of an engine lasts some hundred milliseconds, and one instance hears of it about once a second; statements were told only every 360 ms.

Change: a statement that differs by more than a factor of 1.4 from the last one told is told at once.

--- a/crates/policy/src/edge/engine_pace.rs
+++ b/crates/policy/src/edge/engine_pace.rs
@@ -35,6 +35,10 @@
 /// and none after 1 s.
 const STATEMENT_TIME_CONSTANT: Duration = Duration::from_millis(400);
 
+/// Factor by which a statement has to differ from the last one that was told, up or down, to be told
+/// at once. Smaller differences are told with the next kept statement.
+const TOLD_CHANGE: f64 = 1.4;
+
 /// Age from which a statement that another instance tells is ignored. It says nothing about the
 /// present, and it must not pass between relays forever.
 const MAX_TOLD_AGE: Duration = Duration::from_secs(1);
@@ -68,6 +72,8 @@
     newest: Option<(u16, MonotonicTime)>,
     /// Class of the median of the kept statements.
     class: Option<i32>,
+    /// Last statement that was told or is due to be told.
+    told: u16,
     is_untold: bool,
 }
 
@@ -81,7 +87,7 @@
     /// Records that a response stated `percent` of the usual time at `now`. The statement is told to
     /// other instances if it is kept.
     pub fn record(&mut self, percent: u16, spacing: Duration, now: MonotonicTime) {
-        self.is_untold |= self.keep(percent, spacing, now);
+        self.keep(percent, spacing, true, now);
     }
 
     /// Applies a statement that another instance tells. `is_forwarded` states whether this instance
@@ -95,34 +101,41 @@
     ) {
         let age = Duration::from_millis(news.age_ms.into());
         if news.percent > 0 && age <= MAX_TOLD_AGE {
-            let is_kept = self.keep(
-                news.percent,
-                spacing,
-                MonotonicTime(now.0.saturating_sub(age)),
-            );
-            self.is_untold |= is_kept && is_forwarded;
+            let at = MonotonicTime(now.0.saturating_sub(age));
+            self.keep(news.percent, spacing, is_forwarded, at);
         }
     }
 
-    /// Records a statement. Returns whether it is kept.
-    fn keep(&mut self, percent: u16, spacing: Duration, at: MonotonicTime) -> bool {
-        if self.newest.is_none_or(|(_, newest_at)| newest_at <= at) {
-            self.newest = Some((percent, at));
+    /// Records a statement. It counts toward the usual time if the last one that does is old enough.
+    /// With `is_told`, it is told to other instances in that case, and if it is a change.
+    fn keep(&mut self, percent: u16, spacing: Duration, is_told: bool, at: MonotonicTime) {
+        if self.newest.is_some_and(|(_, newest_at)| newest_at > at) {
+            return;
+        }
+        self.newest = Some((percent, at));
+        let is_kept = self.count == 0 || at >= self.kept_at.plus(spacing);
+        let change = f64::from(percent) / f64::from(self.told.max(1));
+        if is_kept || !(1.0 / TOLD_CHANGE..TOLD_CHANGE).contains(&change) {
+            self.told = percent;
+            self.is_untold |= is_told;
         }
-        if self.count > 0 && at < self.kept_at.plus(spacing) {
-            return false;
+        if is_kept {
+            self.kept[self.count % KEPT_STATEMENTS] = percent;
+            self.count += 1;
+            self.kept_at = at;
+            self.update_class();
         }
-        self.kept[self.count % KEPT_STATEMENTS] = percent;
-        self.count += 1;
-        self.kept_at = at;
-        if let Some(usual) = self.usual() {
-            let class = usual.log2() * CLASSES_PER_DOUBLING;
-            let is_near = |known: i32| (class - f64::from(known)).abs() <= CLASS_HYSTERESIS;
-            if !self.class.is_some_and(is_near) {
-                self.class = Some(class.round() as i32);
-            }
+    }
+
+    fn update_class(&mut self) {
+        let Some(usual) = self.usual() else {
+            return;
+        };
+        let class = usual.log2() * CLASSES_PER_DOUBLING;
+        let is_near = |known: i32| (class - f64::from(known)).abs() <= CLASS_HYSTERESIS;
+        if !self.class.is_some_and(is_near) {
+            self.class = Some(class.round() as i32);
         }
-        true
     }
 
     /// Returns the usual time of the engine's work as a multiple of that of a typical engine, or
@@ -174,16 +187,16 @@
         }
     }
 
-    /// Returns the statement about the engine with this tag that is due to be told.
+    /// Returns the newest statement about the engine with this tag if one is due to be told.
     pub fn take_news(&mut self, upstream: u32, now: MonotonicTime) -> Option<PaceNews> {
         if !std::mem::take(&mut self.is_untold) {
             return None;
         }
-        let last = self.count.checked_sub(1)? % KEPT_STATEMENTS;
-        let age_ms = now.since(self.kept_at).as_millis();
+        let (percent, at) = self.newest?;
+        let age_ms = now.since(at).as_millis();
         Some(PaceNews {
             upstream,
-            percent: self.kept[last],
+            percent,
             age_ms: u16::try_from(age_ms).unwrap_or(u16::MAX),
         })
     }
