Keep short answers off hosts whose slots streams hold

Change: where engines state their pace, a host counts for short answers as further away the more of its slots beyond half streams hold.

--- a/crates/policy/src/edge/placement.rs
+++ b/crates/policy/src/edge/placement.rs
@@ -71,6 +71,12 @@
 /// request. Tokens come more slowly the more requests run.
 const BATCH_PENALTY: f64 = 2.0;
 
+/// Fraction of a stream host's slots up to which long streams leave room for short answers, and the
+/// penalty for these per fraction beyond it, in mean costs of a request. Short answers are often more
+/// urgent than the streams, which are interrupted for them when no slot is free.
+const SHARED_HOST_FRACTION: f64 = 0.5;
+const SHARED_HOST_PENALTY: f64 = 4.0;
+
 /// Penalty of an engine for a long stream, per multiple of the typical time of a step, in mean costs
 /// of a request. The longer a step takes, the less time is left for what comes between two events.
 const STEP_PENALTY: f64 = 2.0;
@@ -413,6 +419,11 @@
             (taken * BATCH_PENALTY + elsewhere + slowness) * estimates.request_ms
         }
         (false, true) if cost_ms > 0.0 => STREAM_HOST_PREFILL_PENALTY_MS,
+        (false, true) if engine.speed.is_stated => {
+            let held = f64::from(engine.streams) / f64::from(engine.slots.max(1));
+            let over = (held - SHARED_HOST_FRACTION).max(0.0);
+            over * SHARED_HOST_PENALTY * estimates.request_ms
+        }
         (false, _) => cost_ms * STREAM_DELAY_FRACTION * f64::from(engine.streams),
     }
 }
--- a/crates/policy/tests/edge_placement.rs
+++ b/crates/policy/tests/edge_placement.rs
@@ -109,6 +109,46 @@
     assert_matches!(placement, Some(Placement::Whole { at, .. }) if at == engines[1].key);
 }
 
+/// At an engine of half the speed, one stream in two paused for too long. An engine that states its
+/// pace is judged by the time of a step.
+#[test]
+fn fast_host() {
+    let mut engines = engines(&[EnginePhase::Decode, EnginePhase::Decode]);
+    for (engine, step_factor) in engines.iter_mut().zip([1.2, 0.55]) {
+        engine.is_stream_host = true;
+        engine.speed = EngineSpeed {
+            prefill_factor: step_factor,
+            step_factor,
+            is_stated: true,
+        };
+    }
+    engines[1].requests = 6.0;
+    let placement = place(&engines, request(100, true), ESTIMATES);
+    assert_matches!(placement, Some(Placement::Whole { at, .. }) if at == engines[1].key);
+    // The same step times without a statement change nothing.
+    for engine in &mut engines {
+        engine.speed.is_stated = false;
+    }
+    let placement = place(&engines, request(100, true), ESTIMATES);
+    assert_matches!(placement, Some(Placement::Whole { at, .. }) if at == engines[0].key);
+}
+
+/// A prompt goes to the engine that prefills it soonest, and its cost there is what it takes there.
+#[test]
+fn slow_prefill() {
+    let mut engines = engines(&[EnginePhase::Decode, EnginePhase::Decode]);
+    for (engine, prefill_factor) in engines.iter_mut().zip([2.0, 0.5]) {
+        engine.speed.prefill_factor = prefill_factor;
+    }
+    engines[1].backlog_ms = 30.0;
+    let placement = place(&engines, request(1_000, false), ESTIMATES);
+    assert_matches!(
+        placement,
+        Some(Placement::Whole { at, cost_ms, .. })
+            if at == engines[1].key && (cost_ms - 7_300.0 * 0.003).abs() < 1e-9
+    );
+}
+
 /// The number of stream hosts grows with the number of streams and is never zero.
 #[test]
 fn stream_hosts() {
