Send no paces where engines state none

Cause: an empty list added one byte to each datagram with news, which changed the order of events on deployments whose engines state no pace.

Change: the list is left out when it is empty.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -237,7 +237,12 @@
     if is_empty {
         return Vec::new();
     }
-    postcard::to_stdvec(&(news, origins, waits, paces)).unwrap_or_else(|error| {
+    let encoded = if paces.is_empty() {
+        postcard::to_stdvec(&(news, origins, waits))
+    } else {
+        postcard::to_stdvec(&(news, origins, waits, paces))
+    };
+    encoded.unwrap_or_else(|error| {
         tracing::error!(event = "news_not_encoded", %error);
         Vec::new()
     })
