--- a/crates/edge/src/fleet/placement.rs
+++ b/crates/edge/src/fleet/placement.rs
@@ -10,10 +10,10 @@
 };
 use nutmegbay_policy::edge::prefixes::{EvidenceSource, rendezvous_weight, top_two_ranks};
 use nutmegbay_policy::edge::software_versions::VersionTag;
-use nutmegbay_policy::edge::stream_hosts::rank_hosts;
+use nutmegbay_policy::edge::stream_hosts::{rank_hosts, still_hosts};
 use nutmegbay_policy::edge::urgency::Urgency;
 
-use super::{Fleet, is_long};
+use super::{Fleet, Upstream, is_long};
 use crate::model::{EngineSpec, ModelWork, Service};
 
 /// Weight of a prefill engine when engines are ranked for a prefix block. A decode engine, which
@@ -88,7 +88,8 @@
             split_lateness_ms: lateness_ms(true),
         };
         let candidates = self.candidates(&service.name, tried, version, now);
-        let stream_hosts = self.stream_hosts(service, engine, &candidates, instances);
+        let is_long = placement_request.is_long;
+        let stream_hosts = self.stream_hosts(service, engine, &candidates, instances, is_long);
         let ranked = self.prefix_ranks(
             &candidates,
             &stream_hosts,
@@ -143,20 +144,22 @@
             slots: upstream.report.slots,
             cached_fraction: 0.0,
             is_stream_host: false,
-            streams: upstream.streams + self.exchange.work(upstream.tag()).streams,
+            streams: self.streams(upstream),
             failure_rate: upstream.health.failure_rate(now),
             limit_use: upstream.limit.used_fraction(now),
         }
     }
 
     /// Returns the decode engines on which long streams are consolidated. All instances rank them
-    /// alike, by speed if the engines state their pace.
+    /// alike, by speed if the engines state their pace. In that case, an engine that is no host any
+    /// more still is one for other requests than long streams while several of these run there.
     fn stream_hosts(
         &self,
         service: &Service,
         engine: &EngineSpec,
         candidates: &[UpstreamKey],
         instances: usize,
+        is_long: bool,
     ) -> Vec<UpstreamKey> {
         let mut decoding: Vec<_> = candidates
             .iter()
@@ -169,7 +172,12 @@
             (upstream.pace.class(), upstream.hash)
         });
         if let Some(mut hosts) = by_speed {
-            hosts.truncate(costs.map_or(1, |costs| costs.host_count.get()));
+            let count = costs.map_or(1, |costs| costs.host_count.get());
+            let mut rest = hosts.split_off(count.min(hosts.len()));
+            if !is_long {
+                rest.retain(|key| still_hosts(self.streams(&self.upstreams[*key])));
+                hosts.append(&mut rest);
+            }
             return hosts;
         }
         decoding.sort_by_key(|key| self.upstreams[*key].hash);
@@ -179,6 +187,11 @@
         decoding
     }
 
+    /// Returns the number of long streams of all instances at an upstream.
+    fn streams(&self, upstream: &Upstream) -> u32 {
+        upstream.streams + self.exchange.work(upstream.tag()).streams
+    }
+
     /// Chooses an upstream of a plain service, of `version` if it is given. Returns it with the
     /// predicted wait in milliseconds.
     pub fn place_plain(
--- a/crates/policy/src/edge/stream_hosts.rs
+++ b/crates/policy/src/edge/stream_hosts.rs
@@ -12,6 +12,10 @@
 /// that follows each end of a stream would move prompts to an engine whose streams still run.
 const FALL_FRACTION: f64 = 0.75;
 
+/// Number of long streams for which an engine that is no stream host any more keeps prompts away. A
+/// single stream is not worth the prompts that the engine could prefill meanwhile.
+const MIN_KEPT_STREAMS: u32 = 2;
+
 /// Number of engines on which the long streams of one service are consolidated.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct HostCount(usize);
@@ -31,6 +35,12 @@
     }
 }
 
+/// Returns whether an engine that is no stream host any more keeps prompts away while `streams` long
+/// streams still run there.
+pub fn still_hosts(streams: u32) -> bool {
+    streams >= MIN_KEPT_STREAMS
+}
+
 /// Returns `engines` in the order in which long streams are consolidated on them: the fastest class
 /// first, since steps there leave the most time for the prefills and slowdowns between them. `rank`
 /// returns the class of an engine's speed, if it is known, and a hash by which all instances order
