Divide short engine time among client accounts by max-min

Change: instances sum up what accounts ask for; what an account asks beyond the max-min level is admitted behind a short queue only. Long streams avoid engines whose slots other streams hold, and are predicted from what is served before them. Off unless accounts compete for room.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use nutmegbay_policy::edge::crashes::{CrashReport, ReportSource};
-use nutmegbay_policy::edge::exchange::{Digest, Role, spacing};
+use nutmegbay_policy::edge::exchange::{Digest, Role, Scope, spacing};
 use nutmegbay_policy::edge::stream_origins::{CallerWait, OriginNews};
 use nutmegbay_policy::edge::upstream_limit::LimitNews;
 use serde::{Deserialize, Serialize};
@@ -14,6 +14,7 @@
 use tokio::time::sleep;
 
 use crate::crashes;
+use crate::fleet::ServiceReport;
 use crate::metrics::increment;
 use crate::platform_api::WireCodec;
 use crate::state::EdgeState;
@@ -99,7 +100,8 @@
 }
 
 /// News that follow the digest in a datagram. The origins of streams follow them as a list, and the
-/// longest waits of callers as another one. Earlier versions send less and ignore what follows.
+/// longest waits of callers as another one, and the work that client accounts ask for as a third.
+/// Earlier versions send less and ignore what follows.
 #[derive(Debug, Serialize, Deserialize)]
 struct News {
     crashes: CrashReport,
@@ -115,10 +117,10 @@
     datagram: &[u8],
 ) -> Result<(), postcard::Error> {
     let (digest, news) = postcard::take_from_bytes::<Digest>(datagram)?;
-    let is_relay = {
+    let (is_expected, is_relay) = {
         let mut fleet = state.fleet.borrow_mut();
-        fleet.receive_digest(from, &digest, state.now());
-        fleet.is_relay()
+        let is_expected = fleet.receive_digest(from, &digest, state.now());
+        (is_expected, fleet.is_relay())
     };
     if news.is_empty() {
         return Ok(());
@@ -152,8 +154,15 @@
     if !origins.is_empty() {
         let (origins, waits) = postcard::take_from_bytes::<Vec<OriginNews>>(origins)?;
         versions::merge(state, &origins, is_relay);
-        if !waits.is_empty() {
-            versions::merge_waits(state, &postcard::from_bytes::<Vec<CallerWait>>(waits)?);
+        if waits.is_empty() {
+            return Ok(());
+        }
+        let (waits, reports) = postcard::take_from_bytes::<Vec<CallerWait>>(waits)?;
+        versions::merge_waits(state, &waits);
+        if is_expected && !reports.is_empty() {
+            let reports = postcard::from_bytes::<Vec<ServiceReport>>(reports)?;
+            let mut fleet = state.fleet.borrow_mut();
+            fleet.merge_account_reports(from, digest.scope, reports, now);
         }
     }
     Ok(())
@@ -185,14 +194,24 @@
 }
 
 fn send_digests<D: WireCodec>(state: &EdgeState<D>, socket: &UdpSocket) {
-    let digests = state.fleet.borrow_mut().digests(state.now());
+    let now = state.now();
+    let (digests, has_reports) = {
+        let mut fleet = state.fleet.borrow_mut();
+        (fleet.digests(now), fleet.take_reports_due(now))
+    };
     if digests.is_empty() {
         return;
     }
-    let news = encode_news(state);
+    let news = encode_news(state, has_reports);
+    let mut reports = Vec::new();
     for (to, digest) in digests {
+        if has_reports && !reports.iter().any(|(scope, _)| *scope == digest.scope) {
+            reports.push((digest.scope, encode_reports(state, digest.scope)));
+        }
+        let reports = reports.iter().find(|(scope, _)| *scope == digest.scope);
+        let reports = reports.map_or(&[][..], |(_, encoded)| encoded);
         let encoded = match postcard::to_stdvec(&digest) {
-            Ok(encoded) => [encoded, news.clone()].concat(),
+            Ok(encoded) => [&encoded, &news[..], reports].concat(),
             Err(error) => {
                 tracing::error!(event = "digest_not_encoded", %error);
                 continue;
@@ -207,8 +226,17 @@
     }
 }
 
-/// Encodes the news that are due. Empty if there are none.
-fn encode_news<D: WireCodec>(state: &EdgeState<D>) -> Vec<u8> {
+/// Encodes the work that client accounts ask for, for receivers of digests of `scope`.
+fn encode_reports<D: WireCodec>(state: &EdgeState<D>, scope: Scope) -> Vec<u8> {
+    let reports = state.fleet.borrow_mut().account_reports(scope, state.now());
+    postcard::to_stdvec(&reports).unwrap_or_else(|error| {
+        tracing::error!(event = "reports_not_encoded", %error);
+        Vec::new()
+    })
+}
+
+/// Encodes the news that are due. Empty if there are none and nothing `follows` them.
+fn encode_news<D: WireCodec>(state: &EdgeState<D>, follows: bool) -> Vec<u8> {
     let now = state.now();
     let record_age = now.since(state.record_written_at.get());
     let news = News {
@@ -220,7 +248,8 @@
         let mut versions = state.versions.borrow_mut();
         (versions.take_news(now), versions.take_wait_news())
     };
-    let is_empty = news.crashes.is_empty()
+    let is_empty = !follows
+        && news.crashes.is_empty()
         && news.limits.is_empty()
         && news.announced.is_empty()
         && origins.is_empty()
--- /dev/null
+++ b/crates/edge/src/fleet/accounts.rs
@@ -0,0 +1,177 @@
+//! Division of engine time among client accounts, and of engines' slots among urgent streams.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use nutmegbay_core::environment::MonotonicTime;
+use nutmegbay_policy::UpstreamKey;
+use nutmegbay_policy::edge::account_shares::{
+    AccountShares, AccountTag, Part, REPORT_INTERVAL, WorkReport,
+};
+use nutmegbay_policy::edge::exchange::Scope;
+use nutmegbay_policy::edge::placement::{EnginePhase, Placement};
+use nutmegbay_policy::edge::stream_slots::SlotUse;
+use nutmegbay_policy::edge::urgency::Urgency;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use super::digests::service_tag;
+use super::{Demand, Fleet, Upstream};
+use crate::clock::millis;
+
+/// Minimum time between two log lines about accounts that are beyond their part.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Work for one service that other instances report, with the service's tag.
+pub type ServiceReport = (u32, WorkReport);
+
+/// Returns the tag of the client account `name`.
+pub fn account_tag(name: &str) -> AccountTag {
+    AccountTag(xxh3_64(name.as_bytes()) as u32)
+}
+
+impl Fleet {
+    /// Records the work that a request of `account` asks for, and returns the account's part.
+    pub fn record_asked(
+        &mut self,
+        service: &str,
+        account: &str,
+        demand: Demand,
+        now: MonotonicTime,
+    ) -> Part {
+        if !self.account_shares.contains_key(service) {
+            self.account_shares
+                .insert(service.into(), AccountShares::default());
+        }
+        let shares = self
+            .account_shares
+            .get_mut(service)
+            .expect("it was just inserted");
+        let tag = account_tag(account);
+        shares.record_asked(tag, demand.urgency, demand.cost_ms, now);
+        let part = shares.part(tag, demand.urgency, now);
+        let is_due = self
+            .part_logged_at
+            .is_none_or(|at| now.since(at) >= LOG_INTERVAL);
+        if part.fraction < 1.0 && is_due {
+            self.part_logged_at = Some(now);
+            tracing::info!(
+                event = "account_beyond_part",
+                service,
+                account,
+                within = part.fraction,
+                asked_ms_per_s = part.asked.round(),
+                level_ms_per_s = part.level.map(f64::round),
+                instances = part.instances,
+                age_ms = millis(part.age),
+            );
+        }
+        part
+    }
+
+    /// Records that a request of `cost_ms` got its first result.
+    pub fn record_done(&mut self, service: &str, cost_ms: f64, now: MonotonicTime) {
+        if let Some(shares) = self.account_shares.get_mut(service) {
+            shares.record_done(cost_ms, now);
+        }
+    }
+
+    /// Returns whether reports of accounts' work are due to be sent to other instances.
+    pub fn take_reports_due(&mut self, now: MonotonicTime) -> bool {
+        let is_due = !self.account_shares.is_empty()
+            && self
+                .reports_sent_at
+                .is_none_or(|at| now.since(at) >= REPORT_INTERVAL);
+        if is_due {
+            self.reports_sent_at = Some(now);
+        }
+        is_due
+    }
+
+    /// Returns the reports for receivers of digests of `scope`.
+    pub fn account_reports(&mut self, scope: Scope, now: MonotonicTime) -> Vec<ServiceReport> {
+        let reports = self.account_shares.iter_mut();
+        reports
+            .map(|(service, shares)| (service_tag(service), shares.report(scope, now)))
+            .collect()
+    }
+
+    /// Applies the reports of another instance.
+    pub fn merge_account_reports(
+        &mut self,
+        from: SocketAddr,
+        scope: Scope,
+        reports: Vec<ServiceReport>,
+        now: MonotonicTime,
+    ) {
+        for (tag, report) in reports {
+            let known = self.by_service.keys();
+            let service = known.into_iter().find(|name| service_tag(name) == tag);
+            if let Some(service) = service.cloned() {
+                let shares = self.account_shares.entry(service).or_default();
+                shares.record_report(from, scope, report, now);
+            }
+        }
+    }
+
+    /// Returns the upstreams that a new long stream avoids: those in `tried`, and decode engines on
+    /// which it would wait for the end of another stream, unless it would wait on all others too.
+    pub fn avoided_for_stream(
+        &self,
+        service: &str,
+        tried: &[UpstreamKey],
+        instances: usize,
+        now: MonotonicTime,
+    ) -> Vec<UpstreamKey> {
+        let untried = self
+            .service_keys(service)
+            .filter(|key| self.is_ready(*key, now) && !tried.contains(key))
+            .filter(|key| self.upstreams[*key].phase() == EnginePhase::Decode);
+        let (free, full): (Vec<_>, Vec<_>) =
+            untried.partition(|key| self.has_free_slot(&self.upstreams[*key], instances));
+        if free.is_empty() {
+            return tried.to_vec();
+        }
+        [tried, &full].concat()
+    }
+
+    fn has_free_slot(&self, upstream: &Upstream, instances: usize) -> bool {
+        let slot_use = SlotUse {
+            slots: upstream.report.slots,
+            own: upstream.streams,
+            others: self.reporting_instances().map(|known| {
+                let scale = self.other_instances.max(known) as f64 / known as f64;
+                f64::from(self.exchange.work(upstream.tag()).streams) * scale
+            }),
+        };
+        let hash = xxh3_64_with_seed(&upstream.hash.to_le_bytes(), self.own_hash);
+        slot_use.has_free_slot(instances, hash as f64 / u64::MAX as f64)
+    }
+
+    /// Predicts the time to the first result of a long stream from what is served before it: work of
+    /// its own and more urgent classes, and the request that runs at the moment. Less urgent work
+    /// gives its slots to it. Returns `None` if all slots are taken by long streams.
+    pub fn stream_wait_ms(
+        &self,
+        placement: &Placement,
+        urgency: Urgency,
+        instances: usize,
+        now: MonotonicTime,
+    ) -> Option<f64> {
+        let (at, decode, transfer_ms) = match *placement {
+            Placement::Whole { at, .. } => (at, at, 0.0),
+            Placement::Split {
+                prefill,
+                decode,
+                transfer_ms,
+                ..
+            } => (prefill, decode, transfer_ms),
+        };
+        let (upstream, decode) = (self.upstreams.get(at)?, self.upstreams.get(decode)?);
+        if !self.has_free_slot(decode, instances) {
+            return None;
+        }
+        let ahead = self.ahead(upstream, urgency, 0.0, now);
+        let running_ms = self.request_ms(&upstream.report.service);
+        Some(ahead.backlog_ms + running_ms + placement.cost_ms() + transfer_ms)
+    }
+}
--- a/crates/edge/src/fleet/digests.rs
+++ b/crates/edge/src/fleet/digests.rs
@@ -51,10 +51,16 @@
         digests
     }
 
-    /// Applies the digest of another instance.
-    pub fn receive_digest(&mut self, from: SocketAddr, digest: &Digest, now: MonotonicTime) {
+    /// Applies the digest of another instance. Returns false and ignores it if none is expected
+    /// from there.
+    pub fn receive_digest(
+        &mut self,
+        from: SocketAddr,
+        digest: &Digest,
+        now: MonotonicTime,
+    ) -> bool {
         if !self.exchange.record_digest(from, digest, now) {
-            return;
+            return false;
         }
         if self.exchange.is_relay() {
             self.load_changed.notify_one();
@@ -73,6 +79,7 @@
                 self.prefix_locations.record_use(block_use.block, *key, now);
             }
         }
+        true
     }
 
     /// Returns the number of other instances whose digests are known, or `None` if it is 0 or less
@@ -84,6 +91,6 @@
 }
 
 /// Returns the short id that identifies a service in load digests.
-fn service_tag(name: &str) -> u32 {
+pub(super) fn service_tag(name: &str) -> u32 {
     xxh3_64(name.as_bytes()) as u32
 }
--- a/crates/edge/src/fleet/mod.rs
+++ b/crates/edge/src/fleet/mod.rs
@@ -1,5 +1,6 @@
 //! Known upstreams with their load, health and idle connections.
 
+mod accounts;
 mod costs;
 mod digests;
 mod in_flight;
@@ -14,6 +15,7 @@
 
 use nutmegbay_core::environment::MonotonicTime;
 use nutmegbay_policy::UpstreamKey;
+use nutmegbay_policy::edge::account_shares::AccountShares;
 use nutmegbay_policy::edge::exchange::{LoadExchange, PrefixBlockUse};
 use nutmegbay_policy::edge::health::{Health, Outcome};
 use nutmegbay_policy::edge::limit_owners::LimitOwners;
@@ -35,6 +37,7 @@
 use crate::model::{EngineRole, InstanceReport, ModelWork};
 use crate::versions::version_tag;
 
+pub use accounts::ServiceReport;
 use costs::{INITIAL_MEAN_MS, ServiceCosts, costs_mut};
 pub use in_flight::{Demand, InFlightSend, PrefillWait};
 pub use placement::ModelRequest;
@@ -125,6 +128,14 @@
     limit_owners: LimitOwners,
     /// Notices of upstreams that were removed.
     kept_notices: KeptNotices,
+    /// Shares of the client accounts, by service. Empty unless accounts compete for room.
+    account_shares: HashMap<Box<str>, AccountShares<SocketAddr>>,
+    /// Time at which reports of accounts' work were last sent.
+    reports_sent_at: Option<MonotonicTime>,
+    /// Time of the last log line about an account that is beyond its part.
+    part_logged_at: Option<MonotonicTime>,
+    /// Hash of this process's name.
+    own_hash: u64,
     /// Notified when this process's load has changed and a digest should be sent.
     pub load_changed: Rc<Notify>,
 }
@@ -148,6 +159,10 @@
             other_instances: 0,
             limit_owners: LimitOwners::new(member_hash(node)),
             kept_notices: KeptNotices::default(),
+            account_shares: HashMap::new(),
+            reports_sent_at: None,
+            part_logged_at: None,
+            own_hash: member_hash(node),
             load_changed: Rc::default(),
         }
     }
--- a/crates/edge/src/forward/admit.rs
+++ b/crates/edge/src/forward/admit.rs
@@ -1,12 +1,19 @@
 //! Decides whether a placed request runs or is refused at once.
 
+use std::borrow::Cow;
+
 use http::StatusCode;
+use nutmegbay_core::environment::MonotonicTime;
 use nutmegbay_core::verdict::Verdict;
-use nutmegbay_policy::edge::admission::{AdmissionRequest, Decision, decide, decide_taken_up};
+use nutmegbay_policy::UpstreamKey;
+use nutmegbay_policy::edge::admission::{
+    AdmissionRequest, Decision, decide, decide_beyond_part, decide_taken_up,
+};
 use nutmegbay_policy::edge::placement::Placement;
 
 use super::{Failure, Forwarder};
-use crate::fleet::{Demand, PrefillWait};
+use crate::fleet::{Demand, Fleet, PrefillWait};
+use crate::metrics::increment;
 use crate::model::RequestKind;
 use crate::platform_api::WireCodec;
 use crate::state::EdgeState;
@@ -39,9 +46,13 @@
                     now,
                 ));
             }
+            if let Some(stream_ms) = self.stream_wait_ms(&fleet, placement, now) {
+                predicted_ms = predicted_ms.min(stream_ms);
+            }
             progress.predicted_ms = predicted_ms;
             progress.cost_ms = demand.cost_ms;
         }
+        let is_beyond_part = self.is_beyond_part(demand, now);
         let objective = match self.request.route.kind {
             RequestKind::Streaming => self.request.route.objective,
             // A plain call is short, so it is served late rather than refused.
@@ -54,10 +65,10 @@
             elapsed: self.request.elapsed + now.since(self.request.arrived),
             remaining: self.request.time_left(now),
         };
-        let decide = if self.request.is_taken_up() {
-            decide_taken_up
-        } else {
-            decide
+        let decide = match () {
+            () if self.request.is_taken_up() => decide_taken_up,
+            () if is_beyond_part => decide_beyond_part,
+            () => decide,
         };
         match decide(admission_request, rand::random()) {
             Decision::Admit => {
@@ -71,12 +82,71 @@
                 });
                 Ok(())
             }
-            Decision::Refuse { retry_after } => Err(Failure {
-                status: StatusCode::SERVICE_UNAVAILABLE,
-                verdict: Verdict::NotRun,
-                cause: "no_room_in_time",
-                retry_after: Some(retry_after),
-            }),
+            Decision::Refuse { retry_after } => {
+                if is_beyond_part {
+                    increment(&self.state.metrics.refused_beyond_part);
+                }
+                Err(Failure {
+                    status: StatusCode::SERVICE_UNAVAILABLE,
+                    verdict: Verdict::NotRun,
+                    cause: "no_room_in_time",
+                    retry_after: Some(retry_after),
+                })
+            }
+        }
+    }
+
+    /// Records what the request's account asks for, and decides whether the request is beyond the
+    /// account's part. Always false unless accounts compete for room.
+    fn is_beyond_part(&self, demand: Demand, now: MonotonicTime) -> bool {
+        if !demand.needs_prefill || !self.state.settings().has_competing_accounts {
+            return false;
+        }
+        let account = self.request.account_name();
+        let service = &self.request.service.name;
+        let mut fleet = self.state.fleet.borrow_mut();
+        let part = fleet.record_asked(service, account, demand, now);
+        let is_beyond = rand::random::<f64>() >= part.fraction;
+        self.request.progress.borrow_mut().within_part = is_beyond.then_some(part.fraction);
+        is_beyond
+    }
+
+    /// Records the first result of a request that was prefilled.
+    pub fn record_done(&self) {
+        if self.state.settings().has_competing_accounts {
+            let cost_ms = self.request.progress.borrow().cost_ms;
+            let mut fleet = self.state.fleet.borrow_mut();
+            fleet.record_done(&self.request.service.name, cost_ms, self.state.now());
         }
     }
+
+    /// Returns the upstreams that are used only if there are no others.
+    pub fn avoided(&self, fleet: &Fleet, now: MonotonicTime) -> Cow<'_, [UpstreamKey]> {
+        if !self.competes_for_slots() {
+            return Cow::Borrowed(&self.tried);
+        }
+        let service = &self.request.service.name;
+        let instances = self.state.process_count();
+        Cow::Owned(fleet.avoided_for_stream(service, &self.tried, instances, now))
+    }
+
+    /// Predicts the first result of a long stream from what really delays it, see
+    /// [`Fleet::stream_wait_ms`].
+    fn stream_wait_ms(
+        &self,
+        fleet: &Fleet,
+        placement: &Placement,
+        now: MonotonicTime,
+    ) -> Option<f64> {
+        if !self.competes_for_slots() {
+            return None;
+        }
+        let instances = self.state.process_count();
+        fleet.stream_wait_ms(placement, self.request.urgency(), instances, now)
+    }
+
+    /// Returns whether the request is a long stream that competes for the slots of engines.
+    fn competes_for_slots(&self) -> bool {
+        self.request.is_long() && self.state.settings().has_competing_accounts
+    }
 }
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -239,6 +239,7 @@
             if let Some(response) = self.select_response(outcome) {
                 if let Some(prefill_wait) = self.prefill_wait.take() {
                     prefill_wait.record_first_result();
+                    self.record_done();
                 }
                 return Ok(response);
             }
@@ -262,6 +263,7 @@
         let now = self.state.now();
         let fleet = self.state.fleet.borrow();
         let service = &self.request.service;
+        let avoided = self.avoided(&fleet, now);
         match (&service.engine, &self.request.head.work) {
             (Some(engine), Some(work)) => {
                 let req = ModelRequest {
@@ -271,7 +273,7 @@
                     urgency: self.request.urgency(),
                     objective: self.request.route.objective,
                     body_bytes: self.request.body.len(),
-                    tried: &self.tried,
+                    tried: &avoided,
                     version: self.version(),
                 };
                 fleet.place_model(&req, self.state.process_count(), now)
--- a/crates/edge/src/forward/request.rs
+++ b/crates/edge/src/forward/request.rs
@@ -64,6 +64,9 @@
     pub summed_ms: f64,
     /// Whether the prediction is for a split request.
     pub is_split: bool,
+    /// Fraction of its account's work that is within the account's part, if the request is beyond
+    /// it.
+    pub within_part: Option<f64>,
     /// Duration of a separate prefill. `None` for a whole run.
     pub prefill: Option<Duration>,
     /// Time of the first result.
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -35,6 +35,8 @@
     pub callers_left: Cell<u64>,
     /// Streams that were resumed at another upstream.
     pub streams_resumed: Cell<u64>,
+    /// Requests refused because they are beyond their account's part.
+    pub refused_beyond_part: Cell<u64>,
     /// Load digests sent to other instances.
     pub digests_sent: Cell<u64>,
 }
@@ -107,6 +109,7 @@
             ("store_failures", self.store_failures.get()),
             ("callers_left", self.callers_left.get()),
             ("streams_resumed", self.streams_resumed.get()),
+            ("refused_beyond_part", self.refused_beyond_part.get()),
             ("digests_sent", self.digests_sent.get()),
             ("log_lines_dropped", dropped_lines),
         ];
--- a/crates/policy/src/edge/admission.rs
+++ b/crates/policy/src/edge/admission.rs
@@ -19,6 +19,11 @@
 /// a prompt whose prefill alone exceeds the objective would be refused at every attempt.
 const LATE_WAIT_FRACTION: f64 = 0.4;
 
+/// Maximum wait of a request that is beyond its account's part, without its own cost, as a fraction
+/// of the objective. Requests within their part can then be on time behind it, and the queue is long
+/// enough to keep the engines busy.
+const BEYOND_PART_WAIT_FRACTION: f64 = 0.3;
+
 /// Minimum Retry-After, in milliseconds: the round trip of a refusal and the next attempt.
 const MIN_RETRY_AFTER_MS: f64 = 40.0;
 
@@ -84,6 +89,21 @@
     }
 }
 
+/// Decides on a request that is beyond its account's part while engine time is short. It is admitted
+/// only behind a short queue, so that what one account asks beyond its part does not make the
+/// requests of others late. Its own cost does not count, so large and small requests are treated
+/// alike. `jitter` is a random number from 0 to 1.
+pub fn decide_beyond_part(request: AdmissionRequest, jitter: f64) -> Decision {
+    let wait_ms = request.first_result_ms - request.cost_ms;
+    let limit_ms = millis(request.objective) * BEYOND_PART_WAIT_FRACTION;
+    if wait_ms <= limit_ms {
+        return decide(request, jitter);
+    }
+    Decision::Refuse {
+        retry_after: retry_after(overload_retry_ms(wait_ms - limit_ms), jitter),
+    }
+}
+
 /// Decides on a stream that its caller takes up after it broke off. What the caller has of it would
 /// be lost with a refusal, so the objective for the first result does not apply: it is refused only
 /// if it cannot go on before the deadline. `jitter` is a random number from 0 to 1.
--- a/crates/policy/src/edge/mod.rs
+++ b/crates/policy/src/edge/mod.rs
@@ -1,6 +1,7 @@
 //! Decisions of the edge: request placement, admission, upstream health, the retry budget, and the
 //! exchange of load and store changes between instances.
 
+pub mod account_shares;
 pub mod admission;
 pub mod attempts;
 pub mod body_budget;
@@ -26,5 +27,6 @@
 pub mod silence;
 pub mod software_versions;
 pub mod stream_origins;
+pub mod stream_slots;
 pub mod upstream_limit;
 pub mod urgency;
