Keep slots for urgent streams and count the peak as capacity

Cause: after the start of all instances, sixty urgent notes came within 0.3 s and most went to the one engine that all instances rank first; a stream that is prefilled elsewhere counted at its decode engine only after the prefill. A note with 75 of its 100 ms passed was refused although a slot was free. The work done falls while requests are refused, which made the level of the accounts too low. Change: a quarter of the slots is left for streams not yet known, a decode slot is claimed before the prefill, a stream with a free slot is admitted, and the peak of the last seconds counts as capacity.

--- a/crates/edge/src/fleet/digests.rs
+++ b/crates/edge/src/fleet/digests.rs
@@ -36,7 +36,7 @@
         let own: Vec<_> = self
             .upstreams
             .values()
-            .filter(|upstream| upstream.load.in_flight() > 0)
+            .filter(|upstream| upstream.load.in_flight() > 0 || upstream.streams > 0)
             .map(|upstream| (upstream.tag(), work_of(upstream)))
             .collect();
         self.exchange.sweep(now);
--- a/crates/edge/src/fleet/mod.rs
+++ b/crates/edge/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 mod in_flight;
 mod limits;
 mod placement;
+mod slots;
 mod versions;
 
 use std::collections::{BTreeMap, HashMap};
@@ -41,6 +42,7 @@
 use costs::{INITIAL_MEAN_MS, ServiceCosts, costs_mut};
 pub use in_flight::{Demand, InFlightSend, PrefillWait};
 pub use placement::ModelRequest;
+pub use slots::SlotClaim;
 
 /// Number of output tokens from which an answer is a long stream. A batch step produces one token
 /// in under a millisecond, so such a stream runs for a second or more.
--- a/crates/edge/src/forward/admit.rs
+++ b/crates/edge/src/forward/admit.rs
@@ -7,12 +7,12 @@
 use nutmegbay_core::verdict::Verdict;
 use nutmegbay_policy::UpstreamKey;
 use nutmegbay_policy::edge::admission::{
-    AdmissionRequest, Decision, decide, decide_beyond_part, decide_taken_up,
+    AdmissionRequest, Decision, decide, decide_beyond_part, decide_taken_up, decide_with_slot,
 };
 use nutmegbay_policy::edge::placement::Placement;
 
 use super::{Failure, Forwarder};
-use crate::fleet::{Demand, Fleet, PrefillWait};
+use crate::fleet::{Demand, Fleet, PrefillWait, SlotClaim};
 use crate::metrics::increment;
 use crate::model::RequestKind;
 use crate::platform_api::WireCodec;
@@ -31,6 +31,7 @@
             needs_prefill,
         };
         let mut predicted_ms = placement.first_result_ms();
+        let has_slot;
         {
             let mut progress = self.request.progress.borrow_mut();
             progress.is_split = matches!(placement, Placement::Split { .. });
@@ -46,9 +47,9 @@
                     now,
                 ));
             }
-            if let Some(stream_ms) = self.stream_wait_ms(&fleet, placement, now) {
-                predicted_ms = predicted_ms.min(stream_ms);
-            }
+            let stream_ms = self.stream_wait_ms(&fleet, placement, now);
+            has_slot = stream_ms.is_some();
+            predicted_ms = stream_ms.map_or(predicted_ms, |ms| predicted_ms.min(ms));
             progress.predicted_ms = predicted_ms;
             progress.cost_ms = demand.cost_ms;
         }
@@ -67,6 +68,7 @@
         };
         let decide = match () {
             () if self.request.is_taken_up() => decide_taken_up,
+            () if has_slot => decide_with_slot,
             () if is_beyond_part => decide_beyond_part,
             () => decide,
         };
@@ -130,8 +132,21 @@
         Cow::Owned(fleet.avoided_for_stream(service, &self.tried, instances, now))
     }
 
+    /// Claims a slot of the decode engine for a long stream that is prefilled elsewhere.
+    pub fn claim_slot(&self, decode: UpstreamKey) -> Option<SlotClaim> {
+        self.competes_for_slots()
+            .then(|| SlotClaim::new(&self.state.fleet, decode))
+    }
+
+    /// Returns whether the request gets a slot of the decode engine `key` at once, as far as it
+    /// competes for slots.
+    pub fn gets_slot(&self, key: UpstreamKey) -> bool {
+        let fleet = self.state.fleet.borrow();
+        !self.competes_for_slots() || fleet.takes_stream(key, self.state.process_count())
+    }
+
     /// Predicts the first result of a long stream from what really delays it, see
-    /// [`Fleet::stream_wait_ms`].
+    /// [`Fleet::stream_wait_ms`]. Returns `None` for other requests, and if it gets no slot at once.
     fn stream_wait_ms(
         &self,
         fleet: &Fleet,
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -366,6 +366,7 @@
             return SendOutcome::NotRun(NO_UPSTREAM);
         };
         let max_wait = self.prefill_timeout(first_result_ms);
+        let claim = self.claim_slot(decode);
         let handle = match self.prefill(prefill, cost_ms, max_wait).await {
             Ok(handle) => handle,
             Err(send) => return send,
@@ -376,6 +377,7 @@
             handle: &handle.name,
         };
         let max_wait = self.first_result_timeout(first_result_ms);
+        drop(claim);
         let Some(decode) = self.decode_engine(decode) else {
             return SendOutcome::NotRun(NO_UPSTREAM);
         };
@@ -390,7 +392,7 @@
     /// engine, or another one of the same version if `chosen` accepts no new requests any more.
     fn decode_engine(&self, chosen: UpstreamKey) -> Option<UpstreamKey> {
         let now = self.state.now();
-        if self.state.fleet.borrow().takes_work(chosen, now) {
+        if self.state.fleet.borrow().takes_work(chosen, now) && self.gets_slot(chosen) {
             return Some(chosen);
         }
         match self.place_unsplit()? {
--- a/crates/policy/src/edge/account_shares/level.rs
+++ b/crates/policy/src/edge/account_shares/level.rs
@@ -32,10 +32,10 @@
 }
 
 /// Returns the level of each class, or `None` where there is room for all of its work. More urgent
-/// classes are served first, so a class divides what they leave.
-pub fn levels(report: &WorkReport) -> ByUrgency<Option<Level>> {
+/// classes are served first, so a class divides what they leave of `capacity`, which is the work
+/// that the engines get done.
+pub fn levels(report: &WorkReport, mut capacity: f64) -> ByUrgency<Option<Level>> {
     let mut levels = ByUrgency::default();
-    let mut capacity = f64::from(report.done);
     for urgency in classes() {
         levels[urgency] = level(report, urgency, capacity);
         capacity = (capacity - f64::from(report.asked[urgency])).max(0.0);
--- a/crates/policy/src/edge/account_shares/mod.rs
+++ b/crates/policy/src/edge/account_shares/mod.rs
@@ -27,6 +27,7 @@
 
 use super::exchange::Scope;
 use super::urgency::{ByUrgency, CLASSES, Urgency};
+use crate::average::half_life_decay;
 
 use asked::AskedWork;
 use level::Level;
@@ -37,6 +38,10 @@
 /// Age from which a report of another instance no longer counts. Four in a row may be lost.
 const REPORT_TTL: Duration = Duration::from_millis(500);
 
+/// Half-life of the peak of the work done. Less work gets done while requests are refused than
+/// engines could do, so the work of the last seconds counts as their capacity.
+const PEAK_HALF_LIFE: Duration = Duration::from_secs(3);
+
 /// Maximum number of accounts of one urgency class in the report of one instance. An instance among
 /// hundreds has about ten requests in the averaging window.
 const MAX_OWN_ACCOUNTS: usize = 16;
@@ -85,6 +90,8 @@
     own: AskedWork,
     received: BTreeMap<K, Received>,
     sum: Sum,
+    /// Peak of the work done by all instances, as of `summed_at`.
+    peak_done: f64,
     /// Time at which `sum` was last computed.
     summed_at: Option<MonotonicTime>,
 }
@@ -112,6 +119,7 @@
             own: AskedWork::default(),
             received: BTreeMap::new(),
             sum: Sum::default(),
+            peak_done: 0.0,
             summed_at: None,
         }
     }
@@ -197,6 +205,7 @@
     }
 
     fn update(&mut self, now: MonotonicTime) {
+        let since = self.summed_at.map_or(Duration::ZERO, |at| now.since(at));
         self.summed_at = Some(now);
         self.sweep(now);
         let total = self
@@ -205,10 +214,12 @@
             .find(|received| received.scope == Scope::Others)
             .map(|received| received.report.clone());
         let total = total.unwrap_or_else(|| self.report(Scope::Others, now));
+        let peak = self.peak_done * half_life_decay(since, PEAK_HALF_LIFE);
+        self.peak_done = peak.max(f64::from(total.done));
         self.sum = Sum {
             instances: total.instances,
             oldest: self.received.values().map(|received| received.at).min(),
-            levels: level::levels(&total),
+            levels: level::levels(&total, self.peak_done),
             asked: ByUrgency::default(),
         };
         for urgency in classes() {
--- a/crates/policy/src/edge/admission.rs
+++ b/crates/policy/src/edge/admission.rs
@@ -22,7 +22,7 @@
 /// Maximum wait of a request that is beyond its account's part, without its own cost, as a fraction
 /// of the objective. Requests within their part can then be on time behind it, and the queue is long
 /// enough to keep the engines busy.
-const BEYOND_PART_WAIT_FRACTION: f64 = 0.3;
+const BEYOND_PART_WAIT_FRACTION: f64 = 0.35;
 
 /// Minimum Retry-After, in milliseconds: the round trip of a refusal and the next attempt.
 const MIN_RETRY_AFTER_MS: f64 = 40.0;
@@ -104,10 +104,21 @@
     }
 }
 
+/// Decides on a long stream for which a slot is free. A refusal would make its first result later
+/// and leave the slot unused, so the objective for the first result does not apply. `jitter` is a
+/// random number from 0 to 1.
+pub fn decide_with_slot(request: AdmissionRequest, jitter: f64) -> Decision {
+    decide_by_deadline(request, jitter)
+}
+
 /// Decides on a stream that its caller takes up after it broke off. What the caller has of it would
 /// be lost with a refusal, so the objective for the first result does not apply: it is refused only
 /// if it cannot go on before the deadline. `jitter` is a random number from 0 to 1.
 pub fn decide_taken_up(request: AdmissionRequest, jitter: f64) -> Decision {
+    decide_by_deadline(request, jitter)
+}
+
+fn decide_by_deadline(request: AdmissionRequest, jitter: f64) -> Decision {
     let late_ms = request.first_result_ms - millis(request.remaining);
     if late_ms <= 0.0 {
         return Decision::Admit;
--- a/crates/policy/src/edge/stream_slots.rs
+++ b/crates/policy/src/edge/stream_slots.rs
@@ -6,6 +6,10 @@
 //! once. After the start of all instances, none knows what the others send, and all of them would
 //! choose the same engine.
 
+/// Fraction of the slots that known streams may take. The others are left for streams that other
+/// instances begin at the same time, and for requests that end soon.
+const FILL_FRACTION: f64 = 0.75;
+
 /// Use of an engine's slots by long streams.
 #[derive(Debug, Clone, Copy)]
 pub struct SlotUse {
@@ -23,7 +27,7 @@
     /// fixed for this instance and engine: while the streams of others are not known, it decides
     /// which instances may use a slot that is less than one for each.
     pub fn has_free_slot(self, instances: usize, position: f64) -> bool {
-        let slots = f64::from(self.slots.max(1));
+        let slots = (f64::from(self.slots) * FILL_FRACTION).max(1.0);
         let own = f64::from(self.own);
         match self.others {
             Some(others) => own + others < slots,
