--- a/crates/policy/tests/edge_admission.rs
+++ b/crates/policy/tests/edge_admission.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use assert_matches::assert_matches;
-use nutmegbay_policy::edge::admission::{AdmissionRequest, Decision, decide, decide_taken_up};
+use nutmegbay_policy::edge::admission::{
+    AdmissionRequest, Decision, decide, decide_beyond_part, decide_taken_up, decide_with_slot,
+};
 
 fn request(first_result_ms: f64, elapsed_ms: u64) -> AdmissionRequest {
     AdmissionRequest {
@@ -59,6 +61,37 @@
     assert_matches!(decide_taken_up(hopeless, 0.5), Decision::Refuse { .. });
 }
 
+/// What is beyond an account's part must not make the queue long for others, and must not be refused
+/// while there is no queue, however large the request.
+#[test]
+fn beyond_part() {
+    let sized = |cost_ms, wait_ms| AdmissionRequest {
+        cost_ms,
+        ..request(cost_ms + wait_ms, 0)
+    };
+    for cost_ms in [5.0, 90.0] {
+        let (idle, queued) = (sized(cost_ms, 40.0), sized(cost_ms, 85.0));
+        assert_eq!(decide_beyond_part(idle, 0.5), Decision::Admit);
+        assert_eq!(decide(queued, 0.5), Decision::Admit);
+        assert_matches!(decide_beyond_part(queued, 0.5), Decision::Refuse { .. });
+    }
+    let returned = request(95.0, 700);
+    assert_eq!(decide(returned, 0.5), Decision::Admit);
+    assert_matches!(
+        decide_beyond_part(returned, 0.5),
+        Decision::Refuse { .. },
+        "late callers within their part come first"
+    );
+}
+
+/// An urgent stream with most of its objective gone was refused although a slot was free.
+#[test]
+fn free_slot() {
+    let nearly_late = request(30.0, 160);
+    assert_matches!(decide(nearly_late, 0.5), Decision::Refuse { .. });
+    assert_eq!(decide_with_slot(nearly_late, 0.5), Decision::Admit);
+}
+
 /// The prediction exceeds the limit by 20 ms only, but a burst lasts for seconds: three in four of
 /// the callers that returned within 0.1 s were refused again.
 #[test]
