--- a/crates/edge/src/fleet/accounts.rs
+++ b/crates/edge/src/fleet/accounts.rs
@@ -83,11 +83,12 @@
         is_due
     }
 
-    /// Returns the reports for receivers of digests of `scope`.
+    /// Returns the reports for receivers of digests of `scope`. Services without work are left out.
     pub fn account_reports(&mut self, scope: Scope, now: MonotonicTime) -> Vec<ServiceReport> {
         let reports = self.account_shares.iter_mut();
         reports
             .map(|(service, shares)| (service_tag(service), shares.report(scope, now)))
+            .filter(|(_, report)| report.has_work())
             .collect()
     }
 
--- a/crates/edge/src/forward/admit.rs
+++ b/crates/edge/src/forward/admit.rs
@@ -20,7 +20,9 @@
 
 impl<D: WireCodec> Forwarder<'_, D> {
     /// Refuses the request immediately if its first result cannot be on time. A stream that its
-    /// caller takes up is refused only if it cannot go on before the deadline.
+    /// caller takes up is refused only if it cannot go on before the deadline. Where accounts compete
+    /// for room, a request beyond its account's part is refused behind a shorter queue, and a long
+    /// stream with a free slot is admitted.
     pub fn admit(&mut self, placement: &Placement) -> Result<(), Failure> {
         let now = self.state.now();
         let needs_prefill = self.request.needs_prefill();
--- a/crates/policy/src/edge/account_shares/mod.rs
+++ b/crates/policy/src/edge/account_shares/mod.rs
@@ -68,6 +68,13 @@
     pub heavy: ByUrgency<Vec<(AccountTag, u32)>>,
 }
 
+impl WorkReport {
+    /// Returns whether any work was asked for or done.
+    pub fn has_work(&self) -> bool {
+        self.done > 0 || self.asked.all().any(|asked| asked > 0)
+    }
+}
+
 /// What is known of an account when one of its requests is decided on.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Part {
