Let on-time requests go before late ones in short room

Change: while room is short, late requests wait behind a shorter queue than those that can be on time.

--- a/crates/edge/src/forward/admit.rs
+++ b/crates/edge/src/forward/admit.rs
@@ -7,7 +7,8 @@
 use nutmegbay_core::verdict::Verdict;
 use nutmegbay_policy::UpstreamKey;
 use nutmegbay_policy::edge::admission::{
-    AdmissionRequest, Decision, decide, decide_beyond_part, decide_taken_up, decide_with_slot,
+    AdmissionRequest, Decision, Share, decide, decide_in_short_room, decide_taken_up,
+    decide_with_slot,
 };
 use nutmegbay_policy::edge::placement::Placement;
 
@@ -55,7 +56,7 @@
             progress.predicted_ms = predicted_ms;
             progress.cost_ms = demand.cost_ms;
         }
-        let is_beyond_part = self.is_beyond_part(demand, now);
+        let share = self.share(demand, now);
         let objective = match self.request.route.kind {
             RequestKind::Streaming => self.request.route.objective,
             // A plain call is short, so it is served late rather than refused.
@@ -68,13 +69,14 @@
             elapsed: self.request.elapsed + now.since(self.request.arrived),
             remaining: self.request.time_left(now),
         };
-        let decide = match () {
-            () if self.request.is_taken_up() => decide_taken_up,
-            () if has_slot => decide_with_slot,
-            () if is_beyond_part => decide_beyond_part,
-            () => decide,
+        let jitter = rand::random();
+        let decision = match share {
+            _ if self.request.is_taken_up() => decide_taken_up(admission_request, jitter),
+            _ if has_slot => decide_with_slot(admission_request, jitter),
+            Some(share) => decide_in_short_room(admission_request, share, jitter),
+            None => decide(admission_request, jitter),
         };
-        match decide(admission_request, rand::random()) {
+        match decision {
             Decision::Admit => {
                 self.prefill_wait = needs_prefill.then(|| {
                     let EdgeState {
@@ -87,7 +89,7 @@
                 Ok(())
             }
             Decision::Refuse { retry_after } => {
-                if is_beyond_part {
+                if share == Some(Share::Beyond) {
                     increment(&self.state.metrics.refused_beyond_part);
                 }
                 Err(Failure {
@@ -100,19 +102,24 @@
         }
     }
 
-    /// Records what the request's account asks for, and decides whether the request is beyond the
-    /// account's part. Always false unless accounts compete for room.
-    fn is_beyond_part(&self, demand: Demand, now: MonotonicTime) -> bool {
+    /// Records what the request's account asks for, and decides whether the request is within the
+    /// account's part. Returns `None` while there is room for all, and unless accounts compete.
+    fn share(&self, demand: Demand, now: MonotonicTime) -> Option<Share> {
         if !demand.needs_prefill || !self.state.settings().has_competing_accounts {
-            return false;
+            return None;
         }
         let account = self.request.account_name();
         let service = &self.request.service.name;
         let mut fleet = self.state.fleet.borrow_mut();
         let part = fleet.record_asked(service, account, demand, now);
-        let is_beyond = rand::random::<f64>() >= part.fraction;
-        self.request.progress.borrow_mut().within_part = is_beyond.then_some(part.fraction);
-        is_beyond
+        part.level?;
+        let share = if rand::random::<f64>() < part.fraction {
+            Share::Within
+        } else {
+            self.request.progress.borrow_mut().within_part = Some(part.fraction);
+            Share::Beyond
+        };
+        Some(share)
     }
 
     /// Records the first result of a request that was prefilled.
--- a/crates/policy/src/edge/account_shares/mod.rs
+++ b/crates/policy/src/edge/account_shares/mod.rs
@@ -9,12 +9,12 @@
 //! work per account at which the requests of all accounts together take what the engines get done.
 //! An account that asks for less is within its part. Of an account that asks for more, the same
 //! fraction of requests is beyond its part on every instance, whatever their size. These are
-//! admitted only while the queue is short (see [`decide_beyond_part`]), so the others do not wait
+//! admitted only while the queue is short (see [`decide_in_short_room`]), so the others do not wait
 //! behind them. The idea is that of core-stateless fair queueing.
 //!
 //! The figures decide nothing while there is room: with a short queue, every request is admitted.
 //!
-//! [`decide_beyond_part`]: super::admission::decide_beyond_part
+//! [`decide_in_short_room`]: super::admission::decide_in_short_room
 
 mod asked;
 mod level;
--- a/crates/policy/src/edge/admission.rs
+++ b/crates/policy/src/edge/admission.rs
@@ -22,7 +22,14 @@
 /// Maximum wait of a request that is beyond its account's part, without its own cost, as a fraction
 /// of the objective. Requests within their part can then be on time behind it, and the queue is long
 /// enough to keep the engines busy.
-const BEYOND_PART_WAIT_FRACTION: f64 = 0.35;
+const BEYOND_PART_WAIT_FRACTION: f64 = 0.5;
+
+/// Like [`BEYOND_PART_WAIT_FRACTION`], for a late request while room is short. It lies below the queue
+/// behind which requests beyond their account's part are on time.
+const SHORT_LATE_WAIT_FRACTION: f64 = 0.25;
+
+/// Like [`SHORT_LATE_WAIT_FRACTION`], for a late request that is beyond its account's part.
+const BEYOND_PART_LATE_WAIT_FRACTION: f64 = 0.15;
 
 /// Minimum Retry-After, in milliseconds: the round trip of a refusal and the next attempt.
 const MIN_RETRY_AFTER_MS: f64 = 40.0;
@@ -89,13 +96,29 @@
     }
 }
 
-/// Decides on a request that is beyond its account's part while engine time is short. It is admitted
-/// only behind a short queue, so that what one account asks beyond its part does not make the
-/// requests of others late. Its own cost does not count, so large and small requests are treated
-/// alike. `jitter` is a random number from 0 to 1.
-pub fn decide_beyond_part(request: AdmissionRequest, jitter: f64) -> Decision {
+/// Position of a request among those of its account while room is short.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Share {
+    /// Within the account's part.
+    Within,
+    /// Beyond the account's part.
+    Beyond,
+}
+
+/// Decides on a request while engine time is short. On time goes before late, and within an account's
+/// part before beyond it: each is admitted only behind a queue that leaves the ones before it on time.
+/// The request's own cost does not count, so large and small ones are treated alike. `jitter` is a
+/// random number from 0 to 1.
+pub fn decide_in_short_room(request: AdmissionRequest, share: Share, jitter: f64) -> Decision {
+    let is_late = request.elapsed >= request.objective.mul_f64(ON_TIME_FRACTION);
+    let wait_fraction = match (share, is_late) {
+        (Share::Within, false) => return decide(request, jitter),
+        (Share::Within, true) => SHORT_LATE_WAIT_FRACTION,
+        (Share::Beyond, false) => BEYOND_PART_WAIT_FRACTION,
+        (Share::Beyond, true) => BEYOND_PART_LATE_WAIT_FRACTION,
+    };
     let wait_ms = request.first_result_ms - request.cost_ms;
-    let limit_ms = millis(request.objective) * BEYOND_PART_WAIT_FRACTION;
+    let limit_ms = millis(request.objective) * wait_fraction;
     if wait_ms <= limit_ms {
         return decide(request, jitter);
     }
