Set the waits in short room by what callers lose

Change: 0.4 beyond an account's part, 0.3 for late requests within it, 0.15 for late ones beyond it.

--- a/crates/policy/src/edge/admission.rs
+++ b/crates/policy/src/edge/admission.rs
@@ -22,11 +22,11 @@
 /// Maximum wait of a request that is beyond its account's part, without its own cost, as a fraction
 /// of the objective. Requests within their part can then be on time behind it, and the queue is long
 /// enough to keep the engines busy.
-const BEYOND_PART_WAIT_FRACTION: f64 = 0.5;
+const BEYOND_PART_WAIT_FRACTION: f64 = 0.4;
 
 /// Like [`BEYOND_PART_WAIT_FRACTION`], for a late request while room is short. It lies below the queue
 /// behind which requests beyond their account's part are on time.
-const SHORT_LATE_WAIT_FRACTION: f64 = 0.25;
+const SHORT_LATE_WAIT_FRACTION: f64 = 0.3;
 
 /// Like [`SHORT_LATE_WAIT_FRACTION`], for a late request that is beyond its account's part.
 const BEYOND_PART_LATE_WAIT_FRACTION: f64 = 0.15;
