--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -7,7 +7,7 @@
 
 use nutmegbay_core::crashes::{CrashReport, ReportSource};
 use nutmegbay_policy::edge::engine_pace::PaceNews;
-use nutmegbay_policy::edge::exchange::{Digest, Role, spacing};
+use nutmegbay_policy::edge::exchange::{Digest, Role, Scope, spacing};
 use nutmegbay_policy::edge::stream_origins::{CallerWait, OriginNews};
 use nutmegbay_policy::edge::upstream_limit::LimitNews;
 use serde::{Deserialize, Serialize};
@@ -15,6 +15,7 @@
 use tokio::time::sleep;
 
 use crate::crashes;
+use crate::fleet::{MemoryNews, ServiceReport};
 use crate::metrics::increment;
 use crate::platform_api::WireCodec;
 use crate::quota;
@@ -109,9 +110,9 @@
     }
 }
 
-/// News that follow the digest in a datagram. The origins of streams follow them as a list, and the
-/// longest waits of callers and the paces of engines as two others. Earlier versions send less and
-/// ignore what follows.
+/// News that follow the digest in a datagram. After them come the origins of streams, the longest
+/// waits of callers, [`UpstreamNews`], and the work that client accounts ask for. Earlier versions
+/// send less and ignore what follows.
 #[derive(Debug, Serialize, Deserialize)]
 struct News {
     crashes: CrashReport,
@@ -120,6 +121,19 @@
     announced: Vec<u64>,
 }
 
+/// News about upstreams.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct UpstreamNews {
+    paces: Vec<PaceNews>,
+    memory: MemoryNews,
+}
+
+impl UpstreamNews {
+    fn is_empty(&self) -> bool {
+        self.paces.is_empty() && self.memory.is_empty()
+    }
+}
+
 /// Applies a datagram: a digest, and news if there are any.
 fn receive_digest<D: WireCodec>(
     state: &EdgeState<D>,
@@ -127,30 +141,50 @@
     datagram: &[u8],
 ) -> Result<(), postcard::Error> {
     let (digest, news) = postcard::take_from_bytes::<Digest>(datagram)?;
-    let is_relay = {
+    let (is_expected, is_relay) = {
         let mut fleet = state.fleet.borrow_mut();
-        fleet.receive_digest(from, &digest, state.now());
-        fleet.is_relay()
+        let is_expected = fleet.receive_digest(from, &digest, state.now());
+        (is_expected, fleet.is_relay())
     };
     if news.is_empty() {
         return Ok(());
     }
-    let (
-        News {
-            crashes: report,
-            limits,
-            announced,
-        },
-        origins,
-    ) = postcard::take_from_bytes(news)?;
+    let (news, rest) = postcard::take_from_bytes::<News>(news)?;
+    apply_news(state, news, is_relay);
+    if rest.is_empty() {
+        return Ok(());
+    }
+    let (origins, rest) = postcard::take_from_bytes::<Vec<OriginNews>>(rest)?;
+    versions::merge(state, &origins, is_relay);
+    if rest.is_empty() {
+        return Ok(());
+    }
+    let (waits, rest) = postcard::take_from_bytes::<Vec<CallerWait>>(rest)?;
+    versions::merge_waits(state, &waits);
+    if rest.is_empty() {
+        return Ok(());
+    }
+    let (news, reports) = postcard::take_from_bytes::<UpstreamNews>(rest)?;
+    let now = state.now();
+    let mut fleet = state.fleet.borrow_mut();
+    fleet.merge_paces(&news.paces, is_relay, now);
+    fleet.merge_memory(&news.memory, is_relay, now);
+    if is_expected && !reports.is_empty() {
+        let reports = postcard::from_bytes::<Vec<ServiceReport>>(reports)?;
+        fleet.merge_account_reports(from, digest.scope, reports, now);
+    }
+    Ok(())
+}
+
+fn apply_news<D: WireCodec>(state: &EdgeState<D>, news: News, is_relay: bool) {
     let source = if is_relay {
         ReportSource::Unshared
     } else {
         ReportSource::Shared
     };
-    crashes::merge(state, &report, source);
+    crashes::merge(state, &news.crashes, source);
     let now = state.now();
-    for instance in announced {
+    for instance in news.announced {
         state.presence.borrow_mut().record(instance, is_relay, now);
         state
             .members
@@ -160,20 +194,7 @@
     state
         .fleet
         .borrow_mut()
-        .merge_limits(&limits, is_relay, now);
-    if !origins.is_empty() {
-        let (origins, waits) = postcard::take_from_bytes::<Vec<OriginNews>>(origins)?;
-        versions::merge(state, &origins, is_relay);
-        if !waits.is_empty() {
-            let (waits, paces) = postcard::take_from_bytes::<Vec<CallerWait>>(waits)?;
-            versions::merge_waits(state, &waits);
-            if !paces.is_empty() {
-                let paces = postcard::from_bytes::<Vec<PaceNews>>(paces)?;
-                state.fleet.borrow_mut().merge_paces(&paces, is_relay, now);
-            }
-        }
-    }
-    Ok(())
+        .merge_limits(&news.limits, is_relay, now);
 }
 
 /// Sets the role of this instance from the known members. Instances that read the store also
@@ -202,14 +223,24 @@
 }
 
 fn send_digests<D: WireCodec>(state: &EdgeState<D>, socket: &UdpSocket) {
-    let digests = state.fleet.borrow_mut().digests(state.now());
+    let now = state.now();
+    let (digests, has_reports) = {
+        let mut fleet = state.fleet.borrow_mut();
+        (fleet.digests(now), fleet.take_reports_due(now))
+    };
     if digests.is_empty() {
         return;
     }
-    let news = encode_news(state);
+    let news = encode_news(state, has_reports);
+    let mut reports = Vec::new();
     for (to, digest) in digests {
+        if has_reports && !reports.iter().any(|(scope, _)| *scope == digest.scope) {
+            reports.push((digest.scope, encode_reports(state, digest.scope)));
+        }
+        let reports = reports.iter().find(|(scope, _)| *scope == digest.scope);
+        let reports = reports.map_or(&[][..], |(_, encoded)| encoded);
         let encoded = match postcard::to_stdvec(&digest) {
-            Ok(encoded) => [encoded, news.clone()].concat(),
+            Ok(encoded) => [&encoded, &news[..], reports].concat(),
             Err(error) => {
                 tracing::error!(event = "digest_not_encoded", %error);
                 continue;
@@ -224,8 +255,17 @@
     }
 }
 
-/// Encodes the news that are due. Empty if there are none.
-fn encode_news<D: WireCodec>(state: &EdgeState<D>) -> Vec<u8> {
+/// Encodes the work that client accounts ask for, for receivers of digests of `scope`.
+fn encode_reports<D: WireCodec>(state: &EdgeState<D>, scope: Scope) -> Vec<u8> {
+    let reports = state.fleet.borrow_mut().account_reports(scope, state.now());
+    postcard::to_stdvec(&reports).unwrap_or_else(|error| {
+        tracing::error!(event = "reports_not_encoded", %error);
+        Vec::new()
+    })
+}
+
+/// Encodes the news that are due. Empty if there are none and nothing `follows` them.
+fn encode_news<D: WireCodec>(state: &EdgeState<D>, follows: bool) -> Vec<u8> {
     let now = state.now();
     let record_age = now.since(state.record_written_at.get());
     let news = News {
@@ -237,20 +277,26 @@
         let mut versions = state.versions.borrow_mut();
         (versions.take_news(now), versions.take_wait_news())
     };
-    let paces = state.fleet.borrow_mut().take_pace_news(now);
+    let upstreams = {
+        let mut fleet = state.fleet.borrow_mut();
+        UpstreamNews {
+            paces: fleet.take_pace_news(now),
+            memory: if state.settings().has_competing_accounts {
+                fleet.take_memory_news(now)
+            } else {
+                MemoryNews::default()
+            },
+        }
+    };
     let is_empty = news.crashes.is_empty()
         && news.limits.is_empty()
         && news.announced.is_empty()
         && origins.is_empty()
-        && waits.is_empty()
-        && paces.is_empty();
-    if is_empty {
-        return Vec::new();
-    }
-    let encoded = if paces.is_empty() {
-        postcard::to_stdvec(&(news, origins, waits))
-    } else {
-        postcard::to_stdvec(&(news, origins, waits, paces))
+        && waits.is_empty();
+    let encoded = match upstreams.is_empty() && !follows {
+        true if is_empty => return Vec::new(),
+        true => postcard::to_stdvec(&(news, origins, waits)),
+        false => postcard::to_stdvec(&(news, origins, waits, upstreams)),
     };
     encoded.unwrap_or_else(|error| {
         tracing::error!(event = "news_not_encoded", %error);
--- a/crates/edge/src/fleet/mod.rs
+++ b/crates/edge/src/fleet/mod.rs
@@ -1,11 +1,13 @@
 //! Known upstreams with their load, health and idle connections.
 
+mod accounts;
 mod costs;
 mod digests;
 mod in_flight;
 mod limits;
 mod paces;
 mod placement;
+mod slots;
 mod versions;
 
 use std::collections::{BTreeMap, HashMap};
@@ -15,6 +17,7 @@
 
 use nutmegbay_core::environment::MonotonicTime;
 use nutmegbay_policy::UpstreamKey;
+use nutmegbay_policy::edge::account_shares::AccountShares;
 use nutmegbay_policy::edge::engine_pace::EnginePace;
 use nutmegbay_policy::edge::exchange::{LoadExchange, PrefixBlockUse};
 use nutmegbay_policy::edge::health::{Health, Outcome};
@@ -37,9 +40,11 @@
 use crate::model::{EngineRole, InstanceReport, ModelWork};
 use crate::versions::version_tag;
 
+pub use accounts::ServiceReport;
 use costs::{INITIAL_MEAN_MS, ServiceCosts, costs_mut};
 pub use in_flight::{Demand, InFlightSend, PrefillWait};
 pub use placement::ModelRequest;
+pub use slots::SlotClaim;
 
 /// Number of output tokens from which an answer is a long stream. A batch step produces one token
 /// in under a millisecond, so such a stream runs for a second or more.
@@ -131,6 +136,14 @@
     limit_owners: LimitOwners,
     /// Notices of upstreams that were removed.
     kept_notices: KeptNotices,
+    /// Shares of the client accounts, by service. Empty unless accounts compete for room.
+    account_shares: HashMap<Box<str>, AccountShares<SocketAddr>>,
+    /// Time at which reports of accounts' work were last sent.
+    reports_sent_at: Option<MonotonicTime>,
+    /// Time of the last log line about an account that is beyond its part.
+    part_logged_at: Option<MonotonicTime>,
+    /// Hash of this process's name.
+    own_hash: u64,
     /// Notified when this process's load has changed and a digest should be sent.
     pub load_changed: Rc<Notify>,
 }
@@ -154,6 +167,10 @@
             other_instances: 0,
             limit_owners: LimitOwners::new(member_hash(node)),
             kept_notices: KeptNotices::default(),
+            account_shares: HashMap::new(),
+            reports_sent_at: None,
+            part_logged_at: None,
+            own_hash: member_hash(node),
             load_changed: Rc::default(),
         }
     }
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -245,6 +245,7 @@
             if let Some(response) = self.select_response(outcome) {
                 if let Some(prefill_wait) = self.prefill_wait.take() {
                     prefill_wait.record_first_result();
+                    self.record_done();
                 }
                 return Ok(response);
             }
@@ -271,6 +272,7 @@
         let now = self.state.now();
         let fleet = self.state.fleet.borrow();
         let service = &self.request.service;
+        let avoided = self.avoided(&fleet, now);
         match (&service.engine, &self.request.head.work) {
             (Some(engine), Some(work)) => {
                 let req = ModelRequest {
@@ -280,7 +282,7 @@
                     urgency: self.request.urgency(),
                     objective: self.request.route.objective,
                     body_bytes: self.request.body.len(),
-                    tried: &self.tried,
+                    tried: &avoided,
                     version: self.version(),
                 };
                 fleet.place_model(&req, self.state.process_count(), now)
@@ -373,6 +375,7 @@
             return SendOutcome::NotRun(NO_UPSTREAM);
         };
         let max_wait = self.prefill_timeout(first_result_ms);
+        let claim = self.claim_slot(decode);
         let handle = match self.prefill(prefill, cost_ms, max_wait).await {
             Ok(handle) => handle,
             Err(send) => return send,
@@ -383,6 +386,7 @@
             handle: &handle.name,
         };
         let max_wait = self.first_result_timeout(first_result_ms);
+        drop(claim);
         let Some(decode) = self.decode_engine(decode) else {
             return SendOutcome::NotRun(NO_UPSTREAM);
         };
@@ -397,7 +401,7 @@
     /// engine, or another one of the same version if `chosen` accepts no new requests any more.
     fn decode_engine(&self, chosen: UpstreamKey) -> Option<UpstreamKey> {
         let now = self.state.now();
-        if self.state.fleet.borrow().takes_work(chosen, now) {
+        if self.state.fleet.borrow().takes_work(chosen, now) && self.gets_slot(chosen) {
             return Some(chosen);
         }
         match self.place_unsplit()? {
--- a/crates/policy/src/edge/mod.rs
+++ b/crates/policy/src/edge/mod.rs
@@ -1,6 +1,7 @@
 //! Decisions of the edge: request placement, admission, upstream health, the retry budget, and the
 //! exchange of load and store changes between instances.
 
+pub mod account_shares;
 pub mod admission;
 pub mod attempts;
 pub mod body_budget;
@@ -28,5 +29,6 @@
 pub mod software_versions;
 pub mod stream_hosts;
 pub mod stream_origins;
+pub mod stream_slots;
 pub mod upstream_limit;
 pub mod urgency;
