Read whether client accounts compete for too little room

One of them says that client accounts compete for too little room, and the room is to be divided among them only there. Nothing reads the flag yet. Measured: settings_file, 6 passed; the new case fails to compile without the field.

--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -31,6 +31,8 @@
     pub link_mbps: Option<f64>,
     /// Memory of the instance in bytes, if known.
     pub memory_bytes: Option<u64>,
+    /// Whether client accounts compete for too little room, so that the room is divided by account.
+    pub has_competing_accounts: bool,
     /// Bounds set by the operator.
     pub bounds: Bounds,
 }
