Bound unread responses and take them over from upstreams

Cause: a caller that stops reading kept its response and the connection to its upstream for as long as it stayed connected, and no bound held for all such responses together. An upstream cuts off a response that remains unread, also where the caller would have read it late.

Change, where the settings say that client accounts compete for too little room: what waits for callers is counted. A caller that takes nothing for the idle time of the configuration is cut off with a reset, so that a response without a length does not look complete. The read buffer of a connection to an upstream is 64 KiB there instead of 400.

--- a/crates/edge-bin/tests/common/worker.rs
+++ b/crates/edge-bin/tests/common/worker.rs
@@ -76,6 +76,8 @@
     SilentAfter(u32),
     /// Sends a response that may end early: a stream of events, or a plain body on other routes.
     End(BodyEnd),
+    /// Sends a plain response of this size in MiB.
+    Large(usize),
     /// Responds before it has read the body of the request.
     Early(EarlyAnswer),
 }
@@ -123,6 +125,8 @@
     abandoned: usize,
     /// Times at which the edge closed the connection of a silent stream.
     silent_ends: Vec<Instant>,
+    /// Number of large responses that the edge has taken whole.
+    large_ends: usize,
 }
 
 impl WorkerState {
@@ -272,6 +276,11 @@
         self.0.lock().unwrap().silent_ends.clone()
     }
 
+    /// Returns the number of large responses that the edge has taken whole.
+    pub fn large_ends(&self) -> usize {
+        self.0.lock().unwrap().large_ends
+    }
+
     /// Clears the list of requests.
     pub fn clear_requests(&self) {
         self.0.lock().unwrap().requests.clear();
@@ -352,6 +361,9 @@
             if matches!(action, Action::PauseAfter(_) | Action::SilentAfter(_)) && !stays_open {
                 self.0.lock().unwrap().silent_ends.push(Instant::now());
             }
+            if matches!(action, Action::Large(_)) && stays_open {
+                self.0.lock().unwrap().large_ends += 1;
+            }
             if !stays_open {
                 return;
             }
@@ -461,6 +473,7 @@
         }
         Action::WrongId => response("200 OK", "another", signed, "not yours"),
         Action::Unsigned => response("200 OK", id, "", "done"),
+        Action::Large(mib) => response("200 OK", id, signed, &"x".repeat(mib << 20)),
         Action::Truncate => {
             response("200 OK", id, signed, "done").replace("Length: 4", "Length: 9")
         }
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -472,7 +472,12 @@
                 Some(connection) => connection,
                 None => {
                     increment(&self.state.metrics.connections_opened);
-                    let opened = Connection::open(addr, &self.state.delay_monitor).await;
+                    let monitor = &self.state.delay_monitor;
+                    let opened = if self.state.settings().has_competing_accounts {
+                        Connection::open_small(addr, monitor).await
+                    } else {
+                        Connection::open(addr, monitor).await
+                    };
                     opened.inspect_err(|error| {
                         crashes::record_connect_error(self.state, at, error);
                     })?
--- a/crates/edge/src/http1.rs
+++ b/crates/edge/src/http1.rs
@@ -54,6 +54,10 @@
 /// store.
 const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
 
+/// Size of the read buffer of a connection whose responses may wait for slow callers, in bytes. The
+/// default of `hyper` is about 400 KiB, which 300 unread responses multiply to 120 MB.
+const SMALL_READ_BYTES: usize = 64 * 1024;
+
 /// Maximum number of idle connections that a [`BufferedClient`] keeps.
 const MAX_IDLE_CONNECTIONS: usize = 4;
 
@@ -159,6 +163,22 @@
     /// Opens a connection within [`CONNECT_TIMEOUT`], or longer while this process is late. `monitor`
     /// counts the bytes that it receives.
     pub async fn open(addr: SocketAddr, monitor: &DelayMonitor) -> Result<Self, CallError> {
+        Self::open_with(addr, monitor, Builder::new()).await
+    }
+
+    /// Opens a connection as [`Self::open`] does, which reads at most [`SMALL_READ_BYTES`] of a
+    /// response before they are asked for.
+    pub async fn open_small(addr: SocketAddr, monitor: &DelayMonitor) -> Result<Self, CallError> {
+        let mut builder = Builder::new();
+        builder.max_buf_size(SMALL_READ_BYTES);
+        Self::open_with(addr, monitor, builder).await
+    }
+
+    async fn open_with(
+        addr: SocketAddr,
+        monitor: &DelayMonitor,
+        builder: Builder,
+    ) -> Result<Self, CallError> {
         let failed = |cause| CallError {
             verdict: Verdict::NotRun,
             cause,
@@ -169,7 +189,7 @@
             Ok(Err(_)) => return Err(failed(Cause::Connect)),
             Err(_) => return Err(failed(Cause::Timeout)),
         };
-        let (sender, connection) = Builder::new()
+        let (sender, connection) = builder
             .handshake(TokioIo::new(CountedIo::new(io, monitor)))
             .await
             .map_err(|_| failed(Cause::Connect))?;
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -22,6 +22,7 @@
 use tokio::time::timeout;
 
 use crate::body::{self, HeldBody, NO_MEMORY};
+use crate::caller::{Caller, CallerIo};
 use crate::clock::millis;
 use crate::forward::{
     Failure, InFlightGuard, RequestProgress, RoutedRequest, serve, unknown_service,
@@ -30,6 +31,7 @@
 use crate::model::{CallerLimits, RequestHead};
 use crate::own_delay::CountedIo;
 use crate::platform_api::{WireCodec, origin_form};
+use crate::read_ahead::CallerBody;
 use crate::routes::RouteError;
 use crate::state::EdgeState;
 use crate::stopping::{PlannedStop, STOPPING};
@@ -123,13 +125,16 @@
             .map_or_else(CallerLimits::default, |table| table.config().limits)
     };
     let has_brought_any = Cell::new(false);
+    let caller = Caller::open(&state, limits.idle_time);
     let service = service_fn(|req| {
         has_brought_any.set(true);
-        respond(Rc::clone(&state), req)
+        let res = respond(Rc::clone(&state), req);
+        let caller = caller.clone();
+        async { Ok::<_, Infallible>(res.await.map(|body| CallerBody::new(body, caller))) }
     });
     // `hyper` counts the time for a head from the end of the previous request, so this timeout
     // bounds the idle time too.
-    let io = CountedIo::new(io, &state.delay_monitor);
+    let io = CallerIo::new(CountedIo::new(io, &state.delay_monitor), caller.clone());
     let served = Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_time + limits.header_time)
@@ -139,6 +144,7 @@
     let mut served = std::pin::pin!(served);
     let result = tokio::select! {
         biased;
+        () = Caller::given_up(caller.as_deref()) => return,
         result = &mut served => result,
         () = state.close_idle.cancelled() => {
             let wait = if has_brought_any.get() { LAST_REQUEST_WAIT } else { FIRST_REQUEST_WAIT };
@@ -146,7 +152,10 @@
                 Ok(result) => result,
                 Err(_) => {
                     served.as_mut().graceful_shutdown();
-                    served.await
+                    tokio::select! {
+                        () = Caller::given_up(caller.as_deref()) => return,
+                        result = served => result,
+                    }
                 }
             }
         }
@@ -159,7 +168,7 @@
 async fn respond<D: WireCodec>(
     state: Rc<EdgeState<D>>,
     req: Request<Incoming>,
-) -> Result<Response<impl Body<Data = Bytes, Error = ResponseBodyError> + use<D>>, Infallible> {
+) -> Response<impl Body<Data = Bytes, Error = ResponseBodyError> + use<D>> {
     let arrived = state.now();
     let in_flight = InFlightGuard::new(&state.in_flight);
     let mut res = match route_request(&state, req, arrived, in_flight).await {
@@ -186,7 +195,7 @@
         res.headers_mut()
             .insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    Ok(res.map(unify_body))
+    res.map(unify_body)
 }
 
 /// Forwards a request and returns the response, unless it cannot be finished before the process
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -11,6 +11,7 @@
 )]
 
 mod body;
+mod caller;
 pub mod cli;
 mod clock;
 mod crashes;
@@ -29,6 +30,7 @@
 pub mod own_delay;
 mod peers;
 pub mod platform_api;
+mod read_ahead;
 pub mod reload;
 mod routes;
 mod run;
--- a/crates/edge/src/own_delay.rs
+++ b/crates/edge/src/own_delay.rs
@@ -175,6 +175,11 @@
             monitor: monitor.clone(),
         }
     }
+
+    /// Returns the connection itself.
+    pub fn get_ref(&self) -> &T {
+        &self.io
+    }
 }
 
 impl<T: AsyncRead + Unpin> AsyncRead for CountedIo<T> {
--- a/crates/edge/src/peers/serve.rs
+++ b/crates/edge/src/peers/serve.rs
@@ -146,7 +146,7 @@
 }
 
 /// Returns the names and values of the gauges.
-fn gauges<D: WireCodec>(state: &EdgeState<D>) -> [(&'static str, u64); 13] {
+fn gauges<D: WireCodec>(state: &EdgeState<D>) -> [(&'static str, u64); 17] {
     let now = state.now();
     let measured = state.delay_monitor.measure();
     let known_records = state.known_records.borrow();
@@ -173,6 +173,10 @@
             "stream_origins",
             state.versions.borrow().known_origins() as u64,
         ),
+        ("held_body_bytes", state.bodies.borrow().used()),
+        ("held_response_bytes", state.callers.held.borrow().total()),
+        ("callers_cut_total", state.callers.cut.get()),
+        ("responses_read_ahead_total", state.callers.read_ahead.get()),
     ]
 }
 
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -21,6 +21,7 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
+use crate::caller::CallerMemory;
 use crate::clock::{MonotonicClock, SmoothedWallClock, millis};
 use crate::fleet::Fleet;
 use crate::known_records::KnownRecords;
@@ -121,6 +122,8 @@
     pub planned_stop: PlannedStop,
     /// Memory for request bodies.
     pub bodies: Rc<RefCell<BodyBudget>>,
+    /// Responses that wait for their callers.
+    pub callers: Rc<CallerMemory>,
     /// Number of requests being served.
     pub in_flight: Rc<Cell<usize>>,
     /// Software versions, and origins of streams.
@@ -182,6 +185,7 @@
             close_idle: CancellationToken::new(),
             planned_stop: PlannedStop::default(),
             bodies: Rc::default(),
+            callers: Rc::default(),
             in_flight: Rc::default(),
             versions: RefCell::default(),
             deadlines: RefCell::default(),
--- a/crates/policy/src/edge/mod.rs
+++ b/crates/policy/src/edge/mod.rs
@@ -11,6 +11,7 @@
 pub mod exchange;
 pub mod expiry_grace;
 pub mod health;
+pub mod held_responses;
 pub mod limit_owners;
 pub mod link;
 pub mod load;
