Learn the memory of upstreams and bound what they hold

Cause: an upstream crashes if the requests that it holds exceed its memory, and states nowhere how much that is. Uploads of several instances crashed the same upstream again and again, and took the requests of all callers there with them.

Change, where the settings say that client accounts compete for too little room: each instance counts the bodies that it has sent to an upstream and that are not answered, and tells the others from 64 KiB on, appended to the datagrams after what exists. A crash at which an upstream held more than any that answered, and more than one largest body, sets a limit for its service: three quarters of that size, which grows back within a minute until another crash shows that it holds. Crashes at sizes that were survived set none. Beyond the limit other upstreams are chosen; if there is none, the request is refused as not run (cause upstream_memory). Bodies of up to 1/32 of the limit may use all of it, larger ones three quarters. What the others may have sent at the same moment counts as much as this instance has not told yet.

--- a/crates/edge-bin/tests/common/mod.rs
+++ b/crates/edge-bin/tests/common/mod.rs
@@ -6,6 +6,7 @@
 mod deployment;
 pub mod early;
 mod endless;
+mod memory;
 pub mod pause;
 pub mod proxy;
 pub mod relayed;
--- a/crates/edge-bin/tests/common/worker.rs
+++ b/crates/edge-bin/tests/common/worker.rs
@@ -4,6 +4,7 @@
 use super::early::EarlyAnswer;
 pub use super::endless::EndlessPart;
 use super::endless::{endless, trickle};
+use super::memory::BodyMemory;
 use super::pause;
 use super::versioned;
 use std::collections::VecDeque;
@@ -127,6 +128,7 @@
     silent_ends: Vec<Instant>,
     /// Number of large responses that the edge has taken whole.
     large_ends: usize,
+    memory: BodyMemory,
 }
 
 impl WorkerState {
@@ -180,6 +182,11 @@
         self.0.lock().unwrap().crash_delay = Some(delay);
     }
 
+    /// Makes the worker crash if the bodies that it holds exceed this number of bytes.
+    pub fn set_memory(&self, bytes: usize) {
+        self.0.lock().unwrap().memory.limit = Some(bytes);
+    }
+
     /// Returns the number of crashes.
     pub fn crashes(&self) -> usize {
         self.0.lock().unwrap().crashes
@@ -295,6 +302,15 @@
             if !read_body(&mut io, &head).await {
                 return;
             }
+            let body_bytes = header(&head, "content-length").map_or(0, |len| len.parse().unwrap());
+            {
+                let mut inner = self.0.lock().unwrap();
+                if !inner.memory.hold(body_bytes) {
+                    inner.crashes += 1;
+                    inner.crash.cancel();
+                    return;
+                }
+            }
             if head.starts_with("GET /-/report ") {
                 let report = versioned::report(self.0.lock().unwrap().started_ms);
                 if io.write_all(report.as_bytes()).await.is_err() {
@@ -323,22 +339,7 @@
                 action
             };
             if self.crashes_on(&head) {
-                let id = header(&head, "x-attempt-id").unwrap_or_default();
-                let delay = self.0.lock().unwrap().crash_delay;
-                // The connection may be closed already; the worker crashes in any case.
-                let _ = match delay {
-                    None => io.write_all(stream_head(id).as_bytes()).await,
-                    Some(_) if header(&head, "last-event-id").is_some() => {
-                        stream(&mut io, Action::Stream, &head, "").await;
-                        Ok(())
-                    }
-                    Some(_) => io.write_all(first_events(id).as_bytes()).await,
-                };
-                sleep(delay.unwrap_or_default()).await;
-                let mut inner = self.0.lock().unwrap();
-                inner.crashes += 1;
-                inner.crash.cancel();
-                return;
+                return self.begin_and_crash(&mut io, &head).await;
             }
             let version = self.0.lock().unwrap().version.clone();
             let stream = version.and_then(|name| versioned::response(&name, action, &head));
@@ -361,6 +362,7 @@
             if matches!(action, Action::PauseAfter(_) | Action::SilentAfter(_)) && !stays_open {
                 self.0.lock().unwrap().silent_ends.push(Instant::now());
             }
+            self.0.lock().unwrap().memory.release(body_bytes);
             if matches!(action, Action::Large(_)) && stays_open {
                 self.0.lock().unwrap().large_ends += 1;
             }
@@ -387,6 +389,25 @@
         }
     }
 
+    /// Begins to answer a request on which the worker crashes, and crashes.
+    async fn begin_and_crash(&self, io: &mut TcpStream, head: &str) {
+        let id = header(head, "x-attempt-id").unwrap_or_default();
+        let delay = self.0.lock().unwrap().crash_delay;
+        // The connection may be closed already; the worker crashes in any case.
+        let _ = match delay {
+            None => io.write_all(stream_head(id).as_bytes()).await,
+            Some(_) if header(head, "last-event-id").is_some() => {
+                stream(io, Action::Stream, head, "").await;
+                Ok(())
+            }
+            Some(_) => io.write_all(first_events(id).as_bytes()).await,
+        };
+        sleep(delay.unwrap_or_default()).await;
+        let mut inner = self.0.lock().unwrap();
+        inner.crashes += 1;
+        inner.crash.cancel();
+    }
+
     fn crashes_on(&self, head: &str) -> bool {
         let inner = self.0.lock().unwrap();
         let Some(block) = inner.crashing_block.as_deref() else {
--- a/crates/edge/src/crashes/mod.rs
+++ b/crates/edge/src/crashes/mod.rs
@@ -55,11 +55,29 @@
         };
         crashes.record_broken_run(run, now_ms)
     });
-    if is_suspicious {
+    let max_body = max_body(state);
+    let is_heavy = max_body.is_some_and(|max_body| {
+        let held = state
+            .fleet
+            .borrow_mut()
+            .record_broken(in_flight_send.key(), now);
+        held > max_body as u64
+    });
+    if is_suspicious || is_heavy {
         check_upstream(state, in_flight_send.key());
     }
 }
 
+/// Returns the size of the largest body that callers may send, in bytes, if the memory of upstreams
+/// is learned in this deployment.
+fn max_body<D: WireCodec>(state: &EdgeState<D>) -> Option<usize> {
+    if !state.settings().has_competing_accounts {
+        return None;
+    }
+    let routes = state.routes.borrow();
+    Some(routes.as_ref()?.config().limits.body_bytes)
+}
+
 fn shared_blocks(request: &RoutedRequest) -> impl Iterator<Item = u64> {
     let work = request.head.work.as_ref();
     let shared = work.map_or(&[][..], ModelWork::shared_blocks);
@@ -158,6 +176,10 @@
     let Some(incarnation) = incarnation else {
         return;
     };
+    if let Some(max_body) = max_body(state) {
+        let mut fleet = state.fleet.borrow_mut();
+        fleet.record_memory_crash(key, max_body, state.now());
+    }
     state.fleet.borrow_mut().record_ended(key);
     let broken_runs = update(state, |crashes, now_ms| {
         crashes.record_crash(incarnation, now_ms)
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -14,6 +14,7 @@
 use tokio::time::sleep;
 
 use crate::crashes;
+use crate::fleet::MemoryNews;
 use crate::metrics::increment;
 use crate::platform_api::WireCodec;
 use crate::state::EdgeState;
@@ -99,7 +100,7 @@
 }
 
 /// News that follow the digest in a datagram. The origins of streams follow them as a list, and the
-/// longest waits of callers as another one. Earlier versions send less and ignore what follows.
+/// longest waits of callers as another one, and what upstreams hold after these. Earlier versions send less and ignore what follows.
 #[derive(Debug, Serialize, Deserialize)]
 struct News {
     crashes: CrashReport,
@@ -153,7 +154,13 @@
         let (origins, waits) = postcard::take_from_bytes::<Vec<OriginNews>>(origins)?;
         versions::merge(state, &origins, is_relay);
         if !waits.is_empty() {
-            versions::merge_waits(state, &postcard::from_bytes::<Vec<CallerWait>>(waits)?);
+            let (waits, memory) = postcard::take_from_bytes::<Vec<CallerWait>>(waits)?;
+            versions::merge_waits(state, &waits);
+            if !memory.is_empty() {
+                let memory = postcard::from_bytes::<MemoryNews>(memory)?;
+                let mut fleet = state.fleet.borrow_mut();
+                fleet.merge_memory(&memory, is_relay, now);
+            }
         }
     }
     Ok(())
@@ -220,15 +227,21 @@
         let mut versions = state.versions.borrow_mut();
         (versions.take_news(now), versions.take_wait_news())
     };
+    let memory = if state.settings().has_competing_accounts {
+        state.fleet.borrow_mut().take_memory_news(now)
+    } else {
+        MemoryNews::default()
+    };
     let is_empty = news.crashes.is_empty()
         && news.limits.is_empty()
         && news.announced.is_empty()
         && origins.is_empty()
-        && waits.is_empty();
+        && waits.is_empty()
+        && memory.is_empty();
     if is_empty {
         return Vec::new();
     }
-    postcard::to_stdvec(&(news, origins, waits)).unwrap_or_else(|error| {
+    postcard::to_stdvec(&(news, origins, waits, memory)).unwrap_or_else(|error| {
         tracing::error!(event = "news_not_encoded", %error);
         Vec::new()
     })
--- a/crates/edge/src/fleet/digests.rs
+++ b/crates/edge/src/fleet/digests.rs
@@ -84,6 +84,6 @@
 }
 
 /// Returns the short id that identifies a service in load digests.
-fn service_tag(name: &str) -> u32 {
+pub(super) fn service_tag(name: &str) -> u32 {
     xxh3_64(name.as_bytes()) as u32
 }
--- a/crates/edge/src/fleet/in_flight.rs
+++ b/crates/edge/src/fleet/in_flight.rs
@@ -84,6 +84,7 @@
     incarnation: u64,
     version: Option<VersionTag>,
     demand: Demand,
+    body_bytes: u64,
     sent_at: MonotonicTime,
     predicted_ms: f64,
     has_begun: bool,
@@ -92,11 +93,12 @@
 }
 
 impl InFlightSend {
-    /// Records a request that is being sent to the upstream `key`.
+    /// Records a request with a body of `body_bytes` that is being sent to the upstream `key`.
     pub fn new(
         fleet: &Rc<RefCell<Fleet>>,
         key: UpstreamKey,
         demand: Demand,
+        body_bytes: usize,
         now: MonotonicTime,
     ) -> Self {
         let mut predicted_ms = demand.cost_ms;
@@ -119,6 +121,7 @@
                 .record_sent(demand.urgency, demand.cost_ms, ahead);
             upstream.health.record_sent();
             upstream.streams += u32::from(demand.is_long);
+            upstream.bodies.record_sent(body_bytes as u64);
         }
         Self {
             fleet: Rc::clone(fleet),
@@ -126,6 +129,7 @@
             incarnation,
             version,
             demand,
+            body_bytes: body_bytes as u64,
             sent_at: now,
             predicted_ms,
             has_begun: false,
@@ -170,7 +174,10 @@
                 .load
                 .record_observation(urgency, now, self.predicted_ms, actual_ms);
         }
-        self.result_at.get_or_insert(now);
+        if self.result_at.is_none() {
+            self.result_at = Some(now);
+            self.fleet.borrow_mut().record_survived(self.key, now);
+        }
         self.leave_queue();
     }
 
@@ -219,6 +226,7 @@
         self.leave_queue();
         if let Some(upstream) = self.fleet.borrow_mut().upstreams.get_mut(self.key) {
             upstream.load.record_end();
+            upstream.bodies.record_end(self.body_bytes);
             upstream.streams -= u32::from(self.demand.is_long);
             if !self.has_outcome {
                 upstream.health.record_end_without_outcome();
--- a/crates/edge/src/fleet/mod.rs
+++ b/crates/edge/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 mod digests;
 mod in_flight;
 mod limits;
+mod memory;
 mod placement;
 mod versions;
 
@@ -25,6 +26,7 @@
 use nutmegbay_policy::edge::prefixes::PrefixLocations;
 use nutmegbay_policy::edge::software_versions::VersionTag;
 use nutmegbay_policy::edge::upstream_limit::UpstreamLimit;
+use nutmegbay_policy::edge::upstream_memory::{HeldElsewhere, MemoryEstimate};
 use nutmegbay_policy::edge::urgency::Urgency;
 use slotmap::SlotMap;
 use tokio::sync::Notify;
@@ -36,7 +38,10 @@
 use crate::versions::version_tag;
 
 use costs::{INITIAL_MEAN_MS, ServiceCosts, costs_mut};
+use memory::UpstreamBodies;
+
 pub use in_flight::{Demand, InFlightSend, PrefillWait};
+pub use memory::MemoryNews;
 pub use placement::ModelRequest;
 
 /// Number of output tokens from which an answer is a long stream. A batch step produces one token
@@ -65,6 +70,8 @@
     limit: UpstreamLimit,
     /// What it has stated about further requests.
     notices: Notices,
+    /// Request bodies that it holds.
+    bodies: UpstreamBodies,
     /// Whether a refused connection has shown that the start in the entry has ended.
     has_ended: bool,
     /// Held by each open connection that is proved to lead to the start in the entry.
@@ -123,6 +130,14 @@
     other_instances: usize,
     /// Instances among which the limits of upstreams are divided.
     limit_owners: LimitOwners,
+    /// Hash of the name of this instance.
+    own_hash: u64,
+    /// Request bodies that other instances have sent.
+    held_elsewhere: HeldElsewhere,
+    /// Number of the last statement of this instance about bodies.
+    held_sequence: u32,
+    /// Memory of upstreams, by service.
+    memory: HashMap<Box<str>, MemoryEstimate>,
     /// Notices of upstreams that were removed.
     kept_notices: KeptNotices,
     /// Notified when this process's load has changed and a digest should be sent.
@@ -147,6 +162,10 @@
             exchange: LoadExchange::default(),
             other_instances: 0,
             limit_owners: LimitOwners::new(member_hash(node)),
+            own_hash: member_hash(node),
+            held_elsewhere: HeldElsewhere::default(),
+            held_sequence: 0,
+            memory: HashMap::new(),
             kept_notices: KeptNotices::default(),
             load_changed: Rc::default(),
         }
@@ -202,6 +221,7 @@
             streams: 0,
             limit: UpstreamLimit::default(),
             notices: self.kept_notices.take(id, report.started_ms),
+            bodies: UpstreamBodies::default(),
             has_ended: false,
             proof: Rc::default(),
             idle: IdleConnections::new(MAX_IDLE_CONNECTIONS),
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -1,6 +1,5 @@
 //! Sends a request to one upstream and reads the start of the response.
 
-use std::fmt::Write;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -12,7 +11,10 @@
 use nutmegbay_policy::edge::health::Outcome;
 use tokio::time::timeout;
 
-use super::{CONNECTION_HEADERS, CRASHES_UPSTREAMS, Forwarder, upstream_id, upstream_outcome};
+use super::{
+    CONNECTION_HEADERS, CRASHES_UPSTREAMS, Forwarder, UPSTREAM_MEMORY, upstream_id,
+    upstream_outcome,
+};
 use crate::crashes;
 use crate::fleet::{Demand, InFlightSend};
 use crate::http1::{BodyDelimiter, CallError, Cause, Connection};
@@ -299,8 +301,12 @@
             return Err(CRASHES_UPSTREAMS);
         }
         self.check_version(at)?;
+        let now = self.state.now();
         let mut fleet = self.state.fleet.borrow_mut();
-        fleet.try_send(at, self.state.now())?;
+        if !fleet.has_room_for(at, self.request.body.len(), now) {
+            return Err(UPSTREAM_MEMORY);
+        }
+        fleet.try_send(at, now)?;
         if stage != Stage::Prefill {
             crashes::record_sent(self.state, self.request);
         }
@@ -318,14 +324,23 @@
         self.check_send(at, stage).map_err(SendOutcome::NotRun)?;
         self.tried.push(at);
         let id = upstream_id(self.state, at);
-        append_upstream(self.request, &id, stage);
+        self.request
+            .progress
+            .borrow_mut()
+            .append_upstream(&id, stage);
         let demand = Demand {
             urgency: self.request.urgency(),
             cost_ms,
             is_long: stage != Stage::Prefill && self.request.is_long(),
             needs_prefill: !matches!(stage, Stage::Decode { .. }),
         };
-        let mut in_flight_send = InFlightSend::new(&self.state.fleet, at, demand, self.state.now());
+        let mut in_flight_send = InFlightSend::new(
+            &self.state.fleet,
+            at,
+            demand,
+            self.request.body.len(),
+            self.state.now(),
+        );
         let req = self.build_request(&id, stage, after);
         let (connection, response) = match self.deliver(at, req.clone()).await {
             Ok(sent) => sent,
@@ -579,19 +594,3 @@
     }
     Ok((if buf.is_empty() { first } else { buf.freeze() }, true))
 }
-
-fn append_upstream(request: &super::RoutedRequest, id: &str, stage: Stage<'_>) {
-    let mut progress = request.progress.borrow_mut();
-    let mark = match stage {
-        Stage::Whole => "",
-        Stage::Prefill => "p:",
-        Stage::Decode { .. } => "d:",
-    };
-    let comma = if progress.upstreams.is_empty() {
-        ""
-    } else {
-        ","
-    };
-    // Writing to a string does not fail.
-    let _ = write!(progress.upstreams, "{comma}{mark}{id}");
-}
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -54,6 +54,9 @@
 /// Cause of a request that is refused because its content crashes upstreams.
 const CRASHES_UPSTREAMS: &str = "crashes_upstreams";
 
+/// Cause of a request that is not sent because the upstream would hold too much.
+const UPSTREAM_MEMORY: &str = "upstream_memory";
+
 /// Cause of a failure in place of a response whose status promises that the request did not run,
 /// which its upstream does not state.
 const UNPROVED_REFUSAL: &str = "unproved_refusal";
@@ -262,6 +265,8 @@
         let now = self.state.now();
         let fleet = self.state.fleet.borrow();
         let service = &self.request.service;
+        let full = fleet.full_upstreams(&service.name, self.request.body.len(), now);
+        let avoided = [self.tried.as_slice(), &full].concat();
         match (&service.engine, &self.request.head.work) {
             (Some(engine), Some(work)) => {
                 let req = ModelRequest {
@@ -271,13 +276,13 @@
                     urgency: self.request.urgency(),
                     objective: self.request.route.objective,
                     body_bytes: self.request.body.len(),
-                    tried: &self.tried,
+                    tried: &avoided,
                     version: self.version(),
                 };
                 fleet.place_model(&req, self.state.process_count(), now)
             }
             _ => {
-                let (at, wait_ms) = fleet.place_plain(service, &self.tried, self.version(), now)?;
+                let (at, wait_ms) = fleet.place_plain(service, &avoided, self.version(), now)?;
                 let cost_ms = fleet.mean_ms(&service.name);
                 Some(Placement::Whole {
                     at,
--- a/crates/edge/src/forward/request.rs
+++ b/crates/edge/src/forward/request.rs
@@ -1,4 +1,5 @@
 use std::cell::{Cell, OnceCell, RefCell};
+use std::fmt::Write;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,7 +15,7 @@
 use crate::crashes::block_content;
 use crate::http1::BodyDelimiter;
 use crate::model::{
-    Account, ModelWork, RequestHead, RequestKind, Route, Service, promises_not_run,
+    Account, ModelWork, RequestHead, RequestKind, Route, Service, Stage, promises_not_run,
 };
 
 /// A caller's request with its route, service and client account.
@@ -78,6 +79,20 @@
     pub version: Option<VersionTag>,
 }
 
+impl RequestProgress {
+    /// Adds an upstream to which the request is sent.
+    pub fn append_upstream(&mut self, id: &str, stage: Stage<'_>) {
+        let mark = match stage {
+            Stage::Whole => "",
+            Stage::Prefill => "p:",
+            Stage::Decode { .. } => "d:",
+        };
+        let comma = if self.upstreams.is_empty() { "" } else { "," };
+        // Writing to a string does not fail.
+        let _ = write!(self.upstreams, "{comma}{mark}{id}");
+    }
+}
+
 impl RoutedRequest {
     /// Returns a hash of the request's id.
     pub fn id_hash(&self) -> u64 {
--- a/crates/policy/src/edge/mod.rs
+++ b/crates/policy/src/edge/mod.rs
@@ -28,4 +28,5 @@
 pub mod software_versions;
 pub mod stream_origins;
 pub mod upstream_limit;
+pub mod upstream_memory;
 pub mod urgency;
