Wait for uploads that an upstream takes slowly

Cause: the wait for the first result of a request that may be repeated suits a small body. A large one that an upstream takes slowly was broken off in the middle and sent once more elsewhere, and its upstream counted as unreachable.

Change, where the settings say that client accounts compete for too little room: the wait for a body of 64 KiB or more counts from the last bytes that its connection has taken. The deadline of the request still ends it.

Tests: the stand-in worker can read bodies with pauses; reading a body moved to common/memory.rs.

--- a/crates/edge-bin/tests/common/worker.rs
+++ b/crates/edge-bin/tests/common/worker.rs
@@ -4,7 +4,7 @@
 use super::early::EarlyAnswer;
 pub use super::endless::EndlessPart;
 use super::endless::{endless, trickle};
-use super::memory::BodyMemory;
+use super::memory::{BodyMemory, read_body};
 use super::pause;
 use super::versioned;
 use std::collections::VecDeque;
@@ -187,6 +187,11 @@
         self.0.lock().unwrap().memory.limit = Some(bytes);
     }
 
+    /// Makes the worker pause before each MiB of a body.
+    pub fn pause_in_bodies(&self, pause: Duration) {
+        self.0.lock().unwrap().memory.piece_pause = pause;
+    }
+
     /// Returns the number of crashes.
     pub fn crashes(&self) -> usize {
         self.0.lock().unwrap().crashes
@@ -299,7 +304,8 @@
             if let Some(answer) = self.take_early(&head) {
                 return answer.send(io, &head).await;
             }
-            if !read_body(&mut io, &head).await {
+            let pause = self.0.lock().unwrap().memory.piece_pause;
+            if !read_body(&mut io, &head, pause).await {
                 return;
             }
             let body_bytes = header(&head, "content-length").map_or(0, |len| len.parse().unwrap());
@@ -437,12 +443,6 @@
     String::from_utf8(head).ok()
 }
 
-/// Reads the body of the request with `head`. Returns whether it is whole.
-async fn read_body(io: &mut TcpStream, head: &str) -> bool {
-    let len = header(head, "content-length").map_or(0, |len| len.parse().unwrap());
-    io.read_exact(&mut vec![0; len]).await.is_ok()
-}
-
 /// Performs an action and returns whether the connection stays open.
 async fn respond(
     io: &mut TcpStream,
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -11,6 +11,7 @@
 use nutmegbay_policy::edge::health::Outcome;
 use tokio::time::timeout;
 
+use super::upload::await_result;
 use super::{
     CONNECTION_HEADERS, CRASHES_UPSTREAMS, Forwarder, UPSTREAM_MEMORY, upstream_id,
     upstream_outcome,
@@ -98,10 +99,9 @@
         stage: Stage<'_>,
         max_wait: Duration,
     ) -> SendOutcome {
-        let monitor = &self.state.delay_monitor;
-        let time_left = self.request.time_left(self.state.now());
+        let (edge, request) = (self.state, self.request);
         let response = self.send_and_read(at, cost_ms, stage);
-        match monitor.timeout_within(max_wait, time_left, response).await {
+        match await_result(edge, request, max_wait, response).await {
             Ok(send) => send,
             Err(_) => SendOutcome::NoResponse(self.record_unresponsive(at)),
         }
@@ -505,7 +505,7 @@
                 cause: Cause::Connect,
             })?;
             self.sends += 1;
-            self.request.progress.borrow_mut().sends += 1;
+            self.request.progress.borrow_mut().record_send(&connection);
             {
                 let mut fleet = self.state.fleet.borrow_mut();
                 fleet.record_sent_bytes(self.request.body.len(), self.state.now());
--- a/crates/edge/src/forward/request.rs
+++ b/crates/edge/src/forward/request.rs
@@ -13,7 +13,7 @@
 
 use crate::body::HeldBody;
 use crate::crashes::block_content;
-use crate::http1::BodyDelimiter;
+use crate::http1::{BodyDelimiter, Connection};
 use crate::model::{
     Account, ModelWork, RequestHead, RequestKind, Route, Service, Stage, promises_not_run,
 };
@@ -73,6 +73,8 @@
     pub delimiter: Option<BodyDelimiter>,
     /// Whether the response is streamed to the caller.
     pub is_streaming: bool,
+    /// Bytes written by the connection to which the body is being sent.
+    pub written: Option<Rc<Cell<u64>>>,
     /// Whether the request was counted for its client account.
     pub is_counted: bool,
     /// Version at which the stream must be continued. `None` before its first event.
@@ -80,6 +82,12 @@
 }
 
 impl RequestProgress {
+    /// Records that the request is being sent on `connection`.
+    pub fn record_send(&mut self, connection: &Connection) {
+        self.sends += 1;
+        self.written = Some(connection.written());
+    }
+
     /// Adds an upstream to which the request is sent.
     pub fn append_upstream(&mut self, id: &str, stage: Stage<'_>) {
         let mark = match stage {
--- a/crates/edge/src/http1.rs
+++ b/crates/edge/src/http1.rs
@@ -1,6 +1,6 @@
 //! HTTP/1.1 client connections. This module opens, keeps and closes them; `hyper` does the framing.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::future::poll_fn;
 use std::net::SocketAddr;
@@ -133,6 +133,8 @@
     refused: Option<u64>,
     /// Proof that the connection leads to the start of the upstream that is listed.
     start_proof: Option<Rc<()>>,
+    /// Number of bytes written.
+    written: Rc<Cell<u64>>,
 }
 
 /// Task that moves the bytes of a connection; it is aborted on drop. Once no more requests are
@@ -189,8 +191,10 @@
             Ok(Err(_)) => return Err(failed(Cause::Connect)),
             Err(_) => return Err(failed(Cause::Timeout)),
         };
+        let io = CountedIo::new(io, monitor);
+        let written = io.written();
         let (sender, connection) = builder
-            .handshake(TokioIo::new(CountedIo::new(io, monitor)))
+            .handshake(TokioIo::new(io))
             .await
             .map_err(|_| failed(Cause::Connect))?;
         let driver = tokio::task::spawn_local(async move {
@@ -205,6 +209,7 @@
             sends: 0,
             refused: None,
             start_proof: None,
+            written,
         })
     }
 
@@ -258,11 +263,17 @@
             sends: 0,
             refused: None,
             start_proof: None,
+            written: Rc::default(),
         };
         let response = connection.send(req).await?;
         Ok((connection, response))
     }
 
+    /// Returns the number of bytes written, which goes on counting.
+    pub fn written(&self) -> Rc<Cell<u64>> {
+        Rc::clone(&self.written)
+    }
+
     /// Marks the connection as idle from now on. `keep_alive` is the idle time that the other end
     /// stated.
     pub fn mark_idle(&mut self, keep_alive: Option<Duration>) {
--- a/crates/edge/src/own_delay.rs
+++ b/crates/edge/src/own_delay.rs
@@ -160,11 +160,13 @@
     }
 }
 
-/// Connection whose received bytes are counted.
+/// Connection whose bytes are counted.
 #[derive(Debug)]
 pub struct CountedIo<T> {
     io: T,
     monitor: DelayMonitor,
+    /// Number of bytes written.
+    written: Rc<Cell<u64>>,
 }
 
 impl<T> CountedIo<T> {
@@ -173,9 +175,22 @@
         Self {
             io,
             monitor: monitor.clone(),
+            written: Rc::default(),
         }
     }
 
+    /// Returns the number of bytes written, which goes on counting.
+    pub fn written(&self) -> Rc<Cell<u64>> {
+        Rc::clone(&self.written)
+    }
+
+    fn record_write(&self, poll: Poll<Result<usize>>) -> Poll<Result<usize>> {
+        if let Poll::Ready(Ok(n)) = poll {
+            self.written.set(self.written.get() + n as u64);
+        }
+        poll
+    }
+
     /// Returns the connection itself.
     pub fn get_ref(&self) -> &T {
         &self.io
@@ -201,7 +216,8 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<Result<usize>> {
-        Pin::new(&mut self.io).poll_write(cx, buf)
+        let poll = Pin::new(&mut self.io).poll_write(cx, buf);
+        self.record_write(poll)
     }
 
     fn poll_write_vectored(
@@ -209,7 +225,8 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<Result<usize>> {
-        Pin::new(&mut self.io).poll_write_vectored(cx, bufs)
+        let poll = Pin::new(&mut self.io).poll_write_vectored(cx, bufs);
+        self.record_write(poll)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/policy/src/edge/mod.rs
+++ b/crates/policy/src/edge/mod.rs
@@ -27,6 +27,7 @@
 pub mod silence;
 pub mod software_versions;
 pub mod stream_origins;
+pub mod upload_wait;
 pub mod upstream_limit;
 pub mod upstream_memory;
 pub mod urgency;
