Count silence in the store towards the failure of a process

The next holder began at 9 s and was killed at 13 s, and each time the 5 s began anew for which a process must be unreachable before its counts are not waited for. Window 330 was sealed 10 s after its end and 331 at 18.3 s, just after the store went down at 18 s, and 331 and 332 were missed.

Change: a process that cannot be reached has been silent since its next counts were due in the store, if others have written theirs. A process that was cut off from the store alone still answers when it is asked. While the store is away, nobody writes and nothing is taken from it.

--- a/crates/core/src/duty/failure_detector.rs
+++ b/crates/core/src/duty/failure_detector.rs
@@ -8,6 +8,11 @@
 const FAILURE_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Detects failed processes by their missing answers to requests for their counts.
+///
+/// Load pattern: a machine is removed for good and the duties change hands, so that each new holder
+/// would wait anew for its counts, window by window, until the reports are nearly overdue. When the
+/// store then goes away, the windows that wait are lost. A process that writes nothing while others
+/// do has been silent for that time already.
 #[derive(Debug, Default)]
 pub struct FailureDetector {
     failing_since: BTreeMap<Box<str>, MonotonicTime>,
@@ -16,7 +21,15 @@
 impl FailureDetector {
     /// Records that a process could not be reached.
     pub fn record_failure(&mut self, name: &str, now: MonotonicTime) {
-        self.failing_since.entry(name.into()).or_insert(now);
+        self.record_silence(name, now, Duration::ZERO);
+    }
+
+    /// Records that a process could not be reached, which has also written nothing for `silent` when
+    /// others did.
+    pub fn record_silence(&mut self, name: &str, now: MonotonicTime, silent: Duration) {
+        let since = MonotonicTime(now.0.saturating_sub(silent));
+        let known = self.failing_since.entry(name.into()).or_insert(since);
+        *known = since.min(*known);
     }
 
     /// Records that a process has answered.
--- a/crates/core/src/duty/windows.rs
+++ b/crates/core/src/duty/windows.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
@@ -72,6 +73,18 @@
         member.through < window && is_running
     }
 
+    /// Returns the time at `now_ms` since which a process with the counts `member` should have
+    /// written those of its next window. `newest` is the last window that any process has written:
+    /// the time is zero while none has written that window, since the store may be away.
+    pub fn silence(&self, now_ms: u64, member: &MemberCounts, newest: u64) -> Duration {
+        let expected = member.through.saturating_add(1);
+        if newest < expected {
+            return Duration::ZERO;
+        }
+        let expected_ms = self.end_ms(expected);
+        Duration::from_millis(now_ms.saturating_sub(expected_ms))
+    }
+
     /// Returns whether `window` is to be sealed at `now_ms`: it has ended, and either all counts
     /// are present or its report would be overdue.
     pub fn is_due(&self, window: u64, now_ms: u64, is_complete: bool) -> bool {
--- a/crates/core/tests/window_counts.rs
+++ b/crates/core/tests/window_counts.rs
@@ -71,6 +71,25 @@
     );
 }
 
+/// Each new holder waited anew for a machine that was removed permanently, until the store failed.
+/// A process that others outlive in the store has been silent since its next write was due.
+#[test]
+fn new_holder() {
+    let at = |s| MonotonicTime(Duration::from_secs(s));
+    let removed = member(10, 3, 9);
+    let silence = |now_ms, newest| TERMS.silence(now_ms, &removed, newest);
+    assert_eq!(silence(60_000, 9), Duration::ZERO, "the store may be away");
+    assert_eq!(silence(54_000, 10), Duration::ZERO);
+    assert_eq!(silence(60_500, 10), Duration::from_millis(5_500));
+    let mut absent = FailureDetector::default();
+    absent.record_silence("a", at(100), silence(57_000, 10));
+    assert!(!absent.is_considered_failed("a", at(100)));
+    absent.record_silence("a", at(103), silence(60_500, 10));
+    assert!(absent.is_considered_failed("a", at(103)));
+    absent.record_failure("b", at(103));
+    assert!(!absent.is_considered_failed("b", at(103)));
+}
+
 /// Missing counts of a removed machine must not delay the reports forever.
 #[test]
 fn removed_process() {
--- a/crates/edge/src/duty.rs
+++ b/crates/edge/src/duty.rs
@@ -346,6 +346,8 @@
         records: &mut BTreeMap<Box<str>, MemberRecord>,
     ) -> usize {
         let now = self.state.now();
+        let written = records.values().map(|record| record.usage.through);
+        let newest = written.max().unwrap_or_default();
         let lacking: Vec<_> = records
             .iter_mut()
             .filter(|(name, record)| {
@@ -363,13 +365,20 @@
         }
         let requests = lacking
             .into_iter()
-            .map(|(name, record)| self.ask_counts(window, name, record));
+            .map(|(name, record)| self.ask_counts(window, name, record, newest));
         let answers = join_all(requests).await;
         answers.iter().filter(|is_counted| !**is_counted).count()
     }
 
-    /// Asks one process for its counts. Returns whether its counts of the window are complete.
-    async fn ask_counts(&self, window: u64, name: &str, record: &mut MemberRecord) -> bool {
+    /// Asks one process for its counts. `newest` is the last window that any process has written.
+    /// Returns whether the counts of `window` are complete, or need not be waited for.
+    async fn ask_counts(
+        &self,
+        window: u64,
+        name: &str,
+        record: &mut MemberRecord,
+        newest: u64,
+    ) -> bool {
         let Some(control) = record.control else {
             return false;
         };
@@ -385,9 +394,14 @@
         );
         match answer {
             Err(PeerError::Unreachable(_)) => {
-                self.failure_detector
-                    .borrow_mut()
-                    .record_failure(name, self.state.now());
+                let now_ms = self.state.wall_clock.borrow().now_ms();
+                let silent = self.seal_timing().silence(now_ms, &record.usage, newest);
+                let now = self.state.now();
+                let mut failure_detector = self.failure_detector.borrow_mut();
+                failure_detector.record_silence(name, now, silent);
+                if failure_detector.is_considered_failed(name, now) {
+                    return true;
+                }
             }
             _ => self.failure_detector.borrow_mut().record_response(name),
         }
