--- a/crates/edge-bin/tests/common/worker.rs
+++ b/crates/edge-bin/tests/common/worker.rs
@@ -4,6 +4,7 @@
 use super::early::EarlyAnswer;
 pub use super::endless::EndlessPart;
 use super::endless::{endless, trickle};
+use super::memory::{BodyMemory, read_body};
 use super::pause;
 use super::versioned;
 use std::collections::VecDeque;
@@ -76,6 +77,8 @@
     SilentAfter(u32),
     /// Sends a response that may end early: a stream of events, or a plain body on other routes.
     End(BodyEnd),
+    /// Sends a plain response of this size in MiB.
+    Large(usize),
     /// Responds before it has read the body of the request.
     Early(EarlyAnswer),
 }
@@ -125,6 +128,9 @@
     abandoned: usize,
     /// Times at which the edge closed the connection of a silent stream.
     silent_ends: Vec<Instant>,
+    /// Number of large responses that the edge has taken whole.
+    large_ends: usize,
+    memory: BodyMemory,
 }
 
 impl WorkerState {
@@ -178,6 +184,16 @@
         self.0.lock().unwrap().crash_delay = Some(delay);
     }
 
+    /// Makes the worker crash if the bodies that it holds exceed this number of bytes.
+    pub fn set_memory(&self, bytes: usize) {
+        self.0.lock().unwrap().memory.limit = Some(bytes);
+    }
+
+    /// Makes the worker pause before each MiB of a body.
+    pub fn pause_in_bodies(&self, pause: Duration) {
+        self.0.lock().unwrap().memory.piece_pause = pause;
+    }
+
     /// Returns the number of crashes.
     pub fn crashes(&self) -> usize {
         self.0.lock().unwrap().crashes
@@ -279,6 +295,11 @@
         self.0.lock().unwrap().silent_ends.clone()
     }
 
+    /// Returns the number of large responses that the edge has taken whole.
+    pub fn large_ends(&self) -> usize {
+        self.0.lock().unwrap().large_ends
+    }
+
     /// Clears the list of requests.
     pub fn clear_requests(&self) {
         self.0.lock().unwrap().requests.clear();
@@ -290,9 +311,19 @@
             if let Some(answer) = self.take_early(&head) {
                 return answer.send(io, &head).await;
             }
-            if !read_body(&mut io, &head).await {
+            let pause = self.0.lock().unwrap().memory.piece_pause;
+            if !read_body(&mut io, &head, pause).await {
                 return;
             }
+            let body_bytes = header(&head, "content-length").map_or(0, |len| len.parse().unwrap());
+            {
+                let mut inner = self.0.lock().unwrap();
+                if !inner.memory.hold(body_bytes) {
+                    inner.crashes += 1;
+                    inner.crash.cancel();
+                    return;
+                }
+            }
             if head.starts_with("GET /-/report ") {
                 let report = versioned::report(self.0.lock().unwrap().started_ms);
                 if io.write_all(report.as_bytes()).await.is_err() {
@@ -323,22 +354,7 @@
                 action
             };
             if self.crashes_on(&head) {
-                let id = header(&head, "x-attempt-id").unwrap_or_default();
-                let delay = self.0.lock().unwrap().crash_delay;
-                // The connection may be closed already; the worker crashes in any case.
-                let _ = match delay {
-                    None => io.write_all(stream_head(id).as_bytes()).await,
-                    Some(_) if header(&head, "last-event-id").is_some() => {
-                        stream(&mut io, Action::Stream, &head, "").await;
-                        Ok(())
-                    }
-                    Some(_) => io.write_all(first_events(id).as_bytes()).await,
-                };
-                sleep(delay.unwrap_or_default()).await;
-                let mut inner = self.0.lock().unwrap();
-                inner.crashes += 1;
-                inner.crash.cancel();
-                return;
+                return self.begin_and_crash(&mut io, &head).await;
             }
             let version = self.0.lock().unwrap().version.clone();
             let stream = version.and_then(|name| versioned::response(&name, action, &head));
@@ -361,6 +377,10 @@
             if matches!(action, Action::PauseAfter(_) | Action::SilentAfter(_)) && !stays_open {
                 self.0.lock().unwrap().silent_ends.push(Instant::now());
             }
+            self.0.lock().unwrap().memory.release(body_bytes);
+            if matches!(action, Action::Large(_)) && stays_open {
+                self.0.lock().unwrap().large_ends += 1;
+            }
             if !stays_open {
                 return;
             }
@@ -384,6 +404,25 @@
         }
     }
 
+    /// Begins to answer a request on which the worker crashes, and crashes.
+    async fn begin_and_crash(&self, io: &mut TcpStream, head: &str) {
+        let id = header(head, "x-attempt-id").unwrap_or_default();
+        let delay = self.0.lock().unwrap().crash_delay;
+        // The connection may be closed already; the worker crashes in any case.
+        let _ = match delay {
+            None => io.write_all(stream_head(id).as_bytes()).await,
+            Some(_) if header(head, "last-event-id").is_some() => {
+                stream(io, Action::Stream, head, "").await;
+                Ok(())
+            }
+            Some(_) => io.write_all(first_events(id).as_bytes()).await,
+        };
+        sleep(delay.unwrap_or_default()).await;
+        let mut inner = self.0.lock().unwrap();
+        inner.crashes += 1;
+        inner.crash.cancel();
+    }
+
     fn crashes_on(&self, head: &str) -> bool {
         let inner = self.0.lock().unwrap();
         let Some(block) = inner.crashing_block.as_deref() else {
@@ -413,12 +452,6 @@
     String::from_utf8(head).ok()
 }
 
-/// Reads the body of the request with `head`. Returns whether it is whole.
-async fn read_body(io: &mut TcpStream, head: &str) -> bool {
-    let len = header(head, "content-length").map_or(0, |len| len.parse().unwrap());
-    io.read_exact(&mut vec![0; len]).await.is_ok()
-}
-
 /// Performs an action and returns whether the connection stays open.
 async fn respond(
     io: &mut TcpStream,
@@ -470,6 +503,7 @@
         }
         Action::WrongId => response("200 OK", "another", signed, "not yours"),
         Action::Unsigned => response("200 OK", id, "", "done"),
+        Action::Large(mib) => response("200 OK", id, signed, &"x".repeat(mib << 20)),
         Action::Truncate => {
             response("200 OK", id, signed, "done").replace("Length: 4", "Length: 9")
         }
--- a/crates/edge/src/fleet/mod.rs
+++ b/crates/edge/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 mod digests;
 mod in_flight;
 mod limits;
+mod memory;
 mod paces;
 mod placement;
 mod slots;
@@ -30,6 +31,7 @@
 use nutmegbay_policy::edge::prefixes::PrefixLocations;
 use nutmegbay_policy::edge::software_versions::VersionTag;
 use nutmegbay_policy::edge::upstream_limit::UpstreamLimit;
+use nutmegbay_policy::edge::upstream_memory::{HeldElsewhere, MemoryEstimate};
 use nutmegbay_policy::edge::urgency::Urgency;
 use slotmap::SlotMap;
 use tokio::sync::Notify;
@@ -43,6 +45,8 @@
 pub use accounts::ServiceReport;
 use costs::{INITIAL_MEAN_MS, ServiceCosts, costs_mut};
 pub use in_flight::{Demand, InFlightSend, PrefillWait};
+pub use memory::MemoryNews;
+use memory::UpstreamBodies;
 pub use placement::ModelRequest;
 pub use slots::SlotClaim;
 
@@ -76,6 +80,8 @@
     pace: EnginePace,
     /// Whether a statement about that time that cannot be used was logged.
     has_unusable_pace: bool,
+    /// Request bodies that it holds.
+    bodies: UpstreamBodies,
     /// Whether a refused connection has shown that the start in the entry has ended.
     has_ended: bool,
     /// Held by each open connection that is proved to lead to the start in the entry.
@@ -134,6 +140,14 @@
     other_instances: usize,
     /// Instances among which the limits of upstreams are divided.
     limit_owners: LimitOwners,
+    /// Hash of the name of this instance.
+    own_hash: u64,
+    /// Request bodies that other instances have sent.
+    held_elsewhere: HeldElsewhere,
+    /// Number of the last statement of this instance about bodies.
+    held_sequence: u32,
+    /// Memory of upstreams, by service.
+    memory: HashMap<Box<str>, MemoryEstimate>,
     /// Notices of upstreams that were removed.
     kept_notices: KeptNotices,
     /// Shares of the client accounts, by service. Empty unless accounts compete for room.
@@ -142,8 +156,6 @@
     reports_sent_at: Option<MonotonicTime>,
     /// Time of the last log line about an account that is beyond its part.
     part_logged_at: Option<MonotonicTime>,
-    /// Hash of this process's name.
-    own_hash: u64,
     /// Notified when this process's load has changed and a digest should be sent.
     pub load_changed: Rc<Notify>,
 }
@@ -166,11 +178,14 @@
             exchange: LoadExchange::default(),
             other_instances: 0,
             limit_owners: LimitOwners::new(member_hash(node)),
+            own_hash: member_hash(node),
+            held_elsewhere: HeldElsewhere::default(),
+            held_sequence: 0,
+            memory: HashMap::new(),
             kept_notices: KeptNotices::default(),
             account_shares: HashMap::new(),
             reports_sent_at: None,
             part_logged_at: None,
-            own_hash: member_hash(node),
             load_changed: Rc::default(),
         }
     }
@@ -227,6 +242,7 @@
             notices: self.kept_notices.take(id, report.started_ms),
             pace: EnginePace::default(),
             has_unusable_pace: false,
+            bodies: UpstreamBodies::default(),
             has_ended: false,
             proof: Rc::default(),
             idle: IdleConnections::new(MAX_IDLE_CONNECTIONS),
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -5,13 +5,16 @@
 use bytes::{Bytes, BytesMut};
 use http::header::CONTENT_LENGTH;
 use http::{HeaderMap, Request};
-use http_body_util::{BodyExt, Limited};
 use nutmegbay_core::verdict::Verdict;
 use nutmegbay_policy::UpstreamKey;
 use nutmegbay_policy::edge::health::Outcome;
 use tokio::time::timeout;
 
-use super::{CONNECTION_HEADERS, CRASHES_UPSTREAMS, Forwarder, upstream_id, upstream_outcome};
+use super::upload::await_result;
+use super::{
+    CONNECTION_HEADERS, CRASHES_UPSTREAMS, Forwarder, UPSTREAM_MEMORY, upstream_id,
+    upstream_outcome,
+};
 use crate::crashes;
 use crate::fleet::{Demand, InFlightSend};
 use crate::http1::{BodyDelimiter, CallError, Cause, Connection};
@@ -29,10 +32,6 @@
 /// Cause of a send that received the response to another request.
 const FOREIGN_RESPONSE: &str = "answer_of_another_request";
 
-/// Multiple of the route's objective for which the expected response is awaited behind a foreign
-/// one. An upstream that sends wrong responses must not block the caller until its deadline.
-const FOREIGN_RESPONSE_OBJECTIVES: u32 = 3;
-
 /// Outcome of a send.
 #[allow(
     clippy::large_enum_variant,
@@ -96,10 +95,9 @@
         stage: Stage<'_>,
         max_wait: Duration,
     ) -> SendOutcome {
-        let monitor = &self.state.delay_monitor;
-        let time_left = self.request.time_left(self.state.now());
+        let (edge, request) = (self.state, self.request);
         let response = self.send_and_read(at, cost_ms, stage);
-        match monitor.timeout_within(max_wait, time_left, response).await {
+        match await_result(edge, request, max_wait, response).await {
             Ok(send) => send,
             Err(_) => SendOutcome::NoResponse(self.record_unresponsive(at)),
         }
@@ -299,8 +297,12 @@
             return Err(CRASHES_UPSTREAMS);
         }
         self.check_version(at)?;
+        let now = self.state.now();
         let mut fleet = self.state.fleet.borrow_mut();
-        fleet.try_send(at, self.state.now())?;
+        if !fleet.has_room_for(at, self.request.body.len(), now) {
+            return Err(UPSTREAM_MEMORY);
+        }
+        fleet.try_send(at, now)?;
         if stage != Stage::Prefill {
             crashes::record_sent(self.state, self.request);
         }
@@ -328,7 +330,13 @@
             is_long: stage != Stage::Prefill && self.request.is_long(),
             needs_prefill: !matches!(stage, Stage::Decode { .. }),
         };
-        let mut in_flight_send = InFlightSend::new(&self.state.fleet, at, demand, self.state.now());
+        let mut in_flight_send = InFlightSend::new(
+            &self.state.fleet,
+            at,
+            demand,
+            self.request.body.len(),
+            self.state.now(),
+        );
         let req = self.build_request(&id, stage, after);
         let counts = stage != Stage::Prefill;
         let (connection, response) = match self.deliver(at, req.clone(), counts).await {
@@ -354,24 +362,7 @@
                 return Err(lost);
             }
         }
-        // Results of a prefill and refusals are not signed.
-        let is_genuine = head.is_signed || stage == Stage::Prefill || head.is_not_run();
-        if head.limit_per_s.is_some() || is_genuine {
-            in_flight_send.record_limit(head.limit_per_s, self.state.now());
-        }
-        in_flight_send.record_notices(&head, self.state.now());
-        if let Some(load) = head.load {
-            let now = self.state.now();
-            if self.request.service.engine.is_some() {
-                in_flight_send.record_pace(load.pace, now);
-            }
-            in_flight_send.record_reported_load(load.running + load.waiting, now);
-        }
-        if let Some(outcome) = upstream_outcome(&head, stage)
-            && outcome == Outcome::Unreachable
-        {
-            in_flight_send.record_outcome(outcome, self.state.now());
-        }
+        self.record_head(&head, stage, &mut in_flight_send);
         let delimiter = BodyDelimiter::of(&response);
         self.request.progress.borrow_mut().delimiter = Some(delimiter);
         if head.is_not_run() {
@@ -419,46 +410,6 @@
         }
     }
 
-    fn head(&self, response: &UnreadResponse) -> ResponseHead {
-        let codec = &self.state.codec;
-        codec.decode_response_head(response.status(), response.headers())
-    }
-
-    /// Returns whether a response belongs to another request, or may do so: it names another one, or
-    /// none on a connection that has carried others.
-    fn is_foreign(&self, head: &ResponseHead, has_carried_others: bool) -> bool {
-        match head.id.as_deref() {
-            Some(id) => *id != *self.request.head.id,
-            None => has_carried_others,
-        }
-    }
-
-    /// Skips a response that was left over from an earlier request on the same connection. Returns
-    /// the next response, which belongs to `req`.
-    async fn skip_foreign_response(
-        &self,
-        connection: Connection,
-        foreign: UnreadResponse,
-        req: OutboundRequest,
-    ) -> Option<(Connection, UnreadResponse)> {
-        if !connection.is_reused() {
-            return None;
-        }
-        let next = async {
-            let body = Limited::new(foreign.into_body(), MAX_BUFFERED_BODY);
-            body.collect().await.ok()?;
-            connection.next_response(req).await.ok()
-        };
-        let limit = self.request.route.objective * FOREIGN_RESPONSE_OBJECTIVES;
-        let next = timeout(limit, next).await.ok().flatten();
-        tracing::info!(
-            event = "foreign_answer_skipped",
-            id = %self.request.head.id,
-            has_own = next.is_some(),
-        );
-        next
-    }
-
     /// Sends the request on an idle connection or a new one. Repeats the send only if the request
     /// was certainly not written. `counts` states whether the request may run, and so counts toward
     /// the quota of its account.
@@ -486,7 +437,12 @@
                 Some(connection) => connection,
                 None => {
                     increment(&self.state.metrics.connections_opened);
-                    let opened = Connection::open(addr, &self.state.delay_monitor).await;
+                    let monitor = &self.state.delay_monitor;
+                    let opened = if self.state.settings().has_competing_accounts {
+                        Connection::open_small(addr, monitor).await
+                    } else {
+                        Connection::open(addr, monitor).await
+                    };
                     opened.inspect_err(|error| {
                         crashes::record_connect_error(self.state, at, error);
                     })?
@@ -502,7 +458,7 @@
                 connection = self.spend_quota(at, connection).await?;
             }
             self.sends += 1;
-            self.request.progress.borrow_mut().sends += 1;
+            self.request.progress.borrow_mut().record_send(&connection);
             {
                 let mut fleet = self.state.fleet.borrow_mut();
                 fleet.record_sent_bytes(self.request.body.len(), self.state.now());
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -3,10 +3,12 @@
 mod admit;
 mod attempt;
 mod continuation;
+mod head;
 mod prefill;
 mod quota;
 mod request;
 mod start;
+mod upload;
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -56,6 +58,9 @@
 /// Cause of a request that is refused because its content crashes upstreams.
 const CRASHES_UPSTREAMS: &str = "crashes_upstreams";
 
+/// Cause of a request that is not sent because the upstream would hold too much.
+const UPSTREAM_MEMORY: &str = "upstream_memory";
+
 /// Cause of a failure in place of a response whose status promises that the request did not run,
 /// which its upstream does not state.
 const UNPROVED_REFUSAL: &str = "unproved_refusal";
@@ -272,7 +277,8 @@
         let now = self.state.now();
         let fleet = self.state.fleet.borrow();
         let service = &self.request.service;
-        let avoided = self.avoided(&fleet, now);
+        let mut avoided = self.avoided(&fleet, now).into_owned();
+        avoided.extend(fleet.full_upstreams(&service.name, self.request.body.len(), now));
         match (&service.engine, &self.request.head.work) {
             (Some(engine), Some(work)) => {
                 let req = ModelRequest {
@@ -288,7 +294,7 @@
                 fleet.place_model(&req, self.state.process_count(), now)
             }
             _ => {
-                let (at, wait_ms) = fleet.place_plain(service, &self.tried, self.version(), now)?;
+                let (at, wait_ms) = fleet.place_plain(service, &avoided, self.version(), now)?;
                 let cost_ms = fleet.mean_ms(&service.name);
                 Some(Placement::Whole {
                     at,
--- a/crates/edge/src/http1.rs
+++ b/crates/edge/src/http1.rs
@@ -60,6 +60,10 @@
 /// store.
 const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
 
+/// Size of the read buffer of a connection whose responses may wait for slow callers, in bytes. The
+/// default of `hyper` is about 400 KiB, which 300 unread responses multiply to 120 MB.
+const SMALL_READ_BYTES: usize = 64 * 1024;
+
 /// Maximum number of idle connections that a [`BufferedClient`] keeps.
 const MAX_IDLE_CONNECTIONS: usize = 4;
 
@@ -137,6 +141,8 @@
     refused: Option<u64>,
     /// Proof that the connection leads to the start of the upstream that is listed.
     start_proof: Option<Rc<()>>,
+    /// Number of bytes written.
+    written: Rc<Cell<u64>>,
 }
 
 /// Task that moves the bytes of a connection; it is aborted on drop. Once no more requests are
@@ -167,6 +173,22 @@
     /// Opens a connection within [`CONNECT_TIMEOUT`], or longer while this process is late. `monitor`
     /// counts the bytes that it receives.
     pub async fn open(addr: SocketAddr, monitor: &DelayMonitor) -> Result<Self, CallError> {
+        Self::open_with(addr, monitor, Builder::new()).await
+    }
+
+    /// Opens a connection as [`Self::open`] does, which reads at most [`SMALL_READ_BYTES`] of a
+    /// response before they are asked for.
+    pub async fn open_small(addr: SocketAddr, monitor: &DelayMonitor) -> Result<Self, CallError> {
+        let mut builder = Builder::new();
+        builder.max_buf_size(SMALL_READ_BYTES);
+        Self::open_with(addr, monitor, builder).await
+    }
+
+    async fn open_with(
+        addr: SocketAddr,
+        monitor: &DelayMonitor,
+        mut builder: Builder,
+    ) -> Result<Self, CallError> {
         let failed = |cause| CallError {
             verdict: Verdict::NotRun,
             cause,
@@ -177,9 +199,11 @@
             Ok(Err(_)) => return Err(failed(Cause::Connect)),
             Err(_) => return Err(failed(Cause::Timeout)),
         };
-        let (sender, connection) = Builder::new()
+        let io = CountedIo::new(io, monitor);
+        let written = io.written();
+        let (sender, connection) = builder
             .max_headers(MAX_HEADERS)
-            .handshake(TokioIo::new(CountedIo::new(io, monitor)))
+            .handshake(TokioIo::new(io))
             .await
             .map_err(|_| failed(Cause::Connect))?;
         let driver = tokio::task::spawn_local(async move {
@@ -194,6 +218,7 @@
             sends: 0,
             refused: None,
             start_proof: None,
+            written,
         })
     }
 
@@ -248,11 +273,17 @@
             sends: 0,
             refused: None,
             start_proof: None,
+            written: Rc::default(),
         };
         let response = connection.send(req).await?;
         Ok((connection, response))
     }
 
+    /// Returns the number of bytes written, which goes on counting.
+    pub fn written(&self) -> Rc<Cell<u64>> {
+        Rc::clone(&self.written)
+    }
+
     /// Marks the connection as idle from now on. `keep_alive` is the idle time that the other end
     /// stated.
     pub fn mark_idle(&mut self, keep_alive: Option<Duration>) {
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -23,6 +23,7 @@
 use tokio::time::timeout;
 
 use crate::body::{self, HeldBody, NO_MEMORY};
+use crate::caller::{Caller, CallerIo};
 use crate::clock::millis;
 use crate::forward::{
     Failure, InFlightGuard, RequestProgress, RoutedRequest, serve, unknown_service,
@@ -31,6 +32,7 @@
 use crate::model::{CallerLimits, RequestHead};
 use crate::own_delay::CountedIo;
 use crate::platform_api::{WireCodec, origin_form};
+use crate::read_ahead::CallerBody;
 use crate::routes::RouteError;
 use crate::state::EdgeState;
 use crate::stopping::{PlannedStop, STOPPING};
@@ -129,13 +131,16 @@
     enable_dead_peer_detection(&io);
     let limits = ConnectionLimits::new(&state.caller_limits());
     let has_brought_any = Cell::new(false);
+    let caller = Caller::open(&state, state.caller_limits().idle_time);
     let service = service_fn(|req| {
         has_brought_any.set(true);
-        respond(Rc::clone(&state), req, limits)
+        let res = respond(Rc::clone(&state), req, limits);
+        let caller = caller.clone();
+        async { Ok::<_, Infallible>(res.await.map(|body| CallerBody::new(body, caller))) }
     });
     // `hyper` counts the time for a head from the end of the previous request, so this timeout
     // bounds the idle time too.
-    let io = CountedIo::new(io, &state.delay_monitor);
+    let io = CallerIo::new(CountedIo::new(io, &state.delay_monitor), caller.clone());
     let served = Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.head_timeout)
@@ -146,6 +151,7 @@
     let mut served = std::pin::pin!(served);
     let result = tokio::select! {
         biased;
+        () = Caller::given_up(caller.as_deref()) => return,
         result = &mut served => result,
         () = state.close_idle.cancelled() => {
             let wait = if has_brought_any.get() { LAST_REQUEST_WAIT } else { FIRST_REQUEST_WAIT };
@@ -153,7 +159,10 @@
                 Ok(result) => result,
                 Err(_) => {
                     served.as_mut().graceful_shutdown();
-                    served.await
+                    tokio::select! {
+                        () = Caller::given_up(caller.as_deref()) => return,
+                        result = served => result,
+                    }
                 }
             }
         }
@@ -190,7 +199,7 @@
     state: Rc<EdgeState<D>>,
     req: Request<Incoming>,
     limits: ConnectionLimits,
-) -> Result<Response<impl Body<Data = Bytes, Error = ResponseBodyError> + use<D>>, Infallible> {
+) -> Response<impl Body<Data = Bytes, Error = ResponseBodyError> + use<D>> {
     let arrived = state.now();
     let in_flight = InFlightGuard::new(&state.in_flight);
     let mut res = match route_request(&state, req, arrived, in_flight).await {
@@ -217,7 +226,7 @@
         res.headers_mut()
             .insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    Ok(res.map(unify_body))
+    res.map(unify_body)
 }
 
 /// Forwards a request and returns the response, unless it cannot be finished before the process
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -11,6 +11,7 @@
 )]
 
 mod body;
+mod caller;
 pub mod cli;
 mod clock;
 mod crashes;
@@ -30,6 +31,7 @@
 mod peers;
 pub mod platform_api;
 mod quota;
+mod read_ahead;
 pub mod reload;
 mod routes;
 mod run;
--- a/crates/edge/src/peers/serve.rs
+++ b/crates/edge/src/peers/serve.rs
@@ -148,7 +148,7 @@
 }
 
 /// Returns the names and values of the gauges.
-fn gauges<D: WireCodec>(state: &EdgeState<D>) -> [(&'static str, u64); 16] {
+fn gauges<D: WireCodec>(state: &EdgeState<D>) -> [(&'static str, u64); 20] {
     let now = state.now();
     let measured = state.delay_monitor.measure();
     let known_records = state.known_records.borrow();
@@ -179,6 +179,10 @@
         ("engines_with_pace", paced as u64),
         ("engine_pace_fastest_percent", fastest as u64),
         ("engine_pace_slowest_percent", slowest as u64),
+        ("held_body_bytes", state.bodies.borrow().used()),
+        ("held_response_bytes", state.callers.held.borrow().total()),
+        ("callers_cut_total", state.callers.cut.get()),
+        ("responses_read_ahead_total", state.callers.read_ahead.get()),
     ]
 }
 
