Spread requests over engines by the age of the load figures

Change: a request that is placed where the engines' load is uncertain counts the work that other instances have probably sent since (unseen_ms), and one of the engines that the age of the figures makes equal is drawn.

--- a/crates/edge/src/fleet/costs.rs
+++ b/crates/edge/src/fleet/costs.rs
@@ -1,5 +1,6 @@
 //! Costs of a service's requests, learned from responses.
 
+use std::cell::Cell;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -22,6 +23,12 @@
 /// Weight of one request in the mean engine time of a model service.
 const REQUEST_TIME_WEIGHT: f64 = 0.05;
 
+/// Weight of one first result in the mean time until it.
+const TURNOVER_WEIGHT: f64 = 0.05;
+
+/// Weight of one request in the fraction of those of which no engine holds the shared blocks.
+const UNHELD_WEIGHT: f64 = 0.02;
+
 /// Weight of one response in the mean time of a plain service.
 const PLAIN_TIME_WEIGHT: f64 = 0.02;
 
@@ -33,6 +40,14 @@
     pub mean_ms: f64,
     /// Mean engine time of a request that needs a prefill, in milliseconds.
     pub request_ms: f64,
+    /// Mean time from the send of a request that needs a prefill to its first result, in
+    /// milliseconds. Long streams are not included.
+    pub turnover_ms: f64,
+    /// Fraction of the requests of which no engine is expected to hold the shared blocks.
+    pub unheld_fraction: Cell<f64>,
+    /// Whether the engines state that they share their machines, so that the time of the same work
+    /// differs between them.
+    pub has_uneven_engines: bool,
     /// Admitted requests that wait for a prefill.
     pub pending_work: PendingWork,
     /// Average number of this process's long streams, as of `long_streams_at`.
@@ -52,6 +67,9 @@
             prefill_rate: PrefillRate::new(),
             mean_ms: INITIAL_MEAN_MS,
             request_ms: INITIAL_MEAN_MS,
+            turnover_ms: INITIAL_MEAN_MS,
+            unheld_fraction: Cell::new(1.0),
+            has_uneven_engines: false,
             pending_work: PendingWork::default(),
             long_streams: 0.0,
             long_streams_at: MonotonicTime::default(),
@@ -79,6 +97,20 @@
             .record_admitted(demand.urgency, demand.cost_ms);
     }
 
+    /// Records a request that is placed, of whose shared blocks the best engine is expected to hold
+    /// the fraction `held`, 0 to 1.
+    pub fn record_held(&self, held: f64) {
+        let before = self.unheld_fraction.get();
+        self.unheld_fraction
+            .set(before + UNHELD_WEIGHT * (1.0 - held - before));
+    }
+
+    /// Records the time from the send of a request that needs a prefill to its first result, in
+    /// milliseconds.
+    pub fn record_turnover(&mut self, ms: f64) {
+        self.turnover_ms += TURNOVER_WEIGHT * (ms - self.turnover_ms);
+    }
+
     /// Records the duration of a plain request, in milliseconds.
     pub fn record_plain_request(&mut self, ms: f64) {
         self.mean_ms += PLAIN_TIME_WEIGHT * (ms - self.mean_ms);
--- a/crates/edge/src/fleet/in_flight.rs
+++ b/crates/edge/src/fleet/in_flight.rs
@@ -161,14 +161,20 @@
 
     /// Records the first result.
     pub fn record_first_result(&mut self, now: MonotonicTime) {
-        if !self.has_begun
-            && let Some(upstream) = self.fleet.borrow_mut().upstreams.get_mut(self.key)
-        {
+        if !self.has_begun {
             let actual_ms = now.since(self.sent_at).as_secs_f64() * 1e3;
             let urgency = self.demand.urgency;
-            upstream
-                .load
-                .record_observation(urgency, now, self.predicted_ms, actual_ms);
+            let Fleet {
+                upstreams, costs, ..
+            } = &mut *self.fleet.borrow_mut();
+            if let Some(upstream) = upstreams.get_mut(self.key) {
+                upstream
+                    .load
+                    .record_observation(urgency, now, self.predicted_ms, actual_ms);
+                if self.demand.needs_prefill && !self.demand.is_long {
+                    costs_mut(costs, &upstream.report.service).record_turnover(actual_ms);
+                }
+            }
         }
         self.result_at.get_or_insert(now);
         self.leave_queue();
--- a/crates/edge/src/fleet/mod.rs
+++ b/crates/edge/src/fleet/mod.rs
@@ -383,12 +383,18 @@
         // Instances without a digest are assumed to have as much work as those with one.
         let scale = self.other_instances.max(known) as f64 / known as f64;
         let work = self.exchange.work(upstream.tag());
-        let pending_ms: f64 = work.pending_ms.ahead_of(urgency).map(f64::from).sum();
-        let pending_ms = pending_ms * scale;
+        let pending_ms = self.others_pending_ms(upstream, urgency) * scale;
         let requests = f64::from(work.requests) * scale;
         upstream.load.ahead_of(urgency, now, pending_ms, requests)
     }
 
+    /// Returns the engine time of reporting instances' requests that an upstream serves before a new
+    /// one, in milliseconds.
+    fn others_pending_ms(&self, upstream: &Upstream, urgency: Urgency) -> f64 {
+        let work = self.exchange.work(upstream.tag());
+        work.pending_ms.ahead_of(urgency).map(f64::from).sum()
+    }
+
     /// Returns the estimated number of requests at an upstream of a plain service.
     fn requests_ahead(&self, upstream: &Upstream, now: MonotonicTime) -> f64 {
         let typical_requests = self.typical_requests(upstream);
--- a/crates/edge/src/fleet/placement.rs
+++ b/crates/edge/src/fleet/placement.rs
@@ -5,9 +5,11 @@
 use nutmegbay_core::environment::MonotonicTime;
 use nutmegbay_policy::UpstreamKey;
 use nutmegbay_policy::edge::engine_view::EngineSpeed;
+use nutmegbay_policy::edge::even_load::{Spread, replaced_fraction, unseen_ms};
+use nutmegbay_policy::edge::exchange::spacing;
 use nutmegbay_policy::edge::placement::{
-    CostEstimates, Engine, EnginePhase, Placement, PlacementRequest, PlainUpstream, place,
-    place_plain, stream_host_count,
+    CostEstimates, Engine, EnginePhase, Placement, PlacementRequest, PlainUpstream, known_work,
+    place, place_evenly, place_plain, stream_host_count,
 };
 use nutmegbay_policy::edge::prefixes::{EvidenceSource, rendezvous_weight, top_two_ranks};
 use nutmegbay_policy::edge::software_versions::VersionTag;
@@ -98,7 +100,7 @@
             Some(_) => EvidenceSource::Shared,
             None => EvidenceSource::Own,
         };
-        let engines: Vec<_> = candidates
+        let mut engines: Vec<_> = candidates
             .iter()
             .zip(ranked)
             .map(|(key, rank)| Engine {
@@ -110,7 +112,90 @@
                 ..self.view(*key, placement_request, urgency, now)
             })
             .collect();
-        place(&engines, placement_request, estimates)
+        if !self.has_uneven_engines(&service.name) {
+            return place(&engines, placement_request, estimates);
+        }
+        let replaced = self.replaced_fraction(&service.name, now);
+        let unheld = self.record_held(&service.name, &engines);
+        if !placement_request.is_long {
+            self.set_unseen(
+                &mut engines,
+                placement_request,
+                urgency,
+                replaced * unheld,
+                estimates,
+            );
+        }
+        let spread = Spread {
+            replaced,
+            draw: rand::random(),
+        };
+        place_evenly(&engines, placement_request, estimates, spread)
+    }
+
+    /// Returns whether requests of a service are spread evenly by figures with an age. Engines that
+    /// share their machines differ in speed and change it, so that a shared order of engines would
+    /// overrun some of them.
+    fn has_uneven_engines(&self, service: &str) -> bool {
+        let costs = self.costs.get(service);
+        costs.is_some_and(|costs| costs.has_uneven_engines)
+    }
+
+    /// Returns the fraction of the service's requests without a first result that have been
+    /// replaced since the known figures were taken. 1 without digests of other instances: what
+    /// responses report is older than a request waits.
+    fn replaced_fraction(&self, service: &str, now: MonotonicTime) -> f64 {
+        if self.other_instances == 0 {
+            return 0.0;
+        }
+        let spacing = spacing(self.other_instances + 1);
+        let turnover = self
+            .costs
+            .get(service)
+            .and_then(|costs| Duration::try_from_secs_f64(costs.turnover_ms / 1e3).ok());
+        match self.exchange.known_age(spacing, now).zip(turnover) {
+            Some((age, turnover)) if self.reporting_instances().is_some() => {
+                replaced_fraction(age, turnover)
+            }
+            _ => 1.0,
+        }
+    }
+
+    /// Records what the engines hold of a request's shared blocks. Returns the fraction of requests
+    /// of which none holds them: these go where the load is least, the others to their holder.
+    fn record_held(&self, service: &str, engines: &[Engine]) -> f64 {
+        let Some(costs) = self.costs.get(service) else {
+            return 1.0;
+        };
+        let held = engines
+            .iter()
+            .map(|engine| engine.cached_fraction)
+            .fold(0.0, f64::max);
+        costs.record_held(held);
+        costs.unheld_fraction.get()
+    }
+
+    /// Sets the work that other instances have probably sent to each engine. Without digests of
+    /// other instances there is none: the typical load stands for it.
+    fn set_unseen(
+        &self,
+        engines: &mut [Engine],
+        request: PlacementRequest,
+        urgency: Urgency,
+        replaced: f64,
+        estimates: CostEstimates,
+    ) {
+        if self.reporting_instances().is_none() {
+            return;
+        }
+        let others_ms: Vec<_> = engines
+            .iter()
+            .map(|engine| self.others_pending_ms(&self.upstreams[engine.key], urgency))
+            .collect();
+        let known = known_work(engines, &others_ms, request, estimates);
+        for (engine, unseen_ms) in engines.iter_mut().zip(unseen_ms(&known, replaced)) {
+            engine.unseen_ms = unseen_ms;
+        }
     }
 
     /// Returns the state of the engine `key` for a request, without what depends on the other
--- a/crates/policy/src/edge/exchange.rs
+++ b/crates/policy/src/edge/exchange.rs
@@ -289,6 +289,25 @@
         self.all.instances
     }
 
+    /// Returns the mean age at `now` of the work of other instances, where digests to the same
+    /// instance are `spacing` apart. `None` if none is known. Each digest on the way of a figure
+    /// waits for half a spacing; how long it travels is not known and is left out.
+    pub fn known_age(&self, spacing: Duration, now: MonotonicTime) -> Option<Duration> {
+        let mut sum = Duration::ZERO;
+        let mut instances = 0;
+        for received in self.received.values() {
+            let digests = match received.scope {
+                Scope::Own => 1,
+                Scope::Group => 2,
+                Scope::Others => 3,
+            };
+            let age = now.since(received.at) + spacing * digests / 2;
+            sum += age * received.instances;
+            instances += received.instances;
+        }
+        (instances > 0).then(|| sum / instances)
+    }
+
     /// Returns the work of other instances at an upstream, given by its tag.
     pub fn work(&self, upstream: u32) -> UpstreamWork {
         let index = self.indexes.get(&upstream);
--- a/crates/policy/src/edge/mod.rs
+++ b/crates/policy/src/edge/mod.rs
@@ -8,6 +8,7 @@
 pub mod crashes;
 pub mod engine_view;
 pub mod entry_age;
+pub mod even_load;
 pub mod exchange;
 pub mod expiry_grace;
 pub mod health;
--- a/crates/policy/src/edge/placement.rs
+++ b/crates/policy/src/edge/placement.rs
@@ -11,6 +11,7 @@
 //! prefilled on the others.
 
 use super::engine_view::EngineSpeed;
+use super::even_load::{KnownWork, Scored, Spread};
 use super::software_versions::VersionTag;
 use crate::UpstreamKey;
 
@@ -212,122 +213,250 @@
     request: PlacementRequest,
     estimates: CostEstimates,
 ) -> Option<Placement> {
-    let weight = miss_weight(engines, estimates);
-    let whole = engines
-        .iter()
-        .filter(|engine| engine.phase == EnginePhase::Decode)
-        .map(|engine| {
-            let cost_ms = prefill_ms(engine, request, estimates);
-            let first_result_ms = estimates.send_ms
-                + estimates.fixed_ms
-                + cost_ms
-                + wait_ms(engine, estimates)
-                + penalty_ms(engine, request.domain)
-                + estimates.whole_lateness_ms;
-            let score_ms = first_result_ms
-                + limit_penalty_ms(engine, estimates)
-                + stream_penalty_ms(engine, request, estimates, cost_ms)
-                + miss_ms(engine, request, estimates) * weight;
-            (engine, cost_ms, first_result_ms, score_ms)
-        })
-        .min_by(|a, b| a.3.total_cmp(&b.3));
-    let (at, cost_ms, first_result_ms, score_ms) = whole?;
-    let whole = Placement::Whole {
-        at: at.key,
-        cost_ms,
-        first_result_ms,
-    };
-    let mut versions: Vec<_> = prefill_engines(engines)
-        .map(|engine| engine.version)
-        .collect();
-    versions.sort_unstable();
-    versions.dedup();
-    let split = versions
-        .into_iter()
-        .filter_map(|version| best_split(engines, version, request, estimates, weight))
-        .min_by(|a, b| a.1.total_cmp(&b.1));
-    match split {
-        Some((split, split_ms)) if split_ms < score_ms => Some(split),
-        _ => Some(whole),
-    }
+    Choice::new(engines, request, estimates, None).place()
 }
 
-fn prefill_engines(engines: &[Engine]) -> impl Iterator<Item = &Engine> {
-    let is_prefill = |engine: &&Engine| engine.phase == EnginePhase::Prefill;
-    engines.iter().filter(is_prefill)
+/// Like [`place`], for many instances that choose at the same moment on figures that are a little
+/// old: one of several engines that the age of the figures makes equal is drawn.
+pub fn place_evenly(
+    engines: &[Engine],
+    request: PlacementRequest,
+    estimates: CostEstimates,
+    spread: Spread,
+) -> Option<Placement> {
+    Choice::new(engines, request, estimates, Some(spread)).place()
 }
 
-/// Chooses the prefill engine with the lowest score among those of `version`, and a decode engine
-/// for it. Returns the placement and its score, in milliseconds.
-fn best_split(
+/// Returns the known work at each engine, in the order of `engines`. `others_ms` is the part of the
+/// work ahead that other instances have sent, in milliseconds.
+pub fn known_work(
     engines: &[Engine],
-    version: VersionTag,
+    others_ms: &[f64],
     request: PlacementRequest,
     estimates: CostEstimates,
-    weight: f64,
-) -> Option<(Placement, f64)> {
-    prefill_engines(engines)
-        .filter(|engine| engine.version == version)
-        .map(|engine| {
-            let cost_ms = prefill_ms(engine, request, estimates);
-            let prefilled_ms = estimates.send_ms
-                + estimates.resend_ms
-                + estimates.fixed_ms
-                + cost_ms
+) -> Vec<KnownWork> {
+    let requests = TypicalRequest::new(engines, estimates);
+    let weight = miss_weight(engines, estimates);
+    let known = |(engine, others_ms): (&Engine, &f64)| {
+        let unheld = Engine {
+            cached_fraction: 0.0,
+            ..*engine
+        };
+        let cost_ms = prefill_ms(&unheld, request, estimates);
+        let phase_ms = match engine.phase {
+            EnginePhase::Prefill => estimates.resend_ms + SPLIT_OVERHEAD_MS,
+            EnginePhase::Decode => stream_penalty_ms(engine, request, estimates, cost_ms),
+        };
+        KnownWork {
+            score_ms: cost_ms
+                + miss_ms(&unheld, request, estimates) * weight
                 + wait_ms(engine, estimates)
-                + penalty_ms(engine, request.domain)
-                + estimates.split_lateness_ms;
-            let score_ms = prefilled_ms
+                + engine.failure_rate * FAILURE_PENALTY_MS
                 + limit_penalty_ms(engine, estimates)
-                + miss_ms(engine, request, estimates) * weight;
-            (engine, cost_ms, prefilled_ms, score_ms)
-        })
-        .min_by(|a, b| a.3.total_cmp(&b.3))
-        .and_then(|(engine, cost_ms, prefilled_ms, score_ms)| {
-            let (split, split_ms) =
-                split(engines, request, estimates, (engine, cost_ms, prefilled_ms))?;
-            Some((split, split_ms + score_ms - prefilled_ms))
-        })
+                + phase_ms,
+            others_ms: others_ms.min(engine.backlog_ms),
+            request_ms: requests.ms(engine, estimates),
+        }
+    };
+    engines.iter().zip(others_ms).map(known).collect()
 }
 
-/// Adds the decode engine of the same version with the lowest score to a prefill engine, which is
-/// given with the time of the prefill and the time until it is complete. Returns the placement and
-/// its score, in milliseconds.
-fn split(
-    engines: &[Engine],
+/// Time of a request of mean cost at each engine.
+#[derive(Debug, Clone, Copy)]
+struct TypicalRequest {
+    /// Mean time in which the engines prefill a token, in milliseconds.
+    mean_token_ms: f64,
+}
+
+impl TypicalRequest {
+    fn new(engines: &[Engine], estimates: CostEstimates) -> Self {
+        let sum: f64 = engines
+            .iter()
+            .map(|engine| token_ms(engine, estimates))
+            .sum();
+        Self {
+            mean_token_ms: (sum / engines.len().max(1) as f64).max(f64::MIN_POSITIVE),
+        }
+    }
+
+    fn ms(self, engine: &Engine, estimates: CostEstimates) -> f64 {
+        estimates.request_ms * token_ms(engine, estimates) / self.mean_token_ms
+    }
+}
+
+/// Choice of the engines of one request.
+struct Choice<'a> {
+    engines: &'a [Engine],
     request: PlacementRequest,
     estimates: CostEstimates,
-    (prefill, cost_ms, prefilled_ms): (&Engine, f64, f64),
-) -> Option<(Placement, f64)> {
-    let tokens = f64::from(request.shared_tokens + request.suffix_tokens);
-    engines
-        .iter()
-        .filter(|engine| engine.phase == EnginePhase::Decode && engine.version == prefill.version)
-        .map(|engine| {
-            let factor = if engine.domain == prefill.domain {
-                1.0
-            } else {
-                OTHER_DOMAIN_TRANSFER_FACTOR
-            };
-            let transfer_ms = tokens * estimates.transfer_token_ms * factor;
-            let start_ms =
-                transfer_ms + slot_wait_ms(engine, estimates) + penalty_ms(engine, request.domain);
-            let slowed_ms = engine.backlog_ms * BACKLOG_DELAY_FRACTION
-                + limit_penalty_ms(engine, estimates)
-                + stream_penalty_ms(engine, request, estimates, 0.0);
-            (engine, transfer_ms, start_ms, start_ms + slowed_ms)
-        })
-        .min_by(|a, b| a.3.total_cmp(&b.3))
-        .map(|(decode, transfer_ms, start_ms, score_ms)| {
-            let split = Placement::Split {
-                prefill: prefill.key,
-                decode: decode.key,
-                cost_ms,
-                transfer_ms,
-                first_result_ms: prefilled_ms + start_ms + SPLIT_OVERHEAD_MS,
-            };
-            (split, prefilled_ms + score_ms + SPLIT_OVERHEAD_MS)
-        })
+    /// How nearly equal engines are chosen, or `None` if the load of each engine is certain.
+    spread: Option<Spread>,
+    /// Weight of a cache miss.
+    miss_weight: f64,
+    requests: TypicalRequest,
+}
+
+impl<'a> Choice<'a> {
+    fn new(
+        engines: &'a [Engine],
+        request: PlacementRequest,
+        estimates: CostEstimates,
+        spread: Option<Spread>,
+    ) -> Self {
+        Self {
+            engines,
+            request,
+            estimates,
+            spread,
+            miss_weight: miss_weight(engines, estimates),
+            requests: TypicalRequest::new(engines, estimates),
+        }
+    }
+
+    fn place(&self) -> Option<Placement> {
+        let Self {
+            engines,
+            request,
+            estimates,
+            ..
+        } = *self;
+        let candidates = engines
+            .iter()
+            .filter(|engine| engine.phase == EnginePhase::Decode)
+            .map(|engine| {
+                let cost_ms = prefill_ms(engine, request, estimates);
+                let first_result_ms = estimates.send_ms
+                    + estimates.fixed_ms
+                    + cost_ms
+                    + wait_ms(engine, estimates)
+                    + penalty_ms(engine, request.domain)
+                    + estimates.whole_lateness_ms;
+                let score_ms = first_result_ms
+                    + limit_penalty_ms(engine, estimates)
+                    + stream_penalty_ms(engine, request, estimates, cost_ms)
+                    + miss_ms(engine, request, estimates) * self.miss_weight;
+                (engine, (cost_ms, first_result_ms), score_ms)
+            });
+        let (at, (cost_ms, first_result_ms), score_ms) = self.choose(candidates)?;
+        let whole = Placement::Whole {
+            at: at.key,
+            cost_ms,
+            first_result_ms,
+        };
+        let mut versions: Vec<_> = prefill_engines(engines)
+            .map(|engine| engine.version)
+            .collect();
+        versions.sort_unstable();
+        versions.dedup();
+        let split = versions
+            .into_iter()
+            .filter_map(|version| self.best_split(version))
+            .min_by(|a, b| a.1.total_cmp(&b.1));
+        match split {
+            Some((split, split_ms)) if split_ms < score_ms => Some(split),
+            _ => Some(whole),
+        }
+    }
+
+    /// Chooses the prefill engine with the lowest score among those of `version`, and a decode
+    /// engine for it. Returns the placement and its score, in milliseconds.
+    fn best_split(&self, version: VersionTag) -> Option<(Placement, f64)> {
+        let Self {
+            request, estimates, ..
+        } = *self;
+        let candidates = prefill_engines(self.engines)
+            .filter(|engine| engine.version == version)
+            .map(|engine| {
+                let cost_ms = prefill_ms(engine, request, estimates);
+                let prefilled_ms = estimates.send_ms
+                    + estimates.resend_ms
+                    + estimates.fixed_ms
+                    + cost_ms
+                    + wait_ms(engine, estimates)
+                    + penalty_ms(engine, request.domain)
+                    + estimates.split_lateness_ms;
+                let score_ms = prefilled_ms
+                    + limit_penalty_ms(engine, estimates)
+                    + miss_ms(engine, request, estimates) * self.miss_weight;
+                (engine, (cost_ms, prefilled_ms), score_ms)
+            });
+        let (engine, (cost_ms, prefilled_ms), score_ms) = self.choose(candidates)?;
+        let (split, split_ms) = self.split((engine, cost_ms, prefilled_ms))?;
+        Some((split, split_ms + score_ms - prefilled_ms))
+    }
+
+    /// Adds the decode engine of the same version with the lowest score to a prefill engine, which
+    /// is given with the time of the prefill and the time until it is complete. Returns the
+    /// placement and its score, in milliseconds.
+    fn split(
+        &self,
+        (prefill, cost_ms, prefilled_ms): (&Engine, f64, f64),
+    ) -> Option<(Placement, f64)> {
+        let Self {
+            engines,
+            request,
+            estimates,
+            ..
+        } = *self;
+        let tokens = f64::from(request.shared_tokens + request.suffix_tokens);
+        let candidates = engines
+            .iter()
+            .filter(|engine| {
+                engine.phase == EnginePhase::Decode && engine.version == prefill.version
+            })
+            .map(|engine| {
+                let factor = if engine.domain == prefill.domain {
+                    1.0
+                } else {
+                    OTHER_DOMAIN_TRANSFER_FACTOR
+                };
+                let transfer_ms = tokens * estimates.transfer_token_ms * factor;
+                let start_ms = transfer_ms
+                    + slot_wait_ms(engine, estimates)
+                    + penalty_ms(engine, request.domain);
+                let slowed_ms = engine.backlog_ms * BACKLOG_DELAY_FRACTION
+                    + limit_penalty_ms(engine, estimates)
+                    + stream_penalty_ms(engine, request, estimates, 0.0);
+                (engine, (transfer_ms, start_ms), start_ms + slowed_ms)
+            });
+        let (decode, (transfer_ms, start_ms), score_ms) = self.choose(candidates)?;
+        let split = Placement::Split {
+            prefill: prefill.key,
+            decode: decode.key,
+            cost_ms,
+            transfer_ms,
+            first_result_ms: prefilled_ms + start_ms + SPLIT_OVERHEAD_MS,
+        };
+        Some((split, prefilled_ms + score_ms + SPLIT_OVERHEAD_MS))
+    }
+
+    /// Chooses among engines with their scores, in milliseconds. Long streams are consolidated, so
+    /// they go to the engine with the lowest score.
+    fn choose<T>(
+        &self,
+        candidates: impl Iterator<Item = (&'a Engine, T, f64)>,
+    ) -> Option<(&'a Engine, T, f64)> {
+        let spread = match self.spread {
+            Some(spread) if !self.request.is_long => spread,
+            _ => Spread::default(),
+        };
+        let scored = candidates.map(|(engine, times, score_ms)| Scored {
+            item: (engine, times),
+            score_ms,
+            request_ms: self.requests.ms(engine, self.estimates),
+        });
+        let Scored {
+            item: (engine, times),
+            score_ms,
+            ..
+        } = spread.choose(scored)?;
+        Some((engine, times, score_ms))
+    }
+}
+
+fn prefill_engines(engines: &[Engine]) -> impl Iterator<Item = &Engine> {
+    let is_prefill = |engine: &&Engine| engine.phase == EnginePhase::Prefill;
+    engines.iter().filter(is_prefill)
 }
 
 /// Time in which `engine` prefills the tokens of the prompt that are not in its cache.
@@ -362,7 +491,7 @@
 }
 
 fn wait_ms(engine: &Engine, estimates: CostEstimates) -> f64 {
-    engine.backlog_ms + engine.unseen_ms + slot_wait_ms(engine, estimates)
+    (engine.backlog_ms + engine.unseen_ms).max(0.0) + slot_wait_ms(engine, estimates)
 }
 
 fn slot_wait_ms(engine: &Engine, estimates: CostEstimates) -> f64 {
