Log the age of the load figures and learn the turnover from its first result

Cause: an operator could not see with which figures a request was placed.

Change: request lines carry load_age_ms where requests are spread by it; the mean time to the first result is unknown until the first one, and figures count as fresh meanwhile.

--- a/crates/edge/src/fleet/costs.rs
+++ b/crates/edge/src/fleet/costs.rs
@@ -41,8 +41,8 @@
     /// Mean engine time of a request that needs a prefill, in milliseconds.
     pub request_ms: f64,
     /// Mean time from the send of a request that needs a prefill to its first result, in
-    /// milliseconds. Long streams are not included.
-    pub turnover_ms: f64,
+    /// milliseconds. Long streams are not included. `None` before the first one.
+    pub turnover_ms: Option<f64>,
     /// Fraction of the requests of which no engine is expected to hold the shared blocks.
     pub unheld_fraction: Cell<f64>,
     /// Whether the engines state that they share their machines, so that the time of the same work
@@ -67,7 +67,7 @@
             prefill_rate: PrefillRate::new(),
             mean_ms: INITIAL_MEAN_MS,
             request_ms: INITIAL_MEAN_MS,
-            turnover_ms: INITIAL_MEAN_MS,
+            turnover_ms: None,
             unheld_fraction: Cell::new(1.0),
             has_uneven_engines: false,
             pending_work: PendingWork::default(),
@@ -108,7 +108,8 @@
     /// Records the time from the send of a request that needs a prefill to its first result, in
     /// milliseconds.
     pub fn record_turnover(&mut self, ms: f64) {
-        self.turnover_ms += TURNOVER_WEIGHT * (ms - self.turnover_ms);
+        let before = self.turnover_ms.unwrap_or(ms);
+        self.turnover_ms = Some(before + TURNOVER_WEIGHT * (ms - before));
     }
 
     /// Records the duration of a plain request, in milliseconds.
--- a/crates/edge/src/fleet/placement.rs
+++ b/crates/edge/src/fleet/placement.rs
@@ -141,23 +141,29 @@
         costs.is_some_and(|costs| costs.has_uneven_engines)
     }
 
-    /// Returns the fraction of the service's requests without a first result that have been
-    /// replaced since the known figures were taken. 1 without digests of other instances: what
-    /// responses report is older than a request waits.
-    fn replaced_fraction(&self, service: &str, now: MonotonicTime) -> f64 {
-        if self.other_instances == 0 {
-            return 0.0;
+    /// Returns the age of what is known of other instances' requests to a service, if requests are
+    /// spread evenly by it. `None` without digests of other instances.
+    pub fn load_age(&self, service: &str, now: MonotonicTime) -> Option<Duration> {
+        if !self.has_uneven_engines(service) {
+            return None;
         }
+        self.reporting_instances()?;
         let spacing = spacing(self.other_instances + 1);
+        self.exchange.known_age(spacing, now)
+    }
+
+    /// Returns the fraction of the service's requests without a first result that have been
+    /// replaced since the known figures were taken. 0 before the first result, and 1 without digests
+    /// of other instances: what responses report is older than a request waits.
+    fn replaced_fraction(&self, service: &str, now: MonotonicTime) -> f64 {
         let turnover = self
             .costs
             .get(service)
-            .and_then(|costs| Duration::try_from_secs_f64(costs.turnover_ms / 1e3).ok());
-        match self.exchange.known_age(spacing, now).zip(turnover) {
-            Some((age, turnover)) if self.reporting_instances().is_some() => {
-                replaced_fraction(age, turnover)
-            }
-            _ => 1.0,
+            .and_then(|costs| Duration::try_from_secs_f64(costs.turnover_ms? / 1e3).ok());
+        match (turnover, self.load_age(service, now)) {
+            (Some(turnover), Some(age)) => replaced_fraction(age, turnover),
+            (Some(_), None) if self.other_instances > 0 => 1.0,
+            _ => 0.0,
         }
     }
 
--- a/crates/edge/src/forward/admit.rs
+++ b/crates/edge/src/forward/admit.rs
@@ -40,6 +40,7 @@
                 ));
             }
             progress.predicted_ms = predicted_ms;
+            progress.load_age = fleet.load_age(service, now);
             progress.cost_ms = demand.cost_ms;
         }
         let objective = match self.request.route.kind {
--- a/crates/edge/src/forward/request.rs
+++ b/crates/edge/src/forward/request.rs
@@ -59,6 +59,8 @@
     pub cost_ms: f64,
     /// Predicted time to the first result, in milliseconds.
     pub predicted_ms: f64,
+    /// Age of the load figures of other instances with which it was placed, if that counted.
+    pub load_age: Option<Duration>,
     /// Predicted time from the upstreams' work alone, without the lateness of earlier requests, in
     /// milliseconds.
     pub summed_ms: f64,
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -458,6 +458,7 @@
             cost_ms = progress.cost_ms.round(),
             summed_ms = progress.summed_ms.round(),
             predicted_ms = progress.predicted_ms.round(),
+            load_age_ms = progress.load_age.map(millis),
             elapsed_ms = millis(self.elapsed),
             config = state.version(),
             body_ms = millis(self.body_time),
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -493,6 +493,7 @@
             cost_ms = progress.cost_ms.round(),
             summed_ms = progress.summed_ms.round(),
             predicted_ms = progress.predicted_ms.round(),
+            load_age_ms = progress.load_age.map(millis),
             elapsed_ms = millis(self.request.elapsed),
             config = self.state.version(),
             prefill_ms = progress.prefill.map(millis),
