--- a/crates/edge/src/fleet/paces.rs
+++ b/crates/edge/src/fleet/paces.rs
@@ -27,6 +27,7 @@
                 let before = upstream.pace.class();
                 upstream.pace.record(percent, spacing, now);
                 log_class(upstream, before, now, "response");
+                costs_mut(&mut self.costs, &upstream.report.service).has_uneven_engines = true;
             }
             StatedPace::Unusable => {
                 if !std::mem::replace(&mut upstream.has_unusable_pace, true) {
@@ -49,6 +50,7 @@
             let before = upstream.pace.class();
             upstream.pace.merge(*news, spacing, is_forwarded, now);
             log_class(upstream, before, now, "peer");
+            costs_mut(&mut self.costs, &upstream.report.service).has_uneven_engines = true;
         }
     }
 
--- a/crates/edge/src/forward/admit.rs
+++ b/crates/edge/src/forward/admit.rs
@@ -54,6 +54,7 @@
             has_slot = stream_ms.is_some();
             predicted_ms = stream_ms.map_or(predicted_ms, |ms| predicted_ms.min(ms));
             progress.predicted_ms = predicted_ms;
+            progress.load_age = fleet.load_age(service, now);
             progress.cost_ms = demand.cost_ms;
         }
         let share = self.share(demand, now);
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -517,6 +517,7 @@
             summed_ms = progress.summed_ms.round(),
             predicted_ms = progress.predicted_ms.round(),
             within_part = progress.within_part,
+            load_age_ms = progress.load_age.map(millis),
             elapsed_ms = millis(self.elapsed),
             config = state.version(),
             body_ms = millis(self.body_time),
