--- a/crates/edge/src/quota/mod.rs
+++ b/crates/edge/src/quota/mod.rs
@@ -419,17 +419,7 @@
         };
         match step {
             Step::Granted => return Ok(Some(ticket)),
-            Step::Refused { retry } => {
-                return Err(Failure {
-                    status: StatusCode::TOO_MANY_REQUESTS,
-                    verdict: Verdict::NotRun,
-                    cause: OVER_QUOTA,
-                    retry_after: retry.map(|retry| {
-                        let ms = overload_retry_ms(retry.as_secs_f64() * 1e3);
-                        retry_after(ms, rand::random())
-                    }),
-                });
-            }
+            Step::Refused { retry } => return Err(over_quota(retry)),
             Step::Ask {
                 owner,
                 tokens,
@@ -468,6 +458,20 @@
     }
 }
 
+/// Returns the failure of a request that is refused. `retry` is the time after which its tokens are
+/// expected, if they ever are.
+fn over_quota(retry: Option<Duration>) -> Failure {
+    Failure {
+        status: StatusCode::TOO_MANY_REQUESTS,
+        verdict: Verdict::NotRun,
+        cause: OVER_QUOTA,
+        retry_after: retry.map(|retry| {
+            let ms = overload_retry_ms(retry.as_secs_f64() * 1e3);
+            retry_after(ms, rand::random())
+        }),
+    }
+}
+
 /// Asks an owner for tokens. Returns `None` if it does not answer in time.
 async fn ask_owner<D: WireCodec>(
     state: &EdgeState<D>,
