Record listed versions only after the list was read

Since, a configuration that was read before the list made a process read the stored versions before the list too. Such a read proves nothing, and the next one came a second later: in this time, streams whose origin is unknown were refused. Versions are now recorded with the configuration only if the list was read before it.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -270,8 +270,9 @@
                     source,
                 );
             }
-            if state.apply_config(config, source) {
-                // The list may have been read before the configuration named its services.
+            let has_list = state.known_records.borrow().instances_next.is_some();
+            if state.apply_config(config, source) && has_list {
+                // The list was read before the configuration named its services.
                 versions::record_listed(state);
             }
             let mut known_records = state.known_records.borrow_mut();
