Learn how fast engines prefill from calls

Cause: engines that only prefill state no load and so no pace.

Change: where engines of the service state their pace, the time of a prefill at each engine is learned from calls that had no known wait: the least of three, the median of nine such figures, told among instances as statements are. The stated figure adds its slowdown of the moment. The rate of the service is learned from all calls again, as before.

--- a/crates/edge/src/fleet/in_flight.rs
+++ b/crates/edge/src/fleet/in_flight.rs
@@ -7,6 +7,7 @@
 use nutmegbay_core::environment::MonotonicTime;
 use nutmegbay_policy::UpstreamKey;
 use nutmegbay_policy::edge::health::Outcome;
+use nutmegbay_policy::edge::load::QueueAhead;
 use nutmegbay_policy::edge::software_versions::VersionTag;
 use nutmegbay_policy::edge::urgency::Urgency;
 
@@ -15,6 +16,10 @@
 use crate::clock::MonotonicClock;
 use crate::model::{ResponseHead, Service, StatedPace};
 
+/// Maximum predicted wait of a call from which the speed of its engine is learned, in times of its
+/// own work.
+const MAX_SAMPLE_WAIT: f64 = 0.25;
+
 /// An admitted request that waits for its prefill. Counts in the service's pending work until it is
 /// dropped.
 pub struct PrefillWait {
@@ -70,6 +75,8 @@
     pub urgency: Urgency,
     /// Time of the request's own work at the upstream until the first result, in milliseconds.
     pub cost_ms: f64,
+    /// Time until the request has left over the link of this process, in milliseconds.
+    pub link_ms: f64,
     /// Whether the answer is a long stream.
     pub is_long: bool,
     /// Whether the upstream prefills the prompt.
@@ -86,6 +93,8 @@
     demand: Demand,
     sent_at: MonotonicTime,
     predicted_ms: f64,
+    /// Predicted time of the prefill at the fastest engines, in milliseconds.
+    typical_ms: f64,
     has_begun: bool,
     result_at: Option<MonotonicTime>,
     has_outcome: bool,
@@ -100,15 +109,16 @@
         now: MonotonicTime,
     ) -> Self {
         let mut predicted_ms = demand.cost_ms;
-        let (ahead, incarnation, version) = {
+        let (ahead, incarnation, version, factor) = {
             let fleet = fleet.borrow();
             let upstream = fleet.get(key);
-            upstream.map_or_else(Default::default, |up| {
+            upstream.map_or((QueueAhead::default(), 0, None, 1.0), |up| {
                 let typical_requests = fleet.typical_requests(up);
                 (
                     fleet.ahead(up, demand.urgency, typical_requests, now),
                     up.incarnation(),
                     Some(up.version()),
+                    up.pace.speed(now).prefill_factor,
                 )
             })
         };
@@ -128,6 +138,7 @@
             demand,
             sent_at: now,
             predicted_ms,
+            typical_ms: demand.cost_ms / factor,
             has_begun: false,
             result_at: None,
             has_outcome: false,
@@ -161,6 +172,13 @@
 
     /// Records the first result.
     pub fn record_first_result(&mut self, now: MonotonicTime) {
+        let waited_ms = self.predicted_ms - self.demand.cost_ms;
+        let is_sample = self.demand.needs_prefill && !self.demand.is_long && !self.has_begun;
+        if is_sample && waited_ms <= self.demand.cost_ms * MAX_SAMPLE_WAIT {
+            let ms = now.since(self.sent_at).as_secs_f64() * 1e3 - self.demand.link_ms;
+            let mut fleet = self.fleet.borrow_mut();
+            fleet.record_call(self.key, ms, self.typical_ms, now);
+        }
         if !self.has_begun
             && let Some(upstream) = self.fleet.borrow_mut().upstreams.get_mut(self.key)
         {
--- a/crates/edge/src/fleet/mod.rs
+++ b/crates/edge/src/fleet/mod.rs
@@ -358,14 +358,12 @@
         costs_mut(&mut self.costs, service).record_plain_request(ms);
     }
 
-    /// Records the duration of a prefill of `tokens` uncached tokens at the upstream `at`.
-    pub fn record_prefill(&mut self, service: &str, at: UpstreamKey, tokens: u32, took: Duration) {
-        let pace = self.upstreams.get(at).map(|upstream| upstream.pace);
-        let factor = pace.map_or(1.0, |pace| pace.least_factor());
+    /// Records the duration of a prefill of `tokens` uncached tokens.
+    pub fn record_prefill(&mut self, service: &str, tokens: u32, took: Duration) {
         let costs = costs_mut(&mut self.costs, service);
         costs
             .prefill_rate
-            .record_prefill(tokens, took.as_secs_f64() * 1e3 / factor);
+            .record_prefill(tokens, took.as_secs_f64() * 1e3);
     }
 
     /// Returns the work queued ahead of a new request at an upstream. Until enough other instances
--- a/crates/edge/src/fleet/paces.rs
+++ b/crates/edge/src/fleet/paces.rs
@@ -12,6 +12,10 @@
 /// Maximum number of paces in one datagram.
 const MAX_PACE_NEWS: usize = 64;
 
+/// Minimum expected time of a call from which the speed of an engine is learned, in fixed times of a
+/// call. The fixed time varies by about as much as it is long.
+const MIN_CALL_FIXED_TIMES: f64 = 1.0;
+
 impl Fleet {
     /// Records the time that work takes at an upstream at the moment, as a response states it. A
     /// statement that cannot be used is logged once for each upstream.
@@ -24,7 +28,7 @@
             StatedPace::Percent(percent) => {
                 let engines = self.by_service.get(&upstream.report.service);
                 let spacing = spacing(engines.map_or(0, Vec::len));
-                let before = upstream.pace.class();
+                let before = classes(upstream);
                 upstream.pace.record(percent, spacing, now);
                 log_class(upstream, before, now, "response");
             }
@@ -36,6 +40,33 @@
         }
     }
 
+    /// Records that the first result of a call came after `ms`, without a wait that was known when it
+    /// was sent. Engines learn their speed only where some of the service state their pace.
+    pub fn record_call(&mut self, key: UpstreamKey, ms: f64, expected_ms: f64, now: MonotonicTime) {
+        let Some(service) = self.upstreams.get(key).map(|up| &up.report.service) else {
+            return;
+        };
+        let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        let has_pace = keys
+            .iter()
+            .any(|key| self.upstreams[*key].pace.class().is_some());
+        let fixed_ms = self.prefill_rate(service).fixed_ms();
+        if has_pace && expected_ms >= fixed_ms * MIN_CALL_FIXED_TIMES {
+            let spacing = spacing(keys.len());
+            let upstream = &mut self.upstreams[key];
+            let before = classes(upstream);
+            let pace = &mut upstream.pace;
+            pace.record_call(ms - fixed_ms, expected_ms, spacing, now);
+            log_class(upstream, before, now, "call");
+        }
+    }
+
+    /// Returns the time until `bytes` that are sent now have left over this process's link, in
+    /// milliseconds.
+    pub fn link_ms(&self, bytes: usize, now: MonotonicTime) -> f64 {
+        self.link.queue_ms(now) + self.link.send_ms(bytes)
+    }
+
     /// Applies what another instance tells of the paces of engines. `is_forwarded` states whether
     /// this instance passes it on.
     pub fn merge_paces(&mut self, news: &[PaceNews], is_forwarded: bool, now: MonotonicTime) {
@@ -46,7 +77,7 @@
             };
             let engines = self.by_service.get(&upstream.report.service);
             let spacing = spacing(engines.map_or(0, Vec::len));
-            let before = upstream.pace.class();
+            let before = classes(upstream);
             upstream.pace.merge(*news, spacing, is_forwarded, now);
             log_class(upstream, before, now, "peer");
         }
@@ -59,7 +90,7 @@
             upstream.pace.take_news(tag, now)
         };
         let upstreams = self.upstreams.values_mut();
-        upstreams.filter_map(take).take(MAX_PACE_NEWS).collect()
+        upstreams.flat_map(take).take(MAX_PACE_NEWS).collect()
     }
 
     /// Updates the average number of a service's long streams, and the number of engines with
@@ -111,19 +142,28 @@
     }
 }
 
-/// Logs that the class of an engine's speed has changed, which changes the engines on which long
+/// Classes of an engine's stated and learned time of work.
+type Classes = (Option<i32>, Option<i32>);
+
+fn classes(upstream: &Upstream) -> Classes {
+    (upstream.pace.class(), upstream.pace.learned_class())
+}
+
+/// Logs that the class of an engine's speed has changed. The stated one decides on which engines long
 /// streams are consolidated.
-fn log_class(upstream: &Upstream, before: Option<i32>, now: MonotonicTime, source: &'static str) {
-    let class = upstream.pace.class();
-    if class != before {
+fn log_class(upstream: &Upstream, before: Classes, now: MonotonicTime, source: &'static str) {
+    let (stated, learned) = classes(upstream);
+    if (stated, learned) != before {
         let speed = upstream.pace.speed(now);
         tracing::info!(
             event = "engine_speed",
             upstream = %upstream.id,
-            class,
-            before,
-            usual = speed.step_factor,
-            now = speed.prefill_factor,
+            stated,
+            stated_before = before.0,
+            learned,
+            learned_before = before.1,
+            step_factor = speed.step_factor,
+            prefill_factor = speed.prefill_factor,
             source,
         );
     }
--- a/crates/edge/src/forward/admit.rs
+++ b/crates/edge/src/forward/admit.rs
@@ -20,6 +20,7 @@
         let demand = Demand {
             urgency: self.request.urgency(),
             cost_ms: placement.cost_ms(),
+            link_ms: 0.0,
             is_long: self.request.is_long(),
             needs_prefill,
         };
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -319,9 +319,14 @@
         self.tried.push(at);
         let id = upstream_id(self.state, at);
         append_upstream(self.request, &id, stage);
+        let link_ms = {
+            let fleet = self.state.fleet.borrow();
+            fleet.link_ms(self.request.body.len(), self.state.now())
+        };
         let demand = Demand {
             urgency: self.request.urgency(),
             cost_ms,
+            link_ms,
             is_long: stage != Stage::Prefill && self.request.is_long(),
             needs_prefill: !matches!(stage, Stage::Decode { .. }),
         };
--- a/crates/edge/src/forward/prefill.rs
+++ b/crates/edge/src/forward/prefill.rs
@@ -149,7 +149,7 @@
         let mut fleet = self.state.fleet.borrow_mut();
         fleet.record_prefix_use(work, at, self.state.now());
         if let Some(own) = work.blocks.last() {
-            fleet.record_prefill(&self.request.service.name, at, own.tokens, took);
+            fleet.record_prefill(&self.request.service.name, own.tokens, took);
         }
     }
 }
--- a/crates/policy/src/edge/engine_pace.rs
+++ b/crates/policy/src/edge/engine_pace.rs
@@ -6,6 +6,10 @@
 //! takes at the moment; an instance among thirty receives one such response of an engine about once
 //! per second.
 //!
+//! Some engines state nothing, such as those that only prefill. How long a prefill takes at an engine
+//! is therefore also learned from calls, as a multiple of the time at the fastest ones, from which
+//! the rate of the service is learned.
+//!
 //! What an engine states now says little about it a second later, so the usual time of the engine is
 //! the median over the last seconds. All instances have to rank the engines alike, since they
 //! consolidate long streams on the first ones. They therefore tell each other some of the statements
@@ -35,6 +39,13 @@
 /// and none after 1 s.
 const STATEMENT_TIME_CONSTANT: Duration = Duration::from_millis(400);
 
+/// Number of calls of which the shortest one, by its expected time, is a learned figure. The others
+/// may have waited for work that this instance does not know of.
+const CALLS_PER_FIGURE: u8 = 3;
+
+/// Bounds of a learned figure, in percent. A prompt that is found in the cache takes almost no time.
+const LEARNED_BOUNDS: (f64, f64) = (50.0, 1_000.0);
+
 /// Factor by which a statement has to differ from the last one that was told, up or down, to be told
 /// at once. Smaller differences are told with the next kept statement.
 const TOLD_CHANGE: f64 = 1.4;
@@ -54,31 +65,52 @@
 /// than half a class, so that noise at the border between two classes changes nothing.
 const CLASS_HYSTERESIS: f64 = 0.75;
 
-/// Statement about an engine that one instance tells others.
+/// Origin of a figure about an engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PaceSource {
+    /// The engine states it, in percent of the usual time.
+    Stated,
+    /// It was learned from calls, in percent of the time that the service's rate predicts.
+    Learned,
+}
+
+/// Figure about an engine that one instance tells others.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PaceNews {
     /// Tag of the engine.
     pub upstream: u32,
-    /// Percent of the usual time that work takes.
+    /// Origin of the figure.
+    pub source: PaceSource,
+    /// Time of work, in percent.
     pub percent: u16,
-    /// Age of the statement, in milliseconds.
+    /// Age of the figure, in milliseconds.
     pub age_ms: u16,
     /// Number of instances that have passed it on.
     pub passes: u8,
 }
 
-/// What an engine has stated about the time that work takes.
+/// Time that work takes on an engine.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct EnginePace {
-    /// Kept statements, in percent of the usual time.
+    stated: Figures,
+    learned: Figures,
+    /// Calls since the last learned figure, and the shortest of them, in percent.
+    calls: u8,
+    least_percent: f64,
+}
+
+/// Figures of one source.
+#[derive(Debug, Clone, Copy, Default)]
+struct Figures {
+    /// Kept figures, in percent.
     kept: [u16; KEPT_STATEMENTS],
     count: usize,
     kept_at: MonotonicTime,
-    /// Newest statement, kept or not.
-    newest: Option<(u16, MonotonicTime)>,
-    /// Class of the median of the kept statements.
+    /// Class of the median of the kept figures.
     class: Option<i32>,
-    /// Last statement that was told or is due to be told.
+    /// Newest figure, kept or not.
+    newest: Option<(u16, MonotonicTime)>,
+    /// Last figure that was told or is due to be told.
     told: u16,
     passes: u8,
     is_untold: bool,
@@ -92,12 +124,37 @@
 
 impl EnginePace {
     /// Records that a response stated `percent` of the usual time at `now`. The statement is told to
-    /// other instances if it is kept.
+    /// other instances if it is kept or a change.
     pub fn record(&mut self, percent: u16, spacing: Duration, now: MonotonicTime) {
-        self.keep(percent, spacing, Some(0), now);
+        self.stated.keep(percent, spacing, Some(0), now);
     }
 
-    /// Applies a statement that another instance tells. `is_forwarded` states whether this instance
+    /// Records a prefill that took `ms` without any known wait, where the rate of the service
+    /// predicts `expected_ms` at its fastest engines.
+    pub fn record_call(
+        &mut self,
+        ms: f64,
+        expected_ms: f64,
+        spacing: Duration,
+        now: MonotonicTime,
+    ) {
+        let percent = ms / expected_ms * 100.0;
+        if !percent.is_finite() {
+            return;
+        }
+        self.least_percent = match self.calls {
+            0 => percent,
+            _ => percent.min(self.least_percent),
+        };
+        self.calls += 1;
+        if self.calls >= CALLS_PER_FIGURE {
+            self.calls = 0;
+            let percent = self.least_percent.clamp(LEARNED_BOUNDS.0, LEARNED_BOUNDS.1);
+            self.learned.keep(percent as u16, spacing, Some(0), now);
+        }
+    }
+
+    /// Applies a figure that another instance tells. `is_forwarded` states whether this instance
     /// passes it on.
     pub fn merge(
         &mut self,
@@ -107,15 +164,64 @@
         now: MonotonicTime,
     ) {
         let age = Duration::from_millis(news.age_ms.into());
-        if news.percent > 0 && age <= MAX_TOLD_AGE {
-            let at = MonotonicTime(now.0.saturating_sub(age));
-            let passes = news.passes.saturating_add(1);
-            let is_forwarded = is_forwarded && passes <= MAX_PASSES;
-            self.keep(news.percent, spacing, is_forwarded.then_some(passes), at);
+        if news.percent == 0 || age > MAX_TOLD_AGE {
+            return;
+        }
+        let at = MonotonicTime(now.0.saturating_sub(age));
+        let passes = news.passes.saturating_add(1);
+        let is_forwarded = is_forwarded && passes <= MAX_PASSES;
+        let passes = is_forwarded.then_some(passes);
+        match news.source {
+            PaceSource::Stated => {
+                self.stated.keep(news.percent, spacing, passes, at);
+            }
+            PaceSource::Learned => self.learned.keep(news.percent, spacing, passes, at),
         }
     }
 
-    /// Records a statement. It counts toward the usual time if the last one that does is old enough.
+    /// Returns the class of the engine's usual speed, where lower is faster, or `None` if it has
+    /// stated nothing.
+    pub fn class(&self) -> Option<i32> {
+        self.stated.class
+    }
+
+    /// Returns the class of the engine's learned time of a prefill, or `None` before it is known.
+    pub fn learned_class(&self) -> Option<i32> {
+        self.learned.class
+    }
+
+    /// Returns the speed of the engine at `now`. A prefill is short and takes the time that is
+    /// expected at the moment. A stream runs for seconds, so its steps take the usual time.
+    pub fn speed(&self, now: MonotonicTime) -> EngineSpeed {
+        let usual = self.stated.usual();
+        let slowdown = match (usual, self.stated.newest) {
+            (Some(usual), Some((percent, at))) => {
+                let weight = exponential_decay(now.since(at), STATEMENT_TIME_CONSTANT);
+                (f64::from(percent) / 100.0 / usual).powf(weight)
+            }
+            _ => 1.0,
+        };
+        EngineSpeed {
+            prefill_factor: self.learned.usual().unwrap_or(1.0) * slowdown,
+            step_factor: usual.unwrap_or(1.0),
+            is_stated: usual.is_some(),
+        }
+    }
+
+    /// Returns the newest figures about the engine with this tag that are due to be told.
+    pub fn take_news(
+        &mut self,
+        upstream: u32,
+        now: MonotonicTime,
+    ) -> impl Iterator<Item = PaceNews> + use<> {
+        let stated = self.stated.take_news(upstream, PaceSource::Stated, now);
+        let learned = self.learned.take_news(upstream, PaceSource::Learned, now);
+        stated.into_iter().chain(learned)
+    }
+}
+
+impl Figures {
+    /// Records a figure. It counts toward the usual time if the last one that does is old enough.
     /// With `passes`, it is told to other instances in that case, and if it is a change.
     fn keep(&mut self, percent: u16, spacing: Duration, passes: Option<u8>, at: MonotonicTime) {
         if self.newest.is_some_and(|(_, newest_at)| newest_at > at) {
@@ -148,9 +254,8 @@
         }
     }
 
-    /// Returns the usual time of the engine's work as a multiple of that of a typical engine, or
-    /// `None` if it has stated none. Of two medians, the faster one counts: other work makes engines
-    /// slower, and never faster.
+    /// Returns the median of the kept figures as a factor, or `None` if there is none. Of two
+    /// medians, the faster one counts: other work makes engines slower, and never faster.
     fn usual(&self) -> Option<f64> {
         let mut kept = self.kept;
         let kept = &mut kept[..self.count.min(KEPT_STATEMENTS)];
@@ -159,46 +264,12 @@
         Some(f64::from(*median) / 100.0)
     }
 
-    /// Returns the class of the engine's usual speed, where lower is faster, or `None` if it has
-    /// stated nothing.
-    pub fn class(&self) -> Option<i32> {
-        self.class
-    }
-
-    /// Returns the usual time of the engine's work as a multiple of that of a typical engine, rounded
-    /// to its class. It is the same at nearly all instances.
-    pub fn class_factor(&self) -> f64 {
-        let exponent = self.class.map_or(0.0, f64::from) / CLASSES_PER_DOUBLING;
-        exponent.exp2()
-    }
-
-    /// Returns the speed of the engine at `now`. A prefill is short and takes the time that is
-    /// expected at the moment. A stream runs for seconds, so its steps take the usual time.
-    pub fn speed(&self, now: MonotonicTime) -> EngineSpeed {
-        let (Some(usual), Some((percent, at))) = (self.usual(), self.newest) else {
-            return EngineSpeed::default();
-        };
-        let weight = exponential_decay(now.since(at), STATEMENT_TIME_CONSTANT);
-        let newest = f64::from(percent) / 100.0;
-        EngineSpeed {
-            prefill_factor: usual * (newest / usual).powf(weight),
-            step_factor: usual,
-            is_stated: true,
-        }
-    }
-
-    /// Returns the factor by which a prefill that ended at `now` took longer than at a typical
-    /// engine, at least. A slowdown that began during the prefill covers only a part of it, so the
-    /// usual time counts then.
-    pub fn least_factor(&self) -> f64 {
-        match (self.usual(), self.newest) {
-            (Some(usual), Some((percent, _))) => usual.min(f64::from(percent) / 100.0),
-            _ => 1.0,
-        }
-    }
-
-    /// Returns the newest statement about the engine with this tag if one is due to be told.
-    pub fn take_news(&mut self, upstream: u32, now: MonotonicTime) -> Option<PaceNews> {
+    fn take_news(
+        &mut self,
+        upstream: u32,
+        source: PaceSource,
+        now: MonotonicTime,
+    ) -> Option<PaceNews> {
         if !std::mem::take(&mut self.is_untold) {
             return None;
         }
@@ -206,6 +277,7 @@
         let age_ms = now.since(at).as_millis();
         Some(PaceNews {
             upstream,
+            source,
             percent,
             age_ms: u16::try_from(age_ms).unwrap_or(u16::MAX),
             passes: self.passes,
