Learn engine speeds from good results only

Cause: an engine that fails at once looked fast.

Change: the time of a call is recorded where a good first result is; the time of the send is read once.

--- a/crates/edge/src/fleet/in_flight.rs
+++ b/crates/edge/src/fleet/in_flight.rs
@@ -170,15 +170,25 @@
         self.result_at
     }
 
-    /// Records the first result.
-    pub fn record_first_result(&mut self, now: MonotonicTime) {
-        let waited_ms = self.predicted_ms - self.demand.cost_ms;
-        let is_sample = self.demand.needs_prefill && !self.demand.is_long && !self.has_begun;
-        if is_sample && waited_ms <= self.demand.cost_ms * MAX_SAMPLE_WAIT {
-            let ms = now.since(self.sent_at).as_secs_f64() * 1e3 - self.demand.link_ms;
+    /// Records how long the engine took for a good first result, unless the request had to wait.
+    pub fn record_speed(&self, now: MonotonicTime) {
+        let Demand {
+            cost_ms,
+            link_ms,
+            is_long,
+            needs_prefill,
+            ..
+        } = self.demand;
+        let waited_ms = self.predicted_ms - cost_ms;
+        if needs_prefill && !is_long && waited_ms <= cost_ms * MAX_SAMPLE_WAIT {
+            let ms = now.since(self.sent_at).as_secs_f64() * 1e3 - link_ms;
             let mut fleet = self.fleet.borrow_mut();
             fleet.record_call(self.key, ms, self.typical_ms, now);
         }
+    }
+
+    /// Records the first result.
+    pub fn record_first_result(&mut self, now: MonotonicTime) {
         if !self.has_begun
             && let Some(upstream) = self.fleet.borrow_mut().upstreams.get_mut(self.key)
         {
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -229,7 +229,9 @@
             };
             match events.push(&bytes) {
                 Ok(Some(ready)) => {
-                    source.in_flight_send.record_first_result(self.state.now());
+                    let now = self.state.now();
+                    source.in_flight_send.record_speed(now);
+                    source.in_flight_send.record_first_result(now);
                     self.count_usage_once();
                     self.record_prefix_use_at(source.in_flight_send.key());
                     self.record_stream_version(&source.in_flight_send);
@@ -319,10 +321,9 @@
         self.tried.push(at);
         let id = upstream_id(self.state, at);
         append_upstream(self.request, &id, stage);
-        let link_ms = {
-            let fleet = self.state.fleet.borrow();
-            fleet.link_ms(self.request.body.len(), self.state.now())
-        };
+        let now = self.state.now();
+        let fleet = &self.state.fleet;
+        let link_ms = fleet.borrow().link_ms(self.request.body.len(), now);
         let demand = Demand {
             urgency: self.request.urgency(),
             cost_ms,
@@ -330,7 +331,7 @@
             is_long: stage != Stage::Prefill && self.request.is_long(),
             needs_prefill: !matches!(stage, Stage::Decode { .. }),
         };
-        let mut in_flight_send = InFlightSend::new(&self.state.fleet, at, demand, self.state.now());
+        let mut in_flight_send = InFlightSend::new(fleet, at, demand, now);
         let req = self.build_request(&id, stage, after);
         let (connection, response) = match self.deliver(at, req.clone()).await {
             Ok(sent) => sent,
--- a/crates/edge/src/forward/prefill.rs
+++ b/crates/edge/src/forward/prefill.rs
@@ -96,7 +96,9 @@
                         .record_outcome(outcome, self.state.now());
                 }
             } else {
-                source.in_flight_send.record_first_result(self.state.now());
+                let now = self.state.now();
+                source.in_flight_send.record_speed(now);
+                source.in_flight_send.record_first_result(now);
                 source.finish(self.state);
             }
             Ok((head, headers, body))
