--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -227,7 +227,9 @@
             };
             match events.push(&bytes) {
                 Ok(Some(ready)) => {
-                    source.in_flight_send.record_first_result(self.state.now());
+                    let now = self.state.now();
+                    source.in_flight_send.record_speed(now);
+                    source.in_flight_send.record_first_result(now);
                     self.count_usage_once();
                     self.record_prefix_use_at(source.in_flight_send.key());
                     self.record_stream_version(&source.in_flight_send);
@@ -324,19 +326,18 @@
             .progress
             .borrow_mut()
             .record_upstream(&id, stage);
+        let now = self.state.now();
+        let fleet = &self.state.fleet;
+        let link_ms = fleet.borrow().link_ms(self.request.body.len(), now);
         let demand = Demand {
             urgency: self.request.urgency(),
             cost_ms,
+            link_ms,
             is_long: stage != Stage::Prefill && self.request.is_long(),
             needs_prefill: !matches!(stage, Stage::Decode { .. }),
         };
-        let mut in_flight_send = InFlightSend::new(
-            &self.state.fleet,
-            at,
-            demand,
-            self.request.body.len(),
-            self.state.now(),
-        );
+        let body_bytes = self.request.body.len();
+        let mut in_flight_send = InFlightSend::new(fleet, at, demand, body_bytes, now);
         let req = self.build_request(&id, stage, after);
         let counts = stage != Stage::Prefill;
         let (connection, response) = match self.deliver(at, req.clone(), counts).await {
--- a/crates/edge/src/forward/prefill.rs
+++ b/crates/edge/src/forward/prefill.rs
@@ -96,7 +96,9 @@
                         .record_outcome(outcome, self.state.now());
                 }
             } else {
-                source.in_flight_send.record_first_result(self.state.now());
+                let now = self.state.now();
+                source.in_flight_send.record_speed(now);
+                source.in_flight_send.record_first_result(now);
                 source.finish(self.state);
             }
             Ok((head, headers, body))
@@ -149,7 +151,7 @@
         let mut fleet = self.state.fleet.borrow_mut();
         fleet.record_prefix_use(work, at, self.state.now());
         if let Some(own) = work.blocks.last() {
-            fleet.record_prefill(&self.request.service.name, at, own.tokens, took);
+            fleet.record_prefill(&self.request.service.name, own.tokens, took);
         }
     }
 }
