--- a/crates/edge/src/fleet/accounts.rs
+++ b/crates/edge/src/fleet/accounts.rs
@@ -71,6 +71,17 @@
         }
     }
 
+    /// Returns the work that accounts ask for and that gets done, for all services and instances in
+    /// touch, in milliseconds of engine time per second.
+    pub fn account_work(&mut self, now: MonotonicTime) -> (u64, u64) {
+        let totals = self.account_shares.values_mut();
+        totals.fold((0, 0), |(asked, done), shares| {
+            let total = shares.total(now);
+            let asked_here: u64 = total.asked.all().map(u64::from).sum();
+            (asked + asked_here, done + u64::from(total.done))
+        })
+    }
+
     /// Returns whether reports of accounts' work are due to be sent to other instances.
     pub fn take_reports_due(&mut self, now: MonotonicTime) -> bool {
         let is_due = !self.account_shares.is_empty()
--- a/crates/edge/src/peers/serve.rs
+++ b/crates/edge/src/peers/serve.rs
@@ -146,10 +146,11 @@
 }
 
 /// Returns the names and values of the gauges.
-fn gauges<D: WireCodec>(state: &EdgeState<D>) -> [(&'static str, u64); 13] {
+fn gauges<D: WireCodec>(state: &EdgeState<D>) -> [(&'static str, u64); 15] {
     let now = state.now();
     let measured = state.delay_monitor.measure();
     let known_records = state.known_records.borrow();
+    let (asked, done) = state.fleet.borrow_mut().account_work(now);
     [
         ("config_version", state.version().unwrap_or(0)),
         ("config_age_ms", millis(known_records.config_age(now))),
@@ -169,6 +170,8 @@
             "link_share_percent",
             (measured.link_share.unwrap_or(0.0) * 100.0) as u64,
         ),
+        ("accounts_asked_ms_per_second", asked),
+        ("accounts_done_ms_per_second", done),
         (
             "stream_origins",
             state.versions.borrow().known_origins() as u64,
--- a/crates/policy/src/edge/account_shares/mod.rs
+++ b/crates/policy/src/edge/account_shares/mod.rs
@@ -187,6 +187,17 @@
         sum_reports(std::iter::once(&own).chain(received.map(|received| &received.report)))
     }
 
+    /// Returns the work of all instances in touch.
+    pub fn total(&mut self, now: MonotonicTime) -> WorkReport {
+        self.sweep(now);
+        let total = self
+            .received
+            .values()
+            .find(|received| received.scope == Scope::Others)
+            .map(|received| received.report.clone());
+        total.unwrap_or_else(|| self.report(Scope::Others, now))
+    }
+
     /// Returns the part of `account`, from what is known of all instances. While nothing is heard of
     /// the others, the own figures stand for all.
     pub fn part(&mut self, account: AccountTag, urgency: Urgency, now: MonotonicTime) -> Part {
@@ -214,13 +225,7 @@
     fn update(&mut self, now: MonotonicTime) {
         let since = self.summed_at.map_or(Duration::ZERO, |at| now.since(at));
         self.summed_at = Some(now);
-        self.sweep(now);
-        let total = self
-            .received
-            .values()
-            .find(|received| received.scope == Scope::Others)
-            .map(|received| received.report.clone());
-        let total = total.unwrap_or_else(|| self.report(Scope::Others, now));
+        let total = self.total(now);
         let peak = self.peak_done * half_life_decay(since, PEAK_HALF_LIFE);
         self.peak_done = peak.max(f64::from(total.done));
         self.sum = Sum {
