--- a/crates/edge-bin/tests/common/mod.rs
+++ b/crates/edge-bin/tests/common/mod.rs
@@ -11,6 +11,7 @@
 pub mod proxy;
 pub mod relayed;
 pub mod store;
+mod streams;
 pub mod take_ups;
 pub mod versioned;
 pub mod worker;
--- a/crates/edge/src/fleet/placement.rs
+++ b/crates/edge/src/fleet/placement.rs
@@ -61,14 +61,7 @@
             version,
         } = req;
         let shared = work.shared_blocks();
-        let shared_tokens: u32 = shared.iter().map(|block| block.tokens).sum();
-        let suffix_tokens = work.prompt_tokens.saturating_sub(shared_tokens);
-        let placement_request = PlacementRequest {
-            shared_tokens: work.prompt_tokens - suffix_tokens,
-            suffix_tokens,
-            domain: self.own_domain,
-            is_long: is_long(work),
-        };
+        let placement_request = self.placement_request(work);
         let lateness_ms = |is_split| {
             // Lateness is measured on requests that wait for a prefill. Long streams do not.
             if placement_request.is_long {
@@ -134,6 +127,18 @@
         place_evenly(&engines, placement_request, estimates, spread)
     }
 
+    fn placement_request(&self, work: &ModelWork) -> PlacementRequest {
+        let shared = work.shared_blocks();
+        let shared_tokens: u32 = shared.iter().map(|block| block.tokens).sum();
+        let suffix_tokens = work.prompt_tokens.saturating_sub(shared_tokens);
+        PlacementRequest {
+            shared_tokens: work.prompt_tokens - suffix_tokens,
+            suffix_tokens,
+            domain: self.own_domain,
+            is_long: is_long(work),
+        }
+    }
+
     /// Returns whether requests of a service are spread evenly by figures with an age. Engines that
     /// share their machines differ in speed and change it, so that a shared order of engines would
     /// overrun some of them.
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -134,7 +134,7 @@
     let caller = Caller::open(&state, state.caller_limits().idle_time);
     let service = service_fn(|req| {
         has_brought_any.set(true);
-        let res = respond(Rc::clone(&state), req, limits);
+        let res = Box::pin(respond(Rc::clone(&state), req, limits));
         let caller = caller.clone();
         async { Ok::<_, Infallible>(res.await.map(|body| CallerBody::new(body, caller))) }
     });
