--- a/crates/edge/src/http1.rs
+++ b/crates/edge/src/http1.rs
@@ -168,7 +168,7 @@
         Self::open_with(addr, monitor, Builder::new()).await
     }
 
-    /// Opens a connection as [`Self::open`] does, which reads at most [`SMALL_READ_BYTES`] of a
+    /// Opens a connection as [`Self::open`] does, which reads at most 64 KiB of a
     /// response before they are asked for.
     pub async fn open_small(addr: SocketAddr, monitor: &DelayMonitor) -> Result<Self, CallError> {
         let mut builder = Builder::new();
