Keep the capacity by instance and avoid engines of one version

Cause: an instance that loses touch with all others kept the work that all of them got done as its own capacity, so for some ten seconds no account was beyond its part there. A stream that goes on at one version took free engines of other versions for an alternative. Change: the peak is kept per instance; only engines of the version count as others.

--- a/crates/edge/src/fleet/slots.rs
+++ b/crates/edge/src/fleet/slots.rs
@@ -6,6 +6,7 @@
 use nutmegbay_core::environment::MonotonicTime;
 use nutmegbay_policy::UpstreamKey;
 use nutmegbay_policy::edge::placement::{EnginePhase, Placement};
+use nutmegbay_policy::edge::software_versions::VersionTag;
 use nutmegbay_policy::edge::stream_slots::SlotUse;
 use nutmegbay_policy::edge::urgency::Urgency;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -45,15 +46,17 @@
 impl Fleet {
     /// Returns the upstreams that a new long stream avoids: those in `tried`, and decode engines on
     /// which it would wait for the end of another stream, unless it would wait on all others too.
+    /// Only engines of `version` count as others, if it is given.
     pub fn avoided_for_stream(
         &self,
         service: &str,
+        version: Option<VersionTag>,
         tried: &[UpstreamKey],
         instances: usize,
         now: MonotonicTime,
     ) -> Vec<UpstreamKey> {
         let untried = self
-            .service_keys(service)
+            .keys_of_version(service, version)
             .filter(|key| self.is_ready(*key, now) && !tried.contains(key))
             .filter(|key| self.upstreams[*key].phase() == EnginePhase::Decode);
         let (free, full): (Vec<_>, Vec<_>) =
--- a/crates/edge/src/forward/admit.rs
+++ b/crates/edge/src/forward/admit.rs
@@ -138,7 +138,7 @@
         }
         let service = &self.request.service.name;
         let instances = self.state.process_count();
-        Cow::Owned(fleet.avoided_for_stream(service, &self.tried, instances, now))
+        Cow::Owned(fleet.avoided_for_stream(service, self.version(), &self.tried, instances, now))
     }
 
     /// Claims a slot of the decode engine for a long stream that is prefilled elsewhere.
--- a/crates/policy/src/edge/account_shares/mod.rs
+++ b/crates/policy/src/edge/account_shares/mod.rs
@@ -39,7 +39,7 @@
 const REPORT_TTL: Duration = Duration::from_millis(500);
 
 /// Half-life of the peak of the work done. Less work gets done while requests are refused than
-/// engines could do, so the work of the last seconds counts as their capacity.
+/// engines could do, so the peak of the last seconds counts as their capacity.
 const PEAK_HALF_LIFE: Duration = Duration::from_secs(3);
 
 /// Maximum number of accounts of one urgency class in the report of one instance. An instance among
@@ -97,7 +97,8 @@
     own: AskedWork,
     received: BTreeMap<K, Received>,
     sum: Sum,
-    /// Peak of the work done by all instances, as of `summed_at`.
+    /// Peak of the work done, per instance, as of `summed_at`. It stays true when the number of
+    /// instances in touch changes.
     peak_done: f64,
     /// Time at which `sum` was last computed.
     summed_at: Option<MonotonicTime>,
@@ -226,12 +227,13 @@
         let since = self.summed_at.map_or(Duration::ZERO, |at| now.since(at));
         self.summed_at = Some(now);
         let total = self.total(now);
+        let instances = f64::from(total.instances.max(1));
         let peak = self.peak_done * half_life_decay(since, PEAK_HALF_LIFE);
-        self.peak_done = peak.max(f64::from(total.done));
+        self.peak_done = peak.max(f64::from(total.done) / instances);
         self.sum = Sum {
             instances: total.instances,
             oldest: self.received.values().map(|received| received.at).min(),
-            levels: level::levels(&total, self.peak_done),
+            levels: level::levels(&total, self.peak_done * instances),
             asked: ByUrgency::default(),
         };
         for urgency in classes() {
--- a/crates/policy/tests/edge_account_shares.rs
+++ b/crates/policy/tests/edge_account_shares.rs
@@ -223,11 +223,14 @@
     report
 }
 
-/// An instance that hears nobody must not count every account as beyond its part, nor none.
+/// An instance that hears nobody must not count every account as beyond its part, nor none, also if
+/// it heard all of the others before.
 #[test]
 fn hears_nobody() {
     let mut replay = Replay::new(1);
-    replay.play(0, 2_000, &rates(10.0, 1.0));
+    replay.instances[0].record_report(1, Scope::Others, report(5_000, 50_000), at(0));
+    replay.instances[0].part(AccountTag(HOT), WAITING, at(0));
+    replay.play(500, 3_500, &rates(10.0, 1.0));
     let (hot, _) = replay.outcome(HOT..1);
     let (small, _) = replay.outcome(1..81);
     assert!(
