Keep prefix blocks with their holders beside fast engines

Change: the weighted time of a miss is never less than at an engine of typical speed.

Test holder_and_fast_engine fails without the change and passes with it.

--- a/crates/policy/src/edge/placement.rs
+++ b/crates/policy/src/edge/placement.rs
@@ -237,7 +237,7 @@
             let score_ms = first_result_ms
                 + limit_penalty_ms(engine, estimates)
                 + stream_penalty_ms(engine, request, estimates, cost_ms)
-                + miss_ms(engine, request, estimates) * weight;
+                + lost_ms(engine, request, estimates) * weight;
             (engine, cost_ms, first_result_ms, score_ms)
         })
         .min_by(|a, b| a.3.total_cmp(&b.3));
@@ -289,7 +289,7 @@
                 + estimates.split_lateness_ms;
             let score_ms = prefilled_ms
                 + limit_penalty_ms(engine, estimates)
-                + miss_ms(engine, request, estimates) * weight;
+                + lost_ms(engine, request, estimates) * weight;
             (engine, cost_ms, prefilled_ms, score_ms)
         })
         .min_by(|a, b| a.3.total_cmp(&b.3))
@@ -351,6 +351,12 @@
     f64::from(request.shared_tokens) * (1.0 - engine.cached_fraction) * token_ms(engine, estimates)
 }
 
+/// Time of [`miss_ms`] at an engine that is no faster than the typical one. What a fast engine
+/// prefills once more displaces as many blocks from its cache as elsewhere.
+fn lost_ms(engine: &Engine, request: PlacementRequest, estimates: CostEstimates) -> f64 {
+    miss_ms(engine, request, estimates) / engine.speed.prefill_factor.min(1.0)
+}
+
 /// Weight of a millisecond in which shared blocks are prefilled that another engine holds. The
 /// median backlog shows the load of all engines; a single slow or idle engine does not change it.
 fn miss_weight(engines: &[Engine], estimates: CostEstimates) -> f64 {
--- a/crates/policy/tests/edge_placement.rs
+++ b/crates/policy/tests/edge_placement.rs
@@ -150,6 +150,18 @@
     );
 }
 
+/// Prompts that followed fast engines had their shared blocks prefilled there once more, though
+/// another engine held them.
+#[test]
+fn holder_and_fast_engine() {
+    let mut engines = engines(&[EnginePhase::Decode, EnginePhase::Decode]);
+    engines[0].cached_fraction = 1.0;
+    engines[0].backlog_ms = 40.0;
+    engines[1].speed.prefill_factor = 0.5;
+    let placement = place(&engines, request(1_000, false), ESTIMATES);
+    assert_matches!(placement, Some(Placement::Whole { at, .. }) if at == engines[0].key);
+}
+
 /// The number of stream hosts grows with the number of streams and is never zero.
 #[test]
 fn stream_hosts() {
