--- a/crates/policy/src/edge/placement/mod.rs
+++ b/crates/policy/src/edge/placement/mod.rs
@@ -263,7 +263,7 @@
         };
         KnownWork {
             score_ms: cost_ms
-                + miss_ms(&unheld, request, estimates) * weight
+                + lost_ms(&unheld, request, estimates) * weight
                 + wait_ms(engine, estimates)
                 + engine.failure_rate * FAILURE_PENALTY_MS
                 + limit_penalty_ms(engine, estimates)
@@ -348,7 +348,7 @@
                 let score_ms = first_result_ms
                     + limit_penalty_ms(engine, estimates)
                     + stream_penalty_ms(engine, request, estimates, cost_ms)
-                    + miss_ms(engine, request, estimates) * self.miss_weight;
+                    + lost_ms(engine, request, estimates) * self.miss_weight;
                 (engine, (cost_ms, first_result_ms), score_ms)
             });
         let (at, (cost_ms, first_result_ms), score_ms) = self.choose(candidates)?;
@@ -391,7 +391,7 @@
                     + estimates.split_lateness_ms;
                 let score_ms = prefilled_ms
                     + limit_penalty_ms(engine, estimates)
-                    + miss_ms(engine, request, estimates) * self.miss_weight;
+                    + lost_ms(engine, request, estimates) * self.miss_weight;
                 (engine, (cost_ms, prefilled_ms), score_ms)
             });
         let (engine, (cost_ms, prefilled_ms), score_ms) = self.choose(candidates)?;
@@ -484,6 +484,12 @@
     f64::from(request.shared_tokens) * (1.0 - engine.cached_fraction) * token_ms(engine, estimates)
 }
 
+/// Time of [`miss_ms`] at an engine that is no faster than the typical one. What a fast engine
+/// prefills once more displaces as many blocks from its cache as elsewhere.
+fn lost_ms(engine: &Engine, request: PlacementRequest, estimates: CostEstimates) -> f64 {
+    miss_ms(engine, request, estimates) / engine.speed.prefill_factor.min(1.0)
+}
+
 /// Weight of a millisecond in which shared blocks are prefilled that another engine holds. The
 /// median backlog shows the load of all engines; a single slow or idle engine does not change it.
 fn miss_weight(engines: &[Engine], estimates: CostEstimates) -> f64 {
