--- a/crates/policy/src/edge/even_load.rs
+++ b/crates/policy/src/edge/even_load.rs
@@ -103,7 +103,7 @@
     pub item: T,
     /// Score in milliseconds; the lowest one is best.
     pub score_ms: f64,
-    /// Time in which the engine serves a typical request, in milliseconds.
+    /// Time by which one request more raises the score, in milliseconds.
     pub request_ms: f64,
 }
 
--- a/crates/policy/src/edge/placement.rs
+++ b/crates/policy/src/edge/placement.rs
@@ -440,10 +440,13 @@
             Some(spread) if !self.request.is_long => spread,
             _ => Spread::default(),
         };
+        // A short prompt overruns no engine, whoever chooses the same one.
+        let tokens = self.request.shared_tokens + self.request.suffix_tokens;
+        let prompt_ms = f64::from(tokens) * self.estimates.prefill_token_ms;
         let scored = candidates.map(|(engine, times, score_ms)| Scored {
             item: (engine, times),
             score_ms,
-            request_ms: self.requests.ms(engine, self.estimates),
+            request_ms: self.requests.ms(engine, self.estimates).min(prompt_ms),
         });
         let Scored {
             item: (engine, times),
