Test the age of what is known of other instances

Change: a test of the age at a follower.

Measured: known_age fails without the wait of the digests on the way (4 instead of 19 ms) and passes with it.

--- a/crates/policy/tests/edge_even_load.rs
+++ b/crates/policy/tests/edge_even_load.rs
@@ -4,9 +4,11 @@
 
 use std::time::Duration;
 
+use nutmegbay_core::environment::MonotonicTime;
 use nutmegbay_policy::UpstreamKey;
 use nutmegbay_policy::edge::engine_view::EngineSpeed;
 use nutmegbay_policy::edge::even_load::{Spread, replaced_fraction, unseen_ms};
+use nutmegbay_policy::edge::exchange::{Digest, LoadExchange, Role, Scope};
 use nutmegbay_policy::edge::placement::{
     CostEstimates, Engine, EnginePhase, Placement, PlacementRequest, known_work, place,
     place_evenly,
@@ -244,6 +246,27 @@
     assert!(unseen.iter().sum::<f64>().abs() < 1e-9, "{unseen:?}");
 }
 
+/// The age of what is known grows with the digests on its way and since the last one came.
+#[test]
+fn known_age() {
+    let mut exchange = LoadExchange::default();
+    let spacing = Duration::from_millis(10);
+    let at = |ms| MonotonicTime(Duration::from_millis(ms));
+    exchange.set_role(Some(Role::Follower(1)));
+    assert_eq!(exchange.known_age(spacing, at(0)), None);
+    let mut digest = LoadExchange::<u32>::default();
+    digest.set_role(Some(Role::Follower(1)));
+    let (_, own) = digest.digests(&[]).remove(0);
+    let others = Digest {
+        scope: Scope::Others,
+        instances: 24,
+        ..own
+    };
+    assert!(exchange.record_digest(1, &others, at(5)));
+    let age = exchange.known_age(spacing, at(9));
+    assert_eq!(age, Some(Duration::from_millis(4 + 15)));
+}
+
 /// Odd figures end no process.
 #[test]
 fn odd_figures() {
