--- a/crates/edge-bin/tests/common/worker.rs
+++ b/crates/edge-bin/tests/common/worker.rs
@@ -1,7 +1,13 @@
 //! A stand-in for an upstream, which responds with scripted bytes.
 
 use super::body_end::{self, BodyEnd, Close};
+use super::early::EarlyAnswer;
+pub use super::endless::EndlessPart;
+use super::endless::{endless, trickle};
+use super::memory::{BodyMemory, read_body};
 use super::pause;
+pub use super::streams::{event, events, first_events, stream_head};
+use super::streams::{stream, unframed_stream};
 use super::versioned;
 use std::collections::VecDeque;
 use std::fmt::Write;
@@ -73,30 +79,18 @@
     SilentAfter(u32),
     /// Sends a response that may end early: a stream of events, or a plain body on other routes.
     End(BodyEnd),
+    /// Sends a plain response of this size in MiB.
+    Large(usize),
+    /// Responds before it has read the body of the request.
+    Early(EarlyAnswer),
 }
 
 /// Number of events in a complete stream.
 pub const EVENTS: u32 = 5;
 
-/// Size and pause of the chunks of an endless response, which has a rate of 16 MB per second.
-const JUNK_CHUNK_BYTES: usize = 16 * 1024;
-const JUNK_PAUSE: Duration = Duration::from_millis(1);
-
 /// Time until the response of [`Action::SlowPrefill`].
 const SLOW_PREFILL_TIME: Duration = Duration::from_secs(1);
 
-/// Pause between the bytes of [`Action::Trickle`].
-const TRICKLE_PAUSE: Duration = Duration::from_millis(100);
-
-/// Part of a response that does not end.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum EndlessPart {
-    Head,
-    Body,
-    ChunkExtension,
-    Event,
-}
-
 /// Time from a crash until the worker listens again.
 const DOWN_TIME: Duration = Duration::from_millis(400);
 
@@ -130,10 +124,15 @@
     started_ms: u64,
     /// Arrival times of its requests since the limit was set.
     arrivals: Vec<Instant>,
+    /// Starts of runs, with the ids of their requests.
+    run_times: Vec<(Instant, String)>,
     /// Number of hung requests whose connection the edge closed.
     abandoned: usize,
     /// Times at which the edge closed the connection of a silent stream.
     silent_ends: Vec<Instant>,
+    /// Number of large responses that the edge has taken whole.
+    large_ends: usize,
+    memory: BodyMemory,
 }
 
 impl WorkerState {
@@ -187,6 +186,16 @@
         self.0.lock().unwrap().crash_delay = Some(delay);
     }
 
+    /// Makes the worker crash if the bodies that it holds exceed this number of bytes.
+    pub fn set_memory(&self, bytes: usize) {
+        self.0.lock().unwrap().memory.limit = Some(bytes);
+    }
+
+    /// Makes the worker pause before each MiB of a body.
+    pub fn pause_in_bodies(&self, pause: Duration) {
+        self.0.lock().unwrap().memory.piece_pause = pause;
+    }
+
     /// Returns the number of crashes.
     pub fn crashes(&self) -> usize {
         self.0.lock().unwrap().crashes
@@ -273,6 +282,11 @@
         self.0.lock().unwrap().arrivals.clone()
     }
 
+    /// Returns when each run began, with the id of its request.
+    pub fn run_times(&self) -> Vec<(Instant, String)> {
+        self.0.lock().unwrap().run_times.clone()
+    }
+
     /// Returns the number of hung requests whose connection the edge closed.
     pub fn abandoned(&self) -> usize {
         self.0.lock().unwrap().abandoned
@@ -283,6 +297,11 @@
         self.0.lock().unwrap().silent_ends.clone()
     }
 
+    /// Returns the number of large responses that the edge has taken whole.
+    pub fn large_ends(&self) -> usize {
+        self.0.lock().unwrap().large_ends
+    }
+
     /// Clears the list of requests.
     pub fn clear_requests(&self) {
         self.0.lock().unwrap().requests.clear();
@@ -290,7 +309,23 @@
 
     async fn serve_connection(self, mut io: TcpStream) {
         let mut last_refusal = None;
-        while let Some(head) = read_request(&mut io).await {
+        while let Some(head) = read_head(&mut io).await {
+            if let Some(answer) = self.take_early(&head) {
+                return answer.send(io, &head).await;
+            }
+            let pause = self.0.lock().unwrap().memory.piece_pause;
+            if !read_body(&mut io, &head, pause).await {
+                return;
+            }
+            let body_bytes = header(&head, "content-length").map_or(0, |len| len.parse().unwrap());
+            {
+                let mut inner = self.0.lock().unwrap();
+                if !inner.memory.hold(body_bytes) {
+                    inner.crashes += 1;
+                    inner.crash.cancel();
+                    return;
+                }
+            }
             if head.starts_with("GET /-/report ") {
                 let report = versioned::report(self.0.lock().unwrap().started_ms);
                 if io.write_all(report.as_bytes()).await.is_err() {
@@ -315,26 +350,13 @@
                 if !matches!(action, Action::NotRun | Action::UnnamedRefusal) {
                     inner.requests.push(head.clone());
                     inner.total_runs += 1;
+                    let id = header(&head, "x-attempt-id").unwrap_or_default();
+                    inner.run_times.push((Instant::now(), id.into()));
                 }
                 action
             };
             if self.crashes_on(&head) {
-                let id = header(&head, "x-attempt-id").unwrap_or_default();
-                let delay = self.0.lock().unwrap().crash_delay;
-                // The connection may be closed already; the worker crashes in any case.
-                let _ = match delay {
-                    None => io.write_all(stream_head(id).as_bytes()).await,
-                    Some(_) if header(&head, "last-event-id").is_some() => {
-                        stream(&mut io, Action::Stream, &head, "").await;
-                        Ok(())
-                    }
-                    Some(_) => io.write_all(first_events(id).as_bytes()).await,
-                };
-                sleep(delay.unwrap_or_default()).await;
-                let mut inner = self.0.lock().unwrap();
-                inner.crashes += 1;
-                inner.crash.cancel();
-                return;
+                return self.begin_and_crash(&mut io, &head).await;
             }
             let version = self.0.lock().unwrap().version.clone();
             let stream = version.and_then(|name| versioned::response(&name, action, &head));
@@ -357,6 +379,10 @@
             if matches!(action, Action::PauseAfter(_) | Action::SilentAfter(_)) && !stays_open {
                 self.0.lock().unwrap().silent_ends.push(Instant::now());
             }
+            self.0.lock().unwrap().memory.release(body_bytes);
+            if matches!(action, Action::Large(_)) && stays_open {
+                self.0.lock().unwrap().large_ends += 1;
+            }
             if !stays_open {
                 return;
             }
@@ -365,6 +391,40 @@
 }
 
 impl Worker {
+    /// Takes the response that precedes the body of the request, if that comes next.
+    fn take_early(&self, head: &str) -> Option<EarlyAnswer> {
+        let mut inner = self.0.lock().unwrap();
+        match inner.script.front() {
+            Some(Action::Early(answer)) if !head.starts_with("GET /-/report ") => {
+                let answer = *answer;
+                inner.script.pop_front();
+                inner.requests.push(head.into());
+                inner.total_runs += 1;
+                Some(answer)
+            }
+            _ => None,
+        }
+    }
+
+    /// Begins to answer a request on which the worker crashes, and crashes.
+    async fn begin_and_crash(&self, io: &mut TcpStream, head: &str) {
+        let id = header(head, "x-attempt-id").unwrap_or_default();
+        let delay = self.0.lock().unwrap().crash_delay;
+        // The connection may be closed already; the worker crashes in any case.
+        let _ = match delay {
+            None => io.write_all(stream_head(id).as_bytes()).await,
+            Some(_) if header(head, "last-event-id").is_some() => {
+                stream(io, Action::Stream, head, "").await;
+                Ok(())
+            }
+            Some(_) => io.write_all(first_events(id).as_bytes()).await,
+        };
+        sleep(delay.unwrap_or_default()).await;
+        let mut inner = self.0.lock().unwrap();
+        inner.crashes += 1;
+        inner.crash.cancel();
+    }
+
     fn crashes_on(&self, head: &str) -> bool {
         let inner = self.0.lock().unwrap();
         let Some(block) = inner.crashing_block.as_deref() else {
@@ -386,15 +446,12 @@
     })
 }
 
-async fn read_request(io: &mut TcpStream) -> Option<String> {
+async fn read_head(io: &mut TcpStream) -> Option<String> {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
         head.push(io.read_u8().await.ok()?);
     }
-    let head = String::from_utf8(head).ok()?;
-    let len = header(&head, "content-length").map_or(0, |len| len.parse().unwrap());
-    io.read_exact(&mut vec![0; len]).await.ok()?;
-    Some(head)
+    String::from_utf8(head).ok()
 }
 
 /// Performs an action and returns whether the connection stays open.
@@ -448,6 +505,7 @@
         }
         Action::WrongId => response("200 OK", "another", signed, "not yours"),
         Action::Unsigned => response("200 OK", id, "", "done"),
+        Action::Large(mib) => response("200 OK", id, signed, &"x".repeat(mib << 20)),
         Action::Truncate => {
             response("200 OK", id, signed, "done").replace("Length: 4", "Length: 9")
         }
@@ -460,7 +518,7 @@
             let own = response("200 OK", id, signed, "done");
             format!("{other}{own}")
         }
-        Action::Close => return false,
+        Action::Close | Action::Early(_) => return false,
         Action::Hang => {
             // Returns when the other side closes the connection.
             let _ = io.read_u8().await;
@@ -484,105 +542,3 @@
     };
     io.write_all(text.as_bytes()).await.is_ok() && action != Action::Truncate
 }
-
-/// Sends an unfinished response until the other side closes the connection.
-async fn endless(io: &mut TcpStream, part: EndlessPart, id: &str) -> bool {
-    let start = match part {
-        EndlessPart::Head => "HTTP/1.1 200 OK\r\nX-Junk: ".to_owned(),
-        EndlessPart::Body => format!(
-            "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Server-Seal: s1\r\n\
-             Transfer-Encoding: chunked\r\n\r\n"
-        ),
-        EndlessPart::ChunkExtension => format!(
-            "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Server-Seal: s1\r\n\
-             Transfer-Encoding: chunked\r\n\r\n4;junk="
-        ),
-        EndlessPart::Event => stream_head(id) + "5\r\nid: 1\r\n",
-    };
-    let junk = "x".repeat(JUNK_CHUNK_BYTES);
-    let piece = match part {
-        EndlessPart::Head | EndlessPart::ChunkExtension => junk,
-        EndlessPart::Body | EndlessPart::Event => format!("{JUNK_CHUNK_BYTES:x}\r\n{junk}\r\n"),
-    };
-    let mut sent = io.write_all(start.as_bytes()).await;
-    while sent.is_ok() {
-        sleep(JUNK_PAUSE).await;
-        sent = io.write_all(piece.as_bytes()).await;
-    }
-    false
-}
-
-async fn trickle(io: &mut TcpStream, id: &str) -> bool {
-    let mut sent = io.write_all(first_events(id).as_bytes()).await;
-    while sent.is_ok() {
-        sleep(TRICKLE_PAUSE).await;
-        sent = io.write_all(b"1\r\nx\r\n").await;
-    }
-    false
-}
-
-pub fn stream_head(id: &str) -> String {
-    format!(
-        "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Server-Seal: s1\r\n\
-         Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-    )
-}
-
-/// Returns a stream up to its second event.
-fn first_events(id: &str) -> String {
-    let mut text = stream_head(id);
-    for n in 1..=2 {
-        let event = event(n);
-        write!(text, "{:x}\r\n{event}\r\n", event.len()).unwrap();
-    }
-    text
-}
-
-async fn stream(io: &mut TcpStream, action: Action, head: &str, notices: &str) -> bool {
-    let id = header(head, "x-attempt-id").unwrap_or_default();
-    let after: u32 = header(head, "last-event-id")
-        .filter(|_| action != Action::StreamFromStart)
-        .map_or(0, |id| id.parse().unwrap());
-    let last = match action {
-        Action::BreakAfter(last) => last,
-        _ => EVENTS,
-    };
-    let mut text = stream_head(id).replacen("\r\n", &format!("\r\n{notices}"), 1);
-    if action == Action::UnsignedStream {
-        text = text.replace("X-Server-Seal: s1\r\n", "");
-    }
-    for n in after + 1..=last {
-        let event = event(n);
-        write!(text, "{:x}\r\n{event}\r\n", event.len()).unwrap();
-    }
-    text += if last == EVENTS {
-        "0\r\n\r\n"
-    } else {
-        "5\r\nid: 9\r\n"
-    };
-    io.write_all(text.as_bytes()).await.is_ok() && last == EVENTS
-}
-
-/// Streams events without a length or chunks. The connection ends with the response.
-async fn unframed_stream(io: &mut TcpStream, action: Action, head: &str) -> bool {
-    let id = header(head, "x-attempt-id").unwrap_or_default();
-    let after: u32 = header(head, "last-event-id").map_or(0, |id| id.parse().unwrap());
-    let head = stream_head(id).replace("Transfer-Encoding: chunked\r\n", "");
-    let text = match action {
-        Action::UnframedBreakAfter(last) if after == 0 => events(1, last) + "id: 9\nda",
-        _ => events(after + 1, EVENTS),
-    };
-    // The edge may have closed the connection.
-    let _ = io.write_all((head + &text).as_bytes()).await;
-    false
-}
-
-/// Returns the event with number `n`.
-pub fn event(n: u32) -> String {
-    format!("id: {n}\ndata: piece {n}\n\n")
-}
-
-/// Returns the events with the numbers `from` to `to`, inclusive.
-pub fn events(from: u32, to: u32) -> String {
-    (from..=to).map(event).collect()
-}
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -5,8 +5,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use nutmegbay_policy::edge::crashes::{CrashReport, ReportSource};
-use nutmegbay_policy::edge::exchange::{Digest, Role, spacing};
+use nutmegbay_core::crashes::{CrashReport, ReportSource};
+use nutmegbay_policy::edge::engine_pace::PaceNews;
+use nutmegbay_policy::edge::exchange::{Digest, Role, Scope, spacing};
 use nutmegbay_policy::edge::stream_origins::{CallerWait, OriginNews};
 use nutmegbay_policy::edge::upstream_limit::LimitNews;
 use serde::{Deserialize, Serialize};
@@ -14,8 +15,10 @@
 use tokio::time::sleep;
 
 use crate::crashes;
+use crate::fleet::{MemoryNews, ServiceReport};
 use crate::metrics::increment;
 use crate::platform_api::WireCodec;
+use crate::quota;
 use crate::state::EdgeState;
 use crate::versions;
 
@@ -38,20 +41,27 @@
     let Some((socket, port)) = bind(&state).await else {
         // The others learn of this instance from the store alone.
         state.presence.borrow_mut().record_alone(state.now());
-        return;
+        loop {
+            quota::update(&state);
+            sleep(ROLE_UPDATE_INTERVAL).await;
+        }
     };
     let socket = Rc::new(socket);
+    state.quotas.borrow_mut().set_socket(&socket);
     let (receiver_state, rx) = (Rc::clone(&state), Rc::clone(&socket));
     tokio::task::spawn_local(async move { receive_digests(&receiver_state, &rx).await });
     let changed = Rc::clone(&state.fleet.borrow().load_changed);
     let mut role_updated_at = None;
     loop {
         let now = state.now();
-        if role_updated_at.is_none_or(|at| now.since(at) >= ROLE_UPDATE_INTERVAL) {
+        // Owners of quotas grant nothing before they hear others.
+        let is_urgent = state.quotas.borrow().is_active() && !state.fleet.borrow().has_role();
+        if is_urgent || role_updated_at.is_none_or(|at| now.since(at) >= ROLE_UPDATE_INTERVAL) {
             update_role(&state, port);
             state.share_limits();
             role_updated_at = Some(now);
         }
+        quota::update(&state);
         send_digests(&state, &socket);
         let instances = state.fleet.borrow().other_instances() + 1;
         sleep(spacing(instances)).await;
@@ -86,7 +96,9 @@
         match socket.recv_from(&mut buf).await {
             Ok((len, from)) => {
                 state.delay_monitor.record_received(len);
-                if let Err(error) = receive_digest(state, from, &buf[..len]) {
+                if quota::Message::is_in(&buf[..len]) {
+                    quota::receive(state, from, &buf[..len]);
+                } else if let Err(error) = receive_digest(state, from, &buf[..len]) {
                     tracing::debug!(event = "digest_unreadable", %from, %error);
                 }
             }
@@ -98,8 +110,9 @@
     }
 }
 
-/// News that follow the digest in a datagram. The origins of streams follow them as a list, and the
-/// longest waits of callers as another one. Earlier versions send less and ignore what follows.
+/// News that follow the digest in a datagram. After them come the origins of streams, the longest
+/// waits of callers, [`UpstreamNews`], and the work that client accounts ask for. Earlier versions
+/// send less and ignore what follows.
 #[derive(Debug, Serialize, Deserialize)]
 struct News {
     crashes: CrashReport,
@@ -108,6 +121,19 @@
     announced: Vec<u64>,
 }
 
+/// News about upstreams.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct UpstreamNews {
+    paces: Vec<PaceNews>,
+    memory: MemoryNews,
+}
+
+impl UpstreamNews {
+    fn is_empty(&self) -> bool {
+        self.paces.is_empty() && self.memory.is_empty()
+    }
+}
+
 /// Applies a datagram: a digest, and news if there are any.
 fn receive_digest<D: WireCodec>(
     state: &EdgeState<D>,
@@ -115,30 +141,50 @@
     datagram: &[u8],
 ) -> Result<(), postcard::Error> {
     let (digest, news) = postcard::take_from_bytes::<Digest>(datagram)?;
-    let is_relay = {
+    let (is_expected, is_relay) = {
         let mut fleet = state.fleet.borrow_mut();
-        fleet.receive_digest(from, &digest, state.now());
-        fleet.is_relay()
+        let is_expected = fleet.receive_digest(from, &digest, state.now());
+        (is_expected, fleet.is_relay())
     };
     if news.is_empty() {
         return Ok(());
     }
-    let (
-        News {
-            crashes: report,
-            limits,
-            announced,
-        },
-        origins,
-    ) = postcard::take_from_bytes(news)?;
+    let (news, rest) = postcard::take_from_bytes::<News>(news)?;
+    apply_news(state, news, is_relay);
+    if rest.is_empty() {
+        return Ok(());
+    }
+    let (origins, rest) = postcard::take_from_bytes::<Vec<OriginNews>>(rest)?;
+    versions::merge(state, &origins, is_relay);
+    if rest.is_empty() {
+        return Ok(());
+    }
+    let (waits, rest) = postcard::take_from_bytes::<Vec<CallerWait>>(rest)?;
+    versions::merge_waits(state, &waits);
+    if rest.is_empty() {
+        return Ok(());
+    }
+    let (news, reports) = postcard::take_from_bytes::<UpstreamNews>(rest)?;
+    let now = state.now();
+    let mut fleet = state.fleet.borrow_mut();
+    fleet.merge_paces(&news.paces, is_relay, now);
+    fleet.merge_memory(&news.memory, is_relay, now);
+    if is_expected && !reports.is_empty() {
+        let reports = postcard::from_bytes::<Vec<ServiceReport>>(reports)?;
+        fleet.merge_account_reports(from, digest.scope, reports, now);
+    }
+    Ok(())
+}
+
+fn apply_news<D: WireCodec>(state: &EdgeState<D>, news: News, is_relay: bool) {
     let source = if is_relay {
         ReportSource::Unshared
     } else {
         ReportSource::Shared
     };
-    crashes::merge(state, &report, source);
+    crashes::merge(state, &news.crashes, source);
     let now = state.now();
-    for instance in announced {
+    for instance in news.announced {
         state.presence.borrow_mut().record(instance, is_relay, now);
         state
             .members
@@ -148,15 +194,7 @@
     state
         .fleet
         .borrow_mut()
-        .merge_limits(&limits, is_relay, now);
-    if !origins.is_empty() {
-        let (origins, waits) = postcard::take_from_bytes::<Vec<OriginNews>>(origins)?;
-        versions::merge(state, &origins, is_relay);
-        if !waits.is_empty() {
-            versions::merge_waits(state, &postcard::from_bytes::<Vec<CallerWait>>(waits)?);
-        }
-    }
-    Ok(())
+        .merge_limits(&news.limits, is_relay, now);
 }
 
 /// Sets the role of this instance from the known members. Instances that read the store also
@@ -185,14 +223,24 @@
 }
 
 fn send_digests<D: WireCodec>(state: &EdgeState<D>, socket: &UdpSocket) {
-    let digests = state.fleet.borrow_mut().digests(state.now());
+    let now = state.now();
+    let (digests, has_reports) = {
+        let mut fleet = state.fleet.borrow_mut();
+        (fleet.digests(now), fleet.take_reports_due(now))
+    };
     if digests.is_empty() {
         return;
     }
-    let news = encode_news(state);
+    let news = encode_news(state, has_reports);
+    let mut reports = Vec::new();
     for (to, digest) in digests {
+        if has_reports && !reports.iter().any(|(scope, _)| *scope == digest.scope) {
+            reports.push((digest.scope, encode_reports(state, digest.scope)));
+        }
+        let reports = reports.iter().find(|(scope, _)| *scope == digest.scope);
+        let reports = reports.map_or(&[][..], |(_, encoded)| encoded);
         let encoded = match postcard::to_stdvec(&digest) {
-            Ok(encoded) => [encoded, news.clone()].concat(),
+            Ok(encoded) => [&encoded, &news[..], reports].concat(),
             Err(error) => {
                 tracing::error!(event = "digest_not_encoded", %error);
                 continue;
@@ -207,8 +255,17 @@
     }
 }
 
-/// Encodes the news that are due. Empty if there are none.
-fn encode_news<D: WireCodec>(state: &EdgeState<D>) -> Vec<u8> {
+/// Encodes the work that client accounts ask for, for receivers of digests of `scope`.
+fn encode_reports<D: WireCodec>(state: &EdgeState<D>, scope: Scope) -> Vec<u8> {
+    let reports = state.fleet.borrow_mut().account_reports(scope, state.now());
+    postcard::to_stdvec(&reports).unwrap_or_else(|error| {
+        tracing::error!(event = "reports_not_encoded", %error);
+        Vec::new()
+    })
+}
+
+/// Encodes the news that are due. Empty if there are none and nothing `follows` them.
+fn encode_news<D: WireCodec>(state: &EdgeState<D>, follows: bool) -> Vec<u8> {
     let now = state.now();
     let record_age = now.since(state.record_written_at.get());
     let news = News {
@@ -220,15 +277,28 @@
         let mut versions = state.versions.borrow_mut();
         (versions.take_news(now), versions.take_wait_news())
     };
+    let upstreams = {
+        let mut fleet = state.fleet.borrow_mut();
+        UpstreamNews {
+            paces: fleet.take_pace_news(now),
+            memory: if state.settings().has_competing_accounts {
+                fleet.take_memory_news(now)
+            } else {
+                MemoryNews::default()
+            },
+        }
+    };
     let is_empty = news.crashes.is_empty()
         && news.limits.is_empty()
         && news.announced.is_empty()
         && origins.is_empty()
         && waits.is_empty();
-    if is_empty {
-        return Vec::new();
-    }
-    postcard::to_stdvec(&(news, origins, waits)).unwrap_or_else(|error| {
+    let encoded = match upstreams.is_empty() && !follows {
+        true if is_empty => return Vec::new(),
+        true => postcard::to_stdvec(&(news, origins, waits)),
+        false => postcard::to_stdvec(&(news, origins, waits, upstreams)),
+    };
+    encoded.unwrap_or_else(|error| {
         tracing::error!(event = "news_not_encoded", %error);
         Vec::new()
     })
--- a/crates/edge/src/fleet/digests.rs
+++ b/crates/edge/src/fleet/digests.rs
@@ -16,6 +16,11 @@
         self.other_instances = other_instances;
     }
 
+    /// Whether this instance has a role in the exchange.
+    pub fn has_role(&self) -> bool {
+        self.exchange.has_role()
+    }
+
     /// Whether this instance forwards what others send.
     pub fn is_relay(&self) -> bool {
         self.exchange.is_relay()
@@ -36,7 +41,7 @@
         let own: Vec<_> = self
             .upstreams
             .values()
-            .filter(|upstream| upstream.load.in_flight() > 0)
+            .filter(|upstream| upstream.load.in_flight() > 0 || upstream.streams > 0)
             .map(|upstream| (upstream.tag(), work_of(upstream)))
             .collect();
         self.exchange.sweep(now);
@@ -51,10 +56,16 @@
         digests
     }
 
-    /// Applies the digest of another instance.
-    pub fn receive_digest(&mut self, from: SocketAddr, digest: &Digest, now: MonotonicTime) {
+    /// Applies the digest of another instance. Returns false and ignores it if none is expected
+    /// from there.
+    pub fn receive_digest(
+        &mut self,
+        from: SocketAddr,
+        digest: &Digest,
+        now: MonotonicTime,
+    ) -> bool {
         if !self.exchange.record_digest(from, digest, now) {
-            return;
+            return false;
         }
         if self.exchange.is_relay() {
             self.load_changed.notify_one();
@@ -73,6 +84,12 @@
                 self.prefix_locations.record_use(block_use.block, *key, now);
             }
         }
+        true
+    }
+
+    /// Returns the number of other instances whose digests are known.
+    pub fn heard_instances(&self) -> usize {
+        self.exchange.reporting_instances() as usize
     }
 
     /// Returns the number of other instances whose digests are known, or `None` if it is 0 or less
@@ -84,6 +101,6 @@
 }
 
 /// Returns the short id that identifies a service in load digests.
-fn service_tag(name: &str) -> u32 {
+pub(super) fn service_tag(name: &str) -> u32 {
     xxh3_64(name.as_bytes()) as u32
 }
--- a/crates/edge/src/fleet/in_flight.rs
+++ b/crates/edge/src/fleet/in_flight.rs
@@ -7,13 +7,18 @@
 use nutmegbay_core::environment::MonotonicTime;
 use nutmegbay_policy::UpstreamKey;
 use nutmegbay_policy::edge::health::Outcome;
+use nutmegbay_policy::edge::load::QueueAhead;
 use nutmegbay_policy::edge::software_versions::VersionTag;
 use nutmegbay_policy::edge::urgency::Urgency;
 
 use super::Fleet;
 use super::costs::costs_mut;
 use crate::clock::MonotonicClock;
-use crate::model::{ResponseHead, Service};
+use crate::model::{ResponseHead, Service, StatedPace};
+
+/// Maximum predicted wait of a call from which the speed of its engine is learned, in times of its
+/// own work.
+const MAX_SAMPLE_WAIT: f64 = 0.25;
 
 /// An admitted request that waits for its prefill. Counts in the service's pending work until it is
 /// dropped.
@@ -70,6 +75,8 @@
     pub urgency: Urgency,
     /// Time of the request's own work at the upstream until the first result, in milliseconds.
     pub cost_ms: f64,
+    /// Time until the request has left over the link of this process, in milliseconds.
+    pub link_ms: f64,
     /// Whether the answer is a long stream.
     pub is_long: bool,
     /// Whether the upstream prefills the prompt.
@@ -84,31 +91,36 @@
     incarnation: u64,
     version: Option<VersionTag>,
     demand: Demand,
+    body_bytes: u64,
     sent_at: MonotonicTime,
     predicted_ms: f64,
+    /// Predicted time of the prefill at the fastest engines, in milliseconds.
+    typical_ms: f64,
     has_begun: bool,
     result_at: Option<MonotonicTime>,
     has_outcome: bool,
 }
 
 impl InFlightSend {
-    /// Records a request that is being sent to the upstream `key`.
+    /// Records a request with a body of `body_bytes` that is being sent to the upstream `key`.
     pub fn new(
         fleet: &Rc<RefCell<Fleet>>,
         key: UpstreamKey,
         demand: Demand,
+        body_bytes: usize,
         now: MonotonicTime,
     ) -> Self {
         let mut predicted_ms = demand.cost_ms;
-        let (ahead, incarnation, version) = {
+        let (ahead, incarnation, version, factor) = {
             let fleet = fleet.borrow();
             let upstream = fleet.get(key);
-            upstream.map_or_else(Default::default, |up| {
+            upstream.map_or((QueueAhead::default(), 0, None, 1.0), |up| {
                 let typical_requests = fleet.typical_requests(up);
                 (
                     fleet.ahead(up, demand.urgency, typical_requests, now),
                     up.incarnation(),
                     Some(up.version()),
+                    up.pace.speed(now).prefill_factor,
                 )
             })
         };
@@ -119,6 +131,7 @@
                 .record_sent(demand.urgency, demand.cost_ms, ahead);
             upstream.health.record_sent();
             upstream.streams += u32::from(demand.is_long);
+            upstream.bodies.record_sent(body_bytes as u64);
         }
         Self {
             fleet: Rc::clone(fleet),
@@ -126,8 +139,10 @@
             incarnation,
             version,
             demand,
+            body_bytes: body_bytes as u64,
             sent_at: now,
             predicted_ms,
+            typical_ms: demand.cost_ms / factor,
             has_begun: false,
             result_at: None,
             has_outcome: false,
@@ -159,6 +174,23 @@
         self.result_at
     }
 
+    /// Records how long the engine took for a good first result, unless the request had to wait.
+    pub fn record_speed(&self, now: MonotonicTime) {
+        let Demand {
+            cost_ms,
+            link_ms,
+            is_long,
+            needs_prefill,
+            ..
+        } = self.demand;
+        let waited_ms = self.predicted_ms - cost_ms;
+        if needs_prefill && !is_long && waited_ms <= cost_ms * MAX_SAMPLE_WAIT {
+            let ms = now.since(self.sent_at).as_secs_f64() * 1e3 - link_ms;
+            let mut fleet = self.fleet.borrow_mut();
+            fleet.record_call(self.key, ms, self.typical_ms, now);
+        }
+    }
+
     /// Records the first result.
     pub fn record_first_result(&mut self, now: MonotonicTime) {
         if !self.has_begun {
@@ -176,7 +208,10 @@
                 }
             }
         }
-        self.result_at.get_or_insert(now);
+        if self.result_at.is_none() {
+            self.result_at = Some(now);
+            self.fleet.borrow_mut().record_survived(self.key, now);
+        }
         self.leave_queue();
     }
 
@@ -212,6 +247,11 @@
         fleet.record_notices(self.key, head.is_leaving, head.pause, now);
     }
 
+    /// Records the time that work takes at the moment, as the response states it.
+    pub fn record_pace(&self, pace: StatedPace, now: MonotonicTime) {
+        self.fleet.borrow_mut().record_pace(self.key, pace, now);
+    }
+
     /// Records the number of requests that the response reports.
     pub fn record_reported_load(&self, requests: u32, now: MonotonicTime) {
         let is_typical_sample = self.demand.needs_prefill && !self.demand.is_long;
@@ -225,6 +265,7 @@
         self.leave_queue();
         if let Some(upstream) = self.fleet.borrow_mut().upstreams.get_mut(self.key) {
             upstream.load.record_end();
+            upstream.bodies.record_end(self.body_bytes);
             upstream.streams -= u32::from(self.demand.is_long);
             if !self.has_outcome {
                 upstream.health.record_end_without_outcome();
--- a/crates/edge/src/fleet/mod.rs
+++ b/crates/edge/src/fleet/mod.rs
@@ -1,10 +1,14 @@
 //! Known upstreams with their load, health and idle connections.
 
+mod accounts;
 mod costs;
 mod digests;
 mod in_flight;
 mod limits;
+mod memory;
+mod paces;
 mod placement;
+mod slots;
 mod versions;
 
 use std::collections::{BTreeMap, HashMap};
@@ -14,6 +18,8 @@
 
 use nutmegbay_core::environment::MonotonicTime;
 use nutmegbay_policy::UpstreamKey;
+use nutmegbay_policy::edge::account_shares::AccountShares;
+use nutmegbay_policy::edge::engine_pace::EnginePace;
 use nutmegbay_policy::edge::exchange::{LoadExchange, PrefixBlockUse};
 use nutmegbay_policy::edge::health::{Health, Outcome};
 use nutmegbay_policy::edge::limit_owners::LimitOwners;
@@ -25,6 +31,7 @@
 use nutmegbay_policy::edge::prefixes::PrefixLocations;
 use nutmegbay_policy::edge::software_versions::VersionTag;
 use nutmegbay_policy::edge::upstream_limit::UpstreamLimit;
+use nutmegbay_policy::edge::upstream_memory::{HeldElsewhere, MemoryEstimate};
 use nutmegbay_policy::edge::urgency::Urgency;
 use slotmap::SlotMap;
 use tokio::sync::Notify;
@@ -35,9 +42,13 @@
 use crate::model::{EngineRole, InstanceReport, ModelWork};
 use crate::versions::version_tag;
 
+pub use accounts::ServiceReport;
 use costs::{INITIAL_MEAN_MS, ServiceCosts, costs_mut};
 pub use in_flight::{Demand, InFlightSend, PrefillWait};
+pub use memory::MemoryNews;
+use memory::UpstreamBodies;
 pub use placement::ModelRequest;
+pub use slots::SlotClaim;
 
 /// Number of output tokens from which an answer is a long stream. A batch step produces one token
 /// in under a millisecond, so such a stream runs for a second or more.
@@ -65,6 +76,12 @@
     limit: UpstreamLimit,
     /// What it has stated about further requests.
     notices: Notices,
+    /// What it has stated about the time that work takes.
+    pace: EnginePace,
+    /// Whether a statement about that time that cannot be used was logged.
+    has_unusable_pace: bool,
+    /// Request bodies that it holds.
+    bodies: UpstreamBodies,
     /// Whether a refused connection has shown that the start in the entry has ended.
     has_ended: bool,
     /// Held by each open connection that is proved to lead to the start in the entry.
@@ -123,8 +140,22 @@
     other_instances: usize,
     /// Instances among which the limits of upstreams are divided.
     limit_owners: LimitOwners,
+    /// Hash of the name of this instance.
+    own_hash: u64,
+    /// Request bodies that other instances have sent.
+    held_elsewhere: HeldElsewhere,
+    /// Number of the last statement of this instance about bodies.
+    held_sequence: u32,
+    /// Memory of upstreams, by service.
+    memory: HashMap<Box<str>, MemoryEstimate>,
     /// Notices of upstreams that were removed.
     kept_notices: KeptNotices,
+    /// Shares of the client accounts, by service. Empty unless accounts compete for room.
+    account_shares: HashMap<Box<str>, AccountShares<SocketAddr>>,
+    /// Time at which reports of accounts' work were last sent.
+    reports_sent_at: Option<MonotonicTime>,
+    /// Time of the last log line about an account that is beyond its part.
+    part_logged_at: Option<MonotonicTime>,
     /// Notified when this process's load has changed and a digest should be sent.
     pub load_changed: Rc<Notify>,
 }
@@ -147,7 +178,14 @@
             exchange: LoadExchange::default(),
             other_instances: 0,
             limit_owners: LimitOwners::new(member_hash(node)),
+            own_hash: member_hash(node),
+            held_elsewhere: HeldElsewhere::default(),
+            held_sequence: 0,
+            memory: HashMap::new(),
             kept_notices: KeptNotices::default(),
+            account_shares: HashMap::new(),
+            reports_sent_at: None,
+            part_logged_at: None,
             load_changed: Rc::default(),
         }
     }
@@ -202,6 +240,9 @@
             streams: 0,
             limit: UpstreamLimit::default(),
             notices: self.kept_notices.take(id, report.started_ms),
+            pace: EnginePace::default(),
+            has_unusable_pace: false,
+            bodies: UpstreamBodies::default(),
             has_ended: false,
             proof: Rc::default(),
             idle: IdleConnections::new(MAX_IDLE_CONNECTIONS),
@@ -289,15 +330,6 @@
         self.upstreams.get(key)
     }
 
-    /// Updates the average number of a service's long streams.
-    pub fn average_long_streams(&mut self, service: &str, now: MonotonicTime) {
-        let count: u32 = self
-            .service_keys(service)
-            .map(|key| self.upstreams[key].streams)
-            .sum();
-        costs_mut(&mut self.costs, service).average_long_streams(count, now);
-    }
-
     /// Returns the mean time of a request to a plain service, in milliseconds.
     pub fn mean_ms(&self, service: &str) -> f64 {
         self.costs
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -270,7 +270,11 @@
                     source,
                 );
             }
-            state.apply_config(config, source);
+            let has_list = state.known_records.borrow().instances_next.is_some();
+            if state.apply_config(config, source) && has_list {
+                // The list was read before the configuration named its services.
+                versions::record_listed(state);
+            }
             let mut known_records = state.known_records.borrow_mut();
             known_records.keep_config(record, is_outdated);
         }
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -3,9 +3,12 @@
 mod admit;
 mod attempt;
 mod continuation;
+mod head;
 mod prefill;
+mod quota;
 mod request;
 mod start;
+mod upload;
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -26,6 +29,7 @@
 use crate::fleet::{ModelRequest, PrefillWait};
 use crate::model::{Refusal, Stage};
 use crate::platform_api::WireCodec;
+use crate::quota::OVER_QUOTA;
 use crate::state::EdgeState;
 use crate::stream::{Framing, ResponseBodyError, ResponseSource, ResumeCause, response_body};
 
@@ -54,6 +58,9 @@
 /// Cause of a request that is refused because its content crashes upstreams.
 const CRASHES_UPSTREAMS: &str = "crashes_upstreams";
 
+/// Cause of a request that is not sent because the upstream would hold too much.
+const UPSTREAM_MEMORY: &str = "upstream_memory";
+
 /// Cause of a failure in place of a response whose status promises that the request did not run,
 /// which its upstream does not state.
 const UNPROVED_REFUSAL: &str = "unproved_refusal";
@@ -165,6 +172,8 @@
     has_prefill: bool,
     /// Version of the engine that holds the prefill result which is to be decoded.
     prefill_version: Option<VersionTag>,
+    /// Whether the last send is the only one that may have run the request so far.
+    is_first_run: bool,
     cause: &'static str,
 }
 
@@ -182,6 +191,7 @@
             prefill_wait: None,
             has_prefill: false,
             prefill_version: None,
+            is_first_run: false,
             cause: NO_UPSTREAM,
         }
     }
@@ -202,6 +212,7 @@
     }
 
     async fn send_in_turn(mut self) -> Result<UpstreamResponse, Failure> {
+        self.acquire_quota().await?;
         self.find_version().await?;
         for round in 0..MAX_PLACEMENTS {
             self.prefill_version = None;
@@ -239,12 +250,16 @@
             if let Some(response) = self.select_response(outcome) {
                 if let Some(prefill_wait) = self.prefill_wait.take() {
                     prefill_wait.record_first_result();
+                    self.record_done();
                 }
                 return Ok(response);
             }
             if !self.request.route.is_repeatable() && self.verdict != Verdict::NotRun {
                 break;
             }
+            if self.cause == OVER_QUOTA {
+                break;
+            }
             if self.request.time_left(self.state.now()).is_zero() {
                 self.cause = "deadline";
                 break;
@@ -262,6 +277,8 @@
         let now = self.state.now();
         let fleet = self.state.fleet.borrow();
         let service = &self.request.service;
+        let mut avoided = self.avoided(&fleet, now).into_owned();
+        avoided.extend(fleet.full_upstreams(&service.name, self.request.body.len(), now));
         match (&service.engine, &self.request.head.work) {
             (Some(engine), Some(work)) => {
                 let req = ModelRequest {
@@ -271,13 +288,13 @@
                     urgency: self.request.urgency(),
                     objective: self.request.route.objective,
                     body_bytes: self.request.body.len(),
-                    tried: &self.tried,
+                    tried: &avoided,
                     version: self.version(),
                 };
                 fleet.place_model(&req, self.state.process_count(), now)
             }
             _ => {
-                let (at, wait_ms) = fleet.place_plain(service, &self.tried, self.version(), now)?;
+                let (at, wait_ms) = fleet.place_plain(service, &avoided, self.version(), now)?;
                 let cost_ms = fleet.mean_ms(&service.name);
                 Some(Placement::Whole {
                     at,
@@ -364,6 +381,7 @@
             return SendOutcome::NotRun(NO_UPSTREAM);
         };
         let max_wait = self.prefill_timeout(first_result_ms);
+        let claim = self.claim_slot(decode);
         let handle = match self.prefill(prefill, cost_ms, max_wait).await {
             Ok(handle) => handle,
             Err(send) => return send,
@@ -374,6 +392,7 @@
             handle: &handle.name,
         };
         let max_wait = self.first_result_timeout(first_result_ms);
+        drop(claim);
         let Some(decode) = self.decode_engine(decode) else {
             return SendOutcome::NotRun(NO_UPSTREAM);
         };
@@ -388,7 +407,7 @@
     /// engine, or another one of the same version if `chosen` accepts no new requests any more.
     fn decode_engine(&self, chosen: UpstreamKey) -> Option<UpstreamKey> {
         let now = self.state.now();
-        if self.state.fleet.borrow().takes_work(chosen, now) {
+        if self.state.fleet.borrow().takes_work(chosen, now) && self.gets_slot(chosen) {
             return Some(chosen);
         }
         match self.place_unsplit()? {
@@ -446,6 +465,7 @@
     fn failure(&self) -> Failure {
         let is_late = self.request.time_left(self.state.now()).is_zero();
         let status = match self.verdict {
+            Verdict::NotRun if self.cause == OVER_QUOTA => StatusCode::TOO_MANY_REQUESTS,
             Verdict::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             _ if is_late => StatusCode::GATEWAY_TIMEOUT,
             _ => StatusCode::BAD_GATEWAY,
--- a/crates/edge/src/forward/request.rs
+++ b/crates/edge/src/forward/request.rs
@@ -1,21 +1,23 @@
 use std::cell::{Cell, OnceCell, RefCell};
+use std::fmt::Write;
 use std::rc::Rc;
 use std::time::Duration;
 
 use http::{Method, StatusCode};
+use nutmegbay_core::crashes::ContentId;
 use nutmegbay_core::environment::MonotonicTime;
 use nutmegbay_core::verdict::Verdict;
-use nutmegbay_policy::edge::crashes::ContentId;
 use nutmegbay_policy::edge::software_versions::VersionTag;
 use nutmegbay_policy::edge::urgency::{MOST_URGENT_RANK, Urgency};
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 use crate::body::HeldBody;
 use crate::crashes::block_content;
-use crate::http1::BodyDelimiter;
+use crate::http1::{BodyDelimiter, Connection};
 use crate::model::{
-    Account, ModelWork, RequestHead, RequestKind, Route, Service, promises_not_run,
+    Account, ModelWork, RequestHead, RequestKind, Route, Service, Stage, promises_not_run,
 };
+use crate::quota::QuotaTicket;
 
 /// A caller's request with its route, service and client account.
 pub struct RoutedRequest {
@@ -66,6 +68,9 @@
     pub summed_ms: f64,
     /// Whether the prediction is for a split request.
     pub is_split: bool,
+    /// Fraction of its account's work that is within the account's part, if the request is beyond
+    /// it.
+    pub within_part: Option<f64>,
     /// Duration of a separate prefill. `None` for a whole run.
     pub prefill: Option<Duration>,
     /// Time of the first result.
@@ -74,10 +79,34 @@
     pub delimiter: Option<BodyDelimiter>,
     /// Whether the response is streamed to the caller.
     pub is_streaming: bool,
+    /// Bytes written by the connection to which the body is being sent.
+    pub written: Option<Rc<Cell<u64>>>,
     /// Whether the request was counted for its client account.
     pub is_counted: bool,
     /// Version at which the stream must be continued. `None` before its first event.
     pub version: Option<VersionTag>,
+    /// Tokens of the account's quota. `None` without a quota.
+    pub quota: Option<QuotaTicket>,
+}
+
+impl RequestProgress {
+    /// Adds an upstream to which the request is being sent.
+    pub fn record_upstream(&mut self, id: &str, stage: Stage<'_>) {
+        let mark = match stage {
+            Stage::Whole => "",
+            Stage::Prefill => "p:",
+            Stage::Decode { .. } => "d:",
+        };
+        let comma = if self.upstreams.is_empty() { "" } else { "," };
+        // Writing to a string does not fail.
+        let _ = write!(self.upstreams, "{comma}{mark}{id}");
+    }
+
+    /// Records that the request is being sent on `connection`.
+    pub fn record_send(&mut self, connection: &Connection) {
+        self.sends += 1;
+        self.written = Some(connection.written());
+    }
 }
 
 impl RoutedRequest {
--- a/crates/edge/src/http1.rs
+++ b/crates/edge/src/http1.rs
@@ -1,10 +1,10 @@
 //! HTTP/1.1 client connections. This module opens, keeps and closes them; `hyper` does the framing.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::future::poll_fn;
 use std::net::SocketAddr;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
@@ -21,6 +21,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpSocket, TcpStream};
+use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
@@ -50,10 +51,19 @@
 /// sent while the upstream closes it.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 
+/// Maximum number of headers of a request or response. The operator limits only the bytes of
+/// requests. From 3,000 on, the buffers that `hyper` allocates for the headers of each request add
+/// 12 us; with 2,000 they add 1 us.
+pub const MAX_HEADERS: usize = 2_000;
+
 /// Maximum size of a response body that is read whole, in bytes. The largest one is a page of the
 /// store.
 const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
 
+/// Size of the read buffer of a connection whose responses may wait for slow callers, in bytes. The
+/// default of `hyper` is about 400 KiB, which 300 unread responses multiply to 120 MB.
+const SMALL_READ_BYTES: usize = 64 * 1024;
+
 /// Maximum number of idle connections that a [`BufferedClient`] keeps.
 const MAX_IDLE_CONNECTIONS: usize = 4;
 
@@ -80,6 +90,8 @@
     Broken,
     /// The connection did not open in time, or there was no response in time.
     Timeout,
+    /// The request was not sent, since the quota of its account is used up.
+    OverQuota,
 }
 
 impl fmt::Display for CallError {
@@ -129,6 +141,8 @@
     refused: Option<u64>,
     /// Proof that the connection leads to the start of the upstream that is listed.
     start_proof: Option<Rc<()>>,
+    /// Number of bytes written.
+    written: Rc<Cell<u64>>,
 }
 
 /// Task that moves the bytes of a connection; it is aborted on drop. Once no more requests are
@@ -159,6 +173,22 @@
     /// Opens a connection within [`CONNECT_TIMEOUT`], or longer while this process is late. `monitor`
     /// counts the bytes that it receives.
     pub async fn open(addr: SocketAddr, monitor: &DelayMonitor) -> Result<Self, CallError> {
+        Self::open_with(addr, monitor, Builder::new()).await
+    }
+
+    /// Opens a connection as [`Self::open`] does, which reads at most [`SMALL_READ_BYTES`] of a
+    /// response before they are asked for.
+    pub async fn open_small(addr: SocketAddr, monitor: &DelayMonitor) -> Result<Self, CallError> {
+        let mut builder = Builder::new();
+        builder.max_buf_size(SMALL_READ_BYTES);
+        Self::open_with(addr, monitor, builder).await
+    }
+
+    async fn open_with(
+        addr: SocketAddr,
+        monitor: &DelayMonitor,
+        mut builder: Builder,
+    ) -> Result<Self, CallError> {
         let failed = |cause| CallError {
             verdict: Verdict::NotRun,
             cause,
@@ -169,8 +199,11 @@
             Ok(Err(_)) => return Err(failed(Cause::Connect)),
             Err(_) => return Err(failed(Cause::Timeout)),
         };
-        let (sender, connection) = Builder::new()
-            .handshake(TokioIo::new(CountedIo::new(io, monitor)))
+        let io = CountedIo::new(io, monitor);
+        let written = io.written();
+        let (sender, connection) = builder
+            .max_headers(MAX_HEADERS)
+            .handshake(TokioIo::new(io))
             .await
             .map_err(|_| failed(Cause::Connect))?;
         let driver = tokio::task::spawn_local(async move {
@@ -185,6 +218,7 @@
             sends: 0,
             refused: None,
             start_proof: None,
+            written,
         })
     }
 
@@ -223,6 +257,7 @@
             return Err(broken);
         };
         let (sender, connection) = Builder::new()
+            .max_headers(MAX_HEADERS)
             .handshake(TokioIo::new(AlreadyWritten::new(io, read_ahead)))
             .await
             .map_err(|_| broken)?;
@@ -238,11 +273,17 @@
             sends: 0,
             refused: None,
             start_proof: None,
+            written: Rc::default(),
         };
         let response = connection.send(req).await?;
         Ok((connection, response))
     }
 
+    /// Returns the number of bytes written, which goes on counting.
+    pub fn written(&self) -> Rc<Cell<u64>> {
+        Rc::clone(&self.written)
+    }
+
     /// Marks the connection as idle from now on. `keep_alive` is the idle time that the other end
     /// stated.
     pub fn mark_idle(&mut self, keep_alive: Option<Duration>) {
@@ -425,10 +466,12 @@
     }
 }
 
-/// HTTP client for one address. It reads each response whole.
+/// HTTP client for one address, which clones share. It reads each response whole.
 #[derive(Debug, Clone)]
 pub struct BufferedClient {
-    addr: SocketAddr,
+    addr: Rc<Cell<SocketAddr>>,
+    /// Notified when the address has changed.
+    moved: Rc<Notify>,
     monitor: DelayMonitor,
     idle: Rc<RefCell<IdleConnections>>,
 }
@@ -438,15 +481,24 @@
     /// that they receive.
     pub fn new(addr: SocketAddr, monitor: &DelayMonitor) -> Self {
         Self {
-            addr,
+            addr: Rc::new(Cell::new(addr)),
+            moved: Rc::default(),
             monitor: monitor.clone(),
             idle: Rc::new(RefCell::new(IdleConnections::new(MAX_IDLE_CONNECTIONS))),
         }
     }
 
+    /// Changes the address. Calls to another address that are in progress end without a response.
+    pub fn set_addr(&self, addr: SocketAddr) {
+        if self.addr.replace(addr) != addr {
+            self.idle.borrow_mut().clear();
+            self.moved.notify_waiters();
+        }
+    }
+
     /// Returns the value of the `Host` header.
     pub fn host(&self) -> String {
-        self.addr.to_string()
+        self.addr.get().to_string()
     }
 
     /// Sends a request and reads the whole response within `wait`, or longer while this process is
@@ -457,8 +509,17 @@
         req: OutboundRequest,
         wait: impl Into<Wait>,
     ) -> Result<Response<Bytes>, CallError> {
+        let mut moved = pin!(self.moved.notified());
+        moved.as_mut().enable();
         let call = self.call_without_timeout(req);
-        let response = self.monitor.timeout(wait, call).await;
+        let response = tokio::select! {
+            biased;
+            response = self.monitor.timeout(wait, call) => response,
+            () = moved => return Err(CallError {
+                verdict: Verdict::MayHaveRun,
+                cause: Cause::Broken,
+            }),
+        };
         response.unwrap_or_else(|_| {
             // The cause of the timeout probably affects the other connections to this address too.
             self.idle.borrow_mut().clear();
@@ -476,7 +537,7 @@
         let kept = self.idle.borrow_mut().take();
         let mut connection = match kept {
             Some(connection) => connection,
-            None => Connection::open(self.addr, &self.monitor).await?,
+            None => Connection::open(self.addr.get(), &self.monitor).await?,
         };
         let response = connection.send(req).await?;
         let (head, body) = response.into_parts();
--- a/crates/edge/src/peers/serve.rs
+++ b/crates/edge/src/peers/serve.rs
@@ -113,7 +113,9 @@
         match path {
             METRICS_PATH => {
                 let dropped = nutmegbay_telemetry::log::dropped_lines();
-                let text = state.metrics.render(&gauges(state), dropped);
+                let mut text = state.metrics.render(&gauges(state), dropped);
+                let quotas = state.quotas.borrow();
+                quotas.write_metrics(&mut text, state.now());
                 (StatusCode::OK, "text/plain", text)
             }
             KNOWN_RECORDS_PATH => json_response(&build_reply(state, &ChangesRequest::default())),
@@ -146,10 +148,12 @@
 }
 
 /// Returns the names and values of the gauges.
-fn gauges<D: WireCodec>(state: &EdgeState<D>) -> [(&'static str, u64); 13] {
+fn gauges<D: WireCodec>(state: &EdgeState<D>) -> [(&'static str, u64); 22] {
     let now = state.now();
     let measured = state.delay_monitor.measure();
     let known_records = state.known_records.borrow();
+    let (paced, fastest, slowest) = state.fleet.borrow().pace_summary(now);
+    let (asked, done) = state.fleet.borrow_mut().account_work(now);
     [
         ("config_version", state.version().unwrap_or(0)),
         ("config_age_ms", millis(known_records.config_age(now))),
@@ -169,10 +173,19 @@
             "link_share_percent",
             (measured.link_share.unwrap_or(0.0) * 100.0) as u64,
         ),
+        ("accounts_asked_ms_per_second", asked),
+        ("accounts_done_ms_per_second", done),
         (
             "stream_origins",
             state.versions.borrow().known_origins() as u64,
         ),
+        ("engines_with_pace", paced as u64),
+        ("engine_pace_fastest_percent", fastest as u64),
+        ("engine_pace_slowest_percent", slowest as u64),
+        ("held_body_bytes", state.bodies.borrow().used()),
+        ("held_response_bytes", state.callers.held.borrow().total()),
+        ("callers_cut_total", state.callers.cut.get()),
+        ("responses_read_ahead_total", state.callers.read_ahead.get()),
     ]
 }
 
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+pub use nutmegbay_policy::edge::quota::QuotaBounds;
+
 /// Settings of one edge process.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EdgeSettings {
@@ -31,6 +33,8 @@
     pub link_mbps: Option<f64>,
     /// Memory of the instance in bytes, if known.
     pub memory_bytes: Option<u64>,
+    /// Whether client accounts compete for too little room, so that the room is divided by account.
+    pub has_competing_accounts: bool,
     /// Bounds set by the operator.
     pub bounds: Bounds,
 }
@@ -59,4 +63,6 @@
     pub usage_window: Duration,
     /// Time from the end of a usage window until its report is due.
     pub usage_lag: Duration,
+    /// Bounds on the use of quotas of client accounts.
+    pub quota: QuotaBounds,
 }
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use nutmegbay_core::crashes::CrashHistory;
 use nutmegbay_core::duty::WindowCounts;
 use nutmegbay_core::environment::MonotonicTime;
 use nutmegbay_core::position::Position;
@@ -13,7 +14,6 @@
 use nutmegbay_policy::edge::attempts::Deadlines;
 use nutmegbay_policy::edge::body_budget::BodyBudget;
 use nutmegbay_policy::edge::budget::{RetryShare, SharedRetryBudget};
-use nutmegbay_policy::edge::crashes::CrashHistory;
 use nutmegbay_policy::edge::expiry_grace::ExpiryGrace;
 use nutmegbay_policy::edge::presence::Presence;
 use nutmegbay_policy::edge::relay::RelayFollower;
@@ -21,15 +21,17 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
+use crate::caller::CallerMemory;
 use crate::clock::{MonotonicClock, SmoothedWallClock, millis};
 use crate::fleet::Fleet;
 use crate::known_records::KnownRecords;
 use crate::list_demand::ListDemand;
 use crate::members::{Members, member_hash};
 use crate::metrics::Metrics;
-use crate::model::DeploymentConfig;
+use crate::model::{CallerLimits, DeploymentConfig};
 use crate::own_delay::DelayMonitor;
 use crate::platform_api::{StoreError, Topic, WireCodec};
+use crate::quota::Quotas;
 use crate::routes::RouteTable;
 use crate::settings::{Bounds, EdgeSettings};
 use crate::stopping::PlannedStop;
@@ -121,10 +123,14 @@
     pub planned_stop: PlannedStop,
     /// Memory for request bodies.
     pub bodies: Rc<RefCell<BodyBudget>>,
+    /// Responses that wait for their callers.
+    pub callers: Rc<CallerMemory>,
     /// Number of requests being served.
     pub in_flight: Rc<Cell<usize>>,
     /// Software versions, and origins of streams.
     pub versions: RefCell<Versions>,
+    /// Quotas of client accounts.
+    pub quotas: Rc<RefCell<Quotas>>,
     /// Deadlines sent by callers, by route.
     deadlines: RefCell<HashMap<Box<str>, Deadlines>>,
 }
@@ -147,7 +153,8 @@
         let starting = settings.bounds.contact.mul_f64(STARTUP_RELAY_FRACTION);
         let now = monotonic_clock.now();
         let starting_until = now.plus(starting);
-        let presence = Presence::new(member_hash(&settings.node));
+        let own = member_hash(&settings.node);
+        let presence = Presence::new(own);
         Self {
             codec,
             settings: RefCell::new(Rc::new(settings)),
@@ -182,8 +189,10 @@
             close_idle: CancellationToken::new(),
             planned_stop: PlannedStop::default(),
             bodies: Rc::default(),
+            callers: Rc::default(),
             in_flight: Rc::default(),
             versions: RefCell::default(),
+            quotas: Rc::new(Quotas::new(own).into()),
             deadlines: RefCell::default(),
         }
     }
@@ -203,11 +212,16 @@
             event = "reload",
             bounds = ?settings.bounds,
             seeds = ?settings.seeds,
+            store = %settings.store,
         );
         let budget = retry_budget(&settings.bounds);
         for share in self.budgets.borrow_mut().values_mut() {
             share.set_budget(budget);
         }
+        if let Some(table) = &*self.routes.borrow() {
+            let mut quotas = self.quotas.borrow_mut();
+            quotas.set_config(table.config(), settings.bounds.quota, self.now());
+        }
         *self.settings.borrow_mut() = Rc::new(settings);
     }
 
@@ -233,10 +247,21 @@
             scale = ?config.services.values().filter_map(|s| s.scale).collect::<Vec<_>>(),
             source,
         );
+        let bounds = self.settings().bounds.quota;
+        self.quotas
+            .borrow_mut()
+            .set_config(&config, bounds, self.now());
         *self.routes.borrow_mut() = Some(Rc::new(RouteTable::new(config)));
         true
     }
 
+    /// Returns the limits of callers in force.
+    pub fn caller_limits(&self) -> CallerLimits {
+        let routes = self.routes.borrow();
+        let limits = routes.as_ref().map(|table| table.config().limits);
+        limits.unwrap_or_default()
+    }
+
     /// Returns the version of the configuration in force.
     pub fn version(&self) -> Option<u64> {
         let routes = self.routes.borrow();
@@ -259,7 +284,7 @@
     /// write their records look failed.
     pub fn share_limits(&self) {
         let now = self.now();
-        let is_current = self.known_records.borrow().instances_age(now) < MAX_MEMBERS_AGE;
+        let is_current = self.is_member_list_current();
         let members = self.members.borrow();
         let presence = self.presence.borrow();
         let settings = self.settings();
@@ -270,6 +295,12 @@
         fleet.share_limits(others, is_current, has_joined, now);
     }
 
+    /// Returns whether processes that look failed have failed: the known list of instances is
+    /// current, so that the records of other processes would be read too.
+    pub fn is_member_list_current(&self) -> bool {
+        self.known_records.borrow().instances_age(self.now()) < MAX_MEMBERS_AGE
+    }
+
     /// Returns the highest era of the store in any response.
     pub fn store_era(&self) -> u64 {
         self.store_era.get()
--- a/crates/policy/src/edge/admission.rs
+++ b/crates/policy/src/edge/admission.rs
@@ -19,6 +19,18 @@
 /// a prompt whose prefill alone exceeds the objective would be refused at every attempt.
 const LATE_WAIT_FRACTION: f64 = 0.4;
 
+/// Maximum wait of a request that is beyond its account's part, without its own cost, as a fraction
+/// of the objective. Requests within their part can then be on time behind it, and the queue is long
+/// enough to keep the engines busy.
+const BEYOND_PART_WAIT_FRACTION: f64 = 0.4;
+
+/// Like [`BEYOND_PART_WAIT_FRACTION`], for a late request while room is short. It lies below the queue
+/// behind which requests beyond their account's part are on time.
+const SHORT_LATE_WAIT_FRACTION: f64 = 0.3;
+
+/// Like [`SHORT_LATE_WAIT_FRACTION`], for a late request that is beyond its account's part.
+const BEYOND_PART_LATE_WAIT_FRACTION: f64 = 0.15;
+
 /// Minimum Retry-After, in milliseconds: the round trip of a refusal and the next attempt.
 const MIN_RETRY_AFTER_MS: f64 = 40.0;
 
@@ -84,10 +96,52 @@
     }
 }
 
+/// Position of a request among those of its account while room is short.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Share {
+    /// Within the account's part.
+    Within,
+    /// Beyond the account's part.
+    Beyond,
+}
+
+/// Decides on a request while engine time is short. On time goes before late, and within an account's
+/// part before beyond it: each is admitted only behind a queue that leaves the ones before it on time.
+/// The request's own cost does not count, so large and small ones are treated alike. `jitter` is a
+/// random number from 0 to 1.
+pub fn decide_in_short_room(request: AdmissionRequest, share: Share, jitter: f64) -> Decision {
+    let is_late = request.elapsed >= request.objective.mul_f64(ON_TIME_FRACTION);
+    let wait_fraction = match (share, is_late) {
+        (Share::Within, false) => return decide(request, jitter),
+        (Share::Within, true) => SHORT_LATE_WAIT_FRACTION,
+        (Share::Beyond, false) => BEYOND_PART_WAIT_FRACTION,
+        (Share::Beyond, true) => BEYOND_PART_LATE_WAIT_FRACTION,
+    };
+    let wait_ms = request.first_result_ms - request.cost_ms;
+    let limit_ms = millis(request.objective) * wait_fraction;
+    if wait_ms <= limit_ms {
+        return decide(request, jitter);
+    }
+    Decision::Refuse {
+        retry_after: retry_after(overload_retry_ms(wait_ms - limit_ms), jitter),
+    }
+}
+
+/// Decides on a long stream for which a slot is free. A refusal would make its first result later
+/// and leave the slot unused, so the objective for the first result does not apply. `jitter` is a
+/// random number from 0 to 1.
+pub fn decide_with_slot(request: AdmissionRequest, jitter: f64) -> Decision {
+    decide_by_deadline(request, jitter)
+}
+
 /// Decides on a stream that its caller takes up after it broke off. What the caller has of it would
 /// be lost with a refusal, so the objective for the first result does not apply: it is refused only
 /// if it cannot go on before the deadline. `jitter` is a random number from 0 to 1.
 pub fn decide_taken_up(request: AdmissionRequest, jitter: f64) -> Decision {
+    decide_by_deadline(request, jitter)
+}
+
+fn decide_by_deadline(request: AdmissionRequest, jitter: f64) -> Decision {
     let late_ms = request.first_result_ms - millis(request.remaining);
     if late_ms <= 0.0 {
         return Decision::Admit;
--- a/crates/policy/src/edge/placement.rs
+++ b/crates/policy/src/edge/placement/mod.rs
@@ -10,11 +10,15 @@
 //! few decode engines as have the slots for them, here called stream hosts, and prompts are
 //! prefilled on the others.
 
+mod plain;
+
 use super::engine_view::EngineSpeed;
 use super::even_load::{KnownWork, Scored, Spread};
 use super::software_versions::VersionTag;
 use crate::UpstreamKey;
 
+pub use plain::{PlainUpstream, place_plain};
+
 /// Prefill rate of a decode engine as a fraction of a prefill engine's rate.
 const DECODE_PREFILL_RATE: f64 = 0.5;
 
@@ -72,6 +76,16 @@
 /// request. Tokens come more slowly the more requests run.
 const BATCH_PENALTY: f64 = 2.0;
 
+/// Fraction of a stream host's slots up to which long streams leave room for short answers, and the
+/// penalty for these per fraction beyond it, in mean costs of a request. Short answers are often more
+/// urgent than the streams, which are interrupted for them when no slot is free.
+const SHARED_HOST_FRACTION: f64 = 0.5;
+const SHARED_HOST_PENALTY: f64 = 4.0;
+
+/// Penalty of an engine for a long stream, per multiple of the typical time of a step, in mean costs
+/// of a request. The longer a step takes, the less time is left for what comes between two events.
+const STEP_PENALTY: f64 = 2.0;
+
 /// Wait for a slot of an engine, per request beyond its uncontended slots, in mean costs of a
 /// request.
 const SLOT_WAIT: f64 = 1.0;
@@ -525,17 +539,27 @@
     estimates: CostEstimates,
     cost_ms: f64,
 ) -> f64 {
+    let taken = engine.requests / f64::from(engine.slots.max(1));
     match (request.is_long, engine.is_stream_host) {
         (true, is_stream_host) => {
-            let taken = engine.requests / f64::from(engine.slots.max(1));
             let elsewhere = if is_stream_host {
                 0.0
             } else {
                 NON_HOST_PENALTY
             };
-            (taken * BATCH_PENALTY + elsewhere) * estimates.request_ms
+            let slowness = if engine.speed.is_stated {
+                engine.speed.step_factor * STEP_PENALTY
+            } else {
+                0.0
+            };
+            (taken * BATCH_PENALTY + elsewhere + slowness) * estimates.request_ms
         }
         (false, true) if cost_ms > 0.0 => STREAM_HOST_PREFILL_PENALTY_MS,
+        (false, true) if engine.speed.is_stated => {
+            let held = f64::from(engine.streams) / f64::from(engine.slots.max(1));
+            let over = (held - SHARED_HOST_FRACTION).max(0.0);
+            over * SHARED_HOST_PENALTY * estimates.request_ms
+        }
         (false, _) => cost_ms * STREAM_DELAY_FRACTION * f64::from(engine.streams),
     }
 }
@@ -546,46 +570,3 @@
     let filled = f64::from(slots.max(1)) * STREAM_HOST_FILL_FRACTION;
     ((streams / filled).ceil() as usize).clamp(1, engines.max(1))
 }
-
-/// State of one upstream of a plain service, as input of the placement.
-#[derive(Debug, Clone, Copy)]
-pub struct PlainUpstream {
-    /// Key of the upstream.
-    pub key: UpstreamKey,
-    /// Failure domain, as a number that is only compared.
-    pub domain: u32,
-    /// Requests at the upstream.
-    pub requests: f64,
-    /// Maximum number of requests that run at once.
-    pub slots: u32,
-    /// Fraction of recent requests that failed there, 0 to 1.
-    pub failure_rate: f64,
-}
-
-/// Chooses the upstream of a plain service with the lowest score and returns it with the predicted
-/// wait in milliseconds. `domain` is the failure domain of this instance, `mean_ms` the mean time
-/// of a request in milliseconds. Returns `None` if there is no upstream.
-pub fn place_plain(
-    upstreams: &[PlainUpstream],
-    domain: u32,
-    mean_ms: f64,
-) -> Option<(UpstreamKey, f64)> {
-    upstreams
-        .iter()
-        .map(|upstream| {
-            let slots = f64::from(upstream.slots.max(1));
-            let wait_ms = (upstream.requests + 1.0 - slots).max(0.0) * mean_ms / slots;
-            // Upstreams slow down before they are full, so an even spread is best.
-            let spread_ms = upstream.requests / slots * mean_ms;
-            let domain_ms = if upstream.domain == domain {
-                0.0
-            } else {
-                OTHER_DOMAIN_PENALTY_MS
-            };
-            let score =
-                wait_ms + spread_ms + domain_ms + upstream.failure_rate * FAILURE_PENALTY_MS;
-            (upstream.key, wait_ms, score)
-        })
-        .min_by(|a, b| a.2.total_cmp(&b.2))
-        .map(|(key, wait_ms, _)| (key, wait_ms))
-}
--- a/crates/policy/tests/edge_admission.rs
+++ b/crates/policy/tests/edge_admission.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use assert_matches::assert_matches;
-use nutmegbay_policy::edge::admission::{AdmissionRequest, Decision, decide, decide_taken_up};
+use nutmegbay_policy::edge::admission::{
+    AdmissionRequest, Decision, Share, decide, decide_in_short_room, decide_taken_up,
+    decide_with_slot,
+};
 
 fn request(first_result_ms: f64, elapsed_ms: u64) -> AdmissionRequest {
     AdmissionRequest {
@@ -59,6 +62,54 @@
     assert_matches!(decide_taken_up(hopeless, 0.5), Decision::Refuse { .. });
 }
 
+/// What is beyond an account's part must not make the queue long for others, and must not be refused
+/// while there is no queue, however large the request.
+#[test]
+fn beyond_part() {
+    let decide = |share, cost_ms, wait_ms| {
+        let sized = AdmissionRequest {
+            cost_ms,
+            ..request(cost_ms + wait_ms, 0)
+        };
+        decide_in_short_room(sized, share, 0.5)
+    };
+    for cost_ms in [5.0, 85.0] {
+        assert_eq!(decide(Share::Beyond, cost_ms, 40.0), Decision::Admit);
+        assert_eq!(decide(Share::Within, cost_ms, 90.0), Decision::Admit);
+        assert_matches!(
+            decide(Share::Beyond, cost_ms, 90.0),
+            Decision::Refuse { .. }
+        );
+    }
+}
+
+/// With a shorter queue for what is beyond an account's part, callers that came back late were
+/// admitted in place of requests that could be on time.
+#[test]
+fn late_in_short_room() {
+    let late = |wait_ms| request(10.0 + wait_ms, 700);
+    assert_eq!(decide(late(70.0), 0.5), Decision::Admit);
+    for (share, admitted, refused) in [(Share::Within, 50.0, 70.0), (Share::Beyond, 20.0, 50.0)] {
+        assert_eq!(
+            decide_in_short_room(late(admitted), share, 0.5),
+            Decision::Admit
+        );
+        assert_matches!(
+            decide_in_short_room(late(refused), share, 0.5),
+            Decision::Refuse { .. },
+            "{share:?}"
+        );
+    }
+}
+
+/// An urgent stream with most of its objective gone was refused although a slot was free.
+#[test]
+fn free_slot() {
+    let nearly_late = request(30.0, 160);
+    assert_matches!(decide(nearly_late, 0.5), Decision::Refuse { .. });
+    assert_eq!(decide_with_slot(nearly_late, 0.5), Decision::Admit);
+}
+
 /// The prediction exceeds the limit by 20 ms only, but a burst lasts for seconds: three in four of
 /// the callers that returned within 0.1 s were refused again.
 #[test]
