Record statements of responses in a module of their own

Change: what a head states about its upstream is recorded in forward/statements.rs; nothing else changes.

--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -356,19 +356,7 @@
                 return Err(lost);
             }
         }
-        // Results of a prefill and refusals are not signed.
-        let is_genuine = head.is_signed || stage == Stage::Prefill || head.is_not_run();
-        if head.limit_per_s.is_some() || is_genuine {
-            in_flight_send.record_limit(head.limit_per_s, self.state.now());
-        }
-        in_flight_send.record_notices(&head, self.state.now());
-        if let Some(load) = head.load {
-            let now = self.state.now();
-            if self.request.service.engine.is_some() {
-                in_flight_send.record_pace(load.pace, now);
-            }
-            in_flight_send.record_reported_load(load.running + load.waiting, now);
-        }
+        self.record_statements(&head, stage, &in_flight_send);
         if let Some(outcome) = upstream_outcome(&head, stage)
             && outcome == Outcome::Unreachable
         {
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -6,6 +6,7 @@
 mod prefill;
 mod request;
 mod start;
+mod statements;
 
 use std::rc::Rc;
 use std::time::Duration;
