Wait for restarted edges in the test of told work

Cause: told_work read the metrics of an edge that it had just restarted, and failed with a refused connection in one of two runs of the whole package (control address not open yet). The test waits until both edges serve; what it asserts is unchanged.

--- a/crates/edge-bin/tests/shared_accounts.rs
+++ b/crates/edge-bin/tests/shared_accounts.rs
@@ -32,6 +32,12 @@
     for edge in &mut edges {
         edge.restart_with("contracts=base,tenants,pressure\n");
     }
+    for edge in &edges {
+        site.wait_until("it serves", async || {
+            edge.call("GET", "/any/1", &[]).await.status == 200
+        })
+        .await;
+    }
     let [busy, idle] = &edges;
     site.wait_until("an edge hears of the work at another one", async || {
         call(busy).await;
