--- a/crates/core/src/duty/failure_detector.rs
+++ b/crates/core/src/duty/failure_detector.rs
@@ -9,7 +9,7 @@
 
 /// Detects failed processes by their missing answers to requests for their counts.
 ///
-/// Load pattern: a machine is removed for good and the duties change hands, so that each new holder
+/// Load pattern: an instance is removed for good and the duties change hands, so that each new holder
 /// would wait anew for its counts, window by window, until the reports are nearly overdue. When the
 /// store then goes away, the windows that wait are lost. A process that writes nothing while others
 /// do has been silent for that time already.
