Send no whole list to processes that start in large deployments

Change: in its first 1.6 s an edge asks on a path of its own, whose reply lacks the list of instances where more than 30 processes run.

--- a/crates/edge/src/peers/ask.rs
+++ b/crates/edge/src/peers/ask.rs
@@ -10,7 +10,8 @@
 use tokio::time::sleep;
 
 use super::{
-    KNOWN_RECORDS_PATH, PEER_TIMEOUT, RecordsReply, WireRecord, fetch, known_peers, time_before,
+    KNOWN_RECORDS_PATH, PEER_TIMEOUT, RecordsReply, START_RECORDS_PATH, WireRecord, fetch,
+    known_peers, time_before,
 };
 use crate::follow::{apply_config_record, apply_instance_record, finish_instances_update};
 use crate::http1::BufferedClient;
@@ -37,12 +38,17 @@
 
 /// Requests records from peers while the store cannot be read, for as long as the process runs.
 pub async fn ask_during_outage<D: WireCodec>(state: Rc<EdgeState<D>>) {
+    let start = state.now();
     let mut config_interval = MIN_CONFIG_ASK_INTERVAL;
     while state.version().is_none() {
         sleep(config_interval).await;
         config_interval = ASK_INTERVAL.min(config_interval * 2);
+        let path = match state.now().since(start) {
+            passed if passed < STALE_AFTER => START_RECORDS_PATH,
+            _ => KNOWN_RECORDS_PATH,
+        };
         if state.version().is_none() {
-            ask_peers(&state).await;
+            ask_peers(&state, path).await;
         }
     }
     loop {
@@ -52,15 +58,15 @@
         {
             continue;
         }
-        ask_peers(&state).await;
+        ask_peers(&state, KNOWN_RECORDS_PATH).await;
     }
 }
 
 /// Requests the records of some peers, of all at the same time.
-async fn ask_peers<D: WireCodec>(state: &Rc<EdgeState<D>>) {
+async fn ask_peers<D: WireCodec>(state: &Rc<EdgeState<D>>, path: &str) {
     let requests = sample_peers(state).into_iter().map(async |peer| {
         let client = BufferedClient::new(peer, &state.delay_monitor);
-        match fetch(&client, KNOWN_RECORDS_PATH, Vec::new(), PEER_TIMEOUT).await {
+        match fetch(&client, path, Vec::new(), PEER_TIMEOUT).await {
             Ok(reply) => apply_reply(state, reply),
             Err(error) => tracing::debug!(event = "peer_not_asked", %peer, %error),
         }
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -37,6 +37,14 @@
 /// Path that returns all store records that a process knows.
 const KNOWN_RECORDS_PATH: &str = "/seen";
 
+/// Path of requests of processes that have just started. The reply lacks the list of instances where
+/// more than [`MAX_START_LIST_MEMBERS`] processes run.
+const START_RECORDS_PATH: &str = "/start";
+
+/// Maximum number of other processes with which the list of instances is sent to those that have
+/// just started. Hundreds that start together would fill their links with it.
+const MAX_START_LIST_MEMBERS: usize = 30;
+
 /// Path that returns changed records as soon as the process has read the store again.
 const CHANGES_PATH: &str = "/changes";
 
@@ -165,6 +173,24 @@
     }
 }
 
+/// Returns the records for a process that has just started.
+fn build_start_reply<D: WireCodec>(state: &EdgeState<D>) -> RecordsReply {
+    let mut request = ChangesRequest::default();
+    let is_large = state.members.borrow().control_addresses().count() > MAX_START_LIST_MEMBERS;
+    if is_large {
+        request.instances_next = state.known_records.borrow().instances_next;
+    }
+    let reply = build_reply(state, &request);
+    RecordsReply {
+        instances_age_ms: if is_large {
+            u64::MAX
+        } else {
+            reply.instances_age_ms
+        },
+        ..reply
+    }
+}
+
 /// Returns the age of what was read at `at`, in milliseconds. What was never read is older than
 /// anything that the receiver knows, not as old as this process.
 fn age_ms(at: Option<MonotonicTime>, now: MonotonicTime) -> u64 {
--- a/crates/edge/src/peers/serve.rs
+++ b/crates/edge/src/peers/serve.rs
@@ -17,7 +17,8 @@
 use tokio::time::{sleep, timeout};
 
 use super::{
-    CHANGES_PATH, ChangesRequest, KNOWN_RECORDS_PATH, METRICS_PATH, USAGE_PATH, build_reply, relay,
+    CHANGES_PATH, ChangesRequest, KNOWN_RECORDS_PATH, METRICS_PATH, START_RECORDS_PATH, USAGE_PATH,
+    build_reply, build_start_reply, relay,
 };
 use crate::clock::millis;
 use crate::members::own_counts;
@@ -119,6 +120,7 @@
                 (StatusCode::OK, "text/plain", text)
             }
             KNOWN_RECORDS_PATH => json_response(&build_reply(state, &ChangesRequest::default())),
+            START_RECORDS_PATH => json_response(&build_start_reply(state)),
             USAGE_PATH => match own_counts(state) {
                 Some(counts) => json_response(&counts),
                 None => (StatusCode::SERVICE_UNAVAILABLE, "text/plain", String::new()),
