Show that callers which read late lose their streams

Callers that read nothing for 4.5 s of a stream that its worker has written whole get a reset in place of the rest. It happens at an edge whose settings have changed, at one that stops, and at one that is left alone.

The edge sets TCP_USER_TIMEOUT to 3 s on callers' connections (enable_dead_peer_detection in crates/edge/src/http1.rs). The kernel also counts the time for which the receive window of a caller is closed, although the caller's machine answers each probe.

The scripts use stand-ins of their own (review/stand-ins-2), which need the standard library alone.

--- /dev/null
+++ b/review/stand-ins-2/src/cases/mod.rs
@@ -0,0 +1,3 @@
+//! One script for each case.
+
+pub mod late_readers;
