--- a/review/stand-ins-2/src/cases/last_tenant.rs
+++ b/review/stand-ins-2/src/cases/last_tenant.rs
@@ -40,7 +40,11 @@
     store.put("keyed.servers", &worker.id, &worker.entry("desk", 1));
     let shop = r#"{"name":"shop","keys":["k-shop"]}"#;
     let resale = r#"{"name":"resale","keys":["k-resale"]}"#;
-    store.put("keyed.op", "config", &config(1, &format!("{shop},{resale}")));
+    store.put(
+        "keyed.op",
+        "config",
+        &config(1, &format!("{shop},{resale}")),
+    );
     for _ in 0..4 {
         site.start_edge(store.addr, store.addr);
     }
@@ -50,8 +54,14 @@
     sleep(Duration::from_secs(5));
     let fronts: Vec<_> = site.edges.iter().map(|edge| edge.front()).collect();
     let mut caller = Caller::new(record);
-    let valid: Vec<_> = fronts.iter().map(|edge| caller.order(*edge, Some("k-shop"))).collect();
-    let foreign: Vec<_> = fronts.iter().map(|edge| caller.order(*edge, Some("k-none"))).collect();
+    let valid: Vec<_> = fronts
+        .iter()
+        .map(|edge| caller.order(*edge, Some("k-shop")))
+        .collect();
+    let foreign: Vec<_> = fronts
+        .iter()
+        .map(|edge| caller.order(*edge, Some("k-none")))
+        .collect();
     if valid.iter().any(|status| *status != 200) || foreign.iter().any(|status| *status != 401) {
         return Verdict::NotRun;
     }
@@ -66,7 +76,11 @@
         store.put("keyed.op", "config", &config(3, ""));
     } else {
         record.line("version 3 takes the key of the tenant resale away, and leaves the tenant");
-        store.put("keyed.op", "config", &config(3, r#"{"name":"resale","keys":[]}"#));
+        store.put(
+            "keyed.op",
+            "config",
+            &config(3, r#"{"name":"resale","keys":[]}"#),
+        );
     }
     sleep(IN_FORCE);
     let before = worker.runs().len();
@@ -77,9 +91,14 @@
     }
     let runs = worker.runs();
     let ran = runs.len() - before;
-    let ran_foreign = runs[before..].iter().filter(|run| caller.is_foreign(&run.attempt)).count();
+    let ran_foreign = runs[before..]
+        .iter()
+        .filter(|run| caller.is_foreign(&run.attempt))
+        .count();
     record.line(&format!("orders run after version 3 is in force: {ran}"));
-    record.line(&format!("of these with a key that no version ever held: {ran_foreign}"));
+    record.line(&format!(
+        "of these with a key that no version ever held: {ran_foreign}"
+    ));
     if ran_foreign == 0 && ran == 0 {
         Verdict::Held
     } else {
@@ -113,7 +132,9 @@
         if key == Some("k-none") {
             self.foreign.push(attempt.clone());
         }
-        let header = key.map(|key| format!("X-Api-Key: {key}\r\n")).unwrap_or_default();
+        let header = key
+            .map(|key| format!("X-Api-Key: {key}\r\n"))
+            .unwrap_or_default();
         let head = format!(
             "POST /orders/1 HTTP/1.1\r\nHost: cards.example\r\nX-Attempt-Id: {attempt}\r\n\
              X-Deadline-Ms: 1500\r\n{header}Content-Length: 0\r\n\r\n"
@@ -121,7 +142,10 @@
         let at = Instant::now();
         let status = call(edge, &head).as_ref().map_or(0, Message::status);
         let key = key.unwrap_or("none");
-        self.record.line_at(at, &format!("{edge} {attempt}: order with key {key}, status {status}"));
+        self.record.line_at(
+            at,
+            &format!("{edge} {attempt}: order with key {key}, status {status}"),
+        );
         status
     }
 }
--- a/review/stand-ins-2/src/http.rs
+++ b/review/stand-ins-2/src/http.rs
@@ -111,8 +111,8 @@
 /// Writes a response with a length.
 pub fn respond(io: &mut TcpStream, status: &str, headers: &str, body: &[u8]) -> Result<()> {
     let len = body.len();
-    let mut bytes = format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {len}\r\n\r\n")
-        .into_bytes();
+    let mut bytes =
+        format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {len}\r\n\r\n").into_bytes();
     bytes.extend_from_slice(body);
     io.write_all(&bytes)
 }
@@ -126,7 +126,9 @@
 /// Sends a request on a new connection and reads the response.
 pub fn call(addr: SocketAddr, head: &str) -> Result<Message> {
     let mut reader = connect(addr)?;
-    reader.get_ref().set_read_timeout(Some(Duration::from_secs(5)))?;
+    reader
+        .get_ref()
+        .set_read_timeout(Some(Duration::from_secs(5)))?;
     reader.get_mut().write_all(head.as_bytes())?;
     read_message(&mut reader)?.ok_or_else(|| ErrorKind::UnexpectedEof.into())
 }
--- a/review/stand-ins-2/src/store.rs
+++ b/review/stand-ins-2/src/store.rs
@@ -54,7 +54,13 @@
     }
 
     /// Appends a record if the topic ends at `at`. Fails with the end otherwise.
-    fn put_at(&self, topic: &str, key: &str, value: &str, at: Option<usize>) -> Result<usize, usize> {
+    fn put_at(
+        &self,
+        topic: &str,
+        key: &str,
+        value: &str,
+        at: Option<usize>,
+    ) -> Result<usize, usize> {
         let mut topics = self.topics.0.lock().unwrap();
         let records = topics.by_name.entry(topic.into()).or_default();
         let end = records.len();
--- a/review/stand-ins-2/src/worker.rs
+++ b/review/stand-ins-2/src/worker.rs
@@ -90,7 +90,12 @@
         let attempt = req.header("x-attempt-id").unwrap_or_default();
         if req.path() == "/-/report" {
             let report = format!("{{\"born\":{},\"seq\":0}}", self.born_ms);
-            return respond(io, "200 OK", "Content-Type: application/json\r\n", report.as_bytes());
+            return respond(
+                io,
+                "200 OK",
+                "Content-Type: application/json\r\n",
+                report.as_bytes(),
+            );
         }
         if req.header("x-expect-instance") != Some(self.id.as_str()) {
             let head = format!("X-Attempt-Id: {attempt}\r\n");
