Show that a kill of all edges strands streams of two versions

Streams that run while two software versions serve break off when all edges are killed at once. Callers that take them up 4 s after the restart, at edges that are in touch, get 503 for each of them, while two workers of either version serve and all new streams begin.

Which version began a stream is kept in the memory of the edges alone. The store holds the versions in use, which proves nothing while there are two (crates/edge/src/versions). docs/incidents names this as open.

--- a/review/stand-ins-2/src/cases/stopped_edge.rs
+++ b/review/stand-ins-2/src/cases/stopped_edge.rs
@@ -22,7 +22,7 @@
     cloud-api.duties=usage_report,autoscale\n";
 
 /// Configuration with the site's route of verses.
-const CONFIG: &str = r#"{"version":1,"routes":[
+pub const CONFIG: &str = r#"{"version":1,"routes":[
     {"name":"verse","host":"cards.example","prefix":"/stream/","kind":"streaming","timeout-ms":15000,
      "slo-ms":100,"itl-target-ms":150,"priority":0,"service":"lm","attempts":2,"anonymous":false,"resumable":true}],
     "services":[{"name":"lm","health-path":"/healthz","max-conns":170}],
@@ -56,19 +56,19 @@
 const RETRIES: usize = 2;
 
 /// One request of a caller and what came of it.
-struct Attempt {
+pub struct Attempt {
     edge: SocketAddr,
-    id: String,
-    at: Instant,
-    status: u16,
+    pub id: String,
+    pub at: Instant,
+    pub status: u16,
     retry_after: Duration,
     versions: Vec<String>,
-    last_event: usize,
+    pub last_event: usize,
     end: String,
 }
 
 impl Attempt {
-    fn text(&self) -> String {
+    pub fn text(&self) -> String {
         let Self {
             edge,
             id,
@@ -201,7 +201,7 @@
 
 /// Sends a request for a stream, or for the rest of one, and reads it to its end, to a gap that is too
 /// long, or to `most` events.
-fn request(
+pub fn request(
     edge: SocketAddr,
     id: &str,
     resumed: Option<(&str, usize)>,
--- a/review/stand-ins-2/src/deployment.rs
+++ b/review/stand-ins-2/src/deployment.rs
@@ -97,6 +97,7 @@
             ip,
             ports: self.ports,
             settings,
+            log,
             child,
         });
     }
@@ -135,6 +136,7 @@
     pub ip: IpAddr,
     ports: Ports,
     settings: PathBuf,
+    log: PathBuf,
     child: Child,
 }
 
@@ -155,6 +157,12 @@
         std::fs::write(&self.settings, text.replace(from, to)).expect("and written");
     }
 
+    /// Starts the process again after it was killed.
+    pub fn start_again(&mut self) {
+        let _ = self.child.wait();
+        self.child = spawn(&self.settings, &self.log);
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
@@ -176,7 +184,8 @@
 }
 
 fn spawn(settings: &Path, log: &Path) -> Child {
-    let log = File::create(log).expect("the log can be created");
+    let log = File::options().create(true).append(true).open(log);
+    let log = log.expect("the log can be created");
     Command::new("target/release/nutmegbay-edge")
         .env("NUTMEGBAY_BOOT", settings)
         .stdout(log.try_clone().expect("the log is open"))
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -36,6 +36,7 @@
     let verdict = match case.as_str() {
         "late-readers" => cases::late_readers::run(&record, trouble),
         "busy-holder" => cases::busy_holder::run(&record, trouble),
+        "killed-together" => cases::killed_together::run(&record, trouble),
         "last-tenant" => cases::last_tenant::run(&record, trouble),
         "stopped-edge" => cases::stopped_edge::run(&record, trouble),
         _ => Verdict::NotRun,
