--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -4,4 +4,4 @@
 cd "$folder/../.." || exit 2
 program=review/stand-ins-2/target/release/review-stand-ins-2
 [ -x "$program" ] && [ -x target/release/nutmegbay-edge ] || exit 2
-exec "$program" last-tenant "$folder"
+exec "$program" killed-together "$folder"
