--- a/review/stand-ins-2/src/cases/busy_holder.rs
+++ b/review/stand-ins-2/src/cases/busy_holder.rs
@@ -25,6 +25,10 @@
 /// Time for which the link is narrow, as in the site's file.
 const FULL_FOR: Duration = Duration::from_millis(4_300);
 
+/// Time from the narrowing within which the holder has to open its channel, so that its report arrives
+/// while the link is narrow.
+const LAST_OPENING: Duration = Duration::from_millis(3_300);
+
 /// Time from a report until the link narrows.
 const FULL_AFTER: Duration = Duration::from_millis(3_000);
 
@@ -35,7 +39,7 @@
 const TRIES: usize = 2;
 
 /// Time after which no other holder is stopped, so that the script ends within 120 s.
-const LAST_STOP_AFTER: Duration = Duration::from_secs(60);
+const LAST_STOP_AFTER: Duration = Duration::from_secs(62);
 
 /// Time between the starts of two edges, as after a planned restart of each in turn.
 const START_GAP: Duration = Duration::from_millis(1_200);
@@ -131,7 +135,7 @@
         }
         let full_at = Instant::now();
         let opened = to_duties.opened();
-        let is_opened = wait(FULL_FOR, || to_duties.opened() > opened);
+        let is_opened = wait(LAST_OPENING, || to_duties.opened() > opened);
         if is_opened {
             record.line(&format!(
                 "SIGTERM to {}, which opens a channel for a report",
