--- a/review/stand-ins-2/src/cases/busy_holder.rs
+++ b/review/stand-ins-2/src/cases/busy_holder.rs
@@ -44,6 +44,9 @@
 /// Time between the starts of two edges, as after a planned restart of each in turn.
 const START_GAP: Duration = Duration::from_millis(1_200);
 
+/// Time after the end of a disruption of its link in which a call of a machine doesn't count.
+const THAW: Duration = Duration::from_millis(300);
+
 /// Number of holders that are stopped, one after the other.
 const STOPS: usize = 3;
 
@@ -67,27 +70,33 @@
     if !wait(Duration::from_secs(30), || store.usage().len() >= 2) {
         return Verdict::NotRun;
     }
+    let mut stops: Vec<Stopped> = Vec::new();
     for stop in 0..STOPS {
         if stop > 0 && began.elapsed() > LAST_STOP_AFTER {
             break;
         }
-        let Some(last) = stop_holder(record, &site, &links, trouble) else {
+        let Some(stopped) = stop_holder(record, &site, &links, trouble) else {
             return Verdict::NotRun;
         };
+        let last = &stopped.last;
         let is_replaced = || store.usage().iter().any(|call| call.fence > last.fence);
         if !wait(Duration::from_secs(15), is_replaced) {
             return Verdict::NotRun;
         }
         sleep(Duration::from_secs(2));
+        site.edges[stopped.holder].start_again();
+        record.line(&format!("{} has been started again", last.holder));
+        stops.push(stopped);
     }
     let mut highest = 0;
     let mut lower = 0;
     for call in store.usage() {
-        let is_lower = call.fence < highest;
-        let mark = if is_lower {
-            ", LOWER than one before"
-        } else {
-            ""
+        let is_excused = stops.iter().any(|stop| stop.excuses(&call));
+        let is_lower = call.fence < highest && !is_excused;
+        let mark = match call.fence < highest {
+            true if is_excused => ", lower, and excused: the link has just changed",
+            true => ", LOWER than one before",
+            false => "",
         };
         let (holder, fence, body) = (&call.holder, call.fence, &call.body);
         record.line_at(
@@ -107,13 +116,31 @@
     }
 }
 
-/// Stops the holder of the duty as it opens a channel for a report. Returns its last report before.
+/// Holder that was stopped.
+struct Stopped {
+    /// Number of its edge.
+    holder: usize,
+    /// Its last report before.
+    last: UsageCall,
+    /// Time at which its link was as before.
+    link_back_at: Instant,
+}
+
+impl Stopped {
+    /// Returns whether a call doesn't count, since the link of its sender has just changed.
+    fn excuses(&self, call: &UsageCall) -> bool {
+        let after = call.at.checked_duration_since(self.link_back_at);
+        call.holder == self.last.holder && after.is_some_and(|after| after <= THAW)
+    }
+}
+
+/// Stops the holder of the duty as it opens a channel for a report.
 fn stop_holder(
     record: &Record,
     site: &Deployment,
     links: &[(Proxy, Proxy)],
     trouble: bool,
-) -> Option<UsageCall> {
+) -> Option<Stopped> {
     for _ in 0..TRIES {
         // The holder reports each window once, and what others have reported at once.
         let known = site.store.usage().len();
@@ -149,7 +176,11 @@
             record.line(&format!("the link of {} is as before", last.holder));
         }
         if is_opened {
-            return Some(last);
+            return Some(Stopped {
+                holder,
+                last,
+                link_back_at: Instant::now(),
+            });
         }
     }
     None
