--- /dev/null
+++ b/review/stand-ins-2/src/cases/busy_holder.rs
@@ -0,0 +1,142 @@
+//! The holder of the usage duty is stopped while its link is full and a report is under way.
+
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+use crate::Verdict;
+use crate::cases::late_readers::SETTINGS;
+use crate::deployment::{Deployment, address};
+use crate::proxy::Proxy;
+use crate::record::Record;
+use crate::store::UsageCall;
+
+const CONFIG: &str = r#"{"version":1,"routes":[
+    {"name":"fetch","host":"tiles.example","prefix":"/plain/","kind":"idempotent","timeout-ms":1500,
+     "slo-ms":300,"priority":2,"service":"gate","attempts":2,"anonymous":false}],
+    "services":[{"name":"gate","health-path":"/healthz","max-conns":250}],
+    "limits":{"header-bytes":16384,"body-bytes":4194304,"header-ms":3000,"idle-ms":15000},
+    "tenants":[{"name":"acme","keys":["k1"]}]}"#;
+
+const EDGES: u8 = 5;
+
+/// Wait in the queue of the link. At 2 Mbit/s, to which links of the site narrow, it is one of 100 KB.
+const QUEUE: Duration = Duration::from_millis(400);
+
+/// Time for which the link is narrow, as in the site's file.
+const FULL_FOR: Duration = Duration::from_millis(4_300);
+
+/// Time from a report until the link narrows.
+const FULL_AFTER: Duration = Duration::from_millis(3_000);
+
+/// Time between two reports: the length of a window.
+const REPORT_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Number of reports for which a stop is tried.
+const TRIES: usize = 3;
+
+/// Time between the starts of two edges, as after a planned restart of each in turn.
+const START_GAP: Duration = Duration::from_millis(1_200);
+
+/// Number of holders that are stopped, one after the other.
+const STOPS: usize = 3;
+
+pub fn run(record: &Record, trouble: bool) -> Verdict {
+    let mut site = Deployment::start(SETTINGS);
+    let platform = site.store.addr;
+    let store = site.store.clone();
+    store.put("keyed.op", "config", CONFIG);
+    let mut links = Vec::new();
+    for n in 0..EDGES {
+        let link = |at: u8| Proxy::start((address(at + n), 0).into(), platform);
+        let (to_store, to_duties) = (link(150), link(170));
+        site.start_edge(to_store.addr, to_duties.addr);
+        links.push((to_store, to_duties));
+        sleep(START_GAP);
+    }
+    if !site.wait_until_ready() {
+        return Verdict::NotRun;
+    }
+    if !wait(Duration::from_secs(30), || store.usage().len() >= 2) {
+        return Verdict::NotRun;
+    }
+    for _ in 0..STOPS {
+        let Some(last) = stop_holder(record, &site, &links, trouble) else {
+            return Verdict::NotRun;
+        };
+        let is_replaced = || store.usage().iter().any(|call| call.fence > last.fence);
+        if !wait(Duration::from_secs(15), is_replaced) {
+            return Verdict::NotRun;
+        }
+        sleep(Duration::from_secs(2));
+    }
+    let mut highest = 0;
+    let mut lower = 0;
+    for call in store.usage() {
+        let is_lower = call.fence < highest;
+        let mark = if is_lower { ", LOWER than one before" } else { "" };
+        let (holder, fence, body) = (&call.holder, call.fence, &call.body);
+        record.line_at(call.at, &format!("the platform gets {body} from {holder}, token {fence}{mark}"));
+        lower += usize::from(is_lower);
+        highest = highest.max(call.fence);
+    }
+    record.line(&format!("calls with a lower token than one before: {lower}"));
+    if lower == 0 {
+        Verdict::Held
+    } else {
+        Verdict::Broken
+    }
+}
+
+/// Stops the holder of the duty as it opens a channel for a report. Returns its last report before.
+fn stop_holder(
+    record: &Record,
+    site: &Deployment,
+    links: &[(Proxy, Proxy)],
+    trouble: bool,
+) -> Option<UsageCall> {
+    for _ in 0..TRIES {
+        // The holder reports each window once, and what others have reported at once.
+        let known = site.store.usage().len();
+        wait(REPORT_INTERVAL * 2, || site.store.usage().len() > known);
+        let last = site.store.usage().pop()?;
+        sleep(FULL_AFTER);
+        let holder = site.edges.iter().position(|edge| edge.name == last.holder)?;
+        let (to_store, to_duties) = &links[holder];
+        let set_delay = |delay| {
+            to_store.set_delay(delay);
+            to_duties.set_delay(delay);
+        };
+        if trouble {
+            record.line(&format!("the link of {} narrows and is full", last.holder));
+            set_delay(QUEUE);
+        }
+        let full_at = Instant::now();
+        let opened = to_duties.opened();
+        let is_opened = wait(FULL_FOR, || to_duties.opened() > opened);
+        if is_opened {
+            record.line(&format!("SIGTERM to {}, which opens a channel for a report", last.holder));
+            site.edges[holder].signal("TERM");
+        }
+        sleep(FULL_FOR.saturating_sub(full_at.elapsed()));
+        if trouble {
+            set_delay(Duration::ZERO);
+            record.line(&format!("the link of {} is as before", last.holder));
+        }
+        if is_opened {
+            return Some(last);
+        }
+    }
+    None
+}
+
+/// Waits up to `time` until `condition` holds. Returns whether it does.
+fn wait(time: Duration, condition: impl Fn() -> bool) -> bool {
+    let until = Instant::now() + time;
+    while Instant::now() < until {
+        if condition() {
+            return true;
+        }
+        sleep(Duration::from_millis(1));
+    }
+    false
+}
--- a/review/stand-ins-2/src/cases/mod.rs
+++ b/review/stand-ins-2/src/cases/mod.rs
@@ -1,5 +1,6 @@
 //! One script for each case.
 
+pub mod busy_holder;
 pub mod last_tenant;
 pub mod late_readers;
 pub mod stopped_edge;
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -6,6 +6,7 @@
 mod cases;
 mod deployment;
 mod http;
+mod proxy;
 mod record;
 mod store;
 mod worker;
@@ -34,6 +35,7 @@
     record.line(&format!("case {case}, trouble {trouble}"));
     let verdict = match case.as_str() {
         "late-readers" => cases::late_readers::run(&record, trouble),
+        "busy-holder" => cases::busy_holder::run(&record, trouble),
         "last-tenant" => cases::last_tenant::run(&record, trouble),
         "stopped-edge" => cases::stopped_edge::run(&record, trouble),
         _ => Verdict::NotRun,
