Copy the origin of each stream to three instances

Cause: while one version served, the carrier alone knew with which version its streams began. It told the others when it saw a second version, which a process that is stopped, cut off or killed never does.

Evidence: `stream_taken_up source=unknown versions=2 complete=true` with fresh lists at edges that ran all the time; no peer knew an attempt. Ruled out: late answers of peers, an old list.

Why it works: as soon as a stream begins, its origin goes to three instances in different failure domains, which all derive from the attempt; the one that needs it asks these. The number of versions and the fate of the carrier make no difference. Copies are facts, so nothing is guessed. What this makes needless is gone: telling all streams when a second version appears, news through relays, hand-overs.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -58,6 +58,7 @@
         let is_urgent = state.quotas.borrow().is_active() && !state.fleet.borrow().has_role();
         if is_urgent || role_updated_at.is_none_or(|at| now.since(at) >= ROLE_UPDATE_INTERVAL) {
             update_role(&state, port);
+            versions::update_members(&state, &socket, port);
             state.share_limits();
             role_updated_at = Some(now);
         }
@@ -96,7 +97,9 @@
         match socket.recv_from(&mut buf).await {
             Ok((len, from)) => {
                 state.delay_monitor.record_received(len);
-                if quota::Message::is_in(&buf[..len]) {
+                if versions::is_about_origins(&buf[..len]) {
+                    versions::receive(state, from, &buf[..len]);
+                } else if quota::Message::is_in(&buf[..len]) {
                     quota::receive(state, from, &buf[..len]);
                 } else if let Err(error) = receive_digest(state, from, &buf[..len]) {
                     tracing::debug!(event = "digest_unreadable", %from, %error);
@@ -110,8 +113,8 @@
     }
 }
 
-/// News that follow the digest in a datagram. After them come the origins of streams, the longest
-/// waits of callers, [`UpstreamNews`], and the work that client accounts ask for. Earlier versions
+/// News that follow the digest in a datagram. After them come versions in use with the origins of
+/// streams, the longest waits of callers, [`UpstreamNews`], and the work that client accounts ask for. Earlier versions
 /// send less and ignore what follows.
 #[derive(Debug, Serialize, Deserialize)]
 struct News {
@@ -155,7 +158,7 @@
         return Ok(());
     }
     let (origins, rest) = postcard::take_from_bytes::<Vec<OriginNews>>(rest)?;
-    versions::merge(state, &origins, is_relay);
+    versions::merge_news(state, origins, is_relay);
     if rest.is_empty() {
         return Ok(());
     }
@@ -228,31 +231,39 @@
         let mut fleet = state.fleet.borrow_mut();
         (fleet.digests(now), fleet.take_reports_due(now))
     };
-    if digests.is_empty() {
-        return;
-    }
-    let news = encode_news(state, has_reports);
-    let mut reports = Vec::new();
-    for (to, digest) in digests {
-        if has_reports && !reports.iter().any(|(scope, _)| *scope == digest.scope) {
-            reports.push((digest.scope, encode_reports(state, digest.scope)));
-        }
-        let reports = reports.iter().find(|(scope, _)| *scope == digest.scope);
-        let reports = reports.map_or(&[][..], |(_, encoded)| encoded);
-        let encoded = match postcard::to_stdvec(&digest) {
-            Ok(encoded) => [&encoded, &news[..], reports].concat(),
-            Err(error) => {
-                tracing::error!(event = "digest_not_encoded", %error);
-                continue;
+    let mut copies = versions::take_copies(state);
+    if !digests.is_empty() {
+        let news = EncodedNews::take(state, has_reports);
+        let mut reports = Vec::new();
+        for (to, digest) in digests {
+            if has_reports && !reports.iter().any(|(scope, _)| *scope == digest.scope) {
+                reports.push((digest.scope, encode_reports(state, digest.scope)));
+            }
+            let reports = reports.iter().find(|(scope, _)| *scope == digest.scope);
+            let reports = reports.map_or(&[][..], |(_, encoded)| encoded);
+            let fresh = copies
+                .extract_if(.., |copies| copies.to == to && copies.are_fresh())
+                .flat_map(|copies| copies.origins)
+                .map(|origins| origins.news);
+            let news = news.encode(fresh.collect());
+            let encoded = match postcard::to_stdvec(&digest) {
+                Ok(encoded) => [&encoded, &news[..], reports].concat(),
+                Err(error) => {
+                    tracing::error!(event = "digest_not_encoded", %error);
+                    continue;
+                }
+            };
+            // A datagram that is lost to a full buffer or a broken link is not sent again: the next
+            // digest contains the same state.
+            match socket.try_send_to(&encoded, to) {
+                Ok(_) => increment(&state.metrics.digests_sent),
+                Err(error) => tracing::debug!(event = "digest_not_sent", %to, %error),
             }
-        };
-        // A datagram that is lost to a full buffer or a broken link is not sent again: the next
-        // digest contains the same state.
-        match socket.try_send_to(&encoded, to) {
-            Ok(_) => increment(&state.metrics.digests_sent),
-            Err(error) => tracing::debug!(event = "digest_not_sent", %to, %error),
         }
     }
+    for copies in copies {
+        versions::send_copies(state, socket, copies);
+    }
 }
 
 /// Encodes the work that client accounts ask for, for receivers of digests of `scope`.
@@ -264,41 +275,73 @@
     })
 }
 
-/// Encodes the news that are due. Empty if there are none and nothing `follows` them.
-fn encode_news<D: WireCodec>(state: &EdgeState<D>, follows: bool) -> Vec<u8> {
-    let now = state.now();
-    let record_age = now.since(state.record_written_at.get());
-    let news = News {
-        crashes: crashes::take_news(state),
-        limits: state.fleet.borrow_mut().take_limit_news(now),
-        announced: state.presence.borrow_mut().take(record_age, now),
-    };
-    let (origins, waits) = {
-        let mut versions = state.versions.borrow_mut();
-        (versions.take_news(now), versions.take_wait_news())
-    };
-    let upstreams = {
-        let mut fleet = state.fleet.borrow_mut();
-        UpstreamNews {
-            paces: fleet.take_pace_news(now),
-            memory: if state.settings().has_competing_accounts {
-                fleet.take_memory_news(now)
+/// News that are due. All receivers of digests get the same, but for the origins of streams.
+struct EncodedNews {
+    /// [`News`].
+    first: Vec<u8>,
+    versions: Vec<OriginNews>,
+    /// What comes after the origins.
+    last: Vec<u8>,
+    /// Whether there are neither news, nor does anything follow them.
+    is_empty: bool,
+}
+
+impl EncodedNews {
+    /// Takes the news that are due. `follows` states whether something follows them.
+    fn take<D: WireCodec>(state: &EdgeState<D>, follows: bool) -> Self {
+        let now = state.now();
+        let record_age = now.since(state.record_written_at.get());
+        let news = News {
+            crashes: crashes::take_news(state),
+            limits: state.fleet.borrow_mut().take_limit_news(now),
+            announced: state.presence.borrow_mut().take(record_age, now),
+        };
+        let (versions, waits) = {
+            let mut versions = state.versions.borrow_mut();
+            (versions.take_version_news(), versions.take_wait_news())
+        };
+        let upstreams = {
+            let mut fleet = state.fleet.borrow_mut();
+            UpstreamNews {
+                paces: fleet.take_pace_news(now),
+                memory: if state.settings().has_competing_accounts {
+                    fleet.take_memory_news(now)
+                } else {
+                    MemoryNews::default()
+                },
+            }
+        };
+        let has_last = follows || !upstreams.is_empty();
+        Self {
+            is_empty: !has_last
+                && news.crashes.is_empty()
+                && news.limits.is_empty()
+                && news.announced.is_empty()
+                && versions.is_empty()
+                && waits.is_empty(),
+            first: encode(&news),
+            versions,
+            last: if has_last {
+                encode(&(waits, upstreams))
             } else {
-                MemoryNews::default()
+                encode(&waits)
             },
         }
-    };
-    let is_empty = news.crashes.is_empty()
-        && news.limits.is_empty()
-        && news.announced.is_empty()
-        && origins.is_empty()
-        && waits.is_empty();
-    let encoded = match upstreams.is_empty() && !follows {
-        true if is_empty => return Vec::new(),
-        true => postcard::to_stdvec(&(news, origins, waits)),
-        false => postcard::to_stdvec(&(news, origins, waits, upstreams)),
-    };
-    encoded.unwrap_or_else(|error| {
+    }
+
+    /// Encodes the news for one receiver, with the origins that it is to keep. Empty if there are
+    /// none and nothing follows them.
+    fn encode(&self, mut origins: Vec<OriginNews>) -> Vec<u8> {
+        if self.is_empty && origins.is_empty() {
+            return Vec::new();
+        }
+        origins.extend_from_slice(&self.versions);
+        [&self.first, &encode(&origins)[..], &self.last].concat()
+    }
+}
+
+fn encode(part: &impl Serialize) -> Vec<u8> {
+    postcard::to_stdvec(part).unwrap_or_else(|error| {
         tracing::error!(event = "news_not_encoded", %error);
         Vec::new()
     })
--- a/crates/edge/src/members/mod.rs
+++ b/crates/edge/src/members/mod.rs
@@ -200,6 +200,17 @@
         members.filter_map(|member| Some((member.hash, member.control?)))
     }
 
+    /// Returns the processes considered alive that have a control address, without `own`: the hash
+    /// of the name, the failure domain and the address.
+    pub fn replicas(
+        &self,
+        own: &str,
+        now: MonotonicTime,
+    ) -> impl Iterator<Item = (u64, &str, SocketAddr)> {
+        self.alive(own, now)
+            .filter_map(|(_, member)| Some((member.hash, &*member.domain, member.control?)))
+    }
+
     /// Returns the position after the newest known record.
     pub fn next_position(&self) -> Position {
         let positions = self.by_name.values().map(|member| member.position);
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -39,6 +39,8 @@
     pub refused_beyond_part: Cell<u64>,
     /// Load digests sent to other instances.
     pub digests_sent: Cell<u64>,
+    /// Datagrams about the origins of streams alone.
+    pub origin_datagrams_sent: Cell<u64>,
 }
 
 #[derive(Debug, Default)]
@@ -111,6 +113,7 @@
             ("streams_resumed", self.streams_resumed.get()),
             ("refused_beyond_part", self.refused_beyond_part.get()),
             ("digests_sent", self.digests_sent.get()),
+            ("origin_datagrams_sent", self.origin_datagrams_sent.get()),
             ("log_lines_dropped", dropped_lines),
         ];
         for (name, value) in counters {
--- a/crates/edge/src/peers/serve.rs
+++ b/crates/edge/src/peers/serve.rs
@@ -25,7 +25,7 @@
 use crate::own_delay::{CountedIo, DelayMonitor};
 use crate::platform_api::WireCodec;
 use crate::state::EdgeState;
-use crate::versions::{self, ORIGIN_PATH, ORIGINS_PATH};
+use crate::versions::{self, ORIGIN_PATH};
 
 /// Pause after a failed accept, for example if no file descriptor is free.
 const ACCEPT_ERROR_PAUSE: Duration = Duration::from_millis(500);
@@ -136,7 +136,6 @@
                     (StatusCode::BAD_REQUEST, "text/plain", String::new())
                 }
             },
-            ORIGINS_PATH => json_response(&versions::origins_to_hand_over(state)),
             ORIGIN_PATH => match serde_json::from_slice(body) {
                 Ok(question) => json_response(&versions::answer(state, &question).await),
                 Err(error) => {
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -138,7 +138,7 @@
     let until_last_responses = until_exit.saturating_sub(LAST_RESPONSE_MARGIN);
     let last_responses_at = state.now().plus(until_last_responses);
     state.planned_stop.begin(last_responses_at);
-    versions::tell_before_exit(&state);
+    versions::leave(&state);
     tracing::info!(event = "stopping", in_flight = state.in_flight.get());
     if let Some(duty) = &duty {
         duty.release().await;
--- a/crates/edge/src/versions/ask.rs
+++ b/crates/edge/src/versions/ask.rs
@@ -1,10 +1,12 @@
 //! Asks peers with which version a stream began.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
+use nutmegbay_policy::edge::origin_replicas::ASKED_REPLICAS;
 use nutmegbay_policy::edge::software_versions::VersionTag;
 use nutmegbay_policy::edge::stream_origins::{AttemptTag, ServiceTag};
 use rand::seq::SliceRandom;
@@ -20,7 +22,7 @@
 pub const ORIGIN_PATH: &str = "/origin";
 
 /// Maximum number of peers asked about one stream.
-const MAX_PEERS: usize = 3;
+const MAX_PEERS: usize = ASKED_REPLICAS;
 
 /// Maximum wait for the answer of a peer that knows the version.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
@@ -55,7 +57,7 @@
         service: Some(service),
     };
     let body = serde_json::to_vec(&question).ok()?;
-    let mut replies: FuturesUnordered<_> = peers(state, MAX_PEERS)
+    let mut replies: FuturesUnordered<_> = peers(state, attempt)
         .into_iter()
         .map(|peer| {
             let body = body.clone();
@@ -93,21 +95,26 @@
     OriginReply { version }
 }
 
-/// Returns the peers to ask, `count` at most: the relay of this process, other relays, then any
-/// others. Relays receive the news of all.
-pub fn peers<D: WireCodec>(state: &EdgeState<D>, count: usize) -> Vec<SocketAddr> {
+/// Returns the peers to ask, [`MAX_PEERS`] at most: those that keep copies for the attempt, then the
+/// relay of this process, other relays and any others, which may prove the version.
+fn peers<D: WireCodec>(state: &EdgeState<D>, attempt: Option<AttemptTag>) -> Vec<SocketAddr> {
     let own_relay = state.relay_follower.borrow().relay();
-    let mut relays: Vec<_> = {
-        let members = state.members.borrow();
-        let relays = members.relays(&state.settings().node, state.now());
-        relays.others.iter().map(|relay| relay.key).collect()
-    };
+    let members = state.members.borrow();
+    let settings = state.settings();
+    let versions = state.versions.borrow();
+    let replicas = attempt.map(|attempt| versions.origins.replicas(attempt, ASKED_REPLICAS));
+    let addresses: HashMap<u64, SocketAddr> = members.addresses().collect();
+    let replicas = replicas.into_iter().flatten();
+    let replicas = replicas.filter_map(|name| addresses.get(&name).copied());
+    let relays = members.relays(&settings.node, state.now());
+    let mut relays: Vec<_> = relays.others.iter().map(|relay| relay.key).collect();
     let mut others = known_peers(state);
     relays.shuffle(&mut rand::rng());
     others.shuffle(&mut rand::rng());
-    let mut peers: Vec<SocketAddr> = Vec::with_capacity(count);
-    for peer in own_relay.into_iter().chain(relays).chain(others) {
-        if peers.len() < count && !peers.contains(&peer) {
+    let mut peers: Vec<SocketAddr> = Vec::with_capacity(MAX_PEERS);
+    for peer in replicas.chain(own_relay).chain(relays).chain(others) {
+        let is_own = settings.control == Some(peer);
+        if peers.len() < MAX_PEERS && !is_own && !peers.contains(&peer) {
             peers.push(peer);
         }
     }
--- a/crates/edge/src/versions/mod.rs
+++ b/crates/edge/src/versions/mod.rs
@@ -1,14 +1,14 @@
 //! Software versions with which streams began. A stream is only continued at the version that began
 //! it.
 //!
-//! An instance knows the origins of the streams that it carries, and those that others tell it with
-//! their load digests while several versions may be in use. For any other stream it needs a proof
-//! that one version alone can have begun it: its knowledge of the versions is complete, and the list
-//! of instances was read after the caller had taken the stream up. Otherwise peers are asked.
+//! An instance knows the origins of the streams that it carries, and of those that it keeps copies
+//! of. For any other stream it needs a proof that one version alone can have begun it: its knowledge
+//! of the versions is complete, and the list of instances was read after the caller had taken the
+//! stream up. Otherwise the instances that keep copies are asked.
 
 mod ask;
-mod hand_over;
 mod proof;
+mod replicate;
 mod store;
 mod waits;
 
@@ -21,8 +21,9 @@
     MAX_CALLER_WAIT, StoredVersion, TakeUpBounds, VersionHistory, VersionTag,
 };
 use nutmegbay_policy::edge::stream_origins::{
-    AttemptTag, Origin, OriginNews, ServiceTag, StreamOrigins,
+    AgedOrigins, AttemptTag, Origin, OriginNews, ServiceTag, StreamOrigins,
 };
+use nutmegbay_policy::edge::version_news::VersionNews;
 use serde::{Deserialize, Serialize};
 use strum::IntoStaticStr;
 use tokio::sync::{Notify, Semaphore};
@@ -35,10 +36,11 @@
 use crate::state::EdgeState;
 
 pub use ask::{ORIGIN_PATH, answer};
-pub use hand_over::{ORIGINS_PATH, origins_to_hand_over, tell_before_exit};
+pub use replicate::{is_about_origins, leave, receive, send_copies, take_copies, update_members};
 pub use waits::{merge_waits, record_caller_wait};
 
 use proof::{first_some, only_version};
+use replicate::ReplicaPeers;
 use waits::WaitNews;
 
 /// Age from which the list of instances is out of date: other instances may use upstreams that it
@@ -59,11 +61,11 @@
 pub struct Versions {
     by_service: BTreeMap<Box<str>, ServiceVersions>,
     origins: StreamOrigins,
+    peers: ReplicaPeers,
+    version_news: VersionNews,
     wait_news: WaitNews,
     /// Whether the whole list of instances was received once.
     has_list: bool,
-    /// Whether this process is about to end, so that only the others will know its streams.
-    is_ending: bool,
     /// Notified when the versions may have to be read from the store or written to it.
     changed: Rc<Notify>,
     questions: Rc<Semaphore>,
@@ -74,9 +76,10 @@
         Self {
             by_service: BTreeMap::new(),
             origins: StreamOrigins::default(),
+            peers: ReplicaPeers::default(),
+            version_news: VersionNews::default(),
             wait_news: WaitNews::default(),
             has_list: false,
-            is_ending: false,
             changed: Rc::default(),
             questions: Rc::new(Semaphore::new(MAX_QUESTIONS)),
         }
@@ -90,9 +93,9 @@
         Rc::clone(&self.changed)
     }
 
-    /// Returns the origins that are due to be sent to the peers.
-    pub fn take_news(&mut self, now: MonotonicTime) -> Vec<OriginNews> {
-        self.origins.take_news(now)
+    /// Returns the versions in use that are due to be told to all instances.
+    pub fn take_version_news(&mut self) -> Vec<OriginNews> {
+        self.version_news.take().map(OriginNews::in_use).collect()
     }
 
     /// Number of streams whose version is known.
@@ -113,9 +116,8 @@
         });
     }
 
-    /// Applies `change` to the history of a service. If another version is in use from then on, or
-    /// may be, the streams of this process are told to the peers. Returns whether that holds after
-    /// the change.
+    /// Applies `change` to the history of a service. Returns whether another version is in use
+    /// after it, or may be.
     fn update(
         &mut self,
         service: ServiceTag,
@@ -138,9 +140,6 @@
                 observed_ms = millis(known.history.observed_for(now)),
             );
         }
-        if is_mixed && (!was_mixed || has_new) {
-            self.origins.tell_all(service, now);
-        }
         is_mixed
     }
 }
@@ -209,12 +208,13 @@
     let is_mixed = versions.update(origin.service, now, |known| {
         known.history.record_used(version, now)
     });
-    let attempt = attempt_tag(attempt);
-    let is_told = is_mixed || versions.is_ending;
-    versions.origins.record_own(attempt, origin, is_told, now);
-    if is_told {
-        state.fleet.borrow().load_changed.notify_one();
+    versions
+        .origins
+        .record_own(attempt_tag(attempt), origin, now);
+    if is_mixed {
+        versions.version_news.record(origin, now);
     }
+    state.fleet.borrow().load_changed.notify_one();
 }
 
 /// Records a version as stated by an entry of the list of instances. The entry may change again
@@ -301,26 +301,22 @@
             record_listed(&state);
         }
     };
-    tokio::join!(
-        check,
-        hand_over::take_over(&state),
-        store::synchronize(Rc::clone(&state), store)
-    );
+    tokio::join!(check, store::synchronize(Rc::clone(&state), store));
 }
 
-/// Applies the origins that a peer has sent. `is_relay` states whether this process passes them on.
-pub fn merge<D: WireCodec>(state: &EdgeState<D>, news: &[OriginNews], is_relay: bool) {
+/// Applies news of a peer: versions in use, and copies of origins. `is_relay` states whether this
+/// process passes the former on.
+pub fn merge_news<D: WireCodec>(state: &EdgeState<D>, news: Vec<OriginNews>, is_relay: bool) {
     let now = state.now();
-    let mut versions = state.versions.borrow_mut();
-    for origins in news {
-        if !versions.origins.merge(origins, is_relay, now) {
-            continue;
-        }
-        let Origin { service, version } = origins.origin;
+    for news in news {
+        let Origin { service, version } = news.origin;
+        let mut versions = state.versions.borrow_mut();
         versions.update(service, now, |known| {
             known.history.record_used(version, now)
         });
-        if is_relay {
+        if news.has_streams() {
+            versions.origins.merge(&AgedOrigins { age_s: 0, news }, now);
+        } else if is_relay && versions.version_news.record(news.origin, now) {
             state.fleet.borrow().load_changed.notify_one();
         }
     }
@@ -363,8 +359,8 @@
 enum Source {
     /// It carried the stream.
     Own,
-    /// The instance that carried the stream told the others.
-    News,
+    /// It keeps a copy of the origin.
+    Copy,
     /// No other version can have begun it.
     Only,
     /// A peer answered a question.
@@ -425,7 +421,7 @@
     version
 }
 
-/// Finds the version that began a stream which this process did not carry and was not told of.
+/// Finds the version that began a stream which this process did not carry and keeps no copy of.
 async fn find_origin<D: WireCodec>(
     state: &Rc<EdgeState<D>>,
     service: ServiceTag,
@@ -437,7 +433,7 @@
         Some((Source::Only, only, state.now().since(read_at)))
     };
     let asked = async {
-        // Few others know the stream while one version alone is in use.
+        // The proof costs the peers nothing.
         if is_only_known(state, service) {
             sleep(PROOF_HEAD_START).await;
         }
@@ -456,7 +452,7 @@
     known.is_some_and(|known| known.history.only().is_some())
 }
 
-/// Returns the origin of a stream that this process carried or was told of, and the age of that
+/// Returns the origin of a stream that this process carried or keeps a copy of, and the age of that
 /// knowledge.
 fn known_origin<D: WireCodec>(
     state: &EdgeState<D>,
@@ -467,7 +463,7 @@
     let source = if known.is_own {
         Source::Own
     } else {
-        Source::News
+        Source::Copy
     };
     Some((source, known.version, known.age))
 }
--- a/crates/policy/src/edge/prefixes.rs
+++ b/crates/policy/src/edge/prefixes.rs
@@ -128,7 +128,7 @@
 }
 
 /// Finalizer of a 64-bit hash, which spreads every input bit over the output.
-fn mix(mut bits: u64) -> u64 {
+pub(super) fn mix(mut bits: u64) -> u64 {
     bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     bits = (bits ^ (bits >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     bits ^ (bits >> 31)
--- a/crates/policy/src/edge/stream_origins.rs
+++ b/crates/policy/src/edge/stream_origins.rs
@@ -1,10 +1,9 @@
 //! Versions of the software with which streams began, by attempt of the caller.
 //!
 //! Load pattern: a caller whose stream broke off takes it up at any instance within some tens of
-//! milliseconds, also when the instance that carried the stream was killed. Each instance therefore
-//! tells the others with which version its streams begin, for as long as several versions may be in
-//! use. What it carries itself, it remembers at all times, since a second version may appear while
-//! the stream is open.
+//! milliseconds, also when the instance that carried the stream was killed or stands still. A second
+//! version may appear at any time. Each origin is therefore copied to a few other instances (see
+//! [`super::origin_replicas`]) as soon as the stream begins, however many versions are in use.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
@@ -12,24 +11,21 @@
 use nutmegbay_core::environment::MonotonicTime;
 use serde::{Deserialize, Serialize};
 
+use super::origin_replicas::{OriginReplicas, REPLICAS, ReplicaMember};
 use super::software_versions::VersionTag;
 
 /// Maximum number of attempts that are remembered. Beyond it, the oldest ones are dropped, and
 /// their streams are not continued while several versions are in use.
 pub const MAX_ATTEMPTS: usize = 128 * 1024;
 
-/// Maximum number of attempts in one datagram.
-const MAX_NEWS: usize = 400;
+/// Maximum number of attempts in one datagram, so that it fits into one packet.
+pub const MAX_TOLD: usize = 150;
 
-/// Maximum number of attempts that wait to be sent. The oldest ones are dropped; other instances ask
-/// for what they lack.
-const MAX_WAITING: usize = 4 * 1024;
+/// Maximum number of copies that wait to be sent. Further ones are not sent.
+const MAX_WAITING: usize = 64 * 1024;
 
-/// Time after which a piece of news is sent again, since datagrams may be lost.
-const REPEAT_AFTER: Duration = Duration::from_millis(40);
-
-/// Time from which an attempt that is told again counts as news: its stream was taken up. Until
-/// then it is a repeat, and not forwarded.
+/// Time by which a copy has to be younger than what is known to replace its age: its stream was
+/// taken up. Ages are sent in whole seconds.
 const REFRESH_AFTER: Duration = Duration::from_secs(1);
 
 /// Service, given by a hash of its name.
@@ -59,6 +55,21 @@
     attempts: Vec<[u8; 8]>,
 }
 
+impl OriginNews {
+    /// Returns news without streams: the version is in use.
+    pub fn in_use(origin: Origin) -> Self {
+        Self {
+            origin,
+            attempts: Vec::new(),
+        }
+    }
+
+    /// Whether there are streams.
+    pub fn has_streams(&self) -> bool {
+        !self.attempts.is_empty()
+    }
+}
+
 /// Longest time for which a caller of a service's streams has stated to wait, as sent between
 /// instances.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -69,8 +80,7 @@
     pub wait_ms: u64,
 }
 
-/// Streams with one origin that were recorded at about the same time, as handed over to an instance
-/// that has just started.
+/// Streams with one origin that were recorded at about the same time.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AgedOrigins {
     /// Time since they were recorded, in seconds.
@@ -86,7 +96,11 @@
     /// Attempts in the order in which they were recorded. One that was recorded again stands there
     /// more than once.
     order: VecDeque<(MonotonicTime, AttemptTag)>,
-    waiting: VecDeque<Waiting>,
+    replicas: OriginReplicas,
+    /// Attempts whose origins are still to be copied, by the name of the receiver.
+    waiting: BTreeMap<u64, VecDeque<AttemptTag>>,
+    /// Number of copies in `waiting`.
+    waiting_count: usize,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -108,92 +122,84 @@
     pub age: Duration,
 }
 
-#[derive(Debug, Clone, Copy)]
-struct Waiting {
-    attempt: AttemptTag,
-    origin: Origin,
-    since: MonotonicTime,
-    is_repeat: bool,
-}
-
 impl StreamOrigins {
-    /// Records that a stream of this instance began, or was taken up by its caller. It is told to
-    /// the others if `is_mixed`, that is, while several versions may be in use.
-    pub fn record_own(
+    /// Records that a stream of this instance began, or was taken up by its caller. Others get
+    /// copies.
+    pub fn record_own(&mut self, attempt: AttemptTag, origin: Origin, now: MonotonicTime) {
+        self.record(attempt, origin, true, now);
+        for replica in self.replicas.of(attempt, REPLICAS) {
+            self.queue(replica, attempt);
+        }
+    }
+
+    /// Sets the instances that run. What this instance knows is copied to those that were not known
+    /// before, and their names are returned.
+    pub fn update_members(
         &mut self,
-        attempt: AttemptTag,
-        origin: Origin,
-        is_mixed: bool,
-        now: MonotonicTime,
-    ) {
-        let origin = self.record(attempt, origin, true, now);
-        if is_mixed {
-            self.tell(attempt, origin, now);
+        own: ReplicaMember,
+        others: impl IntoIterator<Item = ReplicaMember>,
+    ) -> Vec<u64> {
+        let joined = self.replicas.update(own, others);
+        for member in &joined {
+            self.copy_to(*member);
         }
+        joined
     }
 
-    /// Tells the others of all streams of `service` that this instance has carried, the latest ones
-    /// last. To be called when a second version appears, and before this instance ends.
-    pub fn tell_all(&mut self, service: ServiceTag, now: MonotonicTime) {
-        let is_told = |(at, attempt): &(MonotonicTime, AttemptTag)| {
-            let known = self.by_attempt.get(attempt)?;
-            let is_told = known.is_own && known.at == *at && known.origin.service == service;
-            is_told.then_some((*attempt, known.origin))
-        };
-        let own: Vec<_> = self.order.iter().filter_map(is_told).collect();
-        for (attempt, origin) in own {
-            self.tell(attempt, origin, now);
+    /// Copies all origins that an instance is to keep to it: it has just started.
+    pub fn copy_to(&mut self, member: u64) {
+        let newest = self.order.iter().rev();
+        let kept: Vec<_> = newest
+            .filter(|(at, attempt)| {
+                let known = self.by_attempt.get(attempt);
+                known.is_some_and(|known| known.at == *at)
+                    && self.replicas.of(*attempt, REPLICAS).contains(&member)
+            })
+            .map(|(_, attempt)| *attempt)
+            .collect();
+        for attempt in kept {
+            self.queue(member, attempt);
         }
     }
 
-    /// Records what another instance tells: streams that began, or that were taken up again.
-    /// `is_forwarded` states whether this instance passes it on. Returns whether it was news.
-    pub fn merge(&mut self, news: &OriginNews, is_forwarded: bool, now: MonotonicTime) -> bool {
-        let mut has_new = false;
-        for attempt in &news.attempts {
-            let attempt = AttemptTag(u64::from_le_bytes(*attempt));
-            let known = self.by_attempt.get(&attempt);
-            if known.is_some_and(|known| now.since(known.at) < REFRESH_AFTER) {
-                continue;
-            }
-            has_new = true;
-            let origin = self.record(attempt, news.origin, false, now);
-            if is_forwarded {
-                self.tell(attempt, origin, now);
+    /// Copies what this instance keeps to those that keep it in its place. To be called before this
+    /// instance ends.
+    pub fn leave(&mut self) {
+        let own = self.replicas.own();
+        let replicas = |attempt: &AttemptTag| (*attempt, self.replicas.of(*attempt, REPLICAS));
+        let known = self.by_attempt.keys().map(replicas);
+        let kept: Vec<_> = known.filter(|(_, names)| names.contains(&own)).collect();
+        self.replicas.leave();
+        for (attempt, before) in kept {
+            for name in self.replicas.of(attempt, REPLICAS) {
+                if !before.contains(&name) {
+                    self.queue(name, attempt);
+                }
             }
         }
-        has_new
     }
 
-    /// Returns the streams that this instance knows, for one that has just started.
-    pub fn snapshot(&self, now: MonotonicTime) -> Vec<AgedOrigins> {
-        let mut known: BTreeMap<(u64, Origin), Vec<[u8; 8]>> = BTreeMap::new();
-        for (attempt, Known { origin, at, .. }) in &self.by_attempt {
-            let attempts = known
-                .entry((now.since(*at).as_secs(), *origin))
-                .or_default();
-            attempts.push(attempt.0.to_le_bytes());
-        }
-        let groups = known
-            .into_iter()
-            .map(|((age_s, origin), attempts)| AgedOrigins {
-                age_s,
-                news: OriginNews { origin, attempts },
-            });
-        groups.collect()
+    /// Returns the names of the instances that have copies of an origin, or may have.
+    pub fn replicas(&self, attempt: AttemptTag, count: usize) -> Vec<u64> {
+        self.replicas.of(attempt, count)
     }
 
-    /// Takes over streams that another instance knows. They do not become younger by it, so that
-    /// instances which start one after another do not keep them forever.
-    pub fn take_over(&mut self, known: &AgedOrigins, now: MonotonicTime) {
-        let age = Duration::from_secs(known.age_s);
+    /// Records copies of another instance: of streams that began, or that were taken up again. They
+    /// do not become younger by it, so that instances which start one after another do not keep
+    /// them forever. Returns whether one was not known.
+    pub fn merge(&mut self, copies: &AgedOrigins, now: MonotonicTime) -> bool {
+        let age = Duration::from_secs(copies.age_s);
         let at = MonotonicTime(now.0.saturating_sub(age));
-        for attempt in &known.news.attempts {
+        let mut has_new = false;
+        for attempt in &copies.news.attempts {
             let attempt = AttemptTag(u64::from_le_bytes(*attempt));
-            if !self.by_attempt.contains_key(&attempt) {
-                self.record(attempt, known.news.origin, false, at);
+            let known = self.by_attempt.get(&attempt);
+            has_new |= known.is_none();
+            if known.is_none_or(|known| at.since(known.at) >= REFRESH_AFTER) {
+                self.record(attempt, copies.news.origin, false, at);
             }
         }
+        has_new
     }
 
     /// Returns what is known of the stream of an attempt.
@@ -215,32 +221,38 @@
         }
     }
 
-    /// Returns the news that are due, at most as many as fit into a datagram.
-    pub fn take_news(&mut self, now: MonotonicTime) -> Vec<OriginNews> {
-        let mut news: BTreeMap<Origin, Vec<[u8; 8]>> = BTreeMap::new();
-        let mut taken = 0;
-        let mut kept = VecDeque::new();
-        for waiting in std::mem::take(&mut self.waiting) {
-            let is_due = !waiting.is_repeat || now.since(waiting.since) >= REPEAT_AFTER;
-            if !is_due || taken >= MAX_NEWS {
-                kept.push_back(waiting);
-                continue;
+    /// Returns the copies to be sent now, by the name of the receiver: as many for each as fit into
+    /// one datagram.
+    pub fn take_copies(&mut self, now: MonotonicTime) -> Vec<(u64, Vec<AgedOrigins>)> {
+        let mut taken = Vec::new();
+        for (to, waiting) in &mut self.waiting {
+            let mut groups: BTreeMap<(u64, Origin), Vec<[u8; 8]>> = BTreeMap::new();
+            let count = waiting.len().min(MAX_TOLD);
+            self.waiting_count -= count;
+            for attempt in waiting.drain(..count) {
+                let Some(known) = self.by_attempt.get(&attempt) else {
+                    continue;
+                };
+                let age_s = now.since(known.at).as_secs();
+                let group = groups.entry((age_s, known.origin)).or_default();
+                group.push(attempt.0.to_le_bytes());
             }
-            taken += 1;
-            let attempts = news.entry(waiting.origin).or_default();
-            attempts.push(waiting.attempt.0.to_le_bytes());
-            if !waiting.is_repeat {
-                kept.push_back(Waiting {
-                    is_repeat: true,
-                    since: now,
-                    ..waiting
+            let copies = groups
+                .into_iter()
+                .map(|((age_s, origin), attempts)| AgedOrigins {
+                    age_s,
+                    news: OriginNews { origin, attempts },
                 });
-            }
+            taken.push((*to, copies.collect::<Vec<_>>()));
         }
-        self.waiting = kept;
-        news.into_iter()
-            .map(|(origin, attempts)| OriginNews { origin, attempts })
-            .collect()
+        self.waiting.retain(|_, waiting| !waiting.is_empty());
+        taken.retain(|(_, copies)| !copies.is_empty());
+        taken
+    }
+
+    /// Returns whether copies wait to be sent.
+    pub fn has_copies(&self) -> bool {
+        !self.waiting.is_empty()
     }
 
     /// Number of attempts that are remembered.
@@ -253,26 +265,15 @@
         self.by_attempt.is_empty()
     }
 
-    fn tell(&mut self, attempt: AttemptTag, origin: Origin, now: MonotonicTime) {
-        if self.waiting.len() >= MAX_WAITING {
-            self.waiting.pop_front();
+    fn queue(&mut self, to: u64, attempt: AttemptTag) {
+        if to != self.replicas.own() && self.waiting_count < MAX_WAITING {
+            self.waiting.entry(to).or_default().push_back(attempt);
+            self.waiting_count += 1;
         }
-        self.waiting.push_back(Waiting {
-            attempt,
-            origin,
-            since: now,
-            is_repeat: false,
-        });
     }
 
-    /// Records an attempt. Returns its origin, which is the first one that was recorded.
-    fn record(
-        &mut self,
-        attempt: AttemptTag,
-        origin: Origin,
-        is_own: bool,
-        now: MonotonicTime,
-    ) -> Origin {
+    /// Records an attempt. The first origin that was recorded stays.
+    fn record(&mut self, attempt: AttemptTag, origin: Origin, is_own: bool, now: MonotonicTime) {
         if self.order.len() >= MAX_ATTEMPTS {
             self.drop_oldest();
         }
@@ -283,9 +284,7 @@
         });
         known.at = now;
         known.is_own |= is_own;
-        let origin = known.origin;
         self.order.push_back((now, attempt));
-        origin
     }
 
     fn drop_oldest(&mut self) {
--- a/crates/policy/tests/edge_stream_origins.rs
+++ b/crates/policy/tests/edge_stream_origins.rs
@@ -1,16 +1,18 @@
-//! Guards against continuing a stream at another version than the one that began it, and against
-//! news without end.
+//! Guards against continuing a stream at another version than the one that began it, against losing
+//! that version with an instance, and against copies without end.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
 
 use nutmegbay_core::environment::MonotonicTime;
+use nutmegbay_policy::edge::origin_replicas::{ASKED_REPLICAS, REPLICAS, ReplicaMember};
 use nutmegbay_policy::edge::software_versions::{
     StoredVersion, TakeUpBounds, VersionHistory, VersionTag,
 };
 use nutmegbay_policy::edge::stream_origins::{
-    AttemptTag, MAX_ATTEMPTS, Origin, OriginNews, ServiceTag, StreamOrigins,
+    AttemptTag, MAX_ATTEMPTS, Origin, ServiceTag, StreamOrigins,
 };
+use nutmegbay_policy::edge::version_news::VersionNews;
 use proptest::prelude::*;
 
 const SERVICE: ServiceTag = ServiceTag(7);
@@ -33,140 +35,283 @@
     known.map(|known| known.version.0)
 }
 
-fn merge_all(origins: &mut StreamOrigins, news: &[OriginNews], is_relay: bool, ms: u64) {
-    for news in news {
-        origins.merge(news, is_relay, at(ms));
+fn index(name: u64) -> usize {
+    usize::try_from(name).unwrap()
+}
+
+/// Instances of a group, by their names and failure domains.
+fn members(names: std::ops::Range<u64>) -> Vec<ReplicaMember> {
+    let member = |name| ReplicaMember {
+        domain: name % 3,
+        name,
+    };
+    names.map(member).collect()
+}
+
+/// Returns instances that know each other.
+fn group(count: u64) -> Vec<StreamOrigins> {
+    let members = members(0..count);
+    let known = |own: &ReplicaMember| {
+        let mut origins = StreamOrigins::default();
+        origins.update_members(*own, members.clone());
+        origins
+    };
+    members.iter().map(known).collect()
+}
+
+/// Delivers what waits to be sent at `ms`, until nothing does. Returns the number of datagrams.
+fn deliver(group: &mut [StreamOrigins], ms: u64) -> usize {
+    let mut datagrams = 0;
+    loop {
+        let taken: Vec<_> = group
+            .iter_mut()
+            .flat_map(|o| o.take_copies(at(ms)))
+            .collect();
+        if taken.is_empty() {
+            return datagrams;
+        }
+        datagrams += taken.len();
+        for (to, copies) in taken {
+            for copies in copies {
+                group[index(to)].merge(&copies, at(ms));
+            }
+        }
     }
 }
 
-/// A second version appears while streams are open.
+/// A second version appears while streams are open, whose carriers are gone or stand still then.
 #[test]
-fn open_streams() {
-    let mut origins = StreamOrigins::default();
-    origins.record_own(AttemptTag(1), origin(1), false, at(0));
-    assert_eq!(origins.take_news(at(0)), []);
-    origins.tell_all(ServiceTag(8), at(100));
-    assert_eq!(origins.take_news(at(100)), []);
-    origins.tell_all(SERVICE, at(100));
-    let mut other = StreamOrigins::default();
-    merge_all(&mut other, &origins.take_news(at(100)), false, 101);
-    assert_eq!(version(&other, 1, 101), Some(1));
+fn lost_carriers() {
+    let mut group = group(300);
+    for attempt in 0..600 {
+        let carrier = &mut group[index(attempt) % 300];
+        carrier.record_own(AttemptTag(attempt), origin(1), at(0));
+    }
+    deliver(&mut group, 5);
+    for attempt in 0..600 {
+        let carrier = attempt % 300;
+        let replicas = group[0].replicas(AttemptTag(attempt), REPLICAS);
+        let domains: BTreeSet<u64> = replicas.iter().map(|name| name % 3).collect();
+        assert_eq!(domains.len(), 3, "{replicas:?}");
+        for name in replicas.iter().filter(|name| **name != carrier) {
+            let known = version(&group[index(*name)], attempt, 5);
+            assert_eq!(known, Some(1), "{attempt} at {name}");
+        }
+    }
 }
 
-/// A datagram may be lost, but news are not sent without end.
+/// The instance that needs an origin knows another set of instances than the one that carried the
+/// stream: one has joined, or is no longer known.
 #[test]
-fn lost_datagram() {
-    let mut origins = StreamOrigins::default();
-    origins.record_own(AttemptTag(1), origin(1), true, at(0));
-    assert_eq!(origins.take_news(at(5)).len(), 1);
-    assert_eq!(origins.take_news(at(40)), []);
-    let mut other = StreamOrigins::default();
-    merge_all(&mut other, &origins.take_news(at(45)), false, 46);
-    assert_eq!(version(&other, 1, 46), Some(1));
-    for ms in (50..30_000).step_by(5) {
-        assert_eq!(origins.take_news(at(ms)), [], "at {ms}");
+fn other_members() {
+    let mut group = group(30);
+    let mut joined = StreamOrigins::default();
+    joined.update_members(members(40..41)[0], members(0..30));
+    let mut without = StreamOrigins::default();
+    without.update_members(members(0..1)[0], members(0..29));
+    for attempt in 0..500 {
+        group[29].record_own(AttemptTag(attempt), origin(1), at(0));
+    }
+    deliver(&mut group, 5);
+    for attempt in 0..500 {
+        for asking in [&joined, &without] {
+            let asked = asking.replicas(AttemptTag(attempt), ASKED_REPLICAS);
+            // The carrier is gone, and the instance that has joined knows nothing.
+            let asked = asked.iter().filter(|name| **name < 29);
+            let known = asked.filter(|name| version(&group[index(**name)], attempt, 5).is_some());
+            assert_ne!(known.count(), 0, "{attempt}");
+        }
     }
 }
 
-/// Relays forward news to each other, but not back and forth.
+/// What an instance sends does not grow with the number of instances.
 #[test]
-fn forwarded_once() {
-    let mut relays = [StreamOrigins::default(), StreamOrigins::default()];
-    relays[0].record_own(AttemptTag(1), origin(1), true, at(0));
-    let mut sent = 0;
-    for ms in (0..5_000).step_by(5) {
-        for (from, to) in [(0, 1), (1, 0)] {
-            let news = relays[from].take_news(at(ms));
-            sent += news.len();
-            merge_all(&mut relays[to], &news, true, ms + 1);
+fn large_group() {
+    for count in [4, 30, 300] {
+        let mut group = group(count);
+        for attempt in 0..100 {
+            group[0].record_own(AttemptTag(attempt), origin(1), at(0));
         }
+        let taken = group[0].take_copies(at(0));
+        let json = serde_json::to_string(&taken).unwrap();
+        assert!(taken.len() <= 3 * 100, "{count}: {}", taken.len());
+        assert!(json.len() < 30_000, "{count}: {}", json.len());
+        assert_eq!(group[0].take_copies(at(30_000)), []);
     }
-    assert_eq!(sent, 4);
 }
 
-/// Two attempts with the same hash, or a peer in error, must not change a known origin.
+/// A receiver must not send on what it gets, or copies would go back and forth.
 #[test]
-fn first_origin() {
+fn sent_once() {
+    let mut group = group(4);
+    group[0].record_own(AttemptTag(1), origin(1), at(0));
+    let others = group[0].replicas(AttemptTag(1), REPLICAS);
+    let others = others.iter().filter(|name| **name != 0).count();
+    assert_eq!(deliver(&mut group, 0), others);
+    for ms in (0..5_000).step_by(5) {
+        assert_eq!(deliver(&mut group, ms), 0);
+    }
+}
+
+/// An instance that carries streams learns of the others later.
+#[test]
+fn found_later() {
+    let members = members(0..2);
     let mut origins = StreamOrigins::default();
-    origins.record_own(AttemptTag(1), origin(1), true, at(0));
+    origins.record_own(AttemptTag(1), origin(1), at(0));
+    assert_eq!(origins.take_copies(at(0)), []);
+    assert_eq!(origins.update_members(members[0], members.clone()), [1]);
+    let [(1, copies)] = &origins.take_copies(at(2_500))[..] else {
+        panic!("one instance gets copies");
+    };
     let mut other = StreamOrigins::default();
-    other.record_own(AttemptTag(1), origin(2), true, at(0));
-    merge_all(&mut origins, &other.take_news(at(5_000)), false, 5_000);
-    origins.record_own(AttemptTag(1), origin(2), true, at(6_000));
-    assert_eq!(version(&origins, 1, 6_000), Some(1));
-    assert_eq!(origins.take_news(at(6_000))[0].origin, origin(1));
+    other.merge(&copies[0], at(3_000));
+    assert_eq!(version(&other, 1, 3_000), Some(1));
+    assert!(
+        origins
+            .update_members(members[0], members.clone())
+            .is_empty()
+    );
+    assert_eq!(origins.take_copies(at(3_000)), []);
+}
+
+/// Two attempts with the same hash, or a peer in error, must not change a known origin.
+#[test]
+fn first_origin() {
+    let mut group = group(2);
+    group[0].record_own(AttemptTag(1), origin(1), at(0));
+    group[1].record_own(AttemptTag(1), origin(2), at(0));
+    deliver(&mut group, 5_000);
+    group[0].record_own(AttemptTag(1), origin(2), at(6_000));
+    assert_eq!(version(&group[0], 1, 6_000), Some(1));
+    assert_eq!(version(&group[1], 1, 6_000), Some(2));
+    let (_, copies) = &group[0].take_copies(at(6_000))[0];
+    assert_eq!(copies[0].news.origin, origin(1));
 }
 
 /// A caller takes up its stream again and again, each time naming its first attempt.
 #[test]
 fn long_chain() {
-    let mut carrier = StreamOrigins::default();
-    let mut relay = StreamOrigins::default();
-    let mut other = StreamOrigins::default();
+    let mut group = group(4);
     for ms in (0..60_000).step_by(5_000) {
-        carrier.record_own(AttemptTag(1), origin(1), true, at(ms));
-        merge_all(&mut relay, &carrier.take_news(at(ms)), true, ms);
-        merge_all(&mut other, &relay.take_news(at(ms)), false, ms);
-        for origins in [&mut carrier, &mut relay, &mut other] {
+        group[0].record_own(AttemptTag(1), origin(1), at(ms));
+        deliver(&mut group, ms);
+        for origins in &mut group {
             origins.sweep(RETENTION, at(ms));
         }
-        assert_eq!(version(&other, 1, ms), Some(1), "at {ms}");
+        for name in group[0].replicas(AttemptTag(1), REPLICAS) {
+            assert_eq!(version(&group[index(name)], 1, ms), Some(1), "at {ms}");
+        }
+    }
+    for origins in &mut group {
+        origins.sweep(RETENTION, at(75_000));
+        assert!(origins.is_empty());
     }
-    other.sweep(RETENTION, at(75_000));
-    assert!(other.is_empty());
 }
 
 /// Attempts without end must not use more and more memory, nor datagrams that are too large.
 #[test]
 fn bounded_memory() {
-    let mut origins = StreamOrigins::default();
+    let mut group = group(2);
     let count = MAX_ATTEMPTS as u64 + 1_000;
     for n in 0..count {
-        origins.record_own(AttemptTag(n), origin(1), true, at(0));
+        group[0].record_own(AttemptTag(n), origin(1), at(0));
     }
-    assert!(origins.len() <= MAX_ATTEMPTS);
-    assert_eq!(version(&origins, 0, 0), None);
-    assert_eq!(version(&origins, count - 1, 0), Some(1));
+    assert!(group[0].len() <= MAX_ATTEMPTS);
+    assert_eq!(version(&group[0], 0, 0), None);
+    assert_eq!(version(&group[0], count - 1, 0), Some(1));
     let mut datagrams = 0;
     for ms in (0..10_000).step_by(5) {
-        let news = origins.take_news(at(ms));
-        let size = serde_json::to_vec(&news).map(|json| json.len());
-        assert!(size.is_ok_and(|size| size < 16_000));
-        datagrams += usize::from(!news.is_empty());
+        for (_, copies) in group[0].take_copies(at(ms)) {
+            let size = serde_json::to_vec(&copies).map(|json| json.len());
+            assert!(size.is_ok_and(|size| size < 16_000));
+            datagrams += 1;
+        }
     }
-    assert!(datagrams < 40, "{datagrams} datagrams");
-    origins.sweep(RETENTION, at(20_000));
-    assert!(origins.is_empty());
+    assert!(datagrams < 500, "{datagrams} datagrams");
+    group[0].sweep(RETENTION, at(20_000));
+    assert!(group[0].is_empty());
 }
 
-/// An instance that has just started takes over what the others know.
+/// An instance that has just started, under a name that the others know, gets what it is to keep.
 #[test]
 fn started_instance() {
-    let mut origins = StreamOrigins::default();
-    origins.record_own(AttemptTag(1), origin(1), false, at(0));
-    origins.record_own(AttemptTag(2), origin(2), true, at(6_000));
-    let mut started = StreamOrigins::default();
-    for known in origins.snapshot(at(8_000)) {
-        started.take_over(&known, at(500));
+    let mut group = group(2);
+    group[0].record_own(AttemptTag(1), origin(1), at(0));
+    group[0].record_own(AttemptTag(2), origin(2), at(6_000));
+    deliver(&mut group, 6_000);
+    group[1] = StreamOrigins::default();
+    group[0].copy_to(1);
+    deliver(&mut group, 8_000);
+    assert_eq!(version(&group[1], 1, 8_000), Some(1));
+    assert_eq!(version(&group[1], 2, 8_000), Some(2));
+}
+
+/// All instances that keep the copies of a stream are stopped one after another and stay away.
+#[test]
+fn stopped_in_turn() {
+    let mut group = group(30);
+    for attempt in 0..100 {
+        group[0].record_own(AttemptTag(attempt), origin(1), at(0));
+    }
+    deliver(&mut group, 0);
+    let mut asking = StreamOrigins::default();
+    for stopped in 0..25 {
+        group[index(stopped)].leave();
+        deliver(&mut group, 100);
+        group[index(stopped)] = StreamOrigins::default();
+        for other in stopped + 1..30 {
+            let left = members(stopped + 1..30);
+            group[index(other)].update_members(members(other..other + 1)[0], left);
+        }
+        deliver(&mut group, 200);
+        asking.update_members(members(40..41)[0], members(stopped + 1..30));
+        for attempt in 0..100 {
+            let mut asked = asking
+                .replicas(AttemptTag(attempt), ASKED_REPLICAS)
+                .into_iter();
+            let is_known =
+                |name: u64| name < 30 && version(&group[index(name)], attempt, 200).is_some();
+            assert!(asked.any(is_known), "{attempt} after {stopped}");
+        }
     }
-    assert_eq!(version(&started, 1, 500), Some(1));
-    assert_eq!(version(&started, 2, 500), Some(2));
 }
 
 /// Instances that start one after another must not keep a stream forever.
 #[test]
 fn handed_on() {
-    let mut origins = StreamOrigins::default();
-    origins.record_own(AttemptTag(1), origin(1), true, at(100_000));
+    let mut group = group(2);
+    group[0].record_own(AttemptTag(1), origin(1), at(100_000));
+    deliver(&mut group, 100_000);
     for ms in (103_000..=121_000).step_by(3_000) {
-        let mut started = StreamOrigins::default();
-        for known in origins.snapshot(at(ms)) {
-            started.take_over(&known, at(ms));
+        let started = usize::from(ms % 2_000 == 0);
+        let own = members(started as u64..started as u64 + 1)[0];
+        group[started] = StreamOrigins::default();
+        group[started].update_members(own, members(0..2));
+        group[1 - started].copy_to(started as u64);
+        deliver(&mut group, ms);
+        for origins in &mut group {
+            origins.sweep(RETENTION, at(ms));
         }
-        origins = started;
-        origins.sweep(RETENTION, at(ms));
-        assert_eq!(version(&origins, 1, ms).is_some(), ms < 120_000, "at {ms}");
+        let known = version(&group[started], 1, ms);
+        assert_eq!(known.is_some(), ms < 120_000, "at {ms}");
+    }
+}
+
+/// A version goes on being used by an instance that has not read the list.
+#[test]
+fn versions_in_use() {
+    let mut news = VersionNews::default();
+    assert!(news.record(origin(1), at(0)));
+    assert!(!news.record(origin(1), at(10)));
+    assert!(news.record(origin(2), at(10)));
+    assert_eq!(news.take().collect::<Vec<_>>(), [origin(1), origin(2)]);
+    assert_eq!(news.take().count(), 0);
+    assert!(news.record(origin(1), at(1_000)));
+    for version in 10..1_000 {
+        news.record(origin(version), at(1_000));
     }
+    assert!(news.take().count() < 100);
 }
 
 /// Time in milliseconds for which an upstream whose entry is gone gets requests.
@@ -239,6 +384,7 @@
     /// Whether its process is stopped. What waits for it is handled when it goes on, before it
     /// reads anything.
     is_paused: bool,
+    version_news: VersionNews,
 }
 
 impl Instance {
@@ -285,8 +431,6 @@
     fn update(&mut self) {
         let now = self.now();
         for instance in self.instances.iter_mut().filter(|i| !i.is_paused) {
-            let was_mixed = instance.history.is_mixed();
-            let mut has_passed = false;
             if !instance.is_cut {
                 // What was listed was in use until its record was replaced.
                 for version in &instance.listed {
@@ -296,7 +440,7 @@
                 instance.read_at = Some(now);
                 let read = instance.read.replace(self.records.len());
                 for version in &self.records[read.unwrap_or(self.records.len())..] {
-                    has_passed |= instance.history.record_used(VersionTag(*version), now);
+                    instance.history.record_used(VersionTag(*version), now);
                 }
             }
             let Instance {
@@ -307,15 +451,12 @@
                 ..
             } = instance;
             let listed = listed.iter().copied().map(VersionTag);
-            let has_new = history.record_listed(listed, !*is_cut, now) || has_passed;
+            history.record_listed(listed, !*is_cut, now);
             // Calls to the store take no time.
             if !*is_cut && history.needs_earlier() {
                 history.record_earlier(&self.in_store, true, now, now);
             }
             history.sweep(Self::retention(), now);
-            if history.is_mixed() && (has_new || !was_mixed) {
-                origins.tell_all(SERVICE, now);
-            }
             origins.sweep(Self::retention(), now);
             let replacement = history.replacement(&self.in_store, Self::retention(), now);
             if let (false, Some(replacement)) = (*is_cut, replacement) {
@@ -326,12 +467,22 @@
 
     fn send_news(&mut self, from: usize) {
         let now = self.now();
-        for news in self.instances[from].origins.take_news(now) {
-            for (to, instance) in self.instances.iter_mut().enumerate() {
-                let is_reached = to != from && !instance.is_paused;
-                if is_reached && instance.origins.merge(&news, false, now) {
-                    instance.history.record_used(news.origin.version, now);
-                }
+        let used: Vec<_> = self.instances[from].version_news.take().collect();
+        let others = self.instances.iter_mut().enumerate();
+        for (_, instance) in others.filter(|(to, other)| *to != from && !other.is_paused) {
+            for origin in &used {
+                instance.history.record_used(origin.version, now);
+            }
+        }
+        for (to, copies) in self.instances[from].origins.take_copies(now) {
+            let instance = &mut self.instances[index(to)];
+            for copies in copies.iter().filter(|_| !instance.is_paused) {
+                instance.origins.merge(copies, now);
+                let used = StoredVersion {
+                    version: copies.news.origin.version,
+                    unused_ms: copies.age_s * 1_000,
+                };
+                instance.history.record_told(&[used], now);
             }
         }
     }
@@ -352,11 +503,19 @@
         let attempt = AttemptTag(self.streams.len() as u64);
         self.streams.push((*version, self.now));
         let now = self.now();
+        let own = members(instance as u64..instance as u64 + 1)[0];
         let Instance {
-            history, origins, ..
+            history,
+            origins,
+            version_news,
+            ..
         } = &mut self.instances[instance];
         history.record_used(VersionTag(*version), now);
-        origins.record_own(attempt, origin(*version), history.is_mixed(), now);
+        origins.update_members(own, members(0..3));
+        origins.record_own(attempt, origin(*version), now);
+        if history.is_mixed() {
+            version_news.record(origin(*version), now);
+        }
         if is_told {
             self.send_news(instance);
         }
