Tell a peer that pauses from one that is gone

Uploads to a worker that reads its body 4.5 s late ended in 502.

Cause: TCP_USER_TIMEOUT of 3 s is there to notice a peer whose packets vanish while bytes are unacknowledged. Linux counts a window that a living peer keeps closed too, whatever the peer answers to its probes.

Evidence: the edge without a signal cuts at the same time, and bodies to upstreams fail alike, so neither the stop nor the idle time of callers is at fault.

Why it works: the limit stays, and each second the edge looks at connections on which bytes wait (`sock_diag`, the same on x86-64 and arm64) and raises it to the longest pause while the peer answers. One that stops answering within its pause is ended after 3 s. Callers pause for longer than before, so what is held for them now has its bound in all deployments.

--- a/crates/edge/src/caller.rs
+++ b/crates/edge/src/caller.rs
@@ -1,7 +1,7 @@
 //! Connections to callers, and what waits on them to be read.
 
 use std::cell::{Cell, RefCell};
-use std::future::{Future, pending};
+use std::future::Future;
 use std::io::{Error, ErrorKind, IoSlice, Result};
 use std::pin::Pin;
 use std::rc::Rc;
@@ -12,7 +12,6 @@
 use nutmegbay_policy::edge::held_responses::{CallerKey, HeldResponses, limit};
 use slotmap::SecondaryMap;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::{Sleep, sleep};
 use tokio_util::sync::CancellationToken;
@@ -21,6 +20,7 @@
 use crate::forward::InFlightGuard;
 use crate::metrics::increment;
 use crate::own_delay::CountedIo;
+use crate::peer_io::PeerIo;
 use crate::platform_api::WireCodec;
 use crate::state::EdgeState;
 
@@ -64,20 +64,16 @@
 }
 
 impl Caller {
-    /// Returns the counter of a new connection, or `None` in a deployment that does not ask for it.
-    pub fn open<D: WireCodec>(state: &EdgeState<D>, max_stall: Duration) -> Option<Rc<Self>> {
-        let settings = state.settings();
-        if !settings.has_competing_accounts {
-            return None;
-        }
+    /// Returns the counter of a new connection.
+    pub fn open<D: WireCodec>(state: &EdgeState<D>, max_stall: Duration) -> Rc<Self> {
         let key = state.callers.held.borrow_mut().open(state.now());
         let given_up = CancellationToken::new();
         let mut tokens = state.callers.given_up.borrow_mut();
         tokens.insert(key, given_up.clone());
-        Some(Rc::new(Self {
+        Rc::new(Self {
             memory: Rc::clone(&state.callers),
             bodies: Rc::clone(&state.bodies),
-            memory_bytes: settings.memory_bytes,
+            memory_bytes: state.settings().memory_bytes,
             clock: state.monotonic_clock,
             in_flight: Rc::clone(&state.in_flight),
             key,
@@ -88,18 +84,13 @@
             queued: Cell::new(0),
             is_cut: Cell::new(false),
             flush_waker: RefCell::default(),
-        }))
+        })
     }
 
-    /// Waits until the response on the connection of `caller` is given up.
-    pub async fn given_up(caller: Option<&Self>) {
-        match caller {
-            Some(caller) => {
-                caller.given_up.cancelled().await;
-                caller.is_cut.set(true);
-            }
-            None => pending().await,
-        }
+    /// Waits until the response on the connection is given up.
+    pub async fn given_up(&self) {
+        self.given_up.cancelled().await;
+        self.is_cut.set(true);
     }
 
     /// Returns the number of bytes that unread responses of all callers may take.
@@ -237,14 +228,14 @@
 /// allowed while bytes wait.
 #[derive(Debug)]
 pub struct CallerIo {
-    io: CountedIo<TcpStream>,
-    caller: Option<Rc<Caller>>,
+    io: CountedIo<PeerIo>,
+    caller: Rc<Caller>,
     stall: Option<Pin<Box<Sleep>>>,
 }
 
 impl CallerIo {
     /// Records what `caller` takes of `io`.
-    pub fn new(io: CountedIo<TcpStream>, caller: Option<Rc<Caller>>) -> Self {
+    pub fn new(io: CountedIo<PeerIo>, caller: Rc<Caller>) -> Self {
         Self {
             io,
             caller,
@@ -257,9 +248,7 @@
         cx: &mut Context<'_>,
         poll: Poll<Result<usize>>,
     ) -> Poll<Result<usize>> {
-        let Some(caller) = &self.caller else {
-            return poll;
-        };
+        let caller = &self.caller;
         match poll {
             Poll::Ready(Ok(n)) => {
                 self.stall = None;
@@ -314,9 +303,7 @@
 
     // `hyper` flushes the connection only after it has written its whole buffer.
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
-        if let Some(caller) = &self.caller {
-            caller.record_flushed();
-        }
+        self.caller.record_flushed();
         Pin::new(&mut self.io).poll_flush(cx)
     }
 
@@ -327,13 +314,9 @@
 
 impl Drop for CallerIo {
     fn drop(&mut self) {
-        let is_cut = self
-            .caller
-            .as_ref()
-            .is_some_and(|caller| caller.is_cut.get());
         // A response without a length must not look complete, and the kernel must not keep it.
-        if is_cut && let Err(error) = self.io.get_ref().set_zero_linger() {
-            tracing::debug!(event = "socket_option_refused", %error);
+        if self.caller.is_cut.get() {
+            self.io.get_mut().reset_on_close();
         }
     }
 }
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -439,11 +439,7 @@
                 None => {
                     increment(&self.state.metrics.connections_opened);
                     let monitor = &self.state.delay_monitor;
-                    let opened = if self.state.settings().has_competing_accounts {
-                        Connection::open_small(addr, monitor).await
-                    } else {
-                        Connection::open(addr, monitor).await
-                    };
+                    let opened = Connection::open_small(addr, monitor).await;
                     opened.inspect_err(|error| {
                         crashes::record_connect_error(self.state, at, error);
                     })?
--- a/crates/edge/src/http1.rs
+++ b/crates/edge/src/http1.rs
@@ -18,32 +18,20 @@
 use hyper::rt::{Read, Write};
 use hyper_util::rt::TokioIo;
 use nutmegbay_core::verdict::Verdict;
-use socket2::{SockRef, TcpKeepalive};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::{TcpSocket, TcpStream};
+use tokio::net::TcpSocket;
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
 use crate::own_delay::{CountedIo, DelayMonitor, Wait};
+use crate::peer_io::PeerIo;
 use crate::platform_api::{OutboundRequest, UnreadResponse};
 
 /// Maximum time to open a connection. Network paths take a few milliseconds, and TCP repeats a lost
 /// packet only after one second, so another try elsewhere is faster than waiting for that.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Idle time before the first TCP keep-alive probe.
-const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
-
-/// Time between keep-alive probes.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-
-/// Number of unanswered keep-alive probes that end a connection.
-const MAX_KEEPALIVE_PROBES: u32 = 3;
-
-/// Maximum time for which sent bytes may stay unacknowledged before the connection is ended.
-const MAX_UNACKNOWLEDGED_TIME: Duration = Duration::from_secs(3);
-
 /// Idle time for which a connection is kept if the upstream states none.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
 
@@ -148,7 +136,7 @@
 /// Task that moves the bytes of a connection; it is aborted on drop. Once no more requests are
 /// sent, it returns the connection and the bytes read beyond the last response.
 #[derive(Debug)]
-struct Driver(JoinHandle<Option<(CountedIo<TcpStream>, Bytes)>>);
+struct Driver(JoinHandle<Option<(CountedIo<PeerIo>, Bytes)>>);
 
 impl Drop for Driver {
     fn drop(&mut self) {
@@ -176,8 +164,8 @@
         Self::open_with(addr, monitor, Builder::new()).await
     }
 
-    /// Opens a connection as [`Self::open`] does, which reads at most 64 KiB of a
-    /// response before they are asked for.
+    /// Opens a connection as [`Self::open`] does, which reads at most 64 KiB of a response before
+    /// they are asked for.
     pub async fn open_small(addr: SocketAddr, monitor: &DelayMonitor) -> Result<Self, CallError> {
         let mut builder = Builder::new();
         builder.max_buf_size(SMALL_READ_BYTES);
@@ -193,7 +181,10 @@
             verdict: Verdict::NotRun,
             cause,
         };
-        let io = match monitor.timeout(CONNECT_TIMEOUT, connect(addr)).await {
+        let io = match monitor
+            .timeout(CONNECT_TIMEOUT, connect(addr, monitor))
+            .await
+        {
             Ok(Ok(io)) => io,
             Ok(Err(error)) if is_refused(&error) => return Err(failed(Cause::Refused)),
             Ok(Err(_)) => return Err(failed(Cause::Connect)),
@@ -335,7 +326,7 @@
 /// and reads stay pending until then. `hyper` treats response bytes that arrive before the request
 /// is written as an error.
 struct AlreadyWritten {
-    io: CountedIo<TcpStream>,
+    io: CountedIo<PeerIo>,
     /// Bytes read from the connection before, which are returned first.
     read_ahead: Bytes,
     is_written: bool,
@@ -343,7 +334,7 @@
 }
 
 impl AlreadyWritten {
-    fn new(io: CountedIo<TcpStream>, read_ahead: Bytes) -> Self {
+    fn new(io: CountedIo<PeerIo>, read_ahead: Bytes) -> Self {
         Self {
             io,
             read_ahead,
@@ -399,7 +390,7 @@
     matches!(error.kind(), ConnectionRefused | ConnectionReset)
 }
 
-async fn connect(addr: SocketAddr) -> std::io::Result<TcpStream> {
+async fn connect(addr: SocketAddr, monitor: &DelayMonitor) -> std::io::Result<PeerIo> {
     let socket = if addr.is_ipv4() {
         TcpSocket::new_v4()?
     } else {
@@ -407,23 +398,7 @@
     };
     socket.set_nodelay(true)?;
     let io = socket.connect(addr).await?;
-    enable_dead_peer_detection(&io);
-    Ok(io)
-}
-
-/// Makes the kernel end a connection whose other end is unresponsive.
-pub fn enable_dead_peer_detection(io: &TcpStream) {
-    let socket = SockRef::from(io);
-    let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE_IDLE)
-        .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(MAX_KEEPALIVE_PROBES);
-    let set = socket
-        .set_tcp_keepalive(&keepalive)
-        .and_then(|()| socket.set_tcp_user_timeout(Some(MAX_UNACKNOWLEDGED_TIME)));
-    if let Err(error) = set {
-        tracing::debug!(event = "socket_option_refused", %error);
-    }
+    Ok(PeerIo::upstream(io, monitor))
 }
 
 /// Idle connections to one address.
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -28,9 +28,10 @@
 use crate::forward::{
     Failure, InFlightGuard, RequestProgress, RoutedRequest, serve, unknown_service,
 };
-use crate::http1::{MAX_HEADERS, enable_dead_peer_detection};
+use crate::http1::MAX_HEADERS;
 use crate::model::{CallerLimits, RequestHead};
 use crate::own_delay::CountedIo;
+use crate::peer_io::PeerIo;
 use crate::platform_api::{WireCodec, origin_form};
 use crate::read_ahead::CallerBody;
 use crate::routes::RouteError;
@@ -128,19 +129,20 @@
     if let Err(error) = io.set_nodelay(true) {
         tracing::debug!(event = "socket_option_refused", %error);
     }
-    enable_dead_peer_detection(&io);
     let limits = ConnectionLimits::new(&state.caller_limits());
     let has_brought_any = Cell::new(false);
-    let caller = Caller::open(&state, state.caller_limits().idle_time);
+    let max_pause = state.caller_limits().idle_time;
+    let caller = Caller::open(&state, max_pause);
     let service = service_fn(|req| {
         has_brought_any.set(true);
         let res = Box::pin(respond(Rc::clone(&state), req, limits));
-        let caller = caller.clone();
+        let caller = Rc::clone(&caller);
         async { Ok::<_, Infallible>(res.await.map(|body| CallerBody::new(body, caller))) }
     });
     // `hyper` counts the time for a head from the end of the previous request, so this timeout
     // bounds the idle time too.
-    let io = CallerIo::new(CountedIo::new(io, &state.delay_monitor), caller.clone());
+    let io = PeerIo::caller(io, max_pause, &state.delay_monitor);
+    let io = CallerIo::new(CountedIo::new(io, &state.delay_monitor), Rc::clone(&caller));
     let served = Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.head_timeout)
@@ -151,7 +153,7 @@
     let mut served = std::pin::pin!(served);
     let result = tokio::select! {
         biased;
-        () = Caller::given_up(caller.as_deref()) => return,
+        () = caller.given_up() => return,
         result = &mut served => result,
         () = state.close_idle.cancelled() => {
             let wait = if has_brought_any.get() { LAST_REQUEST_WAIT } else { FIRST_REQUEST_WAIT };
@@ -160,7 +162,7 @@
                 Err(_) => {
                     served.as_mut().graceful_shutdown();
                     tokio::select! {
-                        () = Caller::given_up(caller.as_deref()) => return,
+                        () = caller.given_up() => return,
                         result = served => result,
                     }
                 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -28,6 +28,7 @@
 mod metrics;
 pub mod model;
 pub mod own_delay;
+mod peer_io;
 mod peers;
 pub mod platform_api;
 mod quota;
@@ -37,6 +38,7 @@
 mod run;
 
 pub mod settings;
+mod socket_state;
 mod sse;
 mod state;
 mod stopping;
--- a/crates/edge/src/own_delay.rs
+++ b/crates/edge/src/own_delay.rs
@@ -192,8 +192,8 @@
     }
 
     /// Returns the connection itself.
-    pub fn get_ref(&self) -> &T {
-        &self.io
+    pub fn get_mut(&mut self) -> &mut T {
+        &mut self.io
     }
 }
 
--- a/crates/edge/src/read_ahead.rs
+++ b/crates/edge/src/read_ahead.rs
@@ -25,7 +25,7 @@
     body: Option<Pin<Box<B>>>,
     /// Body that is read ahead of the caller.
     ahead: Option<ReadAhead<B::Error>>,
-    caller: Option<Rc<Caller>>,
+    caller: Rc<Caller>,
 }
 
 /// Response that a task reads from its upstream. Dropping it ends the task.
@@ -55,7 +55,7 @@
     B::Error: 'static,
 {
     /// Returns `body` for `caller`.
-    pub fn new(body: B, caller: Option<Rc<Caller>>) -> Self {
+    pub fn new(body: B, caller: Rc<Caller>) -> Self {
         Self {
             body: Some(Box::pin(body)),
             ahead: None,
@@ -66,9 +66,7 @@
     /// Records a piece for the caller. Reads the rest ahead if the caller may not take the piece at
     /// once.
     fn record_piece(&mut self, len: usize) {
-        let Some(caller) = &self.caller else {
-            return;
-        };
+        let caller = &self.caller;
         caller.record_piece(len);
         if !caller.is_blocked() && len < LARGE_PIECE_BYTES {
             return;
@@ -162,8 +160,8 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, B::Error>>> {
-        if let (Some(ahead), Some(caller)) = (&self.ahead, &self.caller) {
-            let piece = ready!(ahead.poll_piece(cx, caller));
+        if let Some(ahead) = &self.ahead {
+            let piece = ready!(ahead.poll_piece(cx, &self.caller));
             return Poll::Ready(piece.map(|piece| piece.map(Frame::data)));
         }
         let Some(body) = &mut self.body else {
--- a/crates/policy/src/edge/mod.rs
+++ b/crates/policy/src/edge/mod.rs
@@ -20,6 +20,7 @@
 pub mod notices;
 pub mod origin_replicas;
 pub mod own_delay;
+pub mod peer_liveness;
 pub mod pending_work;
 pub mod placement;
 pub mod planned_stop;
