Keep the origins of open streams in the store

Cause: the versions with which streams began were in the memory of processes alone. What the store had, the set of versions, proves nothing while it has two. The class of the fault that stands still carriers showed; copies in memory cannot mend it, since all end together.

Evidence: `source=unknown complete=true` at edges in touch, no attempt in any topic of the store. Ruled out: a set that is read too late, questions that fail in the first seconds.

Why it works: while more than one version is known, the origins of streams that are still open half a second after they began are written to a log, a record for all of an instance, by the instances that read the store. One at which a stream is taken up that nobody knows reads what the log has gained. A record is a fact, so a late, repeated or lost one makes nothing wrong. No calls with one version; 33 writes a second at most at any size (worked out).

--- a/crates/edge/src/forward/continuation.rs
+++ b/crates/edge/src/forward/continuation.rs
@@ -94,8 +94,7 @@
             &request.service.name,
             request.head.caller_wait(),
         );
-        let attempts = [Some(&request.head.id), request.head.resumes.as_ref()];
-        for attempt in attempts.into_iter().flatten() {
+        for attempt in request.stream_attempts() {
             record_origin(self.state, &request.service.name, attempt, version);
         }
     }
--- a/crates/edge/src/forward/request.rs
+++ b/crates/edge/src/forward/request.rs
@@ -137,6 +137,12 @@
         has_begun && self.route.kind == RequestKind::Streaming
     }
 
+    /// Returns the attempts that a caller may name when it takes the stream up.
+    pub fn stream_attempts(&self) -> impl Iterator<Item = &str> {
+        let attempts = [Some(&self.head.id), self.head.resumes.as_ref()];
+        attempts.into_iter().flatten().map(|attempt| &**attempt)
+    }
+
     /// Returns the rank within the deployment, where 0 is the most urgent. Streams that are taken up
     /// precede new requests.
     pub fn rank(&self) -> u8 {
--- a/crates/edge/src/platform_api.rs
+++ b/crates/edge/src/platform_api.rs
@@ -72,6 +72,13 @@
         wait: Duration,
     ) -> impl Future<Output = Result<ReadBatch, StoreError>>;
 
+    /// Reads the records that are still stored, from `from` on, whose era is not checked.
+    fn retained(
+        &self,
+        topic: Topic,
+        from: Position,
+    ) -> impl Future<Output = Result<ReadBatch, StoreError>>;
+
     /// Appends one record and returns its position. With `at`, appends only if the topic ends at
     /// that offset, in whatever era.
     fn append(
@@ -115,6 +122,8 @@
     Crashes,
     /// One record per service with the software versions that may have begun its streams.
     Versions,
+    /// Software versions that began streams. Its records expire.
+    Origins,
 }
 
 /// Key of the configuration record in [`Topic::Config`].
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -28,6 +28,7 @@
 use crate::sse::{EventError, EventSplitter};
 use crate::state::EdgeState;
 use crate::stopping::STOPPING;
+use crate::versions;
 
 /// Time after the deadline of a request for which bytes that have already arrived are still
 /// forwarded. Without this limit, an upstream that never stops sending would keep the request open
@@ -230,7 +231,12 @@
                 // buffer. It writes that first if the body is pending.
                 yield_now().await;
             }
-            None => self.end = Some("complete"),
+            None => {
+                self.end = Some("complete");
+                if self.framing == Framing::Events {
+                    versions::record_complete(&self.state, &self.request);
+                }
+            }
         }
         next
     }
--- a/crates/edge/src/versions/ask.rs
+++ b/crates/edge/src/versions/ask.rs
@@ -12,6 +12,7 @@
 use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
 
+use super::log::confirm_origins;
 use super::proof::only_version;
 use crate::http1::BufferedClient;
 use crate::peers::{fetch, known_peers};
@@ -21,12 +22,16 @@
 /// Path that returns the version with which a stream began.
 pub const ORIGIN_PATH: &str = "/origin";
 
-/// Maximum number of peers asked about one stream.
-const MAX_PEERS: usize = ASKED_REPLICAS;
+/// Maximum number of peers asked about one stream: those that keep copies, and one that reads the
+/// store.
+const MAX_PEERS: usize = ASKED_REPLICAS + 1;
 
 /// Maximum wait for the answer of a peer that knows the version.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Maximum time for which a peer reads the store before it answers.
+const READ_TIMEOUT: Duration = Duration::from_millis(70);
+
 /// Asks with which version a stream began.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct OriginQuestion {
@@ -35,6 +40,9 @@
     /// alone is in use.
     #[serde(default)]
     service: Option<ServiceTag>,
+    /// Whether the peer may read the store, since the asking process does not.
+    #[serde(default)]
+    may_read: bool,
 }
 
 /// Version with which a stream began, if the peer knows it.
@@ -55,6 +63,7 @@
     let question = OriginQuestion {
         attempt: attempt.map(|attempt| attempt.0),
         service: Some(service),
+        may_read: state.is_relayed(),
     };
     let body = serde_json::to_vec(&question).ok()?;
     let mut replies: FuturesUnordered<_> = peers(state, attempt)
@@ -83,16 +92,34 @@
 pub async fn answer<D: WireCodec>(state: &EdgeState<D>, question: &OriginQuestion) -> OriginReply {
     let asked_at = state.now();
     let attempt = question.attempt.map(AttemptTag);
-    let known = attempt.and_then(|attempt| {
-        let versions = state.versions.borrow();
-        versions.origins.origin(attempt, asked_at)
-    });
-    let version = match (known, question.service) {
-        (Some(known), _) => Some(known.version),
-        (None, Some(service)) => only_version(state, service, asked_at).await,
-        (None, None) => None,
+    if let Some(version) = known_version(state, attempt) {
+        return OriginReply {
+            version: Some(version),
+        };
+    }
+    let Some(service) = question.service else {
+        return OriginReply { version: None };
     };
-    OriginReply { version }
+    if let Some(version) = only_version(state, service, asked_at).await {
+        return OriginReply {
+            version: Some(version),
+        };
+    }
+    if question.may_read && attempt.is_some() {
+        confirm_origins(state, service, asked_at, READ_TIMEOUT).await;
+    }
+    OriginReply {
+        version: known_version(state, attempt),
+    }
+}
+
+fn known_version<D: WireCodec>(
+    state: &EdgeState<D>,
+    attempt: Option<AttemptTag>,
+) -> Option<VersionTag> {
+    let versions = state.versions.borrow();
+    let known = versions.origins.origin(attempt?, state.now())?;
+    Some(known.version)
 }
 
 /// Returns the peers to ask, [`MAX_PEERS`] at most: those that keep copies for the attempt, then the
--- a/crates/edge/src/versions/mod.rs
+++ b/crates/edge/src/versions/mod.rs
@@ -4,9 +4,11 @@
 //! An instance knows the origins of the streams that it carries, and of those that it keeps copies
 //! of. For any other stream it needs a proof that one version alone can have begun it: its knowledge
 //! of the versions is complete, and the list of instances was read after the caller had taken the
-//! stream up. Otherwise the instances that keep copies are asked.
+//! stream up. Otherwise the instances that keep copies are asked, and then the store, which has the
+//! origins of streams that were open while several versions were in use.
 
 mod ask;
+mod log;
 mod proof;
 mod replicate;
 mod store;
@@ -17,6 +19,7 @@
 use std::time::Duration;
 
 use nutmegbay_core::environment::MonotonicTime;
+use nutmegbay_policy::edge::origin_log::UnwrittenOrigins;
 use nutmegbay_policy::edge::software_versions::{
     MAX_CALLER_WAIT, StoredVersion, TakeUpBounds, VersionHistory, VersionTag,
 };
@@ -31,11 +34,13 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::millis;
+use crate::list_demand::PROOF_TIMEOUT;
 use crate::model::Service;
 use crate::platform_api::{Store, WireCodec};
 use crate::state::EdgeState;
 
 pub use ask::{ORIGIN_PATH, answer};
+pub use log::record_complete;
 pub use replicate::{is_about_origins, leave, receive, send_copies, take_copies, update_members};
 pub use waits::{merge_waits, record_caller_wait};
 
@@ -62,6 +67,12 @@
     by_service: BTreeMap<Box<str>, ServiceVersions>,
     origins: StreamOrigins,
     peers: ReplicaPeers,
+    /// Origins that are to be written to the store.
+    unwritten: UnwrittenOrigins,
+    /// Notified when origins are to be read from the store.
+    origins_wanted: Rc<Notify>,
+    /// Start of the last read of origins from the store.
+    origins_read_at: Option<MonotonicTime>,
     version_news: VersionNews,
     wait_news: WaitNews,
     /// Whether the whole list of instances was received once.
@@ -77,6 +88,9 @@
             by_service: BTreeMap::new(),
             origins: StreamOrigins::default(),
             peers: ReplicaPeers::default(),
+            unwritten: UnwrittenOrigins::default(),
+            origins_wanted: Rc::default(),
+            origins_read_at: None,
             version_news: VersionNews::default(),
             wait_news: WaitNews::default(),
             has_list: false,
@@ -208,9 +222,9 @@
     let is_mixed = versions.update(origin.service, now, |known| {
         known.history.record_used(version, now)
     });
-    versions
-        .origins
-        .record_own(attempt_tag(attempt), origin, now);
+    let attempt = attempt_tag(attempt);
+    versions.origins.record_own(attempt, origin, now);
+    versions.unwritten.record(attempt, origin, now);
     if is_mixed {
         versions.version_news.record(origin, now);
     }
@@ -289,6 +303,7 @@
     let retentions = versions.by_service.values().map(ServiceVersions::retention);
     let longest = retentions.max().unwrap_or_default();
     versions.origins.sweep(longest, now);
+    versions.unwritten.sweep(longest, now);
     versions.changed.notify_one();
 }
 
@@ -301,7 +316,12 @@
             record_listed(&state);
         }
     };
-    tokio::join!(check, store::synchronize(Rc::clone(&state), store));
+    tokio::join!(
+        check,
+        store::synchronize(Rc::clone(&state), store.clone()),
+        log::write(Rc::clone(&state), store.clone()),
+        log::read_on_demand(Rc::clone(&state), store)
+    );
 }
 
 /// Applies news of a peer: versions in use, and copies of origins. `is_relay` states whether this
@@ -365,6 +385,8 @@
     Only,
     /// A peer answered a question.
     Peer,
+    /// The store has the origin.
+    Store,
     /// It does not know the version.
     Unknown,
 }
@@ -440,10 +462,16 @@
         let version = ask::ask(state, service, attempt).await?;
         Some((Source::Peer, version, state.now().since(read_at)))
     };
-    match first_some(proved, asked).await {
-        None => known_origin(state, attempt),
-        found => found,
+    if let Some(found) = first_some(proved, asked).await {
+        return Some(found);
+    }
+    let known = known_origin(state, attempt);
+    if known.is_some() || attempt.is_none() {
+        return known;
     }
+    log::confirm_origins(state, service, read_at, PROOF_TIMEOUT).await;
+    let (_, version, age) = known_origin(state, attempt)?;
+    Some((Source::Store, version, age))
 }
 
 fn is_only_known<D: WireCodec>(state: &EdgeState<D>, service: ServiceTag) -> bool {
--- a/crates/edge/src/versions/replicate.rs
+++ b/crates/edge/src/versions/replicate.rs
@@ -1,11 +1,12 @@
 //! Copies the origins of streams to the few instances that keep them, on the exchange address.
 
 use std::collections::{BTreeMap, HashMap};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
 
 use nutmegbay_policy::edge::origin_replicas::ReplicaMember;
 use nutmegbay_policy::edge::software_versions::StoredVersion;
-use nutmegbay_policy::edge::stream_origins::{AgedOrigins, Origin};
+use nutmegbay_policy::edge::stream_origins::{AgedOrigins, MAX_TOLD, Origin, OriginNews};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use xxhash_rust::xxh3::xxh3_64;
@@ -31,6 +32,8 @@
     /// Asks for the origins that an instance is to keep, given the hash of its name: it has just
     /// started.
     Fetch { instance: u64 },
+    /// Origins that the receiver is to write to the store.
+    Write(Vec<OriginNews>),
 }
 
 impl Message {
@@ -54,6 +57,8 @@
     addresses: HashMap<u64, SocketAddr>,
     /// Instances that are still to be asked, and how often.
     fetches: BTreeMap<u64, u8>,
+    /// Socket with the exchange address.
+    socket: Option<(Rc<UdpSocket>, u16)>,
 }
 
 /// Copies for one instance.
@@ -71,7 +76,7 @@
 
 /// Updates the instances that keep copies, and asks those that have become known for theirs. `port`
 /// is that of the exchange address.
-pub fn update_members<D: WireCodec>(state: &EdgeState<D>, socket: &UdpSocket, port: u16) {
+pub fn update_members<D: WireCodec>(state: &EdgeState<D>, socket: &Rc<UdpSocket>, port: u16) {
     let settings = state.settings();
     let now = state.now();
     let own = ReplicaMember {
@@ -88,6 +93,7 @@
         });
     let joined = versions.origins.update_members(own, others);
     let peers = &mut versions.peers;
+    peers.socket = Some((Rc::clone(socket), port));
     peers.addresses = members
         .replicas(&settings.node, now)
         .map(|(name, _, control)| (name, SocketAddr::new(control.ip(), port)))
@@ -115,7 +121,9 @@
 }
 
 fn send_fetches<D: WireCodec>(state: &EdgeState<D>, peers: &mut ReplicaPeers, socket: &UdpSocket) {
-    let ReplicaPeers { addresses, fetches } = peers;
+    let ReplicaPeers {
+        addresses, fetches, ..
+    } = peers;
     let instance = member_hash(&state.settings().node);
     for (name, remaining) in &mut *fetches {
         *remaining -= 1;
@@ -139,6 +147,22 @@
     }
 }
 
+/// Sends origins to the relay at `relay`, which writes them to the store.
+pub fn send_to_relay<D: WireCodec>(state: &EdgeState<D>, relay: IpAddr, origins: Vec<OriginNews>) {
+    let versions = state.versions.borrow();
+    let Some((socket, port)) = &versions.peers.socket else {
+        return;
+    };
+    let to = SocketAddr::new(relay, *port);
+    for news in origins {
+        let streams: Vec<_> = news.streams().collect();
+        for chunk in streams.chunks(MAX_TOLD) {
+            let news = OriginNews::new(news.origin, chunk.iter().copied());
+            send(state, socket, to, &Message::Write(vec![news]));
+        }
+    }
+}
+
 /// Returns whether a datagram is about origins.
 pub fn is_about_origins(datagram: &[u8]) -> bool {
     datagram.first() == Some(&FIRST_BYTE)
@@ -155,6 +179,11 @@
                 state.fleet.borrow().load_changed.notify_one();
             }
         }
+        Some(Message::Write(origins)) => {
+            let now = state.now();
+            let mut versions = state.versions.borrow_mut();
+            versions.unwritten.record_all(&origins, now);
+        }
         None => tracing::debug!(event = "origins_unreadable", %from),
     }
 }
--- a/crates/policy/src/edge/mod.rs
+++ b/crates/policy/src/edge/mod.rs
@@ -18,6 +18,7 @@
 pub mod link;
 pub mod load;
 pub mod notices;
+pub mod origin_log;
 pub mod origin_replicas;
 pub mod own_delay;
 pub mod peer_liveness;
--- a/crates/policy/src/edge/software_versions.rs
+++ b/crates/policy/src/edge/software_versions.rs
@@ -234,6 +234,11 @@
         self.only().is_none()
     }
 
+    /// Returns whether more than one version is known.
+    pub fn has_several(&self) -> bool {
+        self.versions.len() > 1
+    }
+
     /// Number of known versions with which such a stream may have begun.
     pub fn len(&self) -> usize {
         self.versions.len()
--- a/crates/policy/src/edge/stream_origins.rs
+++ b/crates/policy/src/edge/stream_origins.rs
@@ -56,6 +56,15 @@
 }
 
 impl OriginNews {
+    /// Returns news about streams with one origin.
+    pub fn new(origin: Origin, attempts: impl IntoIterator<Item = AttemptTag>) -> Self {
+        let attempts = attempts.into_iter();
+        Self {
+            origin,
+            attempts: attempts.map(|attempt| attempt.0.to_le_bytes()).collect(),
+        }
+    }
+
     /// Returns news without streams: the version is in use.
     pub fn in_use(origin: Origin) -> Self {
         Self {
@@ -64,6 +73,12 @@
         }
     }
 
+    /// Returns the attempts whose streams they are.
+    pub fn streams(&self) -> impl Iterator<Item = AttemptTag> {
+        let attempts = self.attempts.iter();
+        attempts.map(|attempt| AttemptTag(u64::from_le_bytes(*attempt)))
+    }
+
     /// Whether there are streams.
     pub fn has_streams(&self) -> bool {
         !self.attempts.is_empty()
@@ -191,8 +206,7 @@
         let age = Duration::from_secs(copies.age_s);
         let at = MonotonicTime(now.0.saturating_sub(age));
         let mut has_new = false;
-        for attempt in &copies.news.attempts {
-            let attempt = AttemptTag(u64::from_le_bytes(*attempt));
+        for attempt in copies.news.streams() {
             let known = self.by_attempt.get(&attempt);
             has_new |= known.is_none();
             if known.is_none_or(|known| at.since(known.at) >= REFRESH_AFTER) {
