Release the duty only after its calls have ended

Cause: a holder that was stopped wrote its release at once, while a report that it had begun was still under way in another task. The next holder claimed and reported before that report arrived.

Evidence: the register has the release first.

Why it works: after a stop has begun, the holder makes no further call, waits for the answer of the one that is open and releases then. If a call of the last term got no answer, it may be carried out later, and the duty stays claimed until the term expires.

--- a/crates/core/src/duty/keeper.rs
+++ b/crates/core/src/duty/keeper.rs
@@ -115,6 +115,10 @@
     term_end: Option<MonotonicTime>,
     renewed_at: MonotonicTime,
     is_stopping: bool,
+    /// Whether a call under the duties waits for its answer.
+    has_open_call: bool,
+    /// Time at which such a call last ended without an answer. It may still take effect.
+    unanswered_at: Option<MonotonicTime>,
 }
 
 impl DutyKeeper {
@@ -143,6 +147,8 @@
             term_end: None,
             renewed_at: MonotonicTime::default(),
             is_stopping: false,
+            has_open_call: false,
+            unanswered_at: None,
         }
     }
 
@@ -208,11 +214,37 @@
         self.renewed_at = now;
     }
 
-    /// Starts a planned stop: the process releases the duties.
+    /// Starts a planned stop: the process makes no more calls, and releases the duties once those
+    /// that it made cannot take effect any more.
     pub fn stop(&mut self) {
         self.is_stopping = true;
     }
 
+    /// Handles that a call under the duties is being sent.
+    pub fn on_call_sent(&mut self) {
+        self.has_open_call = true;
+    }
+
+    /// Handles that the call has ended at `now`, with an answer or without one.
+    pub fn on_call_ended(&mut self, now: MonotonicTime, is_answered: bool) {
+        self.has_open_call = false;
+        if !is_answered {
+            self.unanswered_at = Some(now);
+        }
+    }
+
+    /// Returns whether a call under the duties waits for its answer.
+    pub fn has_open_call(&self) -> bool {
+        self.has_open_call
+    }
+
+    /// Returns whether a call that was sent may still take effect. The next holder would have made
+    /// others by then.
+    fn may_have_effects(&self, now: MonotonicTime) -> bool {
+        let unanswered = self.unanswered_at;
+        self.has_open_call || unanswered.is_some_and(|at| now.since(at) < self.timing.ttl)
+    }
+
     /// Handles that a call was refused because of a higher fencing number.
     pub fn on_fenced(&mut self) {
         self.term_end = None;
@@ -223,7 +255,8 @@
     pub fn may_act(&self, now: MonotonicTime, budget: Duration) -> Option<Epoch> {
         let term_end = self.term_end?;
         let record = self.current_record()?;
-        let may = now.plus(budget) <= term_end && self.is_own(record) && !record.released;
+        let is_held = self.is_own(record) && !record.released;
+        let may = now.plus(budget) <= term_end && is_held && !self.is_stopping;
         may.then_some(record.fencing)
     }
 
@@ -341,6 +374,9 @@
     }
 
     fn renewal_step(&self, now: MonotonicTime, record: &DutyRecord) -> DutyStep {
+        if self.is_stopping && self.may_have_effects(now) {
+            return DutyStep::Wait(self.timing.ttl);
+        }
         if self.is_stopping {
             return self.write_step(DutyRecord {
                 released: true,
--- a/crates/core/tests/duty_keeper.rs
+++ b/crates/core/tests/duty_keeper.rs
@@ -353,3 +353,44 @@
     assert!(register.perform_step(&mut a, at(7_001)));
     assert_matches!(a.may_act(at(7_001), BUDGET), Some(_));
 }
+
+/// A report of a holder that is stopped reaches the platform after one of its successor.
+#[test]
+fn open_call() {
+    let (mut register, mut a) = holder();
+    a.on_call_sent();
+    a.stop();
+    assert_eq!(a.may_act(at(100), Duration::ZERO), None);
+    assert!(!register.perform_step(&mut a, at(100)));
+    a.on_call_ended(at(600), true);
+    assert!(register.perform_step(&mut a, at(600)));
+}
+
+/// A report without an answer may be carried out seconds later.
+#[test]
+fn unanswered_call() {
+    let (mut register, mut a) = holder();
+    let mut b = keeper("b");
+    register.read_by(&mut b, at(10));
+    a.on_call_sent();
+    a.on_call_ended(at(600), false);
+    a.on_call_sent();
+    a.on_call_ended(at(700), true);
+    a.stop();
+    for ms in (700..6_000).step_by(100) {
+        assert!(!register.perform_step(&mut a, at(ms)), "at {ms}");
+        assert_matches!(b.next_step(at(ms)), DutyStep::Wait(_));
+    }
+    assert!(register.perform_step(&mut b, at(12_000)));
+    register.read_by(&mut a, at(12_010));
+    assert!(!register.perform_step(&mut a, at(12_020)));
+}
+
+/// A holder that is stopped begins no other call.
+#[test]
+fn stopping_holder() {
+    let (_, mut a) = holder();
+    assert_matches!(a.may_act(at(100), BUDGET), Some(_));
+    a.stop();
+    assert_eq!(a.may_act(at(100), Duration::ZERO), None);
+}
--- a/crates/edge-bin/tests/common/store.rs
+++ b/crates/edge-bin/tests/common/store.rs
@@ -40,6 +40,10 @@
     /// them gets no response.
     stalls: u32,
     reports: Vec<UsageReport>,
+    /// Holder whose reports take this time to arrive.
+    late_holder: Option<(String, Duration)>,
+    /// Number of reports that are on their way.
+    open_reports: u32,
     paging: Paging,
     /// Number of restores.
     era: u64,
@@ -166,6 +170,16 @@
         self.lock().reports.clone()
     }
 
+    /// Makes the reports of `holder` arrive late.
+    pub fn delay_reports(&self, holder: &str, delay: Duration) {
+        self.lock().late_holder = Some((holder.into(), delay));
+    }
+
+    /// Returns the number of late reports that are on their way.
+    pub fn open_reports(&self) -> u32 {
+        self.lock().open_reports
+    }
+
     /// Returns a copy of the contents.
     pub fn copy(&self) -> StoreCopy {
         let inner = self.lock();
@@ -363,6 +377,21 @@
         window: body["window-seq"].as_u64().unwrap(),
         counts: body["counts"].clone(),
     };
+    let late_holder = store.lock().late_holder.clone();
+    let delay = late_holder.filter(|(holder, _)| *holder == report.holder);
+    if let Some((_, delay)) = delay {
+        store.lock().open_reports += 1;
+        let late = store.clone();
+        // The report arrives also if its sender does not wait for the answer.
+        let arrived = tokio::spawn(async move {
+            sleep(delay).await;
+            let mut inner = late.lock();
+            inner.open_reports -= 1;
+            inner.reports.push(report);
+        });
+        arrived.await.unwrap();
+        return StatusCode::OK;
+    }
     store.lock().reports.push(report);
     StatusCode::OK
 }
--- a/crates/edge/src/duty.rs
+++ b/crates/edge/src/duty.rs
@@ -13,6 +13,7 @@
 use nutmegbay_core::ids::Incarnation;
 use nutmegbay_core::lease::LeaseTiming;
 use nutmegbay_core::position::Position;
+use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
 use crate::clock::millis;
@@ -86,6 +87,8 @@
     keeper: RefCell<DutyKeeper>,
     reported_windows: RefCell<BTreeSet<u64>>,
     failure_detector: RefCell<FailureDetector>,
+    /// Notified when a report has ended.
+    call_ended: Notify,
 }
 
 impl<D: WireCodec, S: Store, R: UsageReporter> UsageDuty<D, S, R> {
@@ -108,6 +111,7 @@
             keeper: keeper.into(),
             reported_windows: RefCell::default(),
             failure_detector: RefCell::default(),
+            call_ended: Notify::new(),
         }
     }
 
@@ -451,7 +455,13 @@
                 &sealed.counts,
             );
             let no_response = |_| Err(DutyError::Unreachable(NO_RESPONSE.into()));
-            match timeout(CALL_BUDGET, sent).await.unwrap_or_else(no_response) {
+            self.keeper.borrow_mut().on_call_sent();
+            let answer = timeout(CALL_BUDGET, sent).await.unwrap_or_else(no_response);
+            let is_answered = !matches!(answer, Err(DutyError::Unreachable(_)));
+            let now = self.state.now();
+            self.keeper.borrow_mut().on_call_ended(now, is_answered);
+            self.call_ended.notify_waiters();
+            match answer {
                 Ok(()) => {
                     tracing::info!(event = "usage_reported", window = sealed.window);
                     let mut reported_windows = self.reported_windows.borrow_mut();
@@ -474,19 +484,34 @@
         None
     }
 
-    /// Releases the duty on a planned stop.
+    /// Releases the duty on a planned stop, once the report that may be under way has its answer.
+    /// Without one, the duty stays claimed until the term expires.
     pub async fn release(&self) {
         self.keeper.borrow_mut().stop();
-        let step = self.keeper.borrow().next_step(self.state.now());
-        if let DutyStep::Write { position, record } = step
-            && timeout(RELEASE_TIMEOUT, self.write_register(position, record))
-                .await
-                .is_err()
-        {
+        let ended = async {
+            loop {
+                let ended = self.call_ended.notified();
+                if !self.keeper.borrow().has_open_call() {
+                    return;
+                }
+                ended.await;
+            }
+        };
+        let has_ended = timeout(CALL_BUDGET, ended).await.is_ok();
+        let is_released = has_ended && timeout(RELEASE_TIMEOUT, self.write_release()).await.is_ok();
+        if self.is_holder() || !is_released {
             tracing::warn!(
                 event = "duty_not_released",
+                has_open_call = !has_ended,
                 "the duty stays claimed until the term expires"
             );
         }
     }
+
+    async fn write_release(&self) {
+        let step = self.keeper.borrow().next_step(self.state.now());
+        if let DutyStep::Write { position, record } = step {
+            self.write_register(position, record).await;
+        }
+    }
 }
