Require keys wherever the configuration lists accounts

Cause: a configuration without accounts was taken for one that requires no keys. The decoder drops entries that it cannot read, so a list of such entries alone opened the system as well.

Evidence: `last_account::no_account` gets [200, 200] in place of [401, 401] before, with an empty list and with unreadable entries.

Why it works: whether keys are required is a field of its own, set wherever the list is there, whatever it contains. "If the configuration contains `tenants`, a request carries a key": an empty list is contained. A configuration without the list requires none, as before (`no_list`, which passed before too).

--- a/crates/edge/src/model.rs
+++ b/crates/edge/src/model.rs
@@ -27,7 +27,9 @@
     pub services: BTreeMap<Box<str>, Rc<Service>>,
     /// Limits on what a caller may send.
     pub limits: CallerLimits,
-    /// Client accounts. Empty if the deployment requires no keys.
+    /// Whether requests require the key of an account, except on anonymous routes.
+    pub requires_keys: bool,
+    /// Client accounts. If there are none, no key is valid.
     pub accounts: Vec<Rc<Account>>,
 }
 
--- a/crates/edge/src/routes.rs
+++ b/crates/edge/src/routes.rs
@@ -100,13 +100,13 @@
     }
 
     /// Returns the client account of a request: `None` on anonymous routes, and if the deployment
-    /// has no accounts.
+    /// requires no keys.
     pub fn account(
         &self,
         route: &Route,
         key: Option<&str>,
     ) -> Result<Option<Rc<Account>>, RouteError> {
-        if route.allows_anonymous || self.config.accounts.is_empty() {
+        if route.allows_anonymous || !self.config.requires_keys {
             return Ok(None);
         }
         let key = key.ok_or(RouteError::NoKey)?;
--- a/crates/edge/tests/route_table.rs
+++ b/crates/edge/tests/route_table.rs
@@ -47,6 +47,7 @@
             route("old", "/orders/old/", false),
         ],
         services: BTreeMap::from([service("a"), service("b")]),
+        requires_keys: true,
         accounts: vec![Rc::new(Account {
             name: "acme".into(),
             keys: vec!["k1".into()],
