End the grace for expired entries with the contact bound

Cause: entries that vanish around an outage get 1.9 s from the first list, since they may only have expired. The first list came 1.1 s after the cut, so the grace passed the 3 s after which the bound holds again.

`late_first_list` fails with the former end (13 s).

Why it works: the store was still away when the last failed read began, so that time plus the contact bound is never too late. Entries still have about two seconds from the store's return.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -326,6 +326,7 @@
             }
             Err(error) => {
                 increment(&state.metrics.store_failures);
+                state.expiry_grace.borrow_mut().record_failure(began);
                 state.set_store_available(false);
                 state.list_demand.record_failure();
                 state.store_call_failed.notify_waiters();
@@ -396,8 +397,10 @@
         .known_records
         .borrow_mut()
         .record_list_era(state.store_era());
+    let outage = store_status.record_success(now);
+    let contact = state.settings().bounds.contact;
     let mut expiry_grace = state.expiry_grace.borrow_mut();
-    expiry_grace.record_list(now, store_status.record_success(now), is_restored);
+    expiry_grace.record_list(now, outage, is_restored, contact);
     expiry_grace.usable_until(now)
 }
 
--- a/crates/policy/tests/edge_expiry_grace.rs
+++ b/crates/policy/tests/edge_expiry_grace.rs
@@ -8,6 +8,9 @@
 
 const OUTAGE: Duration = Duration::from_secs(5);
 
+/// Time from the end of an outage until an instance has to keep to the list.
+const CONTACT: Duration = Duration::from_secs(3);
+
 fn at(ms: u64) -> MonotonicTime {
     MonotonicTime(Duration::from_millis(ms))
 }
@@ -15,9 +18,9 @@
 #[test]
 fn no_outage() {
     let mut expiry_grace = ExpiryGrace::default();
-    expiry_grace.record_list(at(0), None, false);
+    expiry_grace.record_list(at(0), None, false, CONTACT);
     assert_eq!(expiry_grace.usable_until(at(0)), None);
-    expiry_grace.record_list(at(900), Some(Duration::from_millis(300)), false);
+    expiry_grace.record_list(at(900), Some(Duration::from_millis(300)), false, CONTACT);
     assert_eq!(
         expiry_grace.usable_until(at(900)),
         None,
@@ -28,7 +31,7 @@
 #[test]
 fn expired_in_outage() {
     let mut expiry_grace = ExpiryGrace::default();
-    expiry_grace.record_list(at(11_000), Some(OUTAGE), false);
+    expiry_grace.record_list(at(11_000), Some(OUTAGE), false, CONTACT);
     assert_eq!(expiry_grace.usable_until(at(11_000)), Some(at(12_900)));
 }
 
@@ -37,14 +40,14 @@
 #[test]
 fn removed_after_return() {
     let mut expiry_grace = ExpiryGrace::default();
-    expiry_grace.record_list(at(11_770), Some(OUTAGE), false);
-    expiry_grace.record_list(at(12_680), None, false);
+    expiry_grace.record_list(at(11_770), Some(OUTAGE), false, CONTACT);
+    expiry_grace.record_list(at(12_680), None, false, CONTACT);
     let until = expiry_grace.usable_until(at(12_680)).unwrap();
     assert!(
         until <= at(11_806 + 1_700),
         "acknowledged at 11,806 ms, bound 2,000: {until:?}"
     );
-    expiry_grace.record_list(at(14_000), None, false);
+    expiry_grace.record_list(at(14_000), None, false, CONTACT);
     assert_eq!(expiry_grace.usable_until(at(14_000)), None);
 }
 
@@ -52,7 +55,34 @@
 #[test]
 fn missing_after_restore() {
     let mut expiry_grace = ExpiryGrace::default();
-    expiry_grace.record_list(at(0), None, false);
-    expiry_grace.record_list(at(900), Some(Duration::from_millis(300)), true);
+    expiry_grace.record_list(at(0), None, false, CONTACT);
+    expiry_grace.record_list(at(900), Some(Duration::from_millis(300)), true, CONTACT);
     assert_eq!(expiry_grace.usable_until(at(900)), Some(at(2_800)));
 }
+
+/// The first list comes 1.1 s after the end of a cut. Entries that were removed in the middle of the
+/// cut must not be used until 3 s after its end.
+#[test]
+fn late_first_list() {
+    let mut expiry_grace = ExpiryGrace::default();
+    expiry_grace.record_failure(at(8_000));
+    expiry_grace.record_failure(at(9_900));
+    let returned_ms = 10_000;
+    expiry_grace.record_list(at(returned_ms + 1_100), Some(OUTAGE), false, CONTACT);
+    let until = expiry_grace.usable_until(at(returned_ms + 1_100)).unwrap();
+    assert!(
+        until < MonotonicTime(at(returned_ms).0 + CONTACT),
+        "{until:?}"
+    );
+    assert!(until > at(returned_ms + 1_900), "{until:?}");
+}
+
+/// The failures of an earlier outage do not shorten the grace of a later one.
+#[test]
+fn earlier_failure() {
+    let mut expiry_grace = ExpiryGrace::default();
+    expiry_grace.record_failure(at(1_000));
+    expiry_grace.record_list(at(1_200), Some(Duration::from_millis(200)), false, CONTACT);
+    expiry_grace.record_list(at(20_000), None, true, CONTACT);
+    assert_eq!(expiry_grace.usable_until(at(20_000)), Some(at(21_900)));
+}
