Look only at connections whose peer may have no room

Cause: since a timer runs for each connection on which a response was written, until a second later, also where the next request has long shown that it was read.

Change: the look is armed from 2 KiB on, less than the smallest receive buffer of Linux, and dropped when the peer sends again. A peer that is sent less cannot have a closed window.

`paused_peers` and `slow_readers` pass.

--- a/crates/edge/src/peer_io.rs
+++ b/crates/edge/src/peer_io.rs
@@ -37,7 +37,11 @@
 /// Maximum pause of an upstream that does not read. The deadlines of requests end it before.
 const MAX_UPSTREAM_PAUSE: Duration = Duration::from_mins(1);
 
-/// Number of bytes that an upstream takes without reading them. Where the kernel does not tell
+/// Number of bytes that any peer takes without reading them: Linux gives a connection a receive buffer
+/// of at least this size.
+const MIN_WINDOW_BYTES: u64 = 2 * 1024;
+
+/// Number of bytes that an upstream usually takes without reading them. Where the kernel does not tell
 /// whether it answers, it is given the longer time only beyond them.
 const UPSTREAM_WINDOW_BYTES: u64 = 64 * 1024;
 
@@ -64,7 +68,7 @@
 impl PeerIo {
     /// Watches a connection to a caller, which may read nothing for `max_pause`.
     pub fn caller(io: TcpStream, max_pause: Duration, monitor: &DelayMonitor) -> Self {
-        Self::new(io, max_pause, 0, monitor)
+        Self::new(io, max_pause, MIN_WINDOW_BYTES, monitor)
     }
 
     /// Watches a connection to an upstream or a peer process.
@@ -109,14 +113,18 @@
         }
     }
 
+    /// Returns whether bytes wait that the peer may have no room for.
     fn has_waiting(&self) -> bool {
-        self.waiting > 0 || self.is_blocked
+        self.waiting > MIN_WINDOW_BYTES || self.is_blocked
     }
 
-    /// Records that the peer has sent something, after it has taken what it was sent.
-    fn record_read(&mut self) {
+    /// Records that the peer has taken all that it was sent.
+    fn record_taken(&mut self) {
         self.waiting = 0;
         self.is_blocked = false;
+        if self.limit == StallLimit::Usual {
+            self.check = None;
+        }
     }
 
     fn record_write(&mut self, poll: &Poll<Result<usize>>) {
@@ -155,7 +163,7 @@
         };
         let limit = self.liveness.step(state, self.clock.now());
         if state == SendState::Empty {
-            self.record_read();
+            self.record_taken();
         }
         if std::mem::replace(&mut self.limit, limit) == limit {
             return;
@@ -204,7 +212,8 @@
         let before = buf.filled().len();
         let poll = Pin::new(&mut self.io).poll_read(cx, buf);
         if buf.filled().len() > before {
-            self.record_read();
+            // A peer sends again after it has taken what it was sent.
+            self.record_taken();
         }
         match self.poll_check(cx) {
             Err(error) if poll.is_pending() => Poll::Ready(Err(error)),
