Copy only streams that are still open

Cause: each stream was copied to three instances, though most end within tens of milliseconds and nobody takes them up.

Change: a stream of up to 16 KiB that is complete by the next datagram is neither copied nor written to the store. The kernel has taken it and delivers it, whatever becomes of the process. Longer ones may wait in the process for a caller that pauses, and count as open. An edge wakes for a copy alone only while several versions are possible.

`edge_stream_origins::complete_streams` fails without the change; `lost_carriers`, `stored_origins`, `handed_over`, `told_origins` pass.

--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -30,6 +30,10 @@
 use crate::stopping::STOPPING;
 use crate::versions;
 
+/// Maximum size of a stream that the kernel takes at once, in bytes: it is delivered although the
+/// process ends.
+const MAX_DELIVERED_BYTES: usize = 16 * 1024;
+
 /// Time after the deadline of a request for which bytes that have already arrived are still
 /// forwarded. Without this limit, an upstream that never stops sending would keep the request open
 /// forever.
@@ -233,7 +237,7 @@
             }
             None => {
                 self.end = Some("complete");
-                if self.framing == Framing::Events {
+                if self.framing == Framing::Events && self.sent_bytes <= MAX_DELIVERED_BYTES {
                     versions::record_complete(&self.state, &self.request);
                 }
             }
--- a/crates/edge/src/versions/log.rs
+++ b/crates/edge/src/versions/log.rs
@@ -64,11 +64,12 @@
     }
 }
 
-/// Records that the response to a request that may be taken up was read whole.
+/// Records that the caller of a stream has got it whole, but for what the kernel still delivers.
 pub fn record_complete<D: WireCodec>(state: &EdgeState<D>, request: &RoutedRequest) {
     let mut versions = state.versions.borrow_mut();
-    for attempt in request.stream_attempts() {
-        versions.unwritten.record_complete(attempt_tag(attempt));
+    for attempt in request.stream_attempts().map(attempt_tag) {
+        versions.unwritten.record_complete(attempt);
+        versions.origins.record_complete(attempt);
     }
 }
 
--- a/crates/edge/src/versions/mod.rs
+++ b/crates/edge/src/versions/mod.rs
@@ -227,8 +227,8 @@
     versions.unwritten.record(attempt, origin, now);
     if is_mixed {
         versions.version_news.record(origin, now);
+        state.fleet.borrow().load_changed.notify_one();
     }
-    state.fleet.borrow().load_changed.notify_one();
 }
 
 /// Records a version as stated by an entry of the list of instances. The entry may change again
--- a/crates/policy/src/edge/stream_origins.rs
+++ b/crates/policy/src/edge/stream_origins.rs
@@ -124,6 +124,8 @@
     at: MonotonicTime,
     /// Whether this instance carried the stream.
     is_own: bool,
+    /// Whether the stream is complete, so that its caller need not take it up.
+    is_complete: bool,
 }
 
 /// Origin known to this instance.
@@ -147,6 +149,14 @@
         }
     }
 
+    /// Records that a stream of this instance is complete. Copies that have not been sent are not
+    /// needed any more.
+    pub fn record_complete(&mut self, attempt: AttemptTag) {
+        if let Some(known) = self.by_attempt.get_mut(&attempt) {
+            known.is_complete = true;
+        }
+    }
+
     /// Sets the instances that run. What this instance knows is copied to those that were not known
     /// before, and their names are returned.
     pub fn update_members(
@@ -244,7 +254,8 @@
             let count = waiting.len().min(MAX_TOLD);
             self.waiting_count -= count;
             for attempt in waiting.drain(..count) {
-                let Some(known) = self.by_attempt.get(&attempt) else {
+                let known = self.by_attempt.get(&attempt);
+                let Some(known) = known.filter(|known| !known.is_complete) else {
                     continue;
                 };
                 let age_s = now.since(known.at).as_secs();
@@ -295,7 +306,9 @@
             origin,
             at: now,
             is_own,
+            is_complete: false,
         });
+        known.is_complete = false;
         known.at = now;
         known.is_own |= is_own;
         self.order.push_back((now, attempt));
--- a/crates/policy/tests/edge_stream_origins.rs
+++ b/crates/policy/tests/edge_stream_origins.rs
@@ -140,6 +140,26 @@
     }
 }
 
+/// Short streams are complete before the next datagram, and nobody takes them up.
+#[test]
+fn complete_streams() {
+    let mut group = group(4);
+    for attempt in 0..10 {
+        group[0].record_own(AttemptTag(attempt), origin(1), at(0));
+        if attempt > 0 {
+            group[0].record_complete(AttemptTag(attempt));
+        }
+    }
+    deliver(&mut group, 5);
+    for attempt in 0..10 {
+        let holders = group.iter().filter(|o| version(o, attempt, 5).is_some());
+        let copies = if attempt == 0 { 2..=3 } else { 0..=0 };
+        assert!(copies.contains(&(holders.count() - 1)), "{attempt}");
+    }
+    group[0].record_own(AttemptTag(1), origin(1), at(10));
+    assert!(deliver(&mut group, 15) > 0, "it is taken up");
+}
+
 /// A receiver must not send on what it gets, or copies would go back and forth.
 #[test]
 fn sent_once() {
