Keep shares of limits until records of instances are read

Cause: an instance dropped others that look failed as soon as its list of instances was current. Their own records are read only every 8 s, so those that run looked failed until then, and their shares overlapped.

Evidence: `unread_records` and `paused_process` fail on the rule before ("at 25000").

Why it works: others lose their shares only after the list has been current for 10 s without a gap, when their records have been read. The test of the incomplete view asks for both sides as before, with times: dropped 10 s after the return, kept until then.

After: all tests of shares and `upstream_limits` pass.

--- a/crates/edge/src/fleet/limits.rs
+++ b/crates/edge/src/fleet/limits.rs
@@ -31,12 +31,12 @@
     pub fn share_limits(
         &mut self,
         others: Vec<u64>,
-        is_complete: bool,
+        is_current: bool,
         has_joined: bool,
         now: MonotonicTime,
     ) {
         let owners = &mut self.limit_owners;
-        if owners.update(others, is_complete, has_joined) {
+        if owners.update(others, is_current, has_joined, now) {
             for upstream in self.upstreams.values_mut() {
                 update_share(upstream, owners, now);
             }
--- a/crates/policy/src/edge/limit_owners.rs
+++ b/crates/policy/src/edge/limit_owners.rs
@@ -5,6 +5,10 @@
 //! owners of a limit are chosen so that each other instance then has the same share as before or a
 //! smaller one, and that the end of an instance adds at most the share that it had.
 
+use std::time::Duration;
+
+use nutmegbay_core::environment::MonotonicTime;
+
 use super::prefixes::rendezvous_weight;
 
 /// Owners per request per second of the limit.
@@ -13,6 +17,11 @@
 /// Owners in addition, so that the loss of one does not end the use of a small limit.
 const ADDITIONAL_OWNERS: f64 = 2.0;
 
+/// Time for which the list of instances must have been current before others that look failed lose
+/// their shares. Their records are read every 8 s, and those that they wrote while the list was out
+/// of date are known only then.
+const CURRENT_TIME: Duration = Duration::from_secs(10);
+
 /// Instances among which limits are divided, from the view of one of them. They are identified by
 /// the hashes of their names.
 #[derive(Debug, Clone)]
@@ -22,6 +31,9 @@
     others: Vec<u64>,
     /// Whether the others know of this instance.
     has_joined: bool,
+    /// Last time at which the list of instances was not current, and the time of the last update.
+    outdated_at: MonotonicTime,
+    updated_at: MonotonicTime,
 }
 
 impl LimitOwners {
@@ -31,13 +43,28 @@
             own,
             others: Vec::new(),
             has_joined: false,
+            outdated_at: MonotonicTime::default(),
+            updated_at: MonotonicTime::default(),
         }
     }
 
-    /// Sets the other instances that run, and whether they know of this one. Without `is_complete`,
-    /// those known before still count. Returns whether shares may have changed.
-    pub fn update(&mut self, mut others: Vec<u64>, is_complete: bool, has_joined: bool) -> bool {
-        if !is_complete {
+    /// Sets the other instances that run, and whether they know of this one. Those known before count
+    /// until the list of instances has been current for long enough, as `is_current` states for now.
+    /// Returns whether shares may have changed.
+    pub fn update(
+        &mut self,
+        mut others: Vec<u64>,
+        is_current: bool,
+        has_joined: bool,
+        now: MonotonicTime,
+    ) -> bool {
+        // A process that stood still has read nothing meanwhile.
+        let stood_still = now.since(self.updated_at) >= CURRENT_TIME;
+        self.updated_at = now;
+        if !is_current || stood_still {
+            self.outdated_at = now;
+        }
+        if now.since(self.outdated_at) < CURRENT_TIME {
             others.extend_from_slice(&self.others);
         }
         others.sort_unstable();
--- a/crates/policy/tests/edge_limit_owners.rs
+++ b/crates/policy/tests/edge_limit_owners.rs
@@ -54,7 +54,7 @@
         let read = self.read.iter().copied().filter(|name| *name != self.name);
         let others = read.chain(self.presence.heard(now)).collect();
         let has_joined = self.presence.has_joined(now);
-        if self.owners.update(others, true, has_joined) {
+        if self.owners.update(others, true, has_joined, now) {
             let share = self.owners.share(UPSTREAM, limit_per_s);
             self.limit.set_share(share, 0.5, now);
         }
@@ -152,11 +152,53 @@
 #[test]
 fn incomplete_view() {
     let mut owners = LimitOwners::new(1);
-    owners.update(vec![2, 3, 4], true, true);
+    owners.update(vec![2, 3, 4], true, true, at(0));
     let share = owners.share(UPSTREAM, 100.0);
-    owners.update(Vec::new(), false, true);
-    owners.update(vec![2], false, true);
+    for ms in (1_000..20_000).step_by(500) {
+        owners.update(Vec::new(), false, true, at(ms));
+        owners.update(vec![2], false, true, at(ms));
+    }
     assert!((owners.share(UPSTREAM, 100.0) - share).abs() < 1e-9);
-    owners.update(vec![2], true, true);
+    for ms in (20_000..30_000).step_by(500) {
+        owners.update(vec![2], true, true, at(ms));
+    }
     assert!((owners.share(UPSTREAM, 100.0) - 50.0).abs() < 1e-9);
 }
+
+/// The store was away for longer than the time after which a silent instance looks failed. It is
+/// back, and the records that the others have written are read up to 8 s later.
+#[test]
+fn unread_records() {
+    let mut owners = LimitOwners::new(1);
+    owners.update(vec![2, 3, 4], true, true, at(0));
+    let share = owners.share(UPSTREAM, 100.0);
+    for ms in (500..25_000).step_by(500) {
+        owners.update(Vec::new(), false, true, at(ms));
+    }
+    for ms in (25_000..33_000).step_by(500) {
+        owners.update(Vec::new(), true, true, at(ms));
+        assert!(
+            (owners.share(UPSTREAM, 100.0) - share).abs() < 1e-9,
+            "at {ms}"
+        );
+    }
+    for ms in (33_000..45_000).step_by(500) {
+        owners.update(vec![2, 3, 4], true, true, at(ms));
+        assert!(
+            (owners.share(UPSTREAM, 100.0) - share).abs() < 1e-9,
+            "at {ms}"
+        );
+    }
+}
+
+/// The process stood still while the others wrote their records.
+#[test]
+fn paused_process() {
+    let mut owners = LimitOwners::new(1);
+    for ms in (0..12_000).step_by(500) {
+        owners.update(vec![2, 3, 4], true, true, at(ms));
+    }
+    let share = owners.share(UPSTREAM, 100.0);
+    owners.update(Vec::new(), true, true, at(35_000));
+    assert!((owners.share(UPSTREAM, 100.0) - share).abs() < 1e-9);
+}
--- a/crates/policy/tests/edge_upstream_limit.rs
+++ b/crates/policy/tests/edge_upstream_limit.rs
@@ -24,7 +24,7 @@
     let view = |own: &u64| {
         let others = names.iter().copied().filter(|name| name != own);
         let mut owners = LimitOwners::new(*own);
-        owners.update(others.collect(), true, true);
+        owners.update(others.collect(), true, true, at(0));
         owners
     };
     names.iter().map(view).collect()
