--- a/crates/edge-bin/tests/common/take_ups.rs
+++ b/crates/edge-bin/tests/common/take_ups.rs
@@ -101,3 +101,10 @@
         mixed[0]
     );
 }
+
+/// Takes all streams up at `edge` and asserts that each goes on at its version.
+pub async fn check_all_go_on(mut streams: Vec<HeldStream>, edge: &Edge) {
+    let completed = take_up(&mut streams, edge).await;
+    check_versions(&streams);
+    assert_eq!(completed, streams.len(), "streams do not go on");
+}
--- a/crates/edge-bin/tests/lost_carriers.rs
+++ b/crates/edge-bin/tests/lost_carriers.rs
@@ -6,8 +6,7 @@
 use std::time::Duration;
 
 use common::relayed::RelayedSite;
-use common::take_ups::{STREAMS, begin_streams_waiting, check_versions, list, start, take_up};
-use common::versioned::HeldStream;
+use common::take_ups::{STREAMS, begin_streams_waiting, check_all_go_on, list, start, take_up};
 use common::{Edge, Site};
 use tokio::time::sleep;
 
@@ -31,12 +30,6 @@
     (site, edges)
 }
 
-async fn check_all_go_on(mut streams: Vec<HeldStream>, edge: &Edge) {
-    let completed = take_up(&mut streams, edge).await;
-    check_versions(&streams);
-    assert_eq!(completed, streams.len(), "streams do not go on");
-}
-
 /// The carrier stands still.
 #[tokio::test(flavor = "multi_thread")]
 async fn paused_carrier() {
--- a/crates/edge-bin/tests/stored_origins.rs
+++ b/crates/edge-bin/tests/stored_origins.rs
@@ -7,8 +7,11 @@
 
 use common::relayed::RelayedSite;
 use common::store::Fault;
-use common::take_ups::{LIST_TIME, STREAMS, begin_streams_waiting, check_versions, start, take_up};
+use common::take_ups::{
+    LIST_TIME, SILENCE, STREAMS, begin_streams_waiting, check_all_go_on, check_versions, start,
+};
 use common::versioned::HeldStream;
+use common::worker::Worker;
 use common::{Edge, Site};
 use tokio::time::sleep;
 
@@ -42,12 +45,6 @@
     }
 }
 
-async fn check_all_go_on(mut streams: Vec<HeldStream>, edge: &Edge) {
-    let completed = take_up(&mut streams, edge).await;
-    check_versions(&streams);
-    assert_eq!(completed, streams.len(), "streams do not go on");
-}
-
 /// Two versions serve.
 #[tokio::test(flavor = "multi_thread")]
 async fn killed_together() {
@@ -111,7 +108,7 @@
     let mut streams = Vec::new();
     for _ in 0..STREAMS {
         let mut stream = HeldStream::waiting(DEADLINE_MS);
-        common::worker::Worker::share_script(&site.workers, &[common::take_ups::SILENCE]);
+        Worker::share_script(&site.workers, &[SILENCE]);
         stream
             .attempt(site.edge().ingress(), "/stream/1", Some(1))
             .await;
