Never lower the limit of a peer that pauses

An operator may allow callers an idle time under 3 s. A peer that pauses then got less than one that does not answer: its limit was set to the idle time. It is the larger of both now; CallerIo still closes a connection whose caller takes nothing for the idle time.

--- a/crates/edge-bin/tests/paused_peers.rs
+++ b/crates/edge-bin/tests/paused_peers.rs
@@ -33,9 +33,13 @@
 const REQUESTS_IN_FLIGHT: &str = "nutmegbay_requests_in_flight ";
 
 async fn start(test: u8, settings: &str) -> Site {
+    start_with_idle(test, settings, IDLE_MS).await
+}
+
+async fn start_with_idle(test: u8, settings: &str, idle_ms: u32) -> Site {
     let mut site = Site::start_without_config(test, 2).await;
     let mut config = config(1, &["k1"]);
-    config["limits"]["idle-ms"] = json!(IDLE_MS);
+    config["limits"]["idle-ms"] = json!(idle_ms);
     config["limits"]["body-bytes"] = json!(4 << 20);
     for route in config["routes"].as_array_mut().unwrap() {
         route["timeout-ms"] = json!(60_000);
@@ -85,6 +89,16 @@
     }
 }
 
+/// The idle time is shorter than the time after which a silent peer counts as gone. What the kernel
+/// has taken is delivered to a caller that pauses for longer.
+#[tokio::test(flavor = "multi_thread")]
+async fn short_idle_time() {
+    let site = start_with_idle(45, "", 500).await;
+    Worker::share_script(&site.workers, &[Action::Large(1)]);
+    let closed = begin(&site, "Connection: close\r\n").await;
+    read_late(closed, 1, Duration::from_millis(2_500)).await;
+}
+
 /// The edge is stopped as planned while callers pause.
 #[tokio::test(flavor = "multi_thread")]
 async fn paused_in_stop() {
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -114,8 +114,8 @@
 }
 
 /// News that follow the digest in a datagram. After them come versions in use with the origins of
-/// streams, the longest waits of callers, [`UpstreamNews`], and the work that client accounts ask for. Earlier versions
-/// send less and ignore what follows.
+/// streams, the longest waits of callers, [`UpstreamNews`], and the work that client accounts ask
+/// for. Earlier versions send less and ignore what follows.
 #[derive(Debug, Serialize, Deserialize)]
 struct News {
     crashes: CrashReport,
@@ -232,33 +232,33 @@
         (fleet.digests(now), fleet.take_reports_due(now))
     };
     let mut copies = versions::take_copies(state);
-    if !digests.is_empty() {
-        let news = EncodedNews::take(state, has_reports);
-        let mut reports = Vec::new();
-        for (to, digest) in digests {
-            if has_reports && !reports.iter().any(|(scope, _)| *scope == digest.scope) {
-                reports.push((digest.scope, encode_reports(state, digest.scope)));
-            }
-            let reports = reports.iter().find(|(scope, _)| *scope == digest.scope);
-            let reports = reports.map_or(&[][..], |(_, encoded)| encoded);
-            let fresh = copies
-                .extract_if(.., |copies| copies.to == to && copies.are_fresh())
-                .flat_map(|copies| copies.origins)
-                .map(|origins| origins.news);
-            let news = news.encode(fresh.collect());
-            let encoded = match postcard::to_stdvec(&digest) {
-                Ok(encoded) => [&encoded, &news[..], reports].concat(),
-                Err(error) => {
-                    tracing::error!(event = "digest_not_encoded", %error);
-                    continue;
-                }
-            };
-            // A datagram that is lost to a full buffer or a broken link is not sent again: the next
-            // digest contains the same state.
-            match socket.try_send_to(&encoded, to) {
-                Ok(_) => increment(&state.metrics.digests_sent),
-                Err(error) => tracing::debug!(event = "digest_not_sent", %to, %error),
+    // News wait until somebody receives them.
+    let news = (!digests.is_empty()).then(|| EncodedNews::take(state, has_reports));
+    let mut reports = Vec::new();
+    for (to, digest) in digests {
+        if has_reports && !reports.iter().any(|(scope, _)| *scope == digest.scope) {
+            reports.push((digest.scope, encode_reports(state, digest.scope)));
+        }
+        let reports = reports.iter().find(|(scope, _)| *scope == digest.scope);
+        let reports = reports.map_or(&[][..], |(_, encoded)| encoded);
+        let fresh = copies
+            .extract_if(.., |copies| copies.to == to && copies.are_fresh())
+            .flat_map(|copies| copies.origins)
+            .map(|origins| origins.news);
+        let fresh = fresh.collect();
+        let news = news.as_ref().map(|news| news.encode(fresh));
+        let encoded = match postcard::to_stdvec(&digest) {
+            Ok(encoded) => [&encoded, &news.unwrap_or_default()[..], reports].concat(),
+            Err(error) => {
+                tracing::error!(event = "digest_not_encoded", %error);
+                continue;
             }
+        };
+        // A datagram that is lost to a full buffer or a broken link is not sent again: the next
+        // digest contains the same state.
+        match socket.try_send_to(&encoded, to) {
+            Ok(_) => increment(&state.metrics.digests_sent),
+            Err(error) => tracing::debug!(event = "digest_not_sent", %to, %error),
         }
     }
     for copies in copies {
--- a/crates/edge/src/peer_io.rs
+++ b/crates/edge/src/peer_io.rs
@@ -89,7 +89,7 @@
             clock: monitor.clock(),
             liveness: PeerLiveness::default(),
             limit: StallLimit::Usual,
-            max_pause,
+            max_pause: max_pause.max(MAX_UNANSWERED),
             min_window,
             waiting: 0,
             is_blocked: false,
