--- a/review/stand-ins-3/interim_heads.rs
+++ b/review/stand-ins-3/interim_heads.rs
@@ -1,4 +1,4 @@
-//! Case: one worker of three is in trouble and sends interim heads without end, which are no answer,
+//! Case: one worker of eight is in trouble and sends interim heads without end, which are no answer,
 //! until the caller closes.
 
 #[path = "stand_in.rs"]
@@ -16,7 +16,10 @@
 use stand_in::*;
 
 /// Requests per second, each for a stream of 0.3 s.
-const PER_S: u32 = 60;
+const PER_S: u32 = 160;
+
+/// Number of sound workers, beside the one that will be in trouble.
+const SOUND: u32 = 7;
 const PACE: Pace = Pace {
     events: 3,
     gap: Duration::from_millis(100),
@@ -67,14 +70,14 @@
     let quiet = Record::create(&dir.join("workers.txt"));
     let store = Store::start(addr(1, 8408), quiet.clone());
     store.put("keyed.op", "config", &config(ROUTE_TIMEOUT.as_millis() as u64));
-    let _workers: Vec<Worker> = (0..2)
+    let _workers: Vec<Worker> = (0..SOUND)
         .map(|n| {
             let id = format!("i-{n}");
             Worker::start(&id, addr(10 + n, 8080), "notes", "v1", PACE, &store, &quiet)
         })
         .collect();
     let is_in_trouble = Arc::new(AtomicBool::new(false));
-    start_third_worker(addr(12, 8080), &store, &is_in_trouble, record);
+    start_faulty_worker(addr(10 + SOUND, 8080), &store, &is_in_trouble, record);
     let deployment = Deployment {
         root,
         dir,
@@ -99,7 +102,7 @@
         let is_now = has_trouble() && is_due;
         if is_in_trouble.swap(is_now, Ordering::Relaxed) != is_now {
             let what = if is_now { "is in trouble" } else { "answers new requests again" };
-            record.line(&format!("worker i-2 {what}"));
+            record.line(&format!("worker i-7 {what}"));
         }
         let (tries, front) = (Arc::clone(&tries), edge.front());
         thread::spawn(move || {
@@ -114,7 +117,7 @@
 }
 
 /// A worker that streams as the others do, and interim heads without end while it is in trouble.
-fn start_third_worker(
+fn start_faulty_worker(
     addr: SocketAddr,
     store: &Store,
     is_in_trouble: &Arc<AtomicBool>,
@@ -138,7 +141,7 @@
                 "{{\"service\":\"notes\",\"addr\":\"{addr}\",\"zone\":\"z\",\"version\":\"v1\",\
                  \"slots\":16,\"state\":\"ready\",\"cold-ms\":0,\"seq\":{seq},\"born\":{born}}}"
             );
-            store.put("keyed.servers", "i-2", &entry);
+            store.put("keyed.servers", "i-7", &entry);
             thread::sleep(ms(1_200));
         }
     });
@@ -175,7 +178,7 @@
             return send_heads(&mut tx, &id, sent, record);
         }
         let mut text = format!(
-            "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Server-Seal: seal-i-2\r\n\
+            "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Server-Seal: seal-i-7\r\n\
              Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
         );
         for n in 1..=PACE.events {
@@ -206,7 +209,7 @@
         thread::sleep(due.saturating_sub(start.elapsed()));
         if tx.write_all(piece.as_bytes()).is_err() {
             record.line(&format!(
-                "worker i-2 sent {id} {} KB of interim heads in {:.2} s, until the edge closed",
+                "worker i-7 sent {id} {} KB of interim heads in {:.2} s, until the edge closed",
                 own / 1_000,
                 began.elapsed().as_secs_f64()
             ));
--- a/review/stand-ins-3/late_tail.rs
+++ b/review/stand-ins-3/late_tail.rs
@@ -58,15 +58,18 @@
         dir,
         store: addr(1, 8408),
         ports: [8405, 8406, 8407, 8409],
-        seeds: vec![ip(2)],
+        seeds: vec![ip(2), ip(3), ip(4)],
         descriptors: None,
     };
-    let edge = deployment.start_edge("front-1", &ip(2), "z");
-    if !edge.wait_until_ready() {
+    let edges: Vec<Edge> = (0..4)
+        .map(|n| deployment.start_edge(&format!("front-{n}"), &ip(2 + n), &format!("z{n}")))
+        .collect();
+    if !edges.iter().all(Edge::wait_until_ready) {
         return 2;
     }
+    let edge = &edges[0];
     thread::sleep(ms(4_000));
-    record.line("SIGHUP to front-1");
+    record.line("SIGHUP to front-0, one of four edges");
     let pid = edge.pid().to_string();
     let is_sent = Command::new("kill").args(["-HUP", &pid]).status();
     if !is_sent.is_ok_and(|status| status.success()) {
--- a/review/stand-ins-3/release_during_outage.rs
+++ b/review/stand-ins-3/release_during_outage.rs
@@ -33,8 +33,8 @@
 /// Time for which a client waits, from its first attempt on.
 const DEADLINE: Duration = Duration::from_millis(15_000);
 
-/// Pauses of a client before it takes its stream up again.
-const PAUSES_MS: [u64; 4] = [1_000, 1_500, 2_500, 3_000];
+/// Pauses of a client before it takes its stream up again: it does so once.
+const PAUSES_MS: [u64; 1] = [5_000];
 
 fn main() {
     let args: Vec<String> = std::env::args().collect();
--- a/review/stand-ins-3/restart_behind_silence.rs
+++ b/review/stand-ins-3/restart_behind_silence.rs
@@ -11,7 +11,7 @@
 
 use stand_in::*;
 
-const CLIENTS: usize = 30;
+const CLIENTS: usize = 48;
 
 fn main() {
     let args: Vec<String> = std::env::args().collect();
@@ -33,7 +33,7 @@
         events: 25,
         gap: ms(100),
     };
-    let workers: Vec<Worker> = (0..3)
+    let workers: Vec<Worker> = (0..4)
         .map(|n| {
             let id = format!("i-{n}");
             Worker::start(&id, addr(10 + n, 8080), "notes", "v1", pace, &store, record)
