Bound what one peer sends before a response, and a connection's turn

Cause: two bounds that were none. The runtime makes a task give way after 128 reads, and a read brings up to 64 or 400 KiB, so one turn of a connection took up to 8 MB of heads, and no timer ran meanwhile. And hyper skips interim heads in a loop; its limit holds for each head alone, so what may come before an answer had none.

Evidence: readiness fails too, and the edge reads the same connections for 3 to 11 s (record of the case). The new test endless_bytes::interim_heads, eight connections without a pause, failed before: "ended after 16.128228429s" for requests with a timeout of 1.5 s.

Change: a connection, whoever is at its other end, gives way after 32 KiB (CountedIo). What is read between a request and the end of the head of its response is limited to two read buffers, 128 KiB from upstreams (ReadLimit); beyond that the connection ends as broken, with the cause endless_head. That needs no clock, so the upstream is not excused by timers that it made late itself. What may be sent again is as for any answer that broke. MAX_HEADERS, which sets the cost of each head, is as it was.

--- a/crates/edge-bin/tests/endless_bytes.rs
+++ b/crates/edge-bin/tests/endless_bytes.rs
@@ -44,6 +44,38 @@
     assert_ends(41, "/once/1", EndlessPart::Head).await;
 }
 
+/// Interim heads without end, each of which is within the limits, as fast as the edge reads. All
+/// other requests get their answers in time.
+#[tokio::test(flavor = "multi_thread")]
+async fn interim_heads() {
+    const ENDLESS: usize = 8;
+    let site = Site::start(48, 2).await;
+    Worker::share_script(
+        &site.workers,
+        &[Action::Endless(EndlessPart::InterimHeads); ENDLESS],
+    );
+    let timed = async |method, path| {
+        let started = Instant::now();
+        let response = site.call(method, path, &[]).await;
+        (started.elapsed(), response.status)
+    };
+    let callers = join_all((0..ENDLESS).map(|_| timed("POST", "/once/1")));
+    let others = async {
+        tokio::time::sleep(ROUTE_TIMEOUT / 10).await;
+        join_all((0..ENDLESS).map(|_| timed("GET", "/any/1"))).await
+    };
+    let (callers, others) = tokio::join!(callers, others);
+    for (elapsed, _) in callers.iter().chain(&others) {
+        assert!(*elapsed < ROUTE_TIMEOUT + SLACK, "ended after {elapsed:?}");
+    }
+    assert!(
+        callers
+            .iter()
+            .all(|(_, status)| [502, 504].contains(status)),
+        "they may have run: {callers:?}"
+    );
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn body() {
     assert_ends(42, "/once/1", EndlessPart::Body).await;
@@ -97,6 +129,7 @@
 async fn crowd() {
     let parts = [
         ("/once/1", EndlessPart::Head),
+        ("/once/1", EndlessPart::InterimHeads),
         ("/once/1", EndlessPart::Body),
         ("/once/1", EndlessPart::ChunkExtension),
         ("/stream/1", EndlessPart::Event),
--- a/crates/edge/src/http1.rs
+++ b/crates/edge/src/http1.rs
@@ -24,7 +24,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
-use crate::own_delay::{CountedIo, DelayMonitor, Wait};
+use crate::own_delay::{CountedIo, DelayMonitor, ReadLimit, Wait};
 use crate::peer_io::PeerIo;
 use crate::platform_api::{OutboundRequest, UnreadResponse};
 
@@ -48,10 +48,18 @@
 /// store.
 const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
 
-/// Size of the read buffer of a connection whose responses may wait for slow callers, in bytes. The
-/// default of `hyper` is about 400 KiB, which 300 unread responses multiply to 120 MB.
+/// Maximum size of the read buffer of a connection, in bytes.
+const READ_BYTES: usize = 400 * 1024;
+
+/// Maximum size of the read buffer of a connection whose responses may wait for slow callers, in
+/// bytes. 300 unread responses would take 120 MB with [`READ_BYTES`].
 const SMALL_READ_BYTES: usize = 64 * 1024;
 
+/// Maximum number of bytes between a request and the end of the head of its response, as a multiple
+/// of the read buffer. `hyper` limits each head to one buffer, but not the number of interim heads,
+/// and body bytes may have been read with the head.
+const MAX_BUFFERS_BEFORE_HEAD: usize = 2;
+
 /// Maximum number of idle connections that a [`BufferedClient`] keeps.
 const MAX_IDLE_CONNECTIONS: usize = 4;
 
@@ -76,6 +84,8 @@
     Closed,
     /// The connection broke after the request was written.
     Broken,
+    /// The connection brought more bytes than the head of a response may have, without its end.
+    EndlessHead,
     /// The connection did not open in time, or there was no response in time.
     Timeout,
     /// The request was not sent, since the quota of its account is used up.
@@ -131,6 +141,8 @@
     start_proof: Option<Rc<()>>,
     /// Number of bytes written.
     written: Rc<Cell<u64>>,
+    /// Limit on the bytes that are read until the head of the response is complete.
+    read_limit: Rc<ReadLimit>,
 }
 
 /// Task that moves the bytes of a connection; it is aborted on drop. Once no more requests are
@@ -161,21 +173,19 @@
     /// Opens a connection within [`CONNECT_TIMEOUT`], or longer while this process is late. `monitor`
     /// counts the bytes that it receives.
     pub async fn open(addr: SocketAddr, monitor: &DelayMonitor) -> Result<Self, CallError> {
-        Self::open_with(addr, monitor, Builder::new()).await
+        Self::open_with(addr, monitor, READ_BYTES).await
     }
 
     /// Opens a connection as [`Self::open`] does, which reads at most 64 KiB of a response before
     /// they are asked for.
     pub async fn open_small(addr: SocketAddr, monitor: &DelayMonitor) -> Result<Self, CallError> {
-        let mut builder = Builder::new();
-        builder.max_buf_size(SMALL_READ_BYTES);
-        Self::open_with(addr, monitor, builder).await
+        Self::open_with(addr, monitor, SMALL_READ_BYTES).await
     }
 
     async fn open_with(
         addr: SocketAddr,
         monitor: &DelayMonitor,
-        mut builder: Builder,
+        read_bytes: usize,
     ) -> Result<Self, CallError> {
         let failed = |cause| CallError {
             verdict: Verdict::NotRun,
@@ -192,7 +202,10 @@
         };
         let io = CountedIo::new(io, monitor);
         let written = io.written();
-        let (sender, connection) = builder
+        let read_limit = io.read_limit();
+        read_limit.set(MAX_BUFFERS_BEFORE_HEAD * read_bytes);
+        let (sender, connection) = Builder::new()
+            .max_buf_size(read_bytes)
             .max_headers(MAX_HEADERS)
             .handshake(TokioIo::new(io))
             .await
@@ -210,6 +223,7 @@
             refused: None,
             start_proof: None,
             written,
+            read_limit,
         })
     }
 
@@ -220,13 +234,20 @@
             return Err(broken(Verdict::NotRun, Cause::Closed));
         }
         self.sends += 1;
-        self.sender.try_send_request(req).await.map_err(|mut e| {
+        self.read_limit.start();
+        let response = self.sender.try_send_request(req).await;
+        let response = response.map_err(|mut e| {
             // `hyper` returns the request only if it has not been written.
             match e.take_message() {
                 Some(_) => broken(Verdict::NotRun, Cause::Closed),
+                None if self.read_limit.is_exceeded() => {
+                    broken(Verdict::MayHaveRun, Cause::EndlessHead)
+                }
                 None => broken(Verdict::MayHaveRun, Cause::Broken),
             }
-        })
+        });
+        self.read_limit.end();
+        response
     }
 
     /// Waits for the response after the current one, whose body must have been read whole. An
@@ -241,7 +262,10 @@
             cause: Cause::Broken,
         };
         let Self {
-            sender, mut driver, ..
+            sender,
+            mut driver,
+            read_limit,
+            ..
         } = self;
         drop(sender);
         let Ok(Some((io, read_ahead))) = (&mut driver.0).await else {
@@ -265,6 +289,7 @@
             refused: None,
             start_proof: None,
             written: Rc::default(),
+            read_limit,
         };
         let response = connection.send(req).await?;
         Ok((connection, response))
--- a/crates/edge/src/own_delay.rs
+++ b/crates/edge/src/own_delay.rs
@@ -1,8 +1,8 @@
 //! Measures the delay that the process itself adds: the lateness of its timers, and the bytes that
-//! it receives.
+//! it receives. Bounds the delay that one peer can cause.
 
 use std::cell::{Cell, RefCell};
-use std::io::{IoSlice, Result};
+use std::io::{ErrorKind, IoSlice, Result};
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -16,6 +16,9 @@
 
 use crate::clock::{MonotonicClock, millis};
 
+/// Number of bytes that a connection may read before other tasks and timers get their turn.
+const READ_BYTES_PER_TURN: usize = 32 * 1024;
+
 /// Minimum time between two log lines about a late instance.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -160,13 +163,54 @@
     }
 }
 
-/// Connection whose bytes are counted.
+/// Limit on the bytes that a connection may read until something is complete. It applies from
+/// [`Self::start`] to [`Self::end`].
+#[derive(Debug, Default)]
+pub struct ReadLimit {
+    /// Number of bytes that may be read in between.
+    bytes: Cell<usize>,
+    /// Number of bytes that may still be read. `None` while the limit does not apply.
+    left: Cell<Option<usize>>,
+}
+
+impl ReadLimit {
+    /// Sets the number of bytes that may be read.
+    pub fn set(&self, bytes: usize) {
+        self.bytes.set(bytes);
+    }
+
+    /// Makes reads fail once that many bytes have been read.
+    pub fn start(&self) {
+        self.left.set(Some(self.bytes.get()));
+    }
+
+    /// Ends the limit.
+    pub fn end(&self) {
+        self.left.set(None);
+    }
+
+    /// Returns whether reads fail.
+    pub fn is_exceeded(&self) -> bool {
+        self.left.get() == Some(0)
+    }
+
+    fn record_read(&self, bytes: usize) {
+        let left = self.left.get();
+        self.left.set(left.map(|left| left.saturating_sub(bytes)));
+    }
+}
+
+/// Connection whose bytes are counted, and which gives way to other tasks after 32 KiB. The runtime
+/// alone would let it read until no byte is left, since it counts calls.
 #[derive(Debug)]
 pub struct CountedIo<T> {
     io: T,
     monitor: DelayMonitor,
     /// Number of bytes written.
     written: Rc<Cell<u64>>,
+    read_limit: Rc<ReadLimit>,
+    /// Number of bytes read since the connection last gave way.
+    turn_bytes: usize,
 }
 
 impl<T> CountedIo<T> {
@@ -176,6 +220,8 @@
             io,
             monitor: monitor.clone(),
             written: Rc::default(),
+            read_limit: Rc::default(),
+            turn_bytes: 0,
         }
     }
 
@@ -184,6 +230,11 @@
         Rc::clone(&self.written)
     }
 
+    /// Returns the limit on reads, which does not apply at first.
+    pub fn read_limit(&self) -> Rc<ReadLimit> {
+        Rc::clone(&self.read_limit)
+    }
+
     fn record_write(&self, poll: Poll<Result<usize>>) -> Poll<Result<usize>> {
         if let Poll::Ready(Ok(n)) = poll {
             self.written.set(self.written.get() + n as u64);
@@ -203,9 +254,24 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<Result<()>> {
+        if self.read_limit.is_exceeded() {
+            return Poll::Ready(Err(ErrorKind::InvalidData.into()));
+        }
+        if self.turn_bytes >= READ_BYTES_PER_TURN {
+            self.turn_bytes = 0;
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         let before = buf.filled().len();
         let poll = Pin::new(&mut self.io).poll_read(cx, buf);
-        self.monitor.record_received(buf.filled().len() - before);
+        let read = buf.filled().len() - before;
+        self.monitor.record_received(read);
+        self.read_limit.record_read(read);
+        self.turn_bytes = if poll.is_pending() {
+            0
+        } else {
+            self.turn_bytes + read
+        };
         poll
     }
 }
