Look at a connection for any byte that waits

Cause: a number of bytes stood for the state of a peer. Once the first part of an answer was acknowledged, the count of waiting bytes began anew, and fewer than 2 KiB were not looked at; but acknowledged is not read, so the receive buffer may be full but for less than the last piece. The kernel then ended the connection 3 s later although the caller answered each probe. Connections that the process had let go of had the same threshold.

Evidence: paused_peers::late_ends, streams whose end of 1 or 900 bytes comes 1.3 s after the rest, failed before: "cut before the last 900 bytes: [11500, 11500, 12000, 12000]", on kept connections and on such that end with the response.

Change: any byte that is not known to be acknowledged is looked at, and raises the limit when the connection is let go. Bytes from the peer no longer count as proof that it has taken all: an upstream that answers a body early has not. A peer that does not answer has 3 s as before.

--- a/crates/edge-bin/tests/common/streams.rs
+++ b/crates/edge-bin/tests/common/streams.rs
@@ -1,9 +1,11 @@
 //! Event streams of a worker.
 
 use std::fmt::Write;
+use std::time::Duration;
 
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::time::sleep;
 
 use super::worker::{Action, EVENTS, header};
 
@@ -72,3 +74,26 @@
 pub fn events(from: u32, to: u32) -> String {
     (from..=to).map(event).collect()
 }
+
+/// Time until the last event of [`Action::LateEnd`], which the edge gets after it has seen that the
+/// others were acknowledged.
+const LATE_END_PAUSE: Duration = Duration::from_millis(1_300);
+
+/// Streams an event of as many bytes as the last segment of the path states, and a last event of
+/// `last` bytes after a pause.
+pub async fn late_end(io: &mut TcpStream, last: usize, head: &str) -> bool {
+    let id = header(head, "x-attempt-id").unwrap_or_default();
+    let path = head.split(' ').nth(1).unwrap_or_default();
+    let first = path.rsplit('/').next().unwrap_or_default();
+    let chunk = |n: u32, len: usize| {
+        let event = format!("id: {n}\ndata: {}\n\n", "x".repeat(len));
+        format!("{:x}\r\n{event}\r\n", event.len())
+    };
+    let begin = stream_head(id) + &chunk(1, first.parse().unwrap());
+    let end = chunk(2, last) + "0\r\n\r\n";
+    if io.write_all(begin.as_bytes()).await.is_err() {
+        return false;
+    }
+    sleep(LATE_END_PAUSE).await;
+    io.write_all(end.as_bytes()).await.is_ok()
+}
--- a/crates/edge-bin/tests/common/worker.rs
+++ b/crates/edge-bin/tests/common/worker.rs
@@ -7,7 +7,7 @@
 use super::memory::{BodyMemory, read_body};
 use super::pause;
 pub use super::streams::{event, events, first_events, stream_head};
-use super::streams::{stream, unframed_stream};
+use super::streams::{late_end, stream, unframed_stream};
 use super::versioned;
 use std::collections::VecDeque;
 use std::fmt::Write;
@@ -81,6 +81,9 @@
     End(BodyEnd),
     /// Sends a plain response of this size in MiB.
     Large(usize),
+    /// Streams an event of the size that the path states, and a last one of this size in bytes after a
+    /// pause.
+    LateEnd(usize),
     /// Responds before it has read the body of the request.
     Early(EarlyAnswer),
 }
@@ -509,10 +512,7 @@
         Action::Truncate => {
             response("200 OK", id, signed, "done").replace("Length: 4", "Length: 9")
         }
-        Action::SendTwice => {
-            let one = response("200 OK", id, signed, "done");
-            format!("{one}{one}")
-        }
+        Action::SendTwice => response("200 OK", id, signed, "done").repeat(2),
         Action::WrongIdFirst => {
             let other = response("200 OK", "another", signed, "not yours");
             let own = response("200 OK", id, signed, "done");
@@ -526,6 +526,7 @@
         }
         Action::Endless(part) => return endless(io, part, id).await,
         Action::Trickle => return trickle(io, id).await,
+        Action::LateEnd(last) => return late_end(io, last, head).await,
         Action::BreakAfter(_)
         | Action::Stream
         | Action::UnsignedStream
--- a/crates/edge-bin/tests/paused_peers.rs
+++ b/crates/edge-bin/tests/paused_peers.rs
@@ -11,7 +11,7 @@
 use serde_json::json;
 use socket2::{SockFilter, SockRef};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::{Instant, sleep, timeout};
 
 /// Time for which the callers may be idle, in milliseconds.
@@ -20,6 +20,9 @@
 /// Time for which a peer pauses, longer than the kernel waits for bytes to be acknowledged.
 const PAUSE: Duration = Duration::from_millis(4_500);
 
+/// Time until the last event of [`Action::LateEnd`].
+const LATE_END_PAUSE: Duration = Duration::from_millis(1_300);
+
 /// A pause of nearly the time for which a caller may be idle.
 const LONG_PAUSE: Duration = Duration::from_secs(14);
 
@@ -41,6 +44,7 @@
     let mut config = config(1, &["k1"]);
     config["limits"]["idle-ms"] = json!(idle_ms);
     config["limits"]["body-bytes"] = json!(4 << 20);
+    config["routes"][2]["resumable"] = json!(false);
     for route in config["routes"].as_array_mut().unwrap() {
         route["timeout-ms"] = json!(60_000);
         route["slo-ms"] = json!(10_000);
@@ -154,6 +158,46 @@
     }
 }
 
+/// Callers pause, and the end of a stream finds no room in their receive buffers, however small it is.
+/// Which sizes fill a buffer but for less than that depends on the kernel.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_ends() {
+    const RECEIVE_BUFFER: u32 = 8 * 1024;
+    const LAST_BYTES: [usize; 2] = [1, 900];
+    let site = start(46, "").await;
+    for last in LAST_BYTES {
+        let sizes = (2_000..22_000).step_by(500);
+        Worker::share_script(&site.workers, &[Action::LateEnd(last); 80]);
+        let callers =
+            sizes.flat_map(|size| ["", "Connection: close\r\n"].map(|extra| (size, extra)));
+        let read = callers.map(async |(size, extra)| {
+            let socket = TcpSocket::new_v4().unwrap();
+            socket.set_recv_buffer_size(RECEIVE_BUFFER).unwrap();
+            let mut io = socket.connect(site.edge().ingress()).await.unwrap();
+            let head = head("POST", &format!("/stream/{size}"), &[]);
+            let head = head.replace("Deadline-Ms: 3000", "Deadline-Ms: 60000");
+            let head = format!("{head}{extra}\r\n");
+            io.write_all(head.as_bytes()).await.unwrap();
+            sleep(PAUSE + LATE_END_PAUSE).await;
+            let is_whole = timeout(common::WAIT_TIMEOUT, read_chunks(&mut io)).await;
+            (!is_whole.unwrap()).then_some(size)
+        });
+        let cut: Vec<_> = join_all(read).await.into_iter().flatten().collect();
+        assert!(cut.is_empty(), "cut before the last {last} bytes: {cut:?}");
+    }
+}
+
+/// Reads a response in chunks. Returns whether it is whole.
+async fn read_chunks(io: &mut TcpStream) -> bool {
+    let mut bytes = Vec::new();
+    while !bytes.ends_with(b"\r\n0\r\n\r\n") {
+        if !matches!(io.read_buf(&mut bytes).await, Ok(1..)) {
+            return false;
+        }
+    }
+    true
+}
+
 /// All callers pause. What the edge holds for them has a bound, and those that take the most memory
 /// are ended.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/edge/src/peer_io.rs
+++ b/crates/edge/src/peer_io.rs
@@ -37,8 +37,9 @@
 /// Maximum pause of an upstream that does not read. The deadlines of requests end it before.
 const MAX_UPSTREAM_PAUSE: Duration = Duration::from_mins(1);
 
-/// Number of bytes that any peer takes without reading them: Linux gives a connection a receive buffer
-/// of at least this size.
+/// Number of bytes that a caller surely takes without reading them: Linux gives a connection a receive
+/// buffer of at least this size. It counts only where the kernel does not tell whether the caller
+/// answers.
 const MIN_WINDOW_BYTES: u64 = 2 * 1024;
 
 /// Number of bytes that an upstream usually takes without reading them. Where the kernel does not tell
@@ -113,9 +114,10 @@
         }
     }
 
-    /// Returns whether bytes wait that the peer may have no room for.
+    /// Returns whether bytes wait that the peer may have no room for. What it acknowledged before may
+    /// still fill its receive buffer, so any byte may be one too many.
     fn has_waiting(&self) -> bool {
-        self.waiting > MIN_WINDOW_BYTES || self.is_blocked
+        self.waiting > surely_taken(MIN_WINDOW_BYTES) || self.is_blocked
     }
 
     /// Records that the peer has taken all that it was sent.
@@ -194,10 +196,20 @@
     }
 }
 
+/// Returns the number of bytes that need not be watched: none, or `by_default` where the state of the
+/// connection cannot be read.
+fn surely_taken(by_default: u64) -> u64 {
+    if socket_state::is_readable() {
+        0
+    } else {
+        by_default
+    }
+}
+
 impl Drop for PeerIo {
     fn drop(&mut self) {
         // The kernel goes on sending what waits, and the peer may still pause.
-        if self.waiting > self.min_window {
+        if self.waiting > surely_taken(self.min_window) {
             self.set_limit(self.max_pause);
         }
     }
@@ -211,8 +223,8 @@
     ) -> Poll<Result<()>> {
         let before = buf.filled().len();
         let poll = Pin::new(&mut self.io).poll_read(cx, buf);
-        if buf.filled().len() > before {
-            // A peer sends again after it has taken what it was sent.
+        if buf.filled().len() > before && !socket_state::is_readable() {
+            // A peer usually sends again after it has taken what it was sent.
             self.record_taken();
         }
         match self.poll_check(cx) {
--- a/crates/edge/src/socket_state.rs
+++ b/crates/edge/src/socket_state.rs
@@ -3,7 +3,7 @@
 //! namespace.
 
 use std::cell::{Cell, OnceCell};
-use std::io::{Read, Write};
+use std::io::{Read, Result, Write};
 use std::net::{IpAddr, SocketAddr};
 
 use nutmegbay_policy::edge::peer_liveness::SendState;
@@ -41,6 +41,9 @@
 const SOCKET_BYTES: usize = 72;
 const ATTRIBUTE_BYTES: usize = 4;
 
+/// Offset of the sequence number in the header of a message.
+const SEQUENCE_OFFSET: usize = 8;
+
 /// Values of the field with the timer that runs.
 const TIMER_RETRANSMIT: u8 = 1;
 const TIMER_PROBE: u8 = 4;
@@ -52,9 +55,16 @@
 thread_local! {
     /// Socket of the interface. `None` if it cannot be opened.
     static INTERFACE: OnceCell<Option<Socket>> = const { OnceCell::new() };
+    /// Whether the last call of the interface has failed.
+    static HAS_FAILED: Cell<bool> = const { Cell::new(false) };
     static SEQUENCE: Cell<u32> = const { Cell::new(0) };
 }
 
+/// Returns whether the state of connections can be read.
+pub fn is_readable() -> bool {
+    !HAS_FAILED.get() && INTERFACE.with(|interface| interface.get_or_init(open).is_some())
+}
+
 /// Returns what the kernel knows of a connection, or `None` if it cannot be read.
 pub fn read(connection: &TcpStream) -> Option<SendState> {
     INTERFACE.with(|interface| {
@@ -62,18 +72,32 @@
         let local = connection.local_addr().ok()?;
         let peer = connection.peer_addr().ok()?;
         let sequence = SEQUENCE.replace(SEQUENCE.get().wrapping_add(1));
-        let mut io: &Socket = interface;
-        io.write_all(&encode_request(local, peer, sequence)).ok()?;
         let mut buf = [0; 2_048];
-        loop {
-            let len = io.read(&mut buf).ok()?;
-            if u32_at(&buf[..len], 8)? == sequence {
-                return decode(&buf[..len]);
+        let response = call(interface, &encode_request(local, peer, sequence), &mut buf);
+        let has_failed = HAS_FAILED.replace(response.is_err());
+        match response {
+            Ok(response) => decode(response),
+            Err(error) => {
+                if !has_failed {
+                    tracing::info!(event = "socket_state_unreadable", %error);
+                }
+                None
             }
         }
     })
 }
 
+/// Sends a request and returns the response to it.
+fn call<'a>(mut interface: &Socket, request: &[u8], buf: &'a mut [u8]) -> Result<&'a [u8]> {
+    interface.write_all(request)?;
+    loop {
+        let len = interface.read(buf)?;
+        if u32_at(&buf[..len], SEQUENCE_OFFSET) == u32_at(request, SEQUENCE_OFFSET) {
+            return Ok(&buf[..len]);
+        }
+    }
+}
+
 fn open() -> Option<Socket> {
     let opened = Socket::new(
         Domain::from(AF_NETLINK),
