Write a version to the store before a stream begins there

Cause: the set of versions in the store was written after the fact, when the list named a version. So a set without it did not show that no stream had begun there, and each listed version counted as one that may have begun any stream that nobody knows.

Change: a listed version is held until the store names it as in use. No stream that can be taken up begins at a held version, so a set without it, read after the caller came back, proves that none has. In calm times the first relay that sees an entry takes the version into use, with the write that it made before too.

Two checks asked for what was only true of the old shape: old_lists::passing_entry refused a stream for an entry that came and went although nobody had used it.

--- a/crates/edge-bin/tests/common/take_ups.rs
+++ b/crates/edge-bin/tests/common/take_ups.rs
@@ -76,6 +76,26 @@
     streams
 }
 
+/// Kills all edges, calls `meanwhile`, and starts them again.
+pub async fn kill_all_and(site: &mut Site, other: &mut Edge, meanwhile: impl FnOnce(&Site)) {
+    site.signal("KILL");
+    other.signal("KILL");
+    meanwhile(site);
+    site.edge_mut().restart();
+    other.restart();
+    for edge in [site.edge(), other] {
+        site.wait_until("it serves", async || {
+            edge.call("GET", "/any/1", &[]).await.status == 200
+        })
+        .await;
+    }
+}
+
+/// Kills all edges and starts them again.
+pub async fn kill_all(site: &mut Site, other: &mut Edge) {
+    kill_all_and(site, other, |_| {}).await;
+}
+
 /// Takes each stream up at `edge` and returns the number of those that are complete then.
 pub async fn take_up(streams: &mut [HeldStream], edge: &Edge) -> usize {
     let mut completed = 0;
--- a/crates/edge-bin/tests/old_lists.rs
+++ b/crates/edge-bin/tests/old_lists.rs
@@ -11,8 +11,11 @@
 use common::worker::Worker;
 use common::{EXCHANGE, Edge, Site, config};
 use futures::future::join_all;
+use serde_json::Value;
 use tokio::time::{Instant, sleep, sleep_until};
 
+const VERSIONS_TOPIC: &str = "keyed.nutmegbay-versions";
+
 /// Time for which an edge is stopped, less than the age at which its list counts as out of date.
 const STOP_TIME: Duration = Duration::from_millis(2_900);
 
@@ -96,23 +99,48 @@
     assert_eq!(outcomes, [Outcome::Complete; STREAMS]);
 }
 
-/// An entry of another version comes and goes between two reads of the list. Another edge may have
-/// used it.
-#[tokio::test(flavor = "multi_thread")]
-async fn passing_entry() {
-    let site = start(3, &["v1", "v1"]).await;
-    let take_up = async || {
-        let unknown = format!("unknown-{}", rand::random::<u32>());
-        let taken_up = [("Last-Event-Id", "1"), ("Resumes", &*unknown)];
-        site.call("POST", "/stream/1", &taken_up).await.status
-    };
+/// Takes up a stream that no edge knows, and returns the status.
+async fn take_up_unknown(site: &Site) -> u16 {
+    let unknown = format!("unknown-{}", rand::random::<u32>());
+    let taken_up = [("Last-Event-Id", "1"), ("Resumes", &*unknown)];
+    site.call("POST", "/stream/1", &taken_up).await.status
+}
+
+/// Starts an edge that knows one version, and lets an entry of another one come and go between two
+/// reads of the list.
+async fn pass_entry(test: u8, in_use: Option<&Value>) -> Site {
+    let site = start(test, &["v1", "v1"]).await;
     site.wait_until("one version alone is in use", async || {
-        take_up().await == 200
+        take_up_unknown(&site).await == 200
     })
     .await;
+    if let Some(set) = in_use {
+        site.store.put(VERSIONS_TOPIC, "desk", set);
+    }
     site.list_version(1, "v2");
     site.list_version(1, "v1");
-    assert_eq!(take_up().await, 503);
+    site
+}
+
+/// An entry of another version comes and goes between two reads of the list. Another edge has used
+/// it.
+#[tokio::test(flavor = "multi_thread")]
+async fn passing_entry() {
+    let earlier = start(3, &["v1", "v2"]).await;
+    let set = || earlier.store.values(VERSIONS_TOPIC).pop();
+    let names_both = |set: Value| set["versions"].as_array().is_some_and(|set| set.len() == 2);
+    earlier
+        .wait_until("both are in use", async || set().is_some_and(names_both))
+        .await;
+    let site = pass_entry(7, set().as_ref()).await;
+    assert_eq!(take_up_unknown(&site).await, 503);
     sleep(LIST_TIME).await;
-    assert_eq!(take_up().await, 503);
+    assert_eq!(take_up_unknown(&site).await, 503);
+}
+
+/// The same, but the store shows that no edge has used it.
+#[tokio::test(flavor = "multi_thread")]
+async fn unused_entry() {
+    let site = pass_entry(8, None).await;
+    assert_eq!(take_up_unknown(&site).await, 200);
 }
--- a/crates/edge-bin/tests/stored_origins.rs
+++ b/crates/edge-bin/tests/stored_origins.rs
@@ -8,7 +8,8 @@
 use common::relayed::RelayedSite;
 use common::store::Fault;
 use common::take_ups::{
-    LIST_TIME, SILENCE, STREAMS, begin_streams_waiting, check_all_go_on, check_versions, start,
+    LIST_TIME, SILENCE, STREAMS, begin_streams_waiting, check_all_go_on, check_versions, kill_all,
+    start,
 };
 use common::versioned::HeldStream;
 use common::worker::Worker;
@@ -32,19 +33,6 @@
     (site, other, streams)
 }
 
-async fn kill_all(site: &mut Site, other: &mut Edge) {
-    site.signal("KILL");
-    other.signal("KILL");
-    site.edge_mut().restart();
-    other.restart();
-    for edge in [site.edge(), other] {
-        site.wait_until("it serves", async || {
-            edge.call("GET", "/any/1", &[]).await.status == 200
-        })
-        .await;
-    }
-}
-
 /// Two versions serve.
 #[tokio::test(flavor = "multi_thread")]
 async fn killed_together() {
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -174,6 +174,8 @@
     prefill_version: Option<VersionTag>,
     /// Whether the last send is the only one that may have run the request so far.
     is_first_run: bool,
+    /// Whether the request may begin a stream at a version that is not in use: there is no other.
+    may_begin_anywhere: bool,
     cause: &'static str,
 }
 
@@ -192,6 +194,7 @@
             has_prefill: false,
             prefill_version: None,
             is_first_run: false,
+            may_begin_anywhere: false,
             cause: NO_UPSTREAM,
         }
     }
@@ -221,13 +224,11 @@
                 self.cause = CRASHES_UPSTREAMS;
                 break;
             }
-            let Some(mut placement) = self.place() else {
+            let Some(mut placement) = self.place_in_turn(round == 0).await? else {
                 self.record_placement_cause();
                 break;
             };
-            if round == 0 {
-                self.admit(&placement)?;
-            } else if self.sends > 0 && !self.may_send_again() {
+            if round > 0 && self.sends > 0 && !self.may_send_again() {
                 break;
             }
             if self.has_prefill && matches!(placement, Placement::Split { .. }) {
@@ -279,6 +280,7 @@
         let service = &self.request.service;
         let mut avoided = self.avoided(&fleet, now).into_owned();
         avoided.extend(fleet.full_upstreams(&service.name, self.request.body.len(), now));
+        avoided.extend(self.held_upstreams(&fleet));
         match (&service.engine, &self.request.head.work) {
             (Some(engine), Some(work)) => {
                 let req = ModelRequest {
--- a/crates/edge/src/versions/mod.rs
+++ b/crates/edge/src/versions/mod.rs
@@ -3,11 +3,12 @@
 //!
 //! An instance knows the origins of the streams that it carries, and of those that it keeps copies
 //! of. For any other stream it needs a proof that one version alone can have begun it: its knowledge
-//! of the versions is complete, and the list of instances was read after the caller had taken the
-//! stream up. Otherwise the instances that keep copies are asked, and then the store, which has the
-//! origins of streams that were open while several versions were in use.
+//! of the versions is complete, and the list of instances, or the versions in use, were read after
+//! the caller had taken the stream up. Otherwise the instances that keep copies are asked, and then
+//! the store, which has the origins of streams that were open while several versions were known.
 
 mod ask;
+mod held;
 mod log;
 mod proof;
 mod replicate;
@@ -40,6 +41,7 @@
 use crate::state::EdgeState;
 
 pub use ask::{ORIGIN_PATH, answer};
+pub use held::{held_versions, is_held, take_into_use};
 pub use log::record_complete;
 pub use replicate::{is_about_origins, leave, receive, send_copies, take_copies, update_members};
 pub use waits::{merge_waits, record_caller_wait};
@@ -79,6 +81,8 @@
     has_list: bool,
     /// Notified when the versions may have to be read from the store or written to it.
     changed: Rc<Notify>,
+    /// Earliest start of a read of the versions in use for which a proof waits.
+    read_wanted: Option<MonotonicTime>,
     questions: Rc<Semaphore>,
 }
 
@@ -95,6 +99,7 @@
             wait_news: WaitNews::default(),
             has_list: false,
             changed: Rc::default(),
+            read_wanted: None,
             questions: Rc::new(Semaphore::new(MAX_QUESTIONS)),
         }
     }
@@ -149,6 +154,7 @@
                 event = "software_versions",
                 service = %known.name,
                 versions = known.history.len(),
+                held = known.history.held().count(),
                 complete = known.history.is_complete(),
                 mixed = is_mixed,
                 observed_ms = millis(known.history.observed_for(now)),
@@ -168,6 +174,8 @@
     bounds: TakeUpBounds,
     /// Time since which no route leads to resumable streams of the service.
     unrouted_since: Option<MonotonicTime>,
+    /// Time at which a wait until listed versions are taken into use was last in vain.
+    take_failed_at: Option<MonotonicTime>,
 }
 
 impl ServiceVersions {
@@ -178,6 +186,7 @@
             history: VersionHistory::default(),
             bounds: TakeUpBounds::default(),
             unrouted_since: None,
+            take_failed_at: None,
         }
     }
 
@@ -185,6 +194,11 @@
         self.bounds.retention()
     }
 
+    /// Returns the versions that the store has to name, together with those in `stored`.
+    fn merged(&self, stored: &[StoredVersion], now: MonotonicTime) -> Vec<StoredVersion> {
+        self.history.merged(stored, self.retention(), now)
+    }
+
     /// Returns whether none of the service's streams can be taken up any more.
     fn is_forgotten(&self, now: MonotonicTime) -> bool {
         let since = self.unrouted_since;
@@ -237,7 +251,7 @@
     let now = state.now();
     let mut versions = state.versions.borrow_mut();
     versions.update(service_tag(service), now, |known| {
-        known.history.record_used(version_tag(version), now)
+        known.history.record_entry(version_tag(version), now)
     });
 }
 
--- a/crates/edge/src/versions/proof.rs
+++ b/crates/edge/src/versions/proof.rs
@@ -2,7 +2,8 @@
 //!
 //! The list of instances as read before the caller took the stream up proves nothing: while this
 //! process was paused or cut off, upstreams of another version may have joined and begun the stream
-//! through other instances. A read that began afterwards contains them.
+//! through other instances. A read that began afterwards contains them. Where another version is
+//! listed, a read of the versions in use shows whether a stream may have begun there.
 
 use std::future::Future;
 use std::pin::pin;
@@ -12,6 +13,7 @@
 use nutmegbay_policy::edge::software_versions::{VersionHistory, VersionTag};
 use nutmegbay_policy::edge::stream_origins::ServiceTag;
 
+use super::held::confirm_versions;
 use crate::list_demand::PROOF_TIMEOUT;
 use crate::platform_api::WireCodec;
 use crate::state::EdgeState;
@@ -29,11 +31,16 @@
             .tagged(service)
             .is_some_and(|known| f(&known.history))
     };
-    // Another read does not make the known versions fewer.
-    if read_history(|history| history.len() > 1) {
+    if !read_history(VersionHistory::has_several) {
+        state.confirm_list(taken_up_at).await;
+    }
+    // Another read does not make the versions in use fewer.
+    if read_history(VersionHistory::has_several_in_use) {
         return None;
     }
-    state.confirm_list(taken_up_at).await;
+    if read_history(VersionHistory::has_several) {
+        confirm_versions(state, service, taken_up_at).await;
+    }
     if !read_history(VersionHistory::is_complete) {
         // A process that has just started reads the versions of before after the list.
         let until = taken_up_at.plus(PROOF_TIMEOUT);
--- a/crates/edge/src/versions/store.rs
+++ b/crates/edge/src/versions/store.rs
@@ -6,8 +6,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use nutmegbay_core::environment::MonotonicTime;
 use nutmegbay_core::position::Position;
 use nutmegbay_policy::edge::software_versions::{MAX_CALLER_WAIT, StoredVersion};
+use nutmegbay_policy::edge::stream_origins::Origin;
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
@@ -18,6 +20,10 @@
 use crate::platform_api::{Store, StoreError, Topic, WireCodec};
 use crate::state::EdgeState;
 
+/// Minimum time between two reads of this process for proofs, so that all processes that read the
+/// store together read it some hundred times per second.
+const PROOF_READ_SPACING: Duration = Duration::from_millis(50);
+
 /// Time between two reads while the store may have lost versions in a restore that others still
 /// know.
 const CONFIRM_INTERVAL: Duration = Duration::from_secs(1);
@@ -55,12 +61,17 @@
     let mut store_status = DependencyStatus::new("store_versions");
     let mut sets: Option<StoredSets> = None;
     let changed = state.versions.borrow().changed();
+    let mut read_at: Option<MonotonicTime> = None;
     loop {
         let known = sets
             .as_ref()
             .filter(|known| known.end.era == state.store_era());
         let write = known.and_then(|known| next_write(&state, known));
         let call = if needs_read(&state, known.is_some()) {
+            if let Some(at) = read_at {
+                sleep(at.plus(PROOF_READ_SPACING).since(state.now())).await;
+            }
+            read_at = Some(state.now());
             let read = read(&state, &store).await;
             state.read_done.notify_waiters();
             read.map(|read| sets = Some(read))
@@ -68,7 +79,9 @@
             let written = append(&state, &store, &service, &set, known.end).await;
             written.map(|end| {
                 known.end = end;
+                record_written(&state, &service, &set.versions);
                 known.by_service.insert(service, set);
+                state.read_done.notify_waiters();
             })
         } else {
             changed.notified().await;
@@ -113,19 +126,26 @@
 /// Returns whether the topic has to be read: for the versions of before the start, or for its end,
 /// which the writes of this process depend on.
 fn needs_read<D: WireCodec>(state: &EdgeState<D>, is_known: bool) -> bool {
-    let has_services = !state.versions.borrow().by_service.is_empty();
-    needs_earlier(state) || (!is_known && has_services && !state.is_relayed())
+    let versions = state.versions.borrow();
+    let has_services = !versions.by_service.is_empty();
+    let mut known = versions.by_service.values();
+    let writes = !state.is_relayed() || known.any(|known| known.history.is_wanted());
+    drop(versions);
+    needs_earlier(state)
+        || state.versions.borrow().read_wanted.is_some()
+        || (!is_known && has_services && writes)
 }
 
-/// Returns a set that has to be written, unless another process reads the store for this one.
+/// Returns a set that has to be written. Where another process reads the store for this one, only
+/// versions that are wanted at once are.
 fn next_write<D: WireCodec>(state: &EdgeState<D>, sets: &StoredSets) -> Option<NextWrite> {
-    if state.is_relayed() {
-        return None;
-    }
     let now = state.now();
     let era = state.store_era();
     let versions = state.versions.borrow();
     versions.by_service.values().find_map(|known| {
+        if state.is_relayed() && !known.history.is_wanted() {
+            return None;
+        }
         let stored = sets.by_service.get(&known.name);
         let stored = stored.filter(|stored| stored.era == era);
         let stored_wait_ms = stored.and_then(|stored| stored.caller_wait_ms);
@@ -133,8 +153,7 @@
         let caller_wait_ms = known.bounds.caller_wait.map(millis);
         let is_longer = known.history.is_complete() && caller_wait_ms > stored_wait_ms;
         let replacement = known.history.replacement(stored, known.retention(), now);
-        let versions =
-            replacement.or_else(|| is_longer.then(|| known.history.merged(stored, now)))?;
+        let versions = replacement.or_else(|| is_longer.then(|| known.merged(stored, now)))?;
         Some(NextWrite {
             service: known.name.clone(),
             set: StoredSet {
@@ -152,6 +171,7 @@
     store: &S,
 ) -> Result<StoredSets, StoreError> {
     let as_of = state.now();
+    state.versions.borrow_mut().read_wanted = None;
     let newest = NewestRecords::read(state, store, Topic::Versions).await?;
     let end = newest.end.unwrap_or_default();
     let mut by_service = HashMap::new();
@@ -195,6 +215,35 @@
     Ok(StoredSets { by_service, end })
 }
 
+/// Records that this process has written which versions are in use, and tells all others about the
+/// new ones: those that do not read the store wait for it.
+fn record_written<D: WireCodec>(state: &EdgeState<D>, service: &str, written: &[StoredVersion]) {
+    let now = state.now();
+    let mut versions = state.versions.borrow_mut();
+    let Versions {
+        by_service,
+        version_news,
+        ..
+    } = &mut *versions;
+    let Some(known) = by_service.get_mut(service) else {
+        return;
+    };
+    let service = known.tag;
+    let is_held = |s: &&StoredVersion| known.history.is_held(s.version);
+    let taken: Vec<_> = written.iter().filter(is_held).map(|s| s.version).collect();
+    known.history.record_written(written);
+    for version in taken {
+        tracing::info!(
+            event = "version_taken_into_use",
+            service = %known.name,
+            version = version.0,
+            observed_ms = millis(known.history.observed_for(now)),
+        );
+        version_news.record(Origin { service, version }, now);
+        state.fleet.borrow().load_changed.notify_one();
+    }
+}
+
 /// Writes a set if the topic still ends at `end`. Returns the new end.
 async fn append<D: WireCodec, S: Store>(
     state: &EdgeState<D>,
--- a/crates/policy/tests/edge_software_versions.rs
+++ b/crates/policy/tests/edge_software_versions.rs
@@ -193,7 +193,7 @@
 fn many_versions() {
     let mut history = started(OLD, &[], 0);
     for n in 0..1_000 {
-        history.record_listed([OLD, VersionTag(100 + n)], true, at(u64::from(n)));
+        history.record_used(VersionTag(100 + n), at(u64::from(n)));
         assert!(!history.record_listed([OLD], true, at(u64::from(n))));
         assert_eq!(history.only(), None);
     }
