Ask each new connection for the start of its upstream

Cause: while any connection that was proved to lead to the listed start was open, a new one was not asked. An open connection shows that nobody has closed it, not that the same process is still there.

The count of proved connections for each upstream is gone.

--- a/crates/edge-bin/tests/common/proxy.rs
+++ b/crates/edge-bin/tests/common/proxy.rs
@@ -1,6 +1,7 @@
 //! A loopback TCP proxy. Its connections can be delayed, reset or made to drop bytes in one or both
 //! directions while they are open.
 
+use std::future::pending;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,6 +23,9 @@
     Dropping,
     /// Requests are forwarded and responses are dropped.
     DroppingResponses,
+    /// Connections that were open before go silent and stay open, also when the server closes its
+    /// side. Others work.
+    Severed,
     /// Connections are closed.
     Reset,
     /// Connections are closed, and no others open.
@@ -84,31 +88,43 @@
     let (from_client, to_client) = io.into_split();
     let (from_server, to_server) = server.into_split();
     let mut reset = state.clone();
+    let is_severable = *state.borrow() != LinkState::Severed;
+    let is_silent = |link| is_severable && link == LinkState::Severed;
+    let is_dropped = |link| [LinkState::Dropping, LinkState::DroppingResponses].contains(&link);
     tokio::select! {
-        () = forward(from_client, to_server, state.clone(), LinkState::Dropping) => {}
-        () = forward(from_server, to_client, state, LinkState::DroppingResponses) => {}
+        () = forward(from_client, to_server, state.clone(), |link| {
+            is_silent(link) || link == LinkState::Dropping
+        }, is_silent) => {}
+        () = forward(from_server, to_client, state, |link| {
+            is_silent(link) || is_dropped(link)
+        }, is_silent) => {}
         _ = reset.wait_for(|link| matches!(link, LinkState::Reset | LinkState::Unopened)) => {}
     }
 }
 
-/// Forwards bytes in one direction, except while the link drops everything or is in the state
-/// `dropping`.
+/// Forwards bytes in one direction, except while the link drops them. Ends with the connection `from`,
+/// unless the link is silent then.
 async fn forward(
     mut from: impl AsyncRead + Unpin,
     mut to: impl AsyncWrite + Unpin,
     state: watch::Receiver<LinkState>,
-    dropping: LinkState,
+    drops: impl Fn(LinkState) -> bool,
+    is_silent: impl Fn(LinkState) -> bool,
 ) {
     let mut buf = vec![0; 16 * 1024];
     while let Ok(len @ 1..) = from.read(&mut buf).await {
         let link = *state.borrow();
         match link {
             LinkState::Delayed(delay) => sleep(delay).await,
-            link if link == LinkState::Dropping || link == dropping => continue,
+            link if drops(link) => continue,
             _ => {}
         }
         if to.write_all(&buf[..len]).await.is_err() {
             return;
         }
     }
+    let is_silent = is_silent(*state.borrow());
+    if is_silent {
+        pending::<()>().await;
+    }
 }
--- a/crates/edge-bin/tests/mixed_versions.rs
+++ b/crates/edge-bin/tests/mixed_versions.rs
@@ -4,9 +4,10 @@
 
 use common::Site;
 use common::body_end::EVENTS_BEFORE_CUT;
+use common::proxy::LinkState;
 use common::store::Fault;
 use common::take_ups::{
-    LIST_TIME, SILENCE, STREAMS, begin_streams, check_versions, start, take_up,
+    LIST_TIME, SILENCE, STREAMS, begin_streams, check_versions, list, start, take_up,
 };
 use common::versioned::{HeldStream, Outcome};
 use common::worker::{Action, EVENTS, Worker, header};
@@ -201,6 +202,30 @@
     heads.iter().filter_map(rank).collect()
 }
 
+/// An upstream starts again under its id with another version, behind connections that are silent
+/// and stay open, before the list is read again. It is silent in the middle of its streams.
+#[tokio::test(flavor = "multi_thread")]
+async fn replaced_behind_silence() {
+    const CALLERS: usize = 12;
+    let (site, proxies) = Site::start_with_proxies(56, 2).await;
+    list(&site, &["v1", "v1"]).await;
+    let ask = async || {
+        let mut stream = HeldStream::new();
+        stream
+            .attempt(site.edge().ingress(), "/stream/1", None)
+            .await;
+        stream
+    };
+    join_all((0..CALLERS / 3).map(|_| ask())).await;
+    site.store.set_fault(Fault::Refuse);
+    proxies[0].set(LinkState::Severed);
+    site.workers[0].restart_as("v2");
+    sleep(LIST_TIME).await;
+    site.workers[0].script(&[SILENCE; CALLERS]);
+    let streams = join_all((0..CALLERS).map(|_| ask())).await;
+    check_versions(&streams);
+}
+
 /// Upstreams start again under their ids with another version while the list cannot be read.
 #[tokio::test(flavor = "multi_thread")]
 async fn replaced_unseen() {
--- a/crates/edge/src/fleet/mod.rs
+++ b/crates/edge/src/fleet/mod.rs
@@ -84,8 +84,6 @@
     bodies: UpstreamBodies,
     /// Whether a refused connection has shown that the start in the entry has ended.
     has_ended: bool,
-    /// Held by each open connection that is proved to lead to the start in the entry.
-    proof: Rc<()>,
     /// Idle connections.
     idle: IdleConnections,
     /// Hash of the id, for rankings on which all instances agree.
@@ -244,7 +242,6 @@
             has_unusable_pace: false,
             bodies: UpstreamBodies::default(),
             has_ended: false,
-            proof: Rc::default(),
             idle: IdleConnections::new(MAX_IDLE_CONNECTIONS),
             expiry_grace_until: None,
             report,
--- a/crates/edge/src/fleet/versions.rs
+++ b/crates/edge/src/fleet/versions.rs
@@ -1,5 +1,3 @@
-use std::rc::Rc;
-
 use nutmegbay_policy::UpstreamKey;
 use nutmegbay_policy::edge::software_versions::VersionTag;
 
@@ -43,19 +41,15 @@
     pub started_ms: Option<u64>,
     /// Whether a refused connection has shown that it has ended.
     pub has_ended: bool,
-    /// Whether a connection is open that is proved to lead to it.
-    pub is_connected: bool,
 }
 
 impl Fleet {
     /// Returns what is known of the start of an upstream, or `None` if the upstream was removed.
-    pub fn known_start(&mut self, key: UpstreamKey) -> Option<KnownStart> {
-        let upstream = self.upstreams.get_mut(key)?;
-        upstream.idle.sweep();
+    pub fn known_start(&self, key: UpstreamKey) -> Option<KnownStart> {
+        let upstream = self.upstreams.get(key)?;
         Some(KnownStart {
             started_ms: upstream.report.started_ms,
             has_ended: upstream.has_ended,
-            is_connected: Rc::strong_count(&upstream.proof) > 1,
         })
     }
 
@@ -66,11 +60,10 @@
         }
     }
 
-    /// Records that an open connection leads to the start that the entry describes. Returns the
-    /// proof, which the connection holds as long as it is open.
-    pub fn record_proved_start(&mut self, key: UpstreamKey) -> Option<Rc<()>> {
-        let upstream = self.upstreams.get_mut(key)?;
-        upstream.has_ended = false;
-        Some(Rc::clone(&upstream.proof))
+    /// Records that an open connection leads to the start that the entry describes.
+    pub fn record_proved_start(&mut self, key: UpstreamKey) {
+        if let Some(upstream) = self.upstreams.get_mut(key) {
+            upstream.has_ended = false;
+        }
     }
 }
--- a/crates/edge/src/forward/start.rs
+++ b/crates/edge/src/forward/start.rs
@@ -1,7 +1,8 @@
 //! Makes sure that a connection leads to the start of the upstream that is listed.
 //!
 //! An upstream may start again under its id, with another software version. Until its new entry is
-//! read, what the list says of it is about a process that has ended.
+//! read, what the list says of it is about a process that has ended. Another connection that is open
+//! shows nothing: it may be silent for good.
 
 use bytes::Bytes;
 use http::StatusCode;
@@ -27,23 +28,19 @@
             return Ok(());
         }
         let opened_at = self.state.now();
-        let Some(known) = self.state.fleet.borrow_mut().known_start(at) else {
+        let Some(known) = self.state.fleet.borrow().known_start(at) else {
             return Err(not_sent());
         };
-        let goes_on = self.version().is_some();
-        if !goes_on && known.is_connected && !known.has_ended {
-            return Ok(());
-        }
         let evidence = StartEvidence {
             listed_ms: known.started_ms,
             reported_ms: self.reported_start(connection).await?,
             has_ended: known.has_ended,
-            goes_on,
+            goes_on: self.version().is_some(),
         };
         match evidence.verdict() {
             StartVerdict::Proved => {
-                let mut fleet = self.state.fleet.borrow_mut();
-                connection.record_start(fleet.record_proved_start(at));
+                self.state.fleet.borrow_mut().record_proved_start(at);
+                connection.record_proved_start();
                 Ok(())
             }
             StartVerdict::Assumed => Ok(()),
--- a/crates/edge/src/http1.rs
+++ b/crates/edge/src/http1.rs
@@ -137,8 +137,8 @@
     sends: u32,
     /// Hash of the id of the last request that the upstream refused on this connection.
     refused: Option<u64>,
-    /// Proof that the connection leads to the start of the upstream that is listed.
-    start_proof: Option<Rc<()>>,
+    /// Whether the connection is proved to lead to the start of the upstream that is listed.
+    has_proved_start: bool,
     /// Number of bytes written.
     written: Rc<Cell<u64>>,
     /// Limit on the bytes that are read until the head of the response is complete.
@@ -221,7 +221,7 @@
             is_reused: false,
             sends: 0,
             refused: None,
-            start_proof: None,
+            has_proved_start: false,
             written,
             read_limit,
         })
@@ -287,7 +287,7 @@
             is_reused: false,
             sends: 0,
             refused: None,
-            start_proof: None,
+            has_proved_start: false,
             written: Rc::default(),
             read_limit,
         };
@@ -321,14 +321,14 @@
         self.refused == Some(request)
     }
 
-    /// Records the proof that the connection leads to the start of the upstream that is listed.
-    pub fn record_start(&mut self, proof: Option<Rc<()>>) {
-        self.start_proof = proof;
+    /// Records that the connection is proved to lead to the start of the upstream that is listed.
+    pub fn record_proved_start(&mut self) {
+        self.has_proved_start = true;
     }
 
     /// Returns whether the connection is proved to lead to the start of the upstream that is listed.
     pub fn has_proved_start(&self) -> bool {
-        self.start_proof.is_some()
+        self.has_proved_start
     }
 
     /// Returns whether another request may be sent on the connection.
